--- /dev/null
+++ b/src/config/check.ts
@@ -0,0 +1,130 @@
+// Reading and checking the operator's configurations (design 6.1): each message names field and remedy.
+import * as result from "true-myth/result";
+import * as superstruct from "superstruct";
+import * as errors from "../startup/errors.js";
+
+const name = superstruct.nonempty(superstruct.string());
+const count = superstruct.min(superstruct.number(), 0);
+const above = superstruct.min(superstruct.number(), 0, { exclusive: true });
+
+const backend = superstruct.type({ service: name, weight: count });
+
+export const route = superstruct.type({
+  name,
+  hostname: name,
+  path_prefix: superstruct.pattern(superstruct.string(), /^\/([^?#\s]*\/)?$/),
+  route_type: superstruct.enums(["read_only", "mutating", "streaming"]),
+  deadline_ms: above,
+  target_latency_ms: superstruct.optional(count),
+  target_gap_ms: superstruct.optional(superstruct.nullable(count)),
+  priority: superstruct.optional(count),
+  service: superstruct.optional(superstruct.nullable(name)),
+  backends: superstruct.optional(superstruct.nullable(superstruct.array(backend))),
+  max_attempts: superstruct.optional(superstruct.min(superstruct.integer(), 0)),
+  session_affinity: superstruct.optional(superstruct.boolean()),
+  resumable: superstruct.optional(superstruct.boolean()),
+  allowed_regions: superstruct.optional(superstruct.nullable(superstruct.array(name))),
+});
+
+const runtime = superstruct.type({
+  capacity: superstruct.optional(count),
+  kv_token_capacity: superstruct.optional(count),
+  token_stride: superstruct.optional(count),
+});
+
+export const service = superstruct.type({
+  name,
+  health_check_path: superstruct.optional(superstruct.pattern(superstruct.string(), /^\//)),
+  max_connections: superstruct.optional(count),
+  protocol: superstruct.optional(superstruct.string()),
+  tls: superstruct.optional(superstruct.boolean()),
+  warmup_s: superstruct.optional(superstruct.nullable(count)),
+  warmup_per_s: superstruct.optional(superstruct.nullable(count)),
+  runtime: superstruct.optional(superstruct.nullable(runtime)),
+});
+
+const limits = superstruct.type({
+  max_header_bytes: superstruct.optional(above),
+  max_body_bytes: superstruct.optional(above),
+  header_timeout_ms: superstruct.optional(above),
+  idle_timeout_ms: superstruct.optional(above),
+});
+
+const document = superstruct.type({
+  revision: superstruct.min(superstruct.integer(), 1),
+  routes: superstruct.array(route),
+  services: superstruct.array(service),
+  limits: superstruct.optional(limits),
+});
+
+export type Route = superstruct.Infer<typeof route>;
+export type Service = superstruct.Infer<typeof service>;
+export type Limits = superstruct.Infer<typeof limits>;
+export type Configuration = superstruct.Infer<typeof document>;
+
+type Checked<T> = result.Result<T, errors.CranewindError>;
+
+export function invalid<T>(field: string, what: string, remedy: string): Checked<T> {
+  return result.err(errors.fail("invalid", `${field}: ${what}`, remedy));
+}
+
+export function parseJson(text: Buffer): Checked<unknown> {
+  try {
+    return result.ok(JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(text)));
+  } catch {
+    return invalid("body", "it cannot be read whole as JSON", "send the complete document as UTF-8 JSON");
+  }
+}
+
+function doubled(field: string, names: Iterable<string>): Checked<null> {
+  const seen = new Set<string>();
+  for (const item of names) {
+    if (seen.has(item)) return invalid(field, `${item} stands there twice`, "keep one of them");
+    seen.add(item);
+  }
+  return result.ok(null);
+}
+
+function nameOf(item: { name: string }): string {
+  return item.name;
+}
+
+function placeOf(item: Route): string {
+  return `${item.hostname.toLowerCase()}${item.path_prefix}`;
+}
+
+/** The services of a route with their weights. */
+export function backendsOf(item: Route): { service: string; weight: number }[] {
+  if (item.backends && item.backends.length > 0) return item.backends;
+  return item.service ? [{ service: item.service, weight: 1 }] : [];
+}
+
+function checkRoute(item: Route, services: ReadonlySet<string>): Checked<null> {
+  const field = `routes[${item.name}]`;
+  const backends = backendsOf(item);
+  if (backends.length === 0) return invalid(`${field}.service`, "it names no service", "set service, or backends with weights");
+  let weight = 0;
+  for (const one of backends) {
+    if (!services.has(one.service)) return invalid(`${field}.service`, `unknown service ${one.service}`, "add it under services or name another");
+    weight += one.weight;
+  }
+  if (weight <= 0) return invalid(`${field}.backends`, "the weights sum to 0", "give one of them a weight above 0");
+  return result.ok(null);
+}
+
+export function check(value: unknown): Checked<Configuration> {
+  const [failure, config] = superstruct.validate(value, document);
+  if (failure) return invalid(failure.path.join(".") || "body", failure.message, "see docs/configuration.md for the field");
+  const services = new Set(config.services.map(nameOf));
+  const places = [
+    doubled("services", config.services.map(nameOf)),
+    doubled("routes", config.routes.map(nameOf)),
+    doubled("routes with host and prefix", config.routes.map(placeOf)),
+  ];
+  for (const place of places) if (place.isErr) return result.err(place.error);
+  for (const item of config.routes) {
+    const outcome = checkRoute(item, services);
+    if (outcome.isErr) return result.err(outcome.error);
+  }
+  return result.ok(config);
+}
--- /dev/null
+++ b/src/config/routes.ts
@@ -0,0 +1,72 @@
+// Route lookup by host, then by the longest prefix; the last route costs what the first does (design 6.3).
+import * as check from "./check.js";
+
+export interface RouteEntry {
+  route: check.Route;
+  backends: { service: string; weight: number }[];
+  weight: number;
+  homes: readonly string[];
+  isRepeatable: boolean;
+}
+
+interface Host {
+  byPrefix: Map<string, RouteEntry>;
+}
+
+export class RouteTable {
+  private readonly hosts = new Map<string, Host>();
+  readonly services = new Map<string, check.Service>();
+
+  constructor(readonly config: check.Configuration) {
+    for (const service of config.services) this.services.set(service.name, service);
+    for (const route of config.routes) this.add(route);
+  }
+
+  private add(route: check.Route): void {
+    const key = route.hostname.toLowerCase();
+    let host = this.hosts.get(key);
+    if (!host) {
+      host = { byPrefix: new Map() };
+      this.hosts.set(key, host);
+    }
+    const backends = check.backendsOf(route);
+    let weight = 0;
+    for (const backend of backends) weight += backend.weight;
+    const isStream = route.route_type === "streaming";
+    host.byPrefix.set(route.path_prefix, {
+      route, backends, weight, homes: route.allowed_regions ?? [],
+      isRepeatable: route.route_type === "read_only" || (isStream && route.resumable === true),
+    });
+  }
+
+  find(hostHeader: string, target: string): RouteEntry | null {
+    const host = this.hosts.get(bareHost(hostHeader));
+    if (!host) return null;
+    const query = target.indexOf("?");
+    let path = query < 0 ? target : target.slice(0, query);
+    while (path.length > 0) {
+      const slash = path.lastIndexOf("/");
+      if (slash < 0) return null;
+      const found = host.byPrefix.get(path.slice(0, slash + 1));
+      if (found) return found;
+      path = path.slice(0, slash);
+    }
+    return null;
+  }
+}
+
+function bareHost(header: string): string {
+  const colon = header.lastIndexOf(":");
+  const bare = colon > 0 && /^\d+$/.test(header.slice(colon + 1)) ? header.slice(0, colon) : header;
+  return bare.toLowerCase();
+}
+
+/** Chooses a service by weight with a number in [0, 1). */
+export function chooseService(entry: RouteEntry, point: number): string {
+  let left = point * entry.weight;
+  for (const backend of entry.backends) {
+    left -= backend.weight;
+    if (left < 0 && backend.weight > 0) return backend.service;
+  }
+  return entry.backends[entry.backends.length - 1]!.service;
+}
--- /dev/null
+++ b/src/control/cells.ts
@@ -0,0 +1,120 @@
+// What this control node knows of the regions: the platform's list and the runners' reports (design 4.4, 4.5).
+import * as calls from "../wire/calls.js";
+import * as link from "../wire/link.js";
+import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import type * as settings from "../startup/settings.js";
+import type * as dialers from "../feed/dialer.js";
+import * as feeds from "../feed/feed.js";
+import * as registers from "../register/value.js";
+import type * as check from "../config/check.js";
+import type * as cores from "./core.js";
+import type * as sessions from "./sessions.js";
+import * as orchestrators from "./orchestrator.js";
+import * as watchers from "./watcher.js";
+
+export class Cells implements orchestrators.CellsView {
+  private readonly regionOf = new Map<string, string>();
+  private readonly reports = new Map<string, schema.CellReport>();
+  private readonly watcher: watchers.Watcher;
+  private readonly orchestrator: orchestrators.Orchestrator;
+  private engines = new Set<string>();
+
+  constructor(
+    world: types.World,
+    private readonly startup: settings.Settings,
+    private readonly dial: dialers.Dialer,
+    private readonly feed: feeds.Feed,
+    core: cores.Core,
+    private readonly members: sessions.Sessions,
+  ) {
+    for (const [zone, region] of Object.entries(startup.zones)) this.regionOf.set(zone, region);
+    const { address, rate_per_s: rate } = startup.cloud_api;
+    this.watcher = new watchers.Watcher(world, address, rate, dial, this.listRank.bind(this), this.listed.bind(this));
+    this.orchestrator = new orchestrators.Orchestrator(world, new Set(this.regionOf.values()), this, dial, this.reported.bind(this));
+    core.on("chosen", this.configured.bind(this));
+    dial.on("up", this.watcher.greet.bind(this.watcher));
+  }
+
+  register(handlers: link.Handlers): void {
+    const { watcher, orchestrator } = this;
+    handlers.on(calls.instances, function hear(_from, told) {
+      watcher.hear(told);
+      return null;
+    });
+    handlers.on(calls.report, function hear(_from, told) {
+      orchestrator.hear(told);
+      return null;
+    });
+  }
+
+  turn(): void {
+    this.watcher.turn();
+    this.orchestrator.turn();
+  }
+
+  private configured(value: schema.Value): void {
+    const config = registers.unpack(value.config) as check.Configuration | null;
+    this.engines = new Set();
+    for (const service of config?.services ?? []) if (service.runtime) this.engines.add(service.name);
+  }
+
+  private listed(instances: schema.Instance[]): void {
+    this.feed.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances }));
+  }
+
+  private reported(report: schema.CellReport): void {
+    this.reports.set(report.region, report);
+    this.feed.publish(feeds.cellTopic(report.region), schema.cellReport.toBuffer(report));
+  }
+
+  /** Control nodes that this one hears, itself among them, in one order for all. */
+  private controls(): { name: string; region: string }[] {
+    const all = [{ name: this.startup.node_name, region: this.startup.region }];
+    for (const control of this.dial.controls.values()) {
+      if (this.members.isHeld(control.node.name)) all.push({ name: control.node.name, region: control.node.region });
+    }
+    return all.sort(byName);
+  }
+
+  private rankWithin(order: { name: string }[]): number {
+    const own = this.startup.node_name;
+    return order.findIndex(isOwn);
+    function isOwn(item: { name: string }): boolean {
+      return item.name === own;
+    }
+  }
+
+  private listRank(): number {
+    return this.rankWithin(this.controls());
+  }
+
+  rank(region: string): number {
+    const all = this.controls();
+    const near = all.filter(isNear);
+    function isNear(item: { region: string }): boolean {
+      return item.region === region;
+    }
+    const far = all.filter(isFar);
+    function isFar(item: { region: string }): boolean {
+      return item.region !== region;
+    }
+    return this.rankWithin([...near, ...far]);
+  }
+
+  reporting(region: string): schema.Instance[] {
+    const found: schema.Instance[] = [];
+    for (const item of this.watcher.instances) {
+      if (this.regionOf.get(item.zone) === region && this.engines.has(item.service)) found.push(item);
+    }
+    return found;
+  }
+
+  status(): unknown {
+    return { instances: this.watcher.instances, reports: [...this.reports.values()] };
+  }
+}
+
+function byName(left: { name: string }, right: { name: string }): number {
+  return left.name < right.name ? -1 : left.name > right.name ? 1 : 0;
+}
--- /dev/null
+++ b/src/control/operator.ts
@@ -0,0 +1,89 @@
+// The operator's calls: Replace, Update, Describe, Evacuations (design 6.2). Any control node takes any.
+import * as result from "true-myth/result";
+import * as check from "../config/check.js";
+import * as change from "../config/change.js";
+import * as registers from "../register/value.js";
+import type * as proposers from "../register/proposer.js";
+import * as errors from "../startup/errors.js";
+import * as log from "../startup/log.js";
+import * as names from "../wire/names.js";
+import * as schema from "../wire/schema.js";
+import type * as core from "./core.js";
+import * as serve from "./serve.js";
+
+const CHANGE_MS = 2600;
+
+export class Operator {
+  constructor(
+    private readonly register: core.Core,
+    private readonly zones: ReadonlySet<string>,
+    private readonly status: () => unknown,
+  ) {}
+
+  reply(asked: serve.Asked): Promise<serve.Told> | serve.Told {
+    const { method, path } = asked;
+    if (method === "POST" && path === "/-/Config.Replace") return this.replace(asked);
+    if (method === "POST" && path === "/-/Config.Update") return this.update(asked);
+    if (method === "GET" && path === "/-/Config.Describe") return this.describe();
+    if (method === "POST" && path.startsWith("/-/Evacuations.Start/")) return this.evacuate(path, true);
+    if (method === "POST" && path.startsWith("/-/Evacuations.Stop/")) return this.evacuate(path, false);
+    if (method === "GET" && path === "/-/status") return { status: 200, json: this.status() };
+    return serve.denial(errors.fail("not_found", `no call ${method} ${path}`, "see docs/operating.md for the calls"));
+  }
+
+  private async run(step: proposers.Step, told: (value: schema.Value) => unknown): Promise<serve.Told> {
+    const outcome = await this.register.change(step, CHANGE_MS);
+    log.count(outcome.isOk ? "operator.taken" : `operator.${outcome.error.kind}`);
+    return outcome.isOk ? { status: 200, json: told(outcome.value) } : serve.denial(outcome.error);
+  }
+
+  private replace(asked: serve.Asked): Promise<serve.Told> | serve.Told {
+    const parsed = check.parseJson(asked.body);
+    if (parsed.isErr) return serve.denial(parsed.error);
+    const checked = check.check(parsed.value);
+    if (checked.isErr) return serve.denial(checked.error);
+    const base = baseOf(asked);
+    if (base.isErr) return serve.denial(base.error);
+    return this.run(change.replaceStep(base.value, asked.body, parsed.value), revisionOf);
+  }
+
+  private update(asked: serve.Asked): Promise<serve.Told> | serve.Told {
+    const parsed = check.parseJson(asked.body);
+    if (parsed.isErr) return serve.denial(parsed.error);
+    const base = baseOf(asked);
+    if (base.isErr) return serve.denial(base.error);
+    return this.run(change.updateStep(base.value, asked.body, parsed.value), revisionOf);
+  }
+
+  private async describe(): Promise<serve.Told> {
+    const outcome = await this.register.read(CHANGE_MS);
+    if (outcome.isErr) return serve.denial(outcome.error);
+    const document = registers.unpack(outcome.value.config);
+    if (document === null) return serve.denial(errors.fail("not_found", "no configuration has been taken yet", "send Config.Replace with base version 0"));
+    return { status: 200, json: document };
+  }
+
+  private evacuate(path: string, isStart: boolean): Promise<serve.Told> | serve.Told {
+    const zone = decodeURIComponent(path.slice(path.lastIndexOf("/") + 1));
+    if (!this.zones.has(zone)) return serve.denial(errors.fail("not_found", `no zone ${zone}`, "name one of the zones of the settings"));
+    function step(value: schema.Value): ReturnType<proposers.Step> {
+      return result.ok(registers.withEvacuation(value, zone, isStart));
+    }
+    return this.run(step, evacuationsOf);
+  }
+}
+
+function revisionOf(value: schema.Value): unknown {
+  return { revision: value.revision };
+}
+
+function evacuationsOf(value: schema.Value): unknown {
+  return { evacuations: value.evacuations };
+}
+
+function baseOf(asked: serve.Asked): result.Result<number, errors.CranewindError> {
+  const header = asked.headers[names.HEADER.base];
+  const base = typeof header === "string" && header !== "" ? Number(header) : Number.NaN;
+  if (Number.isInteger(base) && base >= 0) return result.ok(base);
+  return check.invalid(names.HEADER.base, "it is missing or no whole number", "send the revision that the change builds on, 0 for the first");
+}
--- /dev/null
+++ b/src/control/orchestrator.ts
@@ -0,0 +1,133 @@
+// The orchestrator of a region reads its runners' reports and derives their status (design 4.5). When it
+// is missing, the next control node in order does the region's work and hands it over again.
+import * as calls from "../wire/calls.js";
+import * as http from "../wire/http.js";
+import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import * as log from "../startup/log.js";
+import type * as dialer from "../feed/dialer.js";
+
+const PERIOD_MS = 1000;
+const STEP_MS = 900;
+const REPORT_MS = 700;
+const MISSES = 2;
+
+interface Watched {
+  client: http.Client;
+  misses: number;
+  report: schema.Report;
+}
+
+interface Cell {
+  heardAt: number;
+  nextAt: number;
+  isBusy: boolean;
+}
+
+export interface CellsView {
+  /** The runners of a region that write reports. */
+  reporting(region: string): schema.Instance[];
+  /** This node's place in the order of those who watch the region. */
+  rank(region: string): number;
+}
+
+export class Orchestrator {
+  private readonly watched = new Map<string, Watched>();
+  private readonly cells = new Map<string, Cell>();
+
+  constructor(
+    private readonly world: types.World,
+    regions: Iterable<string>,
+    private readonly view: CellsView,
+    private readonly dial: dialer.Dialer,
+    private readonly onReport: (report: schema.CellReport) => void,
+  ) {
+    for (const region of regions) this.cells.set(region, { heardAt: -1e9, nextAt: 0, isBusy: false });
+  }
+
+  turn(): void {
+    const now = this.world.now();
+    for (const [region, cell] of this.cells) {
+      if (cell.isBusy || now < cell.nextAt) continue;
+      const rank = this.view.rank(region);
+      if (rank > 0 && now - cell.heardAt < PERIOD_MS + STEP_MS * rank) continue;
+      cell.isBusy = true;
+      cell.nextAt = now + PERIOD_MS;
+      void this.poll(region, cell);
+    }
+  }
+
+  hear(report: schema.CellReport): void {
+    const cell = this.cells.get(report.region);
+    if (cell) cell.heardAt = this.world.now();
+    this.onReport(report);
+  }
+
+  private async poll(region: string, cell: Cell): Promise<void> {
+    const instances = this.view.reporting(region);
+    this.forget(region, instances);
+    const reports = await Promise.all(instances.map(this.ask.bind(this)));
+    cell.isBusy = false;
+    cell.heardAt = this.world.now();
+    const told = { region, reports };
+    this.onReport(told);
+    for (const control of this.dial.controls.values()) control.link.tell(calls.report, told);
+  }
+
+  private async ask(instance: schema.Instance): Promise<schema.Report> {
+    let watched = this.watched.get(instance.id);
+    if (!watched) {
+      const client = http.open(instance.address, { connectMs: REPORT_MS, idleMs: 4000 });
+      const report = { id: instance.id, isSpeaking: true, waiting: 0, active: 0, kvUsed: 0, kvCapacity: 0 };
+      watched = { client, misses: 0, report };
+      this.watched.set(instance.id, watched);
+    }
+    const reply = await http.call(this.world, watched.client, "/-/report", { withinMs: REPORT_MS });
+    log.count("runner.report");
+    const read = reply?.status === 200 ? readReport(instance.id, reply.body) : null;
+    if (read) {
+      if (!watched.report.isSpeaking) log.state(`runner ${instance.id} speaks again`);
+      watched.misses = 0;
+      watched.report = read;
+      return read;
+    }
+    watched.misses += 1;
+    if (!reply) this.renew(instance, watched);
+    if (watched.misses === MISSES) log.state(`runner ${instance.id} is silent`);
+    watched.report = { ...watched.report, isSpeaking: watched.misses < MISSES };
+    return watched.report;
+  }
+
+  private renew(instance: schema.Instance, watched: Watched): void {
+    void watched.client.destroy().catch(http.ignore);
+    watched.client = http.open(instance.address, { connectMs: REPORT_MS, idleMs: 4000 });
+  }
+
+  private forget(region: string, instances: readonly schema.Instance[]): void {
+    const standing = new Set<string>();
+    for (const other of this.cells.keys()) {
+      for (const item of other === region ? instances : this.view.reporting(other)) standing.add(item.id);
+    }
+    for (const [id, watched] of this.watched) {
+      if (standing.has(id)) continue;
+      void watched.client.destroy().catch(http.ignore);
+      this.watched.delete(id);
+    }
+  }
+}
+
+export function readReport(id: string, body: Buffer): schema.Report | null {
+  try {
+    const raw = JSON.parse(body.toString("utf8")) as Record<string, unknown>;
+    return {
+      id, isSpeaking: true, waiting: whole(raw["waiting_requests"]), active: whole(raw["active"]),
+      kvUsed: whole(raw["kv_used"]), kvCapacity: whole(raw["kv_capacity"]),
+    };
+  } catch {
+    return null;
+  }
+}
+
+function whole(value: unknown): number {
+  return typeof value === "number" && Number.isFinite(value) && value >= 0 ? Math.min(0x7fffffff, Math.round(value)) : 0;
+}
--- /dev/null
+++ b/src/control/program.ts
@@ -0,0 +1,253 @@
+// The control role put together: register, sessions, feed, cells, directory, operator (design 4, 5, 6).
+import * as crypto from "node:crypto";
+import * as net from "node:net";
+import * as calls from "../wire/calls.js";
+import * as link from "../wire/link.js";
+import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import * as log from "../startup/log.js";
+import type * as settings from "../startup/settings.js";
+import * as dialers from "../feed/dialer.js";
+import * as feeds from "../feed/feed.js";
+import * as registers from "../register/value.js";
+import * as voters from "../register/voter.js";
+import * as ring from "../store/ring.js";
+import * as supervisor from "../supervisor/tree.js";
+import * as cells from "./cells.js";
+import * as cores from "./core.js";
+import * as directory from "./directory.js";
+import * as operators from "./operator.js";
+import * as policy from "./voters.js";
+import * as serve from "./serve.js";
+import * as sessions from "./sessions.js";
+
+const BEAT_MS = 400;
+const TURN_MS = 100;
+const SILENT_MS = 1800;
+const MOST_BODY = 16 * 1024 * 1024;
+const POLICY_MS = 1500;
+
+export class ControlProgram {
+  private readonly life = crypto.randomBytes(6).toString("hex");
+  private readonly address: string;
+  private readonly handlers = new link.Handlers();
+  private readonly dial: dialers.Dialer;
+  private readonly members: sessions.Sessions;
+  private readonly feed: feeds.Feed;
+  private readonly core: cores.Core;
+  private readonly cells: cells.Cells;
+  private readonly heardAt = new Map<string, number>();
+  private readonly startedAt: number;
+  private isChanging = false;
+  readonly root: supervisor.Supervisor;
+
+  constructor(private readonly world: types.World, private readonly startup: settings.Settings) {
+    const port = startup.internal_port_range[0]!;
+    this.startedAt = world.now();
+    this.address = `${startup.ip_address}:${port}`;
+    this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), SILENT_MS);
+    this.members = new sessions.Sessions(world, SILENT_MS);
+    this.feed = new feeds.Feed(this.life);
+    const seeds = startup.seed_nodes.map(inner);
+    function inner(seed: string): string {
+      return `${types.hostOf(seed)}:${port}`;
+    }
+    this.dial.know(seeds);
+    const first = startup.bootstrap ? registers.firstValue(seeds) : registers.firstValue([]);
+    this.core = new cores.Core(world, { life: this.life, address: this.address, first }, this.dial);
+    this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members);
+    this.root = new supervisor.Supervisor("control", world, []);
+    this.handle();
+    this.plan(seeds);
+  }
+
+  private describe(): schema.NodeInfo {
+    return {
+      name: this.startup.node_name, role: "control", life: this.life, zone: this.startup.zone, region: this.startup.region,
+      address: this.address, outside: this.startup.bind_addresses.control_plane ?? "", disk: this.core?.disk ?? "",
+      isCounted: this.startup.failure_counted, isReady: true, epoch: this.core?.chosen?.epoch ?? -1,
+    };
+  }
+
+  private handle(): void {
+    const { handlers, members, dial, core } = this;
+    const describe = this.describe.bind(this);
+    const feed = this.feed;
+    core.register(handlers);
+    this.cells.register(handlers);
+    handlers.on(calls.hello, function hello(from, ask) {
+      members.enter(ask.node, from);
+      if (ask.node.role === "control") dial.know([ask.node.address]);
+      return { node: describe(), controls: dial.addresses(), place: feed.place };
+    });
+    handlers.on(calls.beat, function beat(from, told) {
+      members.beat(from, told);
+      dial.heard(from, told);
+      if (told.epoch > (core.chosen?.epoch ?? -1)) void core.catchUp(from, told.epoch);
+      return null;
+    });
+    handlers.on(calls.sessions, function hear(from, told) {
+      members.hear(from, told.nodes);
+      dial.know(told.controls);
+      return null;
+    });
+    handlers.on(calls.follow, function follow(from, ask) {
+      feed.follow(from, ask.place, ask.from, ask.topics);
+      return null;
+    });
+    core.on("chosen", function chosen(value) {
+      feed.publish(feeds.REGISTER_TOPIC, schema.chosen.toBuffer({ value }));
+    });
+  }
+
+  private plan(seeds: string[]): void {
+    const { root, startup } = this;
+    const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this));
+    const view = { routers: this.members.members.bind(this.members, "router"), ttlMostS: startup.bounds.ttl_max_s };
+    root.add(this.internal());
+    root.add(server("operator", startup.bind_addresses.control_plane, operator.reply.bind(operator)));
+    root.add(server("directory", startup.bind_addresses.directory, resolve));
+    function resolve(asked: serve.Asked): serve.Told {
+      if (asked.path === "/-/resolve") return directory.resolve(view, asked.query);
+      return { status: 404, json: { message: `no call ${asked.path}; ask /-/resolve` } };
+    }
+    root.add(root.turns("beats", BEAT_MS, this.beat.bind(this)));
+    root.add(root.turns("turn", TURN_MS, this.turn.bind(this)));
+    root.add({ name: "disk", start: this.openDisk.bind(this, seeds), stop: nothing });
+  }
+
+  private internal(): supervisor.Child {
+    const { world, handlers, address } = this;
+    const server = net.createServer(accepted);
+    function accepted(socket: net.Socket): void {
+      new link.Link(world, socket, handlers);
+    }
+    return {
+      name: "internal",
+      start(): Promise<void> {
+        return new Promise(function listen(resolve, reject) {
+          server.once("error", reject);
+          server.listen({ host: types.hostOf(address), port: types.portOf(address) }, resolve);
+        });
+      },
+      stop(): void {
+        server.close();
+      },
+    };
+  }
+
+  /** The loop never waits on the disk: until it is read, this node runs without a vote. */
+  private openDisk(seeds: string[]): void {
+    void this.readDisk(seeds).catch(this.root.failed.bind(this.root, "disk"));
+  }
+
+  private async readDisk(seeds: string[]): Promise<void> {
+    const folder = this.startup.data_dir;
+    if (!folder) return;
+    const { ring: kept, newest } = await ring.Ring.open(ring.realFiles, folder);
+    let state = newest ? voters.Voter.restore(newest) : null;
+    if (!state) {
+      const isFirst = this.startup.bootstrap && seeds.includes(this.address);
+      const disk = isFirst ? registers.firstDisk(this.address) : `disk:${crypto.randomBytes(9).toString("base64url")}`;
+      const accepted = isFirst ? { ballot: registers.NO_BALLOT, value: registers.firstValue(seeds) } : null;
+      state = { disk, promised: registers.NO_BALLOT, accepted };
+      log.state(`store: blank disk, new identity ${disk}`);
+      await kept.write(schema.disk.toBuffer(state));
+    }
+    this.core.enter(new voters.Voter(kept, state));
+  }
+
+  private beat(): void {
+    const base = { isReady: true, epoch: this.core.chosen?.epoch ?? -1, isSettled: this.core.isSettled() };
+    this.members.tellBeats(base);
+    this.dial.tellAll({ ...base, index: 0, members: 1 });
+    const nodes = [this.describe(), ...this.members.ownNodes().filter(isRouter)];
+    for (const control of this.dial.controls.values()) control.link.tell(calls.sessions, { nodes, controls: this.dial.addresses() });
+  }
+
+  private turn(): void {
+    this.dial.turn();
+    this.members.sweep();
+    this.core.turn();
+    this.cells.turn();
+    this.arrangeVoters();
+  }
+
+  private alive(): policy.Alive[] {
+    const now = this.world.now();
+    const alive: policy.Alive[] = [];
+    for (const node of [this.describe(), ...this.members.members("control")]) {
+      if (node.name !== this.startup.node_name && !this.members.isHeld(node.name)) continue;
+      this.heardAt.set(node.disk, now);
+      alive.push({ disk: node.disk, node: node.name, address: node.address, isCounted: node.isCounted });
+    }
+    return alive;
+  }
+
+  private arrangeVoters(): void {
+    const value = this.core.chosen;
+    const alive = this.alive();
+    const now = this.world.now();
+    const { heardAt, startedAt } = this;
+    if (!value || this.isChanging || !this.core.isSettled()) return;
+    if (!value.voters.some(isOwn.bind(null, this.core.disk))) return;
+    const wanted = value.former.length > 0 ? null : policy.nextVoters(value, alive, silentMs);
+    function silentMs(voter: schema.Voter): number {
+      return now - (heardAt.get(voter.disk) ?? startedAt);
+    }
+    if (!wanted && value.former.length === 0) return;
+    this.isChanging = true;
+    log.count("voters.change");
+    void this.change(wanted ? policy.voterStep(value, wanted) : policy.settleStep);
+  }
+
+  private async change(step: Parameters<cores.Core["change"]>[0]): Promise<void> {
+    await this.core.change(step, POLICY_MS);
+    const again = this.allowChange.bind(this);
+    this.world.after(200 + 400 * this.world.random(), again);
+  }
+
+  private allowChange(): void {
+    this.isChanging = false;
+  }
+
+  status(): unknown {
+    const value = this.core.chosen;
+    return {
+      node: this.describe(), isSettled: this.core.isSettled(),
+      register: value && { epoch: value.epoch, revision: value.revision, evacuations: value.evacuations, voters: value.voters, former: value.former },
+      members: { control: this.members.members("control"), router: this.members.members("router") },
+      cells: this.cells.status(), counters: Object.fromEntries(log.counted()),
+    };
+  }
+
+  async stop(): Promise<void> {
+    await this.root.stop();
+    this.dial.end();
+  }
+}
+
+function nothing(): void {
+  // The ring needs no closing: every reply was synced.
+}
+
+function isRouter(node: schema.NodeInfo): boolean {
+  return node.role === "router";
+}
+
+function isOwn(disk: string, voter: schema.Voter): boolean {
+  return voter.disk === disk;
+}
+
+function server(name: string, address: string | undefined, reply: serve.Reply): supervisor.Child {
+  let open: serve.Server | null = null;
+  return {
+    name,
+    async start(): Promise<void> {
+      if (address) open = await serve.serve(address, MOST_BODY, reply);
+    },
+    stop(): void {
+      void open?.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/control/serve.ts
@@ -0,0 +1,90 @@
+// Small JSON servers of the control plane and the directory (design 6.2, 4.3).
+import * as http from "node:http";
+import * as errors from "../startup/errors.js";
+import * as log from "../startup/log.js";
+import * as types from "../wire/types.js";
+
+export interface Asked {
+  method: string;
+  path: string;
+  query: URLSearchParams;
+  headers: http.IncomingHttpHeaders;
+  body: Buffer;
+}
+
+export interface Told {
+  status: number;
+  headers?: Record<string, string>;
+  json: unknown;
+}
+
+const STATUS = new Map<errors.Kind, number>([
+  ["invalid", 400], ["race", 412], ["not_found", 404], ["usage", 400], ["no_majority", 503], ["not_ready", 503], ["timeout", 503],
+]);
+
+export function denial(error: errors.CranewindError): Told {
+  const status = STATUS.get(error.kind) ?? 500;
+  const headers = status === 503 ? { "Retry-After": "0.3" } : undefined;
+  return { status, headers, json: { message: error.message } };
+}
+
+export type Reply = (asked: Asked) => Promise<Told> | Told;
+
+export interface Server {
+  close(): Promise<void>;
+}
+
+export function serve(address: string, mostBodyBytes: number, reply: Reply): Promise<Server> {
+  const server = http.createServer({ keepAliveTimeout: 10_000, requestTimeout: 30_000, headersTimeout: 5000, connectionsCheckingInterval: 2000 }, take);
+  function take(request: http.IncomingMessage, response: http.ServerResponse): void {
+    void handle(request, response, mostBodyBytes, reply).catch(lost);
+    function lost(cause: Error): void {
+      log.count("serve.failed");
+      log.state(`serve: ${cause.message}`);
+      response.destroy();
+    }
+  }
+  return new Promise(function start(resolve, reject) {
+    server.once("error", reject);
+    server.listen({ host: types.hostOf(address), port: types.portOf(address) }, listening);
+    function listening(): void {
+      server.removeListener("error", reject);
+      resolve({ close });
+    }
+    function close(): Promise<void> {
+      return new Promise(function ending(done) {
+        server.close(closed);
+        server.closeIdleConnections();
+        function closed(): void {
+          done();
+        }
+      });
+    }
+  });
+}
+
+async function handle(request: http.IncomingMessage, response: http.ServerResponse, mostBytes: number, reply: Reply): Promise<void> {
+  const parts: Buffer[] = [];
+  let held = 0;
+  for await (const chunk of request) {
+    held += (chunk as Buffer).length;
+    if (held > mostBytes) {
+      send(response, { status: 413, json: { message: `body: it is over ${mostBytes} bytes; send a smaller one` } }, true);
+      return;
+    }
+    parts.push(chunk as Buffer);
+  }
+  const url = new URL(request.url ?? "/", "http://node");
+  const told = await reply({
+    method: request.method ?? "GET", path: url.pathname, query: url.searchParams, headers: request.headers, body: Buffer.concat(parts),
+  });
+  send(response, told, false);
+}
+
+function send(response: http.ServerResponse, told: Told, isLast: boolean): void {
+  const body = Buffer.from(JSON.stringify(told.json));
+  const headers: Record<string, string | number> = { "Content-Type": "application/json", "Content-Length": body.length, ...told.headers };
+  if (isLast) headers["Connection"] = "close";
+  response.writeHead(told.status, headers);
+  response.end(body);
+}
--- /dev/null
+++ b/src/register/value.ts
@@ -0,0 +1,86 @@
+// The one value that the core agrees on: configuration, evacuations and voters (design 5.1).
+import * as crypto from "node:crypto";
+import * as zlib from "node:zlib";
+import * as schema from "../wire/schema.js";
+
+const MOST_TAKEN = 32;
+
+export const NO_BALLOT: schema.Ballot = { n: 0, by: "" };
+
+export function compareBallots(left: schema.Ballot, right: schema.Ballot): number {
+  if (left.n !== right.n) return left.n - right.n;
+  return left.by < right.by ? -1 : left.by > right.by ? 1 : 0;
+}
+
+/** The value that every process knows at the very first start, made of the seeds alone (design 5.4). */
+export function firstValue(seeds: readonly string[]): schema.Value {
+  return {
+    epoch: 0, revision: 0, config: Buffer.alloc(0), taken: [], evacuations: [],
+    voterEpoch: 0, voters: seeds.map(firstVoter), former: [],
+  };
+}
+
+export function firstDisk(address: string): string {
+  return `first:${address}`;
+}
+
+function firstVoter(address: string): schema.Voter {
+  return { disk: firstDisk(address), node: "", address };
+}
+
+export function pack(document: unknown): Buffer {
+  return zlib.deflateRawSync(JSON.stringify(document), { level: 4 });
+}
+
+export function unpack(config: Buffer): unknown {
+  return config.length === 0 ? null : JSON.parse(zlib.inflateRawSync(config).toString("utf8"));
+}
+
+export function digest(...parts: (string | Buffer)[]): string {
+  const hash = crypto.createHash("sha256");
+  for (const part of parts) hash.update(part).update("\0");
+  return hash.digest("base64url").slice(0, 22);
+}
+
+export function withConfig(value: schema.Value, revision: number, config: Buffer, mark: string): schema.Value {
+  const taken = [...value.taken, { revision, digest: mark }].slice(-MOST_TAKEN);
+  return { ...value, epoch: value.epoch + 1, revision, config, taken };
+}
+
+export function withEvacuation(value: schema.Value, zone: string, isStart: boolean): schema.Value {
+  const others = value.evacuations.filter(isOther);
+  function isOther(item: string): boolean {
+    return item !== zone;
+  }
+  if (isStart === (others.length < value.evacuations.length)) return value;
+  return { ...value, epoch: value.epoch + 1, evacuations: isStart ? [...others, zone].sort() : others };
+}
+
+/** A change of voters carries the former ones until a majority of both sets holds it (design 5.5). */
+export function withVoters(value: schema.Value, voters: schema.Voter[]): schema.Value {
+  return { ...value, epoch: value.epoch + 1, voterEpoch: value.voterEpoch + 1, voters, former: value.voters };
+}
+
+export function settled(value: schema.Value): schema.Value {
+  if (value.former.length === 0) return value;
+  return { ...value, epoch: value.epoch + 1, former: [] };
+}
+
+export function allVoters(...values: schema.Value[]): Map<string, schema.Voter> {
+  const all = new Map<string, schema.Voter>();
+  for (const value of values) {
+    for (const voter of [...value.voters, ...value.former]) all.set(voter.disk, voter);
+  }
+  return all;
+}
+
+function isMajority(voters: readonly schema.Voter[], granted: ReadonlySet<string>): boolean {
+  let count = 0;
+  for (const voter of voters) if (granted.has(voter.disk)) count += 1;
+  return count > voters.length / 2;
+}
+
+export function isQuorum(value: schema.Value, granted: ReadonlySet<string>): boolean {
+  if (!isMajority(value.voters, granted)) return false;
+  return value.former.length === 0 || isMajority(value.former, granted);
+}
--- /dev/null
+++ b/src/register/voter.ts
@@ -0,0 +1,84 @@
+// One voter: promises and accepts, synced to disk before each reply (design 5.2).
+import * as schema from "../wire/schema.js";
+import * as value from "./value.js";
+import * as log from "../startup/log.js";
+
+/** Where the voter keeps its record; the ring in use, a simulated disk in tests. */
+export interface Keep {
+  write(body: Buffer): Promise<void>;
+}
+
+const MOST_PENDING = 64;
+
+export class Voter {
+  private writing = false;
+  private pending: { resolve(isKept: boolean): void }[] = [];
+
+  constructor(private readonly keep: Keep, private state: schema.Disk) {}
+
+  static restore(bytes: Buffer): schema.Disk {
+    return schema.disk.fromBuffer(bytes);
+  }
+
+  get disk(): string {
+    return this.state.disk;
+  }
+
+  get accepted(): schema.Accepted | null {
+    return this.state.accepted;
+  }
+
+  /** Writes the newest state; several replies may wait for one sync. */
+  private async sync(): Promise<boolean> {
+    const pending = this.pending;
+    if (pending.length >= MOST_PENDING) return false;
+    const done = new Promise<boolean>(function enter(resolve) {
+      pending.push({ resolve });
+    });
+    if (!this.writing) void this.run();
+    return done;
+  }
+
+  private async run(): Promise<void> {
+    this.writing = true;
+    while (this.pending.length > 0) {
+      const batch = this.pending;
+      this.pending = [];
+      let isKept = true;
+      try {
+        await this.keep.write(schema.disk.toBuffer(this.state));
+      } catch (cause) {
+        isKept = false;
+        log.count("voter.write_failed");
+        log.state(`voter: the disk denies writes (${(cause as Error).message}); this voter stays silent`);
+      }
+      for (const item of batch) item.resolve(isKept);
+    }
+    this.writing = false;
+  }
+
+  private denied(): schema.Vote {
+    return { isGranted: false, disk: this.state.disk, ballot: this.state.promised, accepted: this.state.accepted };
+  }
+
+  private isDenied(disk: string, ballot: schema.Ballot, voterEpoch: number): boolean {
+    if (disk !== this.state.disk) return true;
+    if (this.state.accepted && voterEpoch < this.state.accepted.value.voterEpoch) return true;
+    return value.compareBallots(ballot, this.state.promised) < 0;
+  }
+
+  /** Null means silence: the disk did not take it, so nothing may be said. */
+  async prepare(ask: schema.Prepare): Promise<schema.Vote | null> {
+    if (this.isDenied(ask.disk, ask.ballot, ask.voterEpoch)) return this.denied();
+    this.state = { ...this.state, promised: ask.ballot };
+    const reply = { isGranted: true, disk: this.state.disk, ballot: ask.ballot, accepted: this.state.accepted };
+    return (await this.sync()) ? reply : null;
+  }
+
+  async accept(ask: schema.Accept): Promise<schema.Vote | null> {
+    if (this.isDenied(ask.disk, ask.ballot, ask.voterEpoch)) return this.denied();
+    this.state = { ...this.state, promised: ask.ballot, accepted: { ballot: ask.ballot, value: ask.value } };
+    const reply = { isGranted: true, disk: this.state.disk, ballot: ask.ballot, accepted: null };
+    return (await this.sync()) ? reply : null;
+  }
+}
--- /dev/null
+++ b/src/router/attempt.ts
@@ -0,0 +1,149 @@
+// One send to one runner. The point of no return is the send itself: only a reply that says so takes it
+// back (design 7.8).
+import type * as undici from "undici";
+import * as http from "../wire/http.js";
+import * as names from "../wire/names.js";
+import * as types from "../wire/types.js";
+import type * as connections from "./connections.js";
+import type * as fleets from "./fleet.js";
+
+export type Ending =
+  | "not_sent" // no byte went out
+  | "handed_back" // the runner says that it did not run it
+  | "broken" // sent, and no whole reply: it may have run
+  | "complete";
+
+export interface Head {
+  status: number;
+  raw: readonly Buffer[];
+  headers: Map<string, string>;
+}
+
+export interface Owner {
+  /** False: the head is not taken, and the attempt is over as broken. */
+  onHead(attempt: Attempt, head: Head): boolean;
+  onPiece(attempt: Attempt, chunk: Buffer): boolean;
+  onEnd(attempt: Attempt, ending: Ending, head: Head | null): void;
+}
+
+export interface Sendable {
+  method: string;
+  path: string;
+  headers: string[];
+  body: Buffer | null;
+  requestId: string;
+  isStream: boolean;
+}
+
+export class Attempt {
+  isSent = false;
+  isOver = false;
+  heardAt = 0;
+  head: Head | null = null;
+  isPassing = false;
+  private isHandedBack = false;
+  private isStreaming = false;
+  private abortSend: ((reason?: Error) => void) | null = null;
+  private resumeRead: (() => void) | null = null;
+
+  constructor(
+    private readonly world: types.World,
+    readonly runner: fleets.Runner,
+    private readonly connection: connections.Connection,
+    private readonly owner: Owner,
+    private readonly what: Sendable,
+  ) {}
+
+  start(): void {
+    this.runner.inflight += 1;
+    this.heardAt = this.world.now();
+    if (this.runner.inflight === 1) this.runner.sentAt = this.heardAt;
+    const { method, path, headers, body } = this.what;
+    try {
+      this.connection.client.dispatch(
+        { method: method as undici.Dispatcher.HttpMethod, path, headers, body },
+        this as unknown as undici.Dispatcher.DispatchHandlers,
+      );
+    } catch {
+      this.end("not_sent", true);
+    }
+  }
+
+  onConnect(abort: (reason?: Error) => void): void {
+    if (this.isOver) {
+      abort();
+      return;
+    }
+    this.isSent = true;
+    this.abortSend = abort;
+  }
+
+  onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
+    if (this.isOver || status < 200) return true;
+    this.hear();
+    this.resumeRead = resume;
+    const headers = http.headerMap(raw);
+    const id = headers.get(names.HEADER.requestId);
+    if (id !== undefined && id !== this.what.requestId) {
+      // An answer too many, of an earlier request: nothing on this connection can be trusted.
+      this.end("broken", false);
+      return true;
+    }
+    this.head = { status, raw, headers };
+    if (headers.has(names.HEADER.notExecuted) || status === 421) {
+      this.isHandedBack = true;
+      return true;
+    }
+    this.isPassing = this.owner.onHead(this, this.head);
+    if (!this.isPassing) this.end("broken", false);
+    return true;
+  }
+
+  private hear(): void {
+    this.heardAt = this.world.now();
+    this.runner.heard(this.heardAt);
+  }
+
+  onData(chunk: Buffer): boolean {
+    if (this.isOver) return true;
+    this.hear();
+    if (this.isHandedBack) return true;
+    if (!this.isStreaming && this.what.isStream) {
+      this.isStreaming = true;
+      this.runner.streaming += 1;
+    }
+    return this.owner.onPiece(this, chunk);
+  }
+
+  resume(): void {
+    if (!this.isOver) this.resumeRead?.();
+  }
+
+  onComplete(): void {
+    const isLeaving = this.head?.headers.get("connection")?.toLowerCase().includes("close") === true;
+    this.end(this.isHandedBack ? "handed_back" : "complete", !isLeaving);
+  }
+
+  onError(): void {
+    if (this.isOver) return;
+    this.runner.suspect(this.world.now());
+    // A denial whose head was read stands, whatever became of the rest.
+    this.end(this.isHandedBack ? "handed_back" : this.isSent ? "broken" : "not_sent", false);
+  }
+
+  /** Gives the attempt up: what the runner does from now on reaches nobody. */
+  cancel(): void {
+    this.end(this.isSent ? "broken" : "not_sent", false);
+  }
+
+  private end(ending: Ending, isClean: boolean): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.runner.inflight -= 1;
+    if (this.isStreaming) this.runner.streaming -= 1;
+    if (!isClean) this.abortSend?.();
+    this.runner.connections.give(this.connection, isClean);
+    if (this.runner.status !== "ready") this.runner.connections.closeIdle();
+    this.owner.onEnd(this, ending, this.head);
+  }
+}
--- /dev/null
+++ b/src/router/chooser.ts
@@ -0,0 +1,88 @@
+// The fixed chain of policies and what it needs to send on: runner, connection, shares (design 7.2).
+import * as routes from "../config/routes.js";
+import * as log from "../startup/log.js";
+import * as shares from "../shares/shares.js";
+import * as types from "../wire/types.js";
+import type * as connections from "./connections.js";
+import type * as fleets from "./fleet.js";
+import * as plans from "./plan.js";
+import * as cells from "./policies/cells.js";
+import * as homes from "./policies/homes.js";
+import * as runners from "./policies/runner.js";
+import type * as rotations from "./rotation.js";
+import type * as transactions from "./transaction.js";
+
+export interface Choice {
+  runner: fleets.Runner;
+  connection: connections.Connection;
+}
+
+const LEAST_CONNECTIONS = 2;
+const PATIENT_GAPS = 0.75;
+const PATIENT_AIMS = 1;
+const LEAST_PATIENCE_MS = 300;
+
+export class Chooser {
+  private readonly chain: plans.Policy[];
+  table: routes.RouteTable | null = null;
+
+  constructor(
+    private readonly world: types.World,
+    fleet: fleets.Fleet,
+    rotation: rotations.Rotation,
+    private readonly share: shares.Shares,
+    ownRegion: string,
+  ) {
+    this.chain = [new homes.HomesPolicy(fleet, rotation), new cells.CellPolicy(ownRegion), new runners.RunnerPolicy()];
+  }
+
+  countRequest(service: string): void {
+    this.share.countRequest(service);
+  }
+
+  mostSends(entry: routes.RouteEntry): number {
+    return Math.max(1, entry.route.max_attempts ?? 1);
+  }
+
+  /** How long a runner may be silent before a repeatable request leaves it. */
+  patienceMs(entry: routes.RouteEntry, isPassing: boolean, runner: fleets.Runner, now: number): number {
+    const { target_gap_ms: gap, target_latency_ms: aim } = entry.route;
+    const usual = isPassing ? (gap ?? 1000) * PATIENT_GAPS : (aim ?? 1000) * PATIENT_AIMS;
+    // A runner that speaks to others is at work; one that is silent to all is not worth the wait.
+    if (runner.quietMs(now) < usual && runner.isSpeaking) return Math.max(2 * usual, 1500);
+    return Math.max(LEAST_PATIENCE_MS, usual);
+  }
+
+  choose(request: transactions.Request, tried: ReadonlySet<string>, sends: number): Choice | plans.Denial {
+    const shared = request.parts.slice(0, -1);
+    let sharedTokens = 0;
+    for (const part of shared) sharedTokens += part.tokens;
+    const plan: plans.Plan = {
+      requestId: request.requestId, entry: request.entry, service: request.service, shared, sharedTokens, tried,
+      now: this.world.now(), cells: [], candidates: [],
+    };
+    const denial = plans.runPolicies(this.chain, plan);
+    if (denial) return denial;
+    if (sends > 0 && !this.share.takeRepeat(request.service)) {
+      log.count("router.budget_spent");
+      return { status: 503, cause: "the budget of further tries is spent", retryAfterS: 0.5 };
+    }
+    return this.firstOpen(plan);
+  }
+
+  private firstOpen(plan: plans.Plan): Choice | plans.Denial {
+    const service = this.table?.services.get(plan.service);
+    const most = Math.max(LEAST_CONNECTIONS, Math.floor((service?.max_connections ?? 1000) / this.share.routers));
+    const perS = service?.warmup_per_s ?? 0;
+    let hasCold = false;
+    for (const runner of plan.candidates) {
+      const isCold = perS > 0 && runner.isCold(plan.now);
+      hasCold ||= isCold;
+      if (isCold && !this.share.takeCold(runner.id, perS)) continue;
+      const connection = runner.connections.take(most);
+      if (connection) return { runner, connection };
+    }
+    log.count(hasCold ? "router.all_cold" : "router.all_busy");
+    return { status: 503, cause: hasCold ? "the runners are warming up" : "all runners are taken", retryAfterS: hasCold ? 0.5 : 0.3 };
+  }
+}
--- /dev/null
+++ b/src/router/headers.ts
@@ -0,0 +1,60 @@
+// A list of rules says what happens to each header, on the way in and on the way out (design 7.7).
+import * as names from "../wire/names.js";
+
+type Rule = "drop" | "replace";
+
+/** Headers of one connection, and those that the router itself sets. All others are passed on untouched. */
+const CONNECTION_RULES: readonly [string, Rule][] = [
+  ["connection", "drop"], ["keep-alive", "drop"], ["proxy-connection", "drop"], ["proxy-authenticate", "drop"],
+  ["proxy-authorization", "drop"], ["te", "drop"], ["trailer", "drop"], ["transfer-encoding", "drop"], ["upgrade", "drop"],
+];
+const REQUEST_RULES = new Map<string, Rule>([
+  ...CONNECTION_RULES,
+  ["expect", "drop"], ["content-length", "replace"], ["http2-settings", "drop"],
+  [names.HEADER.target, "replace"], [names.HEADER.budgetMs, "replace"], [names.HEADER.priority, "replace"],
+]);
+const REPLY_RULES = new Map<string, Rule>(CONNECTION_RULES);
+
+function nominated(connection: string | undefined): ReadonlySet<string> {
+  const found = new Set<string>();
+  if (!connection) return found;
+  for (const item of connection.toLowerCase().split(",")) {
+    const bare = item.trim();
+    if (bare !== "close" && bare !== "keep-alive" && bare !== "") found.add(bare);
+  }
+  return found;
+}
+
+export interface Sending {
+  target: string;
+  budgetMs: number;
+  lastEventId: string | null;
+}
+
+/** Raw name and value pairs for the runner. */
+export function forRunner(raw: readonly string[], connection: string | undefined, sending: Sending): string[] {
+  const dropped = nominated(connection);
+  const made: string[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index]!.toLowerCase();
+    if (REQUEST_RULES.has(name) || dropped.has(name)) continue;
+    if (sending.lastEventId !== null && name === names.HEADER.lastEventId) continue;
+    made.push(raw[index]!, raw[index + 1]!);
+  }
+  made.push("X-Cranewind-Target-Instance", sending.target, "X-Cranewind-Time-Budget-Ms", String(sending.budgetMs));
+  if (sending.lastEventId !== null) made.push("Last-Event-Id", sending.lastEventId);
+  return made;
+}
+
+/** Raw name and value pairs for the client. */
+export function forClient(raw: readonly Buffer[], connection: string | undefined): string[] {
+  const dropped = nominated(connection);
+  const made: string[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index]!.toString("latin1");
+    const lower = name.toLowerCase();
+    if (REPLY_RULES.has(lower) || dropped.has(lower)) continue;
+    made.push(name, raw[index + 1]!.toString("latin1"));
+  }
+  return made;
+}
--- /dev/null
+++ b/src/router/policies/homes.ts
@@ -0,0 +1,27 @@
+// Homes: whatever fails, only runners in the allowed regions, in use and not tried yet, remain (design 7.3).
+import type * as fleets from "../fleet.js";
+import type * as plans from "../plan.js";
+import type * as rotations from "../rotation.js";
+
+const LEAVING_SLACK_MS = 300;
+
+export class HomesPolicy implements plans.Policy {
+  readonly name = "homes";
+  constructor(private readonly fleet: fleets.Fleet, private readonly rotation: rotations.Rotation) {}
+
+  apply(plan: plans.Plan): plans.Denial | null {
+    const { homes } = plan.entry;
+    const regions = new Set<string>();
+    for (const runner of this.fleet.of(plan.service)) {
+      if (homes.length > 0 && !homes.includes(runner.region)) continue;
+      if (runner.status !== "ready" || plan.tried.has(runner.id)) continue;
+      if (plan.now > runner.leavesAt - LEAVING_SLACK_MS) continue;
+      if (!this.rotation.isIn(runner.instance.zone, plan.requestId)) continue;
+      plan.candidates.push(runner);
+      regions.add(runner.region);
+    }
+    if (plan.candidates.length === 0) return { status: 503, cause: "no runner of the service is in use in its homes", retryAfterS: 0.4 };
+    plan.cells = [...regions];
+    return null;
+  }
+}
--- /dev/null
+++ b/src/router/program.ts
@@ -0,0 +1,166 @@
+// The router role put together: the only way to the runners, with no persistent state (design 7).
+import * as crypto from "node:crypto";
+import * as nodeHttp from "node:http";
+import * as link from "../wire/link.js";
+import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import * as world from "../wire/world.js";
+import * as log from "../startup/log.js";
+import type * as settings from "../startup/settings.js";
+import * as check from "../config/check.js";
+import * as routes from "../config/routes.js";
+import * as directory from "../control/directory.js";
+import * as dialers from "../feed/dialer.js";
+import * as followers from "../feed/follower.js";
+import * as registers from "../register/value.js";
+import * as shares from "../shares/shares.js";
+import * as supervisor from "../supervisor/tree.js";
+import * as choosers from "./chooser.js";
+import * as fleets from "./fleet.js";
+import * as rotations from "./rotation.js";
+import * as servers from "./server.js";
+
+const BEAT_MS = 400;
+const WATCH_MS = 100;
+const SILENT_MS = 1800;
+const CHILL_MS = 2500;
+const LAST_MS = 400;
+const STEP_MS = 50;
+
+export class RouterProgram implements followers.Taker {
+  private readonly life = crypto.randomBytes(6).toString("hex");
+  private readonly handlers = new link.Handlers();
+  private readonly dial: dialers.Dialer;
+  private readonly follower: followers.Follower;
+  private readonly fleet: fleets.Fleet;
+  private readonly rotation: rotations.Rotation;
+  private readonly share: shares.Shares;
+  private readonly chooser: choosers.Chooser;
+  private readonly server: servers.RouterServer;
+  private epoch = -1;
+  readonly root: supervisor.Supervisor;
+
+  constructor(private readonly clock: types.World, private readonly startup: settings.Settings) {
+    const port = startup.internal_port_range[0]!;
+    this.fleet = new fleets.Fleet(clock, new Map(Object.entries(startup.zones)));
+    this.rotation = new rotations.Rotation(clock);
+    this.share = new shares.Shares(clock, startup.bounds);
+    this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region);
+    this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this));
+    this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), SILENT_MS);
+    this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
+    this.dial.know(startup.seed_nodes.map(inner));
+    function inner(seed: string): string {
+      return `${types.hostOf(seed)}:${port}`;
+    }
+    this.root = new supervisor.Supervisor("router", clock, []);
+    this.plan();
+  }
+
+  private hasAll(): boolean {
+    return this.chooser.table !== null && this.fleet.hasList;
+  }
+
+  private isReady(): boolean {
+    return this.hasAll() && !this.server.isLeaving;
+  }
+
+  private describe(): schema.NodeInfo {
+    return {
+      name: this.startup.node_name, role: "router", life: this.life, zone: this.startup.zone, region: this.startup.region,
+      address: "", outside: this.startup.bind_addresses.frontend ?? "", disk: "", isCounted: this.startup.failure_counted,
+      isReady: this.isReady(), epoch: this.epoch,
+    };
+  }
+
+  private plan(): void {
+    const { root, startup, server } = this;
+    const { frontend, readiness } = startup.bind_addresses;
+    if (readiness) root.add(readinessChild(readiness, this.isReady.bind(this), this.status.bind(this)));
+    if (frontend) root.add({ name: "frontend", start: server.listen.bind(server, frontend), stop: server.close.bind(server) });
+    root.add(root.turns("beats", BEAT_MS, this.beat.bind(this)));
+    root.add(root.turns("watch", WATCH_MS, this.watch.bind(this)));
+  }
+
+  private beat(): void {
+    this.dial.tellAll({ isReady: this.isReady(), epoch: this.epoch, isSettled: true, index: 0, members: 1 });
+  }
+
+  private watch(): void {
+    this.dial.turn();
+    this.follower.elect();
+    const dealer = this.follower.main;
+    if (dealer?.beat && this.clock.now() - dealer.beatAt < BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
+    this.server.watch();
+  }
+
+  takeRegister(value: schema.Value): void {
+    const config = registers.unpack(value.config) as check.Configuration | null;
+    const isFirst = this.epoch < 0;
+    this.epoch = value.epoch;
+    if (config) {
+      this.chooser.table = new routes.RouteTable(config);
+      this.server.limit(config.limits);
+    }
+    for (const zone of this.rotation.take(value.evacuations, isFirst)) this.fleet.chill(zone, CHILL_MS);
+    log.state(`config: epoch ${value.epoch}, revision ${value.revision} in force`);
+    this.beat();
+  }
+
+  takeList(instances: schema.Instance[]): void {
+    const wasReady = this.isReady();
+    this.fleet.takeList(instances);
+    if (!wasReady && this.isReady()) this.beat();
+  }
+
+  takeReport(report: schema.CellReport): void {
+    this.fleet.takeReport(report);
+  }
+
+  private status(): unknown {
+    const runners: unknown[] = [];
+    for (const runner of this.fleet.all()) {
+      runners.push({ id: runner.id, service: runner.instance.service, zone: runner.instance.zone, status: runner.status, inflight: runner.inflight, usage: runner.usage() });
+    }
+    return {
+      node: this.describe(), following: this.follower.main?.node.name ?? null, routers: this.share.routers,
+      sharesValid: this.share.isValid(), runners, counters: Object.fromEntries(log.counted()),
+    };
+  }
+
+  /** Out of the directory first; then what is at work is finished within grace_s (design 7.11). */
+  async stop(): Promise<void> {
+    const startedAt = this.clock.now();
+    const until = startedAt + this.startup.bounds.grace_s * 1000 - LAST_MS;
+    this.server.isLeaving = true;
+    this.beat();
+    const leave = Math.min(directory.LEAVE_MS + BEAT_MS, until - startedAt);
+    await world.sleep(this.clock, leave);
+    this.server.close();
+    while (this.server.activeCount > 0 && this.clock.now() < until) await world.sleep(this.clock, STEP_MS);
+    await this.root.stop();
+    this.dial.end();
+  }
+}
+
+function readinessChild(address: string, isReady: () => boolean, status: () => unknown): supervisor.Child {
+  const server = nodeHttp.createServer(reply);
+  function reply(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    if (incoming.url === "/-/ready") outgoing.writeHead(isReady() ? 200 : 503, { "Content-Length": 0 }).end();
+    else if (incoming.url === "/-/status") outgoing.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify(status()));
+    else outgoing.writeHead(404, { "Content-Length": 0 }).end();
+  }
+  return {
+    name: "readiness",
+    start(): Promise<void> {
+      return new Promise(function listen(resolve, reject) {
+        server.once("error", reject);
+        server.listen({ host: types.hostOf(address), port: types.portOf(address) }, resolve);
+      });
+    },
+    stop(): void {
+      server.close();
+      server.closeIdleConnections();
+    },
+  };
+}
--- /dev/null
+++ b/src/router/rotation.ts
@@ -0,0 +1,61 @@
+// Zones in and out of rotation by percentage steps (design 7.5): drain goes down at once in steps well inside
+// the bound; failback goes up slowly, since what comes back may be cold.
+import * as shares from "../shares/shares.js";
+import * as types from "../wire/types.js";
+
+const DRAIN_MS = 800;
+const DRAIN_STEPS = 4;
+const FAILBACK_STEPS = [10, 25, 50, 75];
+const FAILBACK_STEP_MS = 500;
+
+type State = "in" | "draining" | "out" | "failback";
+
+interface ZoneState {
+  state: State;
+  since: number;
+}
+
+export class Rotation {
+  private readonly zones = new Map<string, ZoneState>();
+  constructor(private readonly world: types.World) {}
+
+  /** The zones under evacuation as the register has them; the ones just taken back are returned. */
+  take(evacuated: readonly string[], isFirst: boolean): string[] {
+    const back: string[] = [];
+    for (const zone of evacuated) {
+      const state = this.zones.get(zone)?.state;
+      if (state !== "out" && state !== "draining") this.move(zone, isFirst ? "out" : "draining");
+    }
+    for (const [zone, item] of this.zones) {
+      if (evacuated.includes(zone) || item.state === "in" || item.state === "failback") continue;
+      this.move(zone, "failback");
+      back.push(zone);
+    }
+    return back;
+  }
+
+  private move(zone: string, state: State): void {
+    this.zones.set(zone, { state, since: this.world.now() });
+  }
+
+  percentOf(zone: string): number {
+    const item = this.zones.get(zone);
+    if (!item || item.state === "in") return 100;
+    if (item.state === "out") return 0;
+    const passed = this.world.now() - item.since;
+    if (item.state === "draining") {
+      const step = Math.floor((passed / DRAIN_MS) * DRAIN_STEPS) + 1;
+      if (step >= DRAIN_STEPS) this.move(zone, "out");
+      return Math.max(0, 100 - (100 / DRAIN_STEPS) * step);
+    }
+    const step = Math.floor(passed / FAILBACK_STEP_MS);
+    if (step >= FAILBACK_STEPS.length) this.move(zone, "in");
+    return FAILBACK_STEPS[step] ?? 100;
+  }
+
+  /** One request keeps its side of the step whatever router and try it comes by. */
+  isIn(zone: string, requestId: string): boolean {
+    const percent = this.percentOf(zone);
+    return percent >= 100 || (percent > 0 && shares.hash(requestId) % 100 < percent);
+  }
+}
--- /dev/null
+++ b/src/router/server.ts
@@ -0,0 +1,189 @@
+// Where clients arrive (design 7.1): reads whole requests within the limits and starts their transactions.
+import * as nodeHttp from "node:http";
+import type * as net from "node:net";
+import * as routes from "../config/routes.js";
+import type * as check from "../config/check.js";
+import * as shares from "../shares/shares.js";
+import * as log from "../startup/log.js";
+import * as names from "../wire/names.js";
+import * as types from "../wire/types.js";
+import * as plans from "./plan.js";
+import * as replies from "./replies.js";
+import * as transactions from "./transaction.js";
+
+const DEFAULTS: Required<check.Limits> = {
+  max_header_bytes: 16384, max_body_bytes: 4 * 1024 * 1024, header_timeout_ms: 5000, idle_timeout_ms: 15000,
+};
+const DEFAULT_BUDGET_MS = 60_000;
+const MOST_HELD_BYTES = 48 * 1024 * 1024;
+const CHECK_MS = 1000;
+
+export class RouterServer {
+  private readonly server: nodeHttp.Server;
+  private readonly active = new Set<transactions.Transaction>();
+  private limits = DEFAULTS;
+  private heldBytes = 0;
+  private reading = 0;
+  isLeaving = false;
+
+  constructor(
+    private readonly world: types.World,
+    private readonly chooser: transactions.Context["chooser"],
+    private readonly isReady: () => boolean,
+  ) {
+    this.server = nodeHttp.createServer({ connectionsCheckingInterval: CHECK_MS, maxHeaderSize: DEFAULTS.max_header_bytes }, this.take.bind(this));
+    this.server.on("clientError", clientError);
+    this.limit(undefined);
+  }
+
+  get activeCount(): number {
+    return this.active.size + this.reading;
+  }
+
+  limit(limits: check.Limits | undefined): void {
+    this.limits = { ...DEFAULTS, ...limits };
+    const server = this.server as nodeHttp.Server & { maxHeaderSize?: number };
+    server.maxHeaderSize = this.limits.max_header_bytes;
+    server.headersTimeout = this.limits.header_timeout_ms;
+    server.requestTimeout = this.limits.header_timeout_ms + this.limits.idle_timeout_ms;
+    server.keepAliveTimeout = this.limits.idle_timeout_ms;
+  }
+
+  listen(address: string): Promise<void> {
+    const server = this.server;
+    return new Promise(function start(resolve, reject) {
+      server.once("error", reject);
+      server.listen({ host: types.hostOf(address), port: types.portOf(address), backlog: 1024 }, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  /** Requests whose runner fell silent are looked at a few times a second. */
+  watch(): void {
+    const now = this.world.now();
+    for (const transaction of [...this.active]) transaction.watch(now);
+  }
+
+  private deny(outgoing: nodeHttp.ServerResponse, status: number, message: string, retryAfterS: number | null, isLast: boolean): void {
+    log.count(`router.reply_${status}`);
+    replies.send(outgoing, status, message, retryAfterS, isLast || this.isLeaving);
+  }
+
+  private take(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    log.count("router.requests");
+    const arrivedAt = this.world.now();
+    const length = Number(incoming.headers["content-length"] ?? 0);
+    if (length > this.limits.max_body_bytes) {
+      this.deny(outgoing, 413, `the body is over max_body_bytes ${this.limits.max_body_bytes}; send a smaller one`, null, true);
+      return;
+    }
+    if (this.heldBytes + length > MOST_HELD_BYTES) {
+      this.deny(outgoing, 503, "too many bodies are held; come back shortly", 0.5, true);
+      return;
+    }
+    this.read(incoming, outgoing, arrivedAt);
+  }
+
+  private read(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse, arrivedAt: number): void {
+    const server = this;
+    const parts: Buffer[] = [];
+    let held = 0;
+    let isOver = false;
+    this.reading += 1;
+    incoming.on("data", more);
+    incoming.on("end", whole);
+    incoming.on("error", lost);
+    incoming.on("close", lost);
+    function more(chunk: Buffer): void {
+      if (isOver) return;
+      held += chunk.length;
+      server.heldBytes += chunk.length;
+      parts.push(chunk);
+      if (held <= server.limits.max_body_bytes) return;
+      lost();
+      server.deny(outgoing, 413, `the body is over max_body_bytes ${server.limits.max_body_bytes}; send a smaller one`, null, true);
+    }
+    function whole(): void {
+      if (isOver) return;
+      isOver = true;
+      server.reading -= 1;
+      server.heldBytes -= held;
+      server.begin(incoming, outgoing, parts.length === 0 ? null : Buffer.concat(parts), arrivedAt);
+    }
+    function lost(): void {
+      if (isOver) return;
+      isOver = true;
+      server.reading -= 1;
+      server.heldBytes -= held;
+    }
+  }
+
+  private begin(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse, body: Buffer | null, arrivedAt: number): void {
+    const { table } = this.chooser;
+    if (!table || !this.isReady()) {
+      this.deny(outgoing, 503, "this node has no configuration yet; come back shortly", 0.3, true);
+      return;
+    }
+    const entry = table.find(incoming.headers.host ?? "", incoming.url ?? "/");
+    if (!entry) {
+      this.deny(outgoing, 404, "no route has this host and path; see Config.Describe for the routes", null, false);
+      return;
+    }
+    const requestId = single(incoming.headers[names.HEADER.requestId]);
+    if (requestId === "") {
+      this.deny(outgoing, 400, "X-Cranewind-Request-Id is missing; send one id a try", null, false);
+      return;
+    }
+    const asked = Number(single(incoming.headers[names.HEADER.budgetMs]));
+    const budget = Math.min(asked > 0 ? asked : DEFAULT_BUDGET_MS, entry.route.deadline_ms);
+    const request: transactions.Request = {
+      requestId, entry, body,
+      service: routes.chooseService(entry, shares.hash(`${requestId}/split`) / 4294967296),
+      parts: plans.readParts(single(incoming.headers[names.HEADER.prefix])),
+      deadline: arrivedAt + budget,
+    };
+    this.run(request, incoming, outgoing);
+  }
+
+  private run(request: transactions.Request, incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    const { world, chooser, active } = this;
+    const isLeaving = this.isGoing.bind(this);
+    const held = request.body?.length ?? 0;
+    this.heldBytes += held;
+    const server = this;
+    function finished(transaction: transactions.Transaction): void {
+      if (active.delete(transaction)) server.heldBytes -= held;
+    }
+    const transaction = new transactions.Transaction({ world, chooser, finished, isLeaving }, request, incoming, outgoing);
+    active.add(transaction);
+    transaction.start();
+  }
+
+  private isGoing(): boolean {
+    return this.isLeaving;
+  }
+}
+
+function single(header: string | string[] | undefined): string {
+  return typeof header === "string" ? header : (header?.[0] ?? "");
+}
+
+const CLIENT_ERRORS = new Map<string, string>([
+  ["HPE_HEADER_OVERFLOW", "431 Request Header Fields Too Large"],
+  ["ERR_HTTP_REQUEST_TIMEOUT", "408 Request Timeout"],
+]);
+
+/** What is no proper request reaches no runner; the connection ends with the reply. */
+function clientError(cause: NodeJS.ErrnoException, socket: net.Socket): void {
+  if (cause.code === "ECONNRESET" || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const status = CLIENT_ERRORS.get(cause.code ?? "") ?? "400 Bad Request";
+  log.count(`router.reply_${status.slice(0, 3)}`);
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+}
--- /dev/null
+++ b/src/router/transaction.ts
@@ -0,0 +1,252 @@
+// One request through the router: explicit states, one function for every change (design 7.1).
+import type * as nodeHttp from "node:http";
+import * as log from "../startup/log.js";
+import * as names from "../wire/names.js";
+import * as types from "../wire/types.js";
+import type * as routes from "../config/routes.js";
+import * as attempts from "./attempt.js";
+import type * as chooser from "./chooser.js";
+import * as events from "./events.js";
+import * as headers from "./headers.js";
+import type * as plans from "./plan.js";
+import * as replies from "./replies.js";
+
+export type State = "reading" | "choosing" | "sent" | "passing" | "done";
+const MOVES = new Map<State, readonly State[]>([
+  ["reading", ["choosing", "done"]],
+  ["choosing", ["sent", "done"]],
+  ["sent", ["choosing", "passing", "done"]],
+  ["passing", ["choosing", "done"]],
+  ["done", []],
+]);
+
+const LEAST_MS = 10;
+const MOST_UNSENT = 4;
+
+export interface Request {
+  requestId: string;
+  entry: routes.RouteEntry;
+  service: string;
+  parts: plans.Part[];
+  deadline: number;
+  body: Buffer | null;
+}
+
+export interface Context {
+  world: types.World;
+  chooser: chooser.Chooser;
+  finished(transaction: Transaction): void;
+  isLeaving(): boolean;
+}
+
+export class Transaction implements attempts.Owner {
+  state: State = "reading";
+  private readonly tried = new Set<string>();
+  private sends = 0;
+  private unsent = 0;
+  private attempt: attempts.Attempt | null = null;
+  private cutter: events.EventCutter | null = null;
+  private deadlineTick: types.Tick | null = null;
+  private isHeadOut = false;
+  private hasRun = false;
+
+  constructor(
+    private readonly context: Context,
+    readonly request: Request,
+    private readonly incoming: nodeHttp.IncomingMessage,
+    private readonly outgoing: nodeHttp.ServerResponse,
+  ) {
+    outgoing.once("close", this.clientGone.bind(this));
+  }
+
+  private move(to: State): void {
+    if (!MOVES.get(this.state)!.includes(to)) throw new Error(`transaction cannot move from ${this.state} to ${to}`);
+    this.state = to;
+    if (to !== "done") return;
+    this.deadlineTick?.stop();
+    this.context.finished(this);
+  }
+
+  start(): void {
+    const left = this.request.deadline - this.context.world.now();
+    this.deadlineTick = this.context.world.after(Math.max(0, left), this.expired.bind(this));
+    this.context.chooser.countRequest(this.request.service);
+    this.move("choosing");
+    this.choose();
+  }
+
+  private isRepeatable(): boolean {
+    return this.request.entry.isRepeatable;
+  }
+
+  /** Runs the chain and sends on; a denial is told at once. */
+  private choose(): void {
+    const left = this.request.deadline - this.context.world.now();
+    if (left < LEAST_MS) {
+      this.deny({ status: 503, cause: "the deadline has passed", retryAfterS: 0.2 });
+      return;
+    }
+    const choice = this.context.chooser.choose(this.request, this.tried, this.sends);
+    if ("status" in choice) {
+      this.deny(choice);
+      return;
+    }
+    this.tried.add(choice.runner.id);
+    this.sends += 1;
+    const lastEventId = this.cutter?.lastId ?? null;
+    const sending = { target: choice.runner.id, budgetMs: Math.max(1, Math.floor(left)), lastEventId };
+    const { method, url, rawHeaders, headers: parsed } = this.incoming;
+    const isStream = this.request.entry.route.route_type === "streaming";
+    this.attempt = new attempts.Attempt(this.context.world, choice.runner, choice.connection, this, {
+      method: method ?? "GET", path: url ?? "/", headers: headers.forRunner(rawHeaders, parsed.connection, sending),
+      body: this.request.body, requestId: this.request.requestId, isStream,
+    });
+    this.move("sent");
+    this.attempt.start();
+  }
+
+  /** Nothing has run, and nothing will: only then may a promise be given. */
+  private deny(denial: plans.Denial): void {
+    if (this.isHeadOut) {
+      this.breakOff();
+      return;
+    }
+    log.count("router.denied");
+    if (this.hasRun) this.finish(502, "the runner broke off and the request may have run", null);
+    else this.finish(denial.status, denial.cause, denial.retryAfterS);
+  }
+
+  private finish(status: number, message: string, retryAfterS: number | null): void {
+    replies.send(this.outgoing, status, message, retryAfterS, this.context.isLeaving());
+    this.move("done");
+  }
+
+  private breakOff(): void {
+    log.count("router.broken_off");
+    this.outgoing.destroy();
+    this.move("done");
+  }
+
+  onHead(attempt: attempts.Attempt, head: attempts.Head): boolean {
+    const isSuccess = head.status >= 200 && head.status < 300;
+    if (isSuccess && (!head.headers.has(names.HEADER.seal) || head.headers.has("content-encoding"))) return false;
+    if (this.isHeadOut) return this.isSameStream(head);
+    if (head.status >= 500 && this.isRepeatable() && this.mayRepeat()) return false;
+    const raw = headers.forClient(head.raw, head.headers.get("connection"));
+    if (this.context.isLeaving()) raw.push("Connection", "close");
+    const isStream = this.request.entry.route.route_type === "streaming" && isSuccess;
+    if (isStream && this.isRepeatable() && !head.headers.has("content-length")) this.cutter = new events.EventCutter();
+    this.outgoing.writeHead(head.status, raw);
+    this.isHeadOut = true;
+    this.outgoing.on("drain", resume);
+    const transaction = this;
+    function resume(): void {
+      transaction.attempt?.resume();
+    }
+    this.attempt = attempt;
+    this.move("passing");
+    return true;
+  }
+
+  private isSameStream(head: attempts.Head): boolean {
+    if (head.status !== 200 || !this.cutter) return false;
+    this.move("passing");
+    return true;
+  }
+
+  onPiece(_attempt: attempts.Attempt, chunk: Buffer): boolean {
+    if (this.state !== "passing") return true;
+    const bytes = this.cutter ? this.cutter.feed(chunk) : chunk;
+    return bytes.length === 0 || this.outgoing.write(bytes);
+  }
+
+  private mayRepeat(): boolean {
+    return this.sends < this.context.chooser.mostSends(this.request.entry);
+  }
+
+  onEnd(attempt: attempts.Attempt, ending: attempts.Ending, head: attempts.Head | null): void {
+    if (this.state === "done" || attempt !== this.attempt) return;
+    if (ending === "complete") this.complete();
+    else if (ending === "not_sent") this.notSent();
+    else if (ending === "handed_back") this.handedBack(attempt, head!);
+    else this.broken();
+  }
+
+  private complete(): void {
+    if (this.state !== "passing") {
+      this.broken();
+      return;
+    }
+    const rest = this.cutter?.rest();
+    this.outgoing.end(rest && rest.length > 0 ? rest : undefined);
+    this.move("done");
+  }
+
+  private notSent(): void {
+    this.sends -= 1;
+    this.unsent += 1;
+    if (this.unsent > MOST_UNSENT) this.deny({ status: 503, cause: "no runner takes a connection", retryAfterS: 0.4 });
+    else this.again();
+  }
+
+  private handedBack(attempt: attempts.Attempt, head: attempts.Head): void {
+    log.count("router.handed_back");
+    attempt.runner.denied(this.context.world.now(), head.status === 421);
+    if (head.status === 400) {
+      this.finish(400, "the runner finds the request malformed; send X-Cranewind-Request-Id", null);
+      return;
+    }
+    if (this.mayRepeat()) this.again();
+    else this.deny({ status: 503, cause: "the runner handed the request back", retryAfterS: 0.3 });
+  }
+
+  /** Sent, and no whole reply: only what is repeatable goes on, a stream from its last whole event. */
+  private broken(): void {
+    this.hasRun = true;
+    this.cutter?.drop();
+    const canResume = !this.isHeadOut || this.cutter !== null;
+    if (this.isRepeatable() && canResume && this.mayRepeat()) {
+      this.again();
+      return;
+    }
+    if (this.isHeadOut) this.breakOff();
+    else this.finish(502, "the runner broke off and the request may have run", null);
+  }
+
+  private again(): void {
+    this.move("choosing");
+    log.count("router.again");
+    this.choose();
+  }
+
+  /** A stream that may be taken up elsewhere leaves a runner that fell silent; others wait (design 7.9). */
+  watch(now: number): void {
+    const attempt = this.attempt;
+    if (!attempt || attempt.isOver || !this.isRepeatable() || !this.mayRepeat()) return;
+    const quiet = now - attempt.heardAt;
+    if (quiet < this.context.chooser.patienceMs(this.request.entry, this.state === "passing", attempt.runner, now)) return;
+    log.count("router.left_silent");
+    attempt.runner.suspect(now);
+    attempt.cancel();
+  }
+
+  private expired(): void {
+    if (this.state === "done") return;
+    const attempt = this.attempt;
+    const isOut = attempt !== null && attempt.isSent && !attempt.isOver;
+    this.attempt = null;
+    attempt?.cancel();
+    if (this.isHeadOut) this.breakOff();
+    else if (isOut || this.hasRun) this.finish(504, "the deadline passed while the request ran", null);
+    else this.deny({ status: 503, cause: "the deadline has passed", retryAfterS: 0.2 });
+  }
+
+  private clientGone(): void {
+    if (this.state === "done") return;
+    log.count("router.client_gone");
+    const attempt = this.attempt;
+    this.attempt = null;
+    attempt?.cancel();
+    this.move("done");
+  }
+}
--- /dev/null
+++ b/src/supervisor/tree.ts
@@ -0,0 +1,87 @@
+// A supervisor tree: children start in order, stop in reverse, and a failing one is started anew (design 9.2).
+import * as log from "../startup/log.js";
+import * as types from "../wire/types.js";
+import * as world from "../wire/world.js";
+
+export interface Child {
+  readonly name: string;
+  start(): Promise<void> | void;
+  stop(): Promise<void> | void;
+}
+
+const MOST_FAILURES = 30;
+const WINDOW_MS = 10_000;
+
+export class Supervisor implements Child {
+  private readonly started: Child[] = [];
+  private failures: number[] = [];
+
+  constructor(readonly name: string, private readonly clock: types.World, private readonly children: Child[]) {}
+
+  async start(): Promise<void> {
+    for (const child of this.children) {
+      await child.start();
+      this.started.push(child);
+    }
+  }
+
+  async stop(): Promise<void> {
+    for (let child = this.started.pop(); child; child = this.started.pop()) await child.stop();
+  }
+
+  /** Work done again and again as a child of its own; a turn that throws is logged and taken up again. */
+  turns(name: string, ms: number, turn: () => void): Child {
+    const clock = this.clock;
+    const guard = this.guard.bind(this);
+    let tick: types.Tick | null = null;
+    return {
+      name,
+      start(): void {
+        tick = world.every(clock, ms, guarded);
+      },
+      stop(): void {
+        tick?.stop();
+      },
+    };
+    function guarded(): void {
+      guard(name, turn);
+    }
+  }
+
+  add(child: Child): void {
+    this.children.push(child);
+  }
+
+  private guard(name: string, turn: () => void): void {
+    try {
+      turn();
+    } catch (cause) {
+      this.failed(name, cause);
+    }
+  }
+
+  /** Counts a failure; too many in a short while end the process, which the platform starts anew. */
+  failed(name: string, cause: unknown): void {
+    const now = this.clock.now();
+    log.count("supervisor.failure");
+    log.state(`${name} failed: ${cause instanceof Error ? (cause.stack ?? cause.message) : String(cause)}`);
+    this.failures = [...this.failures.filter(isRecent), now];
+    function isRecent(at: number): boolean {
+      return now - at < WINDOW_MS;
+    }
+    if (this.failures.length <= MOST_FAILURES) return;
+    log.state("too many failures in a short while; the process ends to start clean");
+    log.flushNow();
+    process.exit(70);
+  }
+}
+
+/** What no child caught comes to the root. */
+export function catchAll(root: Supervisor): void {
+  process.on("uncaughtException", function caught(cause) {
+    root.failed("process", cause);
+  });
+  process.on("unhandledRejection", function rejected(cause) {
+    root.failed("promise", cause);
+  });
+}
--- /dev/null
+++ b/src/wire/http.ts
@@ -0,0 +1,106 @@
+// Outgoing HTTP by undici; only its single-connection client is used, none of its pools or proxies (design 7.6).
+import type * as undici from "undici";
+import * as undiciClient from "undici/lib/dispatcher/client.js";
+import * as types from "./types.js";
+
+const ClientClass = ((undiciClient as { default?: unknown }).default ?? undiciClient) as typeof undici.Client;
+export type Client = undici.Client;
+
+export interface ClientOptions {
+  connectMs: number;
+  idleMs: number;
+  headerBytes?: number;
+}
+
+export function open(address: string, options: ClientOptions): undici.Client {
+  return new ClientClass(`http://${address}`, {
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: options.idleMs,
+    keepAliveMaxTimeout: 600_000,
+    keepAliveTimeoutThreshold: 1000,
+    maxHeaderSize: options.headerBytes ?? 16384,
+    connect: { timeout: options.connectMs },
+  });
+}
+
+export interface Reply {
+  status: number;
+  headers: Map<string, string>;
+  body: Buffer;
+}
+
+/** The raw name and value pairs that undici hands over, as a map with lower-case names. */
+export function headerMap(raw: readonly Buffer[]): Map<string, string> {
+  const map = new Map<string, string>();
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    map.set(raw[index]!.toString("latin1").toLowerCase(), raw[index + 1]!.toString("latin1"));
+  }
+  return map;
+}
+
+class Collector {
+  private status = 0;
+  private headers = new Map<string, string>();
+  private readonly parts: Buffer[] = [];
+  private held = 0;
+  constructor(private readonly mostBytes: number, private readonly done: (reply: Reply | null) => void) {}
+  abort: (() => void) | null = null;
+  onConnect(abort: () => void): void {
+    this.abort = abort;
+  }
+  onHeaders(status: number, raw: Buffer[]): boolean {
+    this.status = status;
+    this.headers = headerMap(raw);
+    return true;
+  }
+  onData(chunk: Buffer): boolean {
+    this.held += chunk.length;
+    if (this.held > this.mostBytes) this.abort?.();
+    else this.parts.push(chunk);
+    return true;
+  }
+  onComplete(): void {
+    this.done({ status: this.status, headers: this.headers, body: Buffer.concat(this.parts) });
+  }
+  onError(): void {
+    this.done(null);
+  }
+}
+
+export interface CallOptions {
+  method?: "GET" | "POST";
+  headers?: Record<string, string>;
+  body?: Buffer;
+  withinMs: number;
+  mostBytes?: number;
+}
+
+/** Null when no whole reply came in time. */
+export function call(world: types.World, client: undici.Client, path: string, options: CallOptions): Promise<Reply | null> {
+  return new Promise(function start(resolve) {
+    let isOver = false;
+    const tick = world.after(options.withinMs, late);
+    const collector = new Collector(options.mostBytes ?? 8 * 1024 * 1024, finish);
+    function finish(reply: Reply | null): void {
+      if (isOver) return;
+      isOver = true;
+      tick.stop();
+      resolve(reply);
+    }
+    function late(): void {
+      if (collector.abort) collector.abort();
+      else void client.destroy().catch(ignore);
+      finish(null);
+    }
+    client.dispatch(
+      { path, method: options.method ?? "GET", headers: options.headers ?? {}, body: options.body ?? null },
+      collector as unknown as undici.Dispatcher.DispatchHandlers,
+    );
+  });
+}
+
+export function ignore(): void {
+  // Nothing to do: the connection is given up either way.
+}
--- /dev/null
+++ b/src/wire/link.ts
@@ -0,0 +1,197 @@
+// A link between two of the system's own processes: framed, and ended by its own silence (design 3.1).
+import * as events from "node:events";
+import * as net from "node:net";
+import * as calls from "./calls.js";
+import * as types from "./types.js";
+import * as errors from "../startup/errors.js";
+import * as log from "../startup/log.js";
+
+const HEAD_BYTES = 10; // length u32, kind u8, code u8, call id u32
+const MOST_BYTES = 24 * 1024 * 1024;
+const TELL = 0;
+const CALL = 1;
+const REPLY = 2;
+
+type Handler = (link: Link, ask: never) => unknown;
+
+/** The one table of what a process replies to (design 3.3). */
+export class Handlers {
+  private readonly table = new Map<number, Handler>();
+  on<Ask, Reply>(pair: calls.Pair<Ask, Reply>, run: (link: Link, ask: Ask) => Promise<Reply | null> | Reply | null): void {
+    this.table.set(pair.code, run as Handler);
+  }
+  get(code: number): Handler | undefined {
+    return this.table.get(code);
+  }
+}
+
+interface Waiting {
+  pair: calls.Pair<unknown, unknown>;
+  resolve(reply: unknown): void;
+  tick: types.Tick;
+}
+
+export interface LinkEvents {
+  end: [cause: string];
+}
+
+export class Link extends events.EventEmitter<LinkEvents> {
+  private readonly waiting = new Map<number, Waiting>();
+  private parts: Buffer[] = [];
+  private held = 0;
+  private wanted = HEAD_BYTES;
+  private callId = 0;
+  heardAt: types.SteadyMs;
+  isOpen = true;
+
+  constructor(private readonly world: types.World, readonly socket: net.Socket, private readonly handlers: Handlers) {
+    super();
+    this.heardAt = world.now();
+    socket.setNoDelay(true);
+    socket.on("data", this.read.bind(this));
+    socket.on("error", this.failed.bind(this));
+    socket.on("close", this.closed.bind(this));
+  }
+
+  private failed(cause: Error): void {
+    this.end(cause.message);
+  }
+
+  private closed(): void {
+    this.end("closed");
+  }
+
+  end(cause: string): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    this.socket.destroy();
+    for (const item of this.waiting.values()) {
+      item.tick.stop();
+      item.resolve(null);
+    }
+    this.waiting.clear();
+    this.emit("end", cause);
+  }
+
+  silentMs(): number {
+    return this.world.now() - this.heardAt;
+  }
+
+  private write(kind: number, code: number, id: number, body: Buffer): void {
+    if (!this.isOpen) return;
+    const head = Buffer.allocUnsafe(HEAD_BYTES);
+    head.writeUInt32BE(body.length, 0);
+    head.writeUInt8(kind, 4);
+    head.writeUInt8(code, 5);
+    head.writeUInt32BE(id, 6);
+    if (this.socket.writableLength > MOST_BYTES) {
+      this.end("the other side does not read");
+      return;
+    }
+    this.socket.write(Buffer.concat([head, body]));
+  }
+
+  tell<Ask, Reply>(pair: calls.Pair<Ask, Reply>, ask: Ask): void {
+    this.write(TELL, pair.code, 0, pair.ask.toBuffer(ask));
+  }
+
+  /** Null when no reply came in time or the link ended: nothing is known then. */
+  call<Ask, Reply>(pair: calls.Pair<Ask, Reply>, ask: Ask, withinMs: number): Promise<Reply | null> {
+    if (!this.isOpen) return Promise.resolve(null);
+    const id = (this.callId = (this.callId + 1) >>> 0);
+    const waiting = this.waiting;
+    const world = this.world;
+    const write = this.write.bind(this);
+    return new Promise(function start(resolve) {
+      function late(): void {
+        waiting.delete(id);
+        resolve(null);
+      }
+      const tick = world.after(withinMs, late);
+      waiting.set(id, { pair: pair as unknown as calls.Pair<unknown, unknown>, resolve: resolve as (reply: unknown) => void, tick });
+      write(CALL, pair.code, id, pair.ask.toBuffer(ask));
+    });
+  }
+
+  private read(chunk: Buffer): void {
+    this.heardAt = this.world.now();
+    this.parts.push(chunk);
+    this.held += chunk.length;
+    if (this.held < this.wanted) return;
+    let bytes = this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts);
+    while (this.isOpen && bytes.length >= HEAD_BYTES) {
+      const length = bytes.readUInt32BE(0);
+      if (length > MOST_BYTES) {
+        this.garbled("a frame too long");
+        return;
+      }
+      if (bytes.length < HEAD_BYTES + length) break;
+      this.take(bytes.readUInt8(4), bytes.readUInt8(5), bytes.readUInt32BE(6), bytes.subarray(HEAD_BYTES, HEAD_BYTES + length));
+      bytes = bytes.subarray(HEAD_BYTES + length);
+    }
+    this.parts = bytes.length > 0 ? [bytes] : [];
+    this.held = bytes.length;
+    this.wanted = bytes.length >= HEAD_BYTES ? HEAD_BYTES + bytes.readUInt32BE(0) : HEAD_BYTES;
+  }
+
+  private garbled(what: string): void {
+    log.count("link.garbled");
+    this.end(errors.fail("link", what, "run the same release on both ends").message);
+  }
+
+  private take(kind: number, code: number, id: number, body: Buffer): void {
+    const pair = calls.byCode(code);
+    if (!pair || kind > REPLY) {
+      this.garbled(`unknown frame ${kind}/${code}`);
+      return;
+    }
+    try {
+      if (kind === REPLY) this.settle(id, body);
+      else void this.handle(pair, kind, id, pair.ask.fromBuffer(body));
+    } catch {
+      this.garbled(`unreadable ${pair.name}`);
+    }
+  }
+
+  private settle(id: number, body: Buffer): void {
+    const item = this.waiting.get(id);
+    if (!item) return;
+    this.waiting.delete(id);
+    item.tick.stop();
+    item.resolve(item.pair.reply.fromBuffer(body));
+  }
+
+  private async handle(pair: calls.Pair<unknown, unknown>, kind: number, id: number, ask: unknown): Promise<void> {
+    const run = this.handlers.get(pair.code);
+    if (!run) return;
+    try {
+      const reply = await run(this, ask as never);
+      if (kind === CALL && reply !== null) this.write(REPLY, pair.code, id, pair.reply.toBuffer(reply));
+    } catch (cause) {
+      log.count("link.handler_failed");
+      log.state(`${pair.name} failed: ${(cause as Error).message}`);
+    }
+  }
+}
+
+export function connect(world: types.World, address: string, handlers: Handlers, withinMs: number): Promise<Link | null> {
+  return new Promise(function start(resolve) {
+    const socket = net.connect({ host: types.hostOf(address), port: types.portOf(address) });
+    const tick = world.after(withinMs, giveUp);
+    function giveUp(): void {
+      socket.destroy();
+      resolve(null);
+    }
+    function failed(): void {
+      tick.stop();
+      resolve(null);
+    }
+    function opened(): void {
+      tick.stop();
+      socket.removeListener("error", failed);
+      resolve(new Link(world, socket, handlers));
+    }
+    socket.once("error", failed);
+    socket.once("connect", opened);
+  });
+}
--- /dev/null
+++ b/src/wire/names.ts
@@ -0,0 +1,16 @@
+// Names on the wire; protocol names stay as the protocol has them (design 1.2).
+export const HEADER = {
+  requestId: "x-cranewind-request-id",
+  budgetMs: "x-cranewind-time-budget-ms",
+  prefix: "x-cranewind-prompt-prefix",
+  tokens: "x-cranewind-token-usage",
+  priority: "x-cranewind-request-priority",
+  target: "x-cranewind-target-instance",
+  seal: "x-cranewind-response-seal",
+  notExecuted: "x-cranewind-not-executed",
+  warmupMs: "x-cranewind-warmup-ms",
+  instance: "x-cranewind-instance-id",
+  lastEventId: "last-event-id",
+  retryAfter: "retry-after",
+  base: "x-cranewind-base-version",
+} as const;
--- /dev/null
+++ b/src/wire/schema.ts
@@ -0,0 +1,154 @@
+// What the system's own processes say to each other, as avsc schemas (design 3.2).
+import * as avsc from "avsc";
+
+function record<T>(name: string, fields: { name: string; type: unknown; default?: unknown }[]): Schema<T> {
+  return avsc.Type.forSchema({ type: "record", name, fields } as avsc.Schema) as unknown as Schema<T>;
+}
+
+export interface Schema<T> {
+  toBuffer(value: T): Buffer;
+  fromBuffer(bytes: Buffer): T;
+}
+
+const voterType = avsc.Type.forSchema({
+  type: "record", name: "Voter",
+  fields: [{ name: "disk", type: "string" }, { name: "node", type: "string" }, { name: "address", type: "string" }],
+});
+const takenType = avsc.Type.forSchema({
+  type: "record", name: "Taken",
+  fields: [{ name: "revision", type: "double" }, { name: "digest", type: "string" }],
+});
+const valueType = avsc.Type.forSchema({
+  type: "record", name: "Value",
+  fields: [
+    { name: "epoch", type: "long" }, { name: "revision", type: "double" }, { name: "config", type: "bytes" },
+    { name: "taken", type: { type: "array", items: takenType } },
+    { name: "evacuations", type: { type: "array", items: "string" } },
+    { name: "voterEpoch", type: "long" },
+    { name: "voters", type: { type: "array", items: voterType } },
+    { name: "former", type: { type: "array", items: voterType } },
+  ],
+});
+const ballotType = avsc.Type.forSchema({
+  type: "record", name: "Ballot", fields: [{ name: "n", type: "long" }, { name: "by", type: "string" }],
+});
+const acceptedType = avsc.Type.forSchema({
+  type: "record", name: "Accepted", fields: [{ name: "ballot", type: ballotType }, { name: "value", type: valueType }],
+});
+const nodeType = avsc.Type.forSchema({
+  type: "record", name: "Node",
+  fields: [
+    { name: "name", type: "string" }, { name: "role", type: "string" }, { name: "life", type: "string" },
+    { name: "zone", type: "string" }, { name: "region", type: "string" }, { name: "address", type: "string" },
+    { name: "outside", type: "string" }, { name: "disk", type: "string" }, { name: "isCounted", type: "boolean" },
+    { name: "isReady", type: "boolean" }, { name: "epoch", type: "long" },
+  ],
+});
+const instanceType = avsc.Type.forSchema({
+  type: "record", name: "Instance",
+  fields: [
+    { name: "id", type: "string" }, { name: "service", type: "string" }, { name: "address", type: "string" },
+    { name: "zone", type: "string" }, { name: "capacity", type: "int" }, { name: "isDraining", type: "boolean" },
+    { name: "coldMs", type: "int" }, { name: "leavesMs", type: "int" },
+  ],
+});
+const reportType = avsc.Type.forSchema({
+  type: "record", name: "Report",
+  fields: [
+    { name: "id", type: "string" }, { name: "isSpeaking", type: "boolean" }, { name: "waiting", type: "int" },
+    { name: "active", type: "int" }, { name: "kvUsed", type: "int" }, { name: "kvCapacity", type: "int" },
+  ],
+});
+
+export interface Voter { disk: string; node: string; address: string }
+export interface Taken { revision: number; digest: string }
+export interface Value {
+  epoch: number; revision: number; config: Buffer; taken: Taken[]; evacuations: string[];
+  voterEpoch: number; voters: Voter[]; former: Voter[];
+}
+export interface Ballot { n: number; by: string }
+export interface Accepted { ballot: Ballot; value: Value }
+export interface NodeInfo {
+  name: string; role: string; life: string; zone: string; region: string; address: string;
+  outside: string; disk: string; isCounted: boolean; isReady: boolean; epoch: number;
+}
+export interface Instance {
+  id: string; service: string; address: string; zone: string; capacity: number;
+  isDraining: boolean; coldMs: number; leavesMs: number;
+}
+export interface Report {
+  id: string; isSpeaking: boolean; waiting: number; active: number; kvUsed: number; kvCapacity: number;
+}
+
+export const node = nodeType as unknown as Schema<NodeInfo>;
+
+export interface Hello { node: NodeInfo }
+export const hello = record<Hello>("Hello", [{ name: "node", type: nodeType }]);
+
+export interface Known { node: NodeInfo; controls: string[]; place: string }
+export const known = record<Known>("Known", [
+  { name: "node", type: nodeType }, { name: "controls", type: { type: "array", items: "string" } }, { name: "place", type: "string" },
+]);
+
+export interface Beat { isReady: boolean; epoch: number; isSettled: boolean; index: number; members: number }
+export const beat = record<Beat>("Beat", [
+  { name: "isReady", type: "boolean" }, { name: "epoch", type: "long" }, { name: "isSettled", type: "boolean" },
+  { name: "index", type: "int" }, { name: "members", type: "int" },
+]);
+
+export interface Sessions { nodes: NodeInfo[]; controls: string[] }
+export const sessions = record<Sessions>("Sessions", [
+  { name: "nodes", type: { type: "array", items: nodeType } }, { name: "controls", type: { type: "array", items: "string" } },
+]);
+
+export interface Prepare { disk: string; ballot: Ballot; voterEpoch: number }
+export const prepare = record<Prepare>("Prepare", [
+  { name: "disk", type: "string" }, { name: "ballot", type: ballotType }, { name: "voterEpoch", type: "long" },
+]);
+
+export interface Accept { disk: string; ballot: Ballot; voterEpoch: number; value: Value }
+export const accept = record<Accept>("Accept", [
+  { name: "disk", type: "string" }, { name: "ballot", type: ballotType },
+  { name: "voterEpoch", type: "long" }, { name: "value", type: valueType },
+]);
+
+export interface Vote { isGranted: boolean; disk: string; ballot: Ballot; accepted: Accepted | null }
+export const vote = record<Vote>("Vote", [
+  { name: "isGranted", type: "boolean" }, { name: "disk", type: "string" }, { name: "ballot", type: ballotType },
+  { name: "accepted", type: ["null", acceptedType] },
+]);
+
+export interface Ask { epoch: number }
+export const ask = record<Ask>("Ask", [{ name: "epoch", type: "long" }]);
+
+export interface Chosen { value: Value | null }
+export const chosen = record<Chosen>("Chosen", [{ name: "value", type: ["null", valueType] }]);
+
+export interface Follow { place: string; from: number; topics: string[] }
+export const follow = record<Follow>("Follow", [
+  { name: "place", type: "string" }, { name: "from", type: "long" }, { name: "topics", type: { type: "array", items: "string" } },
+]);
+
+export interface Change { place: string; number: number; topic: string; body: Buffer }
+export const change = record<Change>("Change", [
+  { name: "place", type: "string" }, { name: "number", type: "long" }, { name: "topic", type: "string" }, { name: "body", type: "bytes" },
+]);
+
+/** isSame: nothing but the time of reading has changed since the last list told. */
+export interface InstanceList { isSame: boolean; instances: Instance[] }
+export const instanceList = record<InstanceList>("InstanceList", [
+  { name: "isSame", type: "boolean" }, { name: "instances", type: { type: "array", items: instanceType } },
+]);
+
+export interface CellReport { region: string; reports: Report[] }
+export const cellReport = record<CellReport>("CellReport", [
+  { name: "region", type: "string" }, { name: "reports", type: { type: "array", items: reportType } },
+]);
+
+export interface Disk { disk: string; promised: Ballot; accepted: Accepted | null }
+export const disk = record<Disk>("Disk", [
+  { name: "disk", type: "string" }, { name: "promised", type: ballotType }, { name: "accepted", type: ["null", acceptedType] },
+]);
+
+export interface Empty { _: boolean }
+export const empty = record<Empty>("Empty", [{ name: "_", type: "boolean", default: false }]);
--- /dev/null
+++ b/src/wire/undici-client.d.ts
@@ -0,0 +1,3 @@
+declare module "undici/lib/dispatcher/client.js" {
+  export { Client as default } from "undici";
+}
