--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -22,6 +22,7 @@
   seen: schema.Value | null;
 }
 
+const ROUND_MS = 1300;
 const FIRST_PAUSE_MS = 25;
 const MOST_PAUSE_MS = 600;
 
@@ -110,7 +111,14 @@
     const round: Round = { granted: new Set(), newest: null, seen: null };
     const voters = registers.allVoters(first, second);
     const take = this.take.bind(this, round);
+    const clock = this.clock;
     return new Promise(function start(resolve) {
+      // A hung disk, the own one too, is a silent voter: the round never waits on it.
+      const tick = clock.after(ROUND_MS, end);
+      function end(): void {
+        tick.stop();
+        resolve(round);
+      }
       const open = new Set(voters.keys());
       function isEnough(granted: ReadonlySet<string>): boolean {
         return registers.isQuorum(first, granted) && registers.isQuorum(second, granted);
@@ -120,13 +128,13 @@
         function heard(vote: schema.Vote | null): void {
           open.delete(voter.disk);
           if (vote) take(voter, vote);
-          if (isEnough(round.granted) || !isEnough(new Set([...round.granted, ...open]))) resolve(round);
+          if (isEnough(round.granted) || !isEnough(new Set([...round.granted, ...open]))) end();
         }
         function silent(): void {
           heard(null);
         }
       }
-      if (open.size === 0) resolve(round);
+      if (open.size === 0) end();
     });
   }
 
--- /dev/null
+++ b/tests/sim/core.ts
@@ -0,0 +1,153 @@
+// A core of voters and proposers over a simulated network and disks, with faults by seed.
+import * as proposers from "../../src/register/proposer.js";
+import * as registers from "../../src/register/value.js";
+import * as voters from "../../src/register/voter.js";
+import * as schema from "../../src/wire/schema.js";
+import * as world from "./world.js";
+
+/** A guard that a test may break on purpose, to see the checker fail. */
+export type Broken = "none" | "forget_promise" | "wipe_keeps_identity" | "any_quorum";
+
+export class SimNode {
+  voter: voters.Voter | null = null;
+  stored: Buffer | null = null;
+  isUp = true;
+  isFrozen = false;
+  isDiskHung = false;
+  wipes = 0;
+  readonly chosen: schema.Value[] = [];
+  proposer: proposers.Proposer;
+
+  constructor(private readonly core: SimCore, readonly address: string, first: schema.Value) {
+    this.proposer = this.makeProposer(first);
+  }
+
+  makeProposer(first: schema.Value): proposers.Proposer {
+    const node = this;
+    function keep(value: schema.Value): void {
+      node.chosen.push(value);
+    }
+    this.core.lives += 1;
+    return new proposers.Proposer(this.core.clock, `life-${this.core.lives}`, this.core.reach(this), first, keep);
+  }
+
+  boot(first: schema.Disk | null): void {
+    const node = this;
+    const state = this.stored ? voters.Voter.restore(this.stored) : first;
+    if (!state) return;
+    if (!this.stored) this.stored = schema.disk.toBuffer(state);
+    this.voter = new voters.Voter({
+      async write(body: Buffer): Promise<void> {
+        while (node.isDiskHung) await node.core.wait(50);
+        await node.core.wait(2 + node.core.clock.random() * 5);
+        if (node.core.broken === "forget_promise") {
+          const kept = voters.Voter.restore(body);
+          node.stored = schema.disk.toBuffer({ ...kept, promised: registers.NO_BALLOT });
+        } else node.stored = body;
+      },
+    }, state);
+  }
+
+  /** The process ends and starts again with what was synced. */
+  restart(): void {
+    this.voter = null;
+    this.proposer = this.makeProposer(this.known());
+    this.boot(null);
+  }
+
+  /** The disk comes back empty: a new identity, and nothing but what others tell. */
+  wipe(): void {
+    this.stored = null;
+    this.wipes += 1;
+    const known = this.known();
+    this.voter = null;
+    const disk = this.core.broken === "wipe_keeps_identity" ? registers.firstDisk(this.address) : `disk-${this.address}-${this.wipes}`;
+    this.proposer = this.makeProposer(known);
+    this.boot({ disk, promised: registers.NO_BALLOT, accepted: null });
+  }
+
+  private known(): schema.Value {
+    const newest = this.core.newestChosen();
+    return newest ?? this.core.first;
+  }
+}
+
+export class SimCore {
+  lives = 0;
+  readonly nodes = new Map<string, SimNode>();
+  readonly cuts = new Set<string>();
+  lossShare = 0;
+  readonly first: schema.Value;
+
+  constructor(readonly clock: world.SimWorld, addresses: string[], readonly broken: Broken = "none") {
+    this.first = registers.firstValue(addresses);
+    for (const address of addresses) {
+      const node = new SimNode(this, address, this.first);
+      this.nodes.set(address, node);
+      node.boot({ disk: registers.firstDisk(address), promised: registers.NO_BALLOT, accepted: { ballot: registers.NO_BALLOT, value: this.first } });
+    }
+  }
+
+  join(address: string): SimNode {
+    const node = new SimNode(this, address, registers.firstValue([]));
+    this.nodes.set(address, node);
+    node.wipe();
+    return node;
+  }
+
+  wait(ms: number): Promise<void> {
+    const clock = this.clock;
+    return new Promise(function start(resolve) {
+      clock.after(ms, resolve);
+    });
+  }
+
+  newestChosen(): schema.Value | null {
+    let newest: schema.Value | null = null;
+    for (const node of this.nodes.values()) {
+      for (const value of node.chosen) if (!newest || value.epoch > newest.epoch) newest = value;
+    }
+    return newest;
+  }
+
+  private isCut(from: string, to: string): boolean {
+    return this.cuts.has(`${from}>${to}`);
+  }
+
+  /** The way there and back, each with its delay, its losses and its cuts. */
+  private async send<T>(from: SimNode, to: string, run: (voter: voters.Voter) => Promise<T | null>): Promise<T | null> {
+    const delay = 10 + this.clock.random() * 60;
+    if (from.address !== to) await this.wait(delay);
+    const node = this.nodes.get(to);
+    const isLost = from.address !== to && (this.isCut(from.address, to) || this.clock.random() < this.lossShare);
+    if (!node || !node.isUp || isLost) return this.silence();
+    while (node.isFrozen) await this.wait(100);
+    const { voter } = node;
+    if (!voter) return this.silence();
+    const reply = await run(voter);
+    if (voter !== node.voter || !node.isUp) return this.silence();
+    if (from.address !== to) await this.wait(delay);
+    return this.isCut(to, from.address) || this.clock.random() < this.lossShare ? this.silence() : reply;
+  }
+
+  private async silence(): Promise<null> {
+    await this.wait(400);
+    return null;
+  }
+
+  reach(from: SimNode): proposers.Reach {
+    const core = this;
+    return {
+      prepare(voter, ask) {
+        return core.send(from, voter.address, function run(target) {
+          return target.prepare(ask);
+        });
+      },
+      accept(voter, ask) {
+        return core.send(from, voter.address, function run(target) {
+          return target.accept(ask);
+        });
+      },
+    };
+  }
+}
--- /dev/null
+++ b/tests/sim/world.ts
@@ -0,0 +1,77 @@
+// A world whose clock, chance and ticks a test decides.
+import * as types from "../../src/wire/types.js";
+
+interface Planned {
+  at: number;
+  order: number;
+  run: () => void;
+  isStopped: boolean;
+}
+
+export class SimWorld implements types.World {
+  private clock = 0;
+  private order = 0;
+  private planned: Planned[] = [];
+  private seed: number;
+
+  constructor(seed = 1) {
+    this.seed = seed >>> 0 || 1;
+  }
+
+  now(): types.SteadyMs {
+    return types.small(this.clock);
+  }
+
+  random(): number {
+    this.seed ^= this.seed << 13;
+    this.seed >>>= 0;
+    this.seed ^= this.seed >>> 17;
+    this.seed ^= this.seed << 5;
+    this.seed >>>= 0;
+    return this.seed / 4294967296;
+  }
+
+  after(ms: number, run: () => void): types.Tick {
+    const item: Planned = { at: this.clock + Math.max(0, ms), order: (this.order += 1), run, isStopped: false };
+    this.planned.push(item);
+    return {
+      stop(): void {
+        item.isStopped = true;
+      },
+    };
+  }
+
+  skip(ms: number): void {
+    this.clock += ms;
+  }
+
+  /** Plays what is planned up to `ms` from now; promises settle between the ticks. */
+  async play(ms: number): Promise<void> {
+    const until = this.clock + ms;
+    for (;;) {
+      await settle();
+      this.planned = this.planned.filter(isOpen);
+      this.planned.sort(byTime);
+      const next = this.planned[0];
+      if (!next || next.at > until) break;
+      this.planned.shift();
+      this.clock = Math.max(this.clock, next.at);
+      next.run();
+    }
+    this.clock = until;
+  }
+}
+
+function isOpen(item: Planned): boolean {
+  return !item.isStopped;
+}
+
+function byTime(left: Planned, right: Planned): number {
+  return left.at - right.at || left.order - right.order;
+}
+
+export function settle(): Promise<void> {
+  return new Promise(function wait(resolve) {
+    setImmediate(resolve);
+  });
+}
