--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -24,7 +24,6 @@
 const BEAT_MS = 400;
 const TURN_MS = 100;
 const SILENT_MS = 1800;
-const MOST_BODY = 16 * 1024 * 1024;
 const POLICY_MS = 1500;
 
 export class ControlProgram {
@@ -105,8 +104,8 @@
     const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this));
     const view = { routers: this.members.members.bind(this.members, "router"), ttlMostS: startup.bounds.ttl_max_s };
     root.add(this.internal());
-    root.add(server("operator", startup.bind_addresses.control_plane, operator.reply.bind(operator)));
-    root.add(server("directory", startup.bind_addresses.directory, resolve));
+    root.add(serve.child("operator", startup.bind_addresses.control_plane, operator.reply.bind(operator)));
+    root.add(serve.child("directory", startup.bind_addresses.directory, resolve));
     function resolve(asked: serve.Asked): serve.Told {
       if (asked.path === "/-/resolve") return directory.resolve(view, asked.query);
       return { status: 404, json: { message: `no call ${asked.path}; ask /-/resolve` } };
@@ -238,16 +237,3 @@
 function isOwn(disk: string, voter: schema.Voter): boolean {
   return voter.disk === disk;
 }
-
-function server(name: string, address: string | undefined, reply: serve.Reply): supervisor.Child {
-  let open: serve.Server | null = null;
-  return {
-    name,
-    async start(): Promise<void> {
-      if (address) open = await serve.serve(address, MOST_BODY, reply);
-    },
-    stop(): void {
-      void open?.close();
-    },
-  };
-}
--- a/src/control/serve.ts
+++ b/src/control/serve.ts
@@ -2,8 +2,11 @@
 import * as http from "node:http";
 import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
+import type * as supervisor from "../supervisor/tree.js";
 import * as types from "../wire/types.js";
 
+const MOST_BODY = 16 * 1024 * 1024;
+
 export interface Asked {
   method: string;
   path: string;
@@ -88,3 +91,17 @@
   response.writeHead(told.status, headers);
   response.end(body);
 }
+
+/** A server as a child of the supervisor. */
+export function child(name: string, address: string | undefined, reply: Reply): supervisor.Child {
+  let open: Server | null = null;
+  return {
+    name,
+    async start(): Promise<void> {
+      if (address) open = await serve(address, MOST_BODY, reply);
+    },
+    stop(): void {
+      void open?.close();
+    },
+  };
+}
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -57,6 +57,11 @@
     });
   }
 
+  /** The port in use, also when 0 was asked for. */
+  get port(): number {
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
   close(): void {
     this.server.close();
     this.server.closeIdleConnections();
--- /dev/null
+++ b/src/router/states.ts
@@ -0,0 +1,16 @@
+// The states of a request in the router, and which may follow which (design 7.1).
+import * as tiny from "tiny-invariant";
+
+export type State = "reading" | "choosing" | "sent" | "passing" | "done";
+const MOVES = new Map<State, readonly State[]>([
+  ["reading", ["choosing", "done"]],
+  ["choosing", ["sent", "done"]],
+  ["sent", ["choosing", "passing", "done"]],
+  ["passing", ["choosing", "done"]],
+  ["done", []],
+]);
+
+export function moved(from: State, to: State): State {
+  tiny.default(MOVES.get(from)?.includes(to), `a transaction cannot move from ${from} to ${to}; report it with the log`);
+  return to;
+}
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -10,15 +10,7 @@
 import * as headers from "./headers.js";
 import type * as plans from "./plan.js";
 import * as replies from "./replies.js";
-
-export type State = "reading" | "choosing" | "sent" | "passing" | "done";
-const MOVES = new Map<State, readonly State[]>([
-  ["reading", ["choosing", "done"]],
-  ["choosing", ["sent", "done"]],
-  ["sent", ["choosing", "passing", "done"]],
-  ["passing", ["choosing", "done"]],
-  ["done", []],
-]);
+import * as states from "./states.js";
 
 const LEAST_MS = 10;
 const MOST_UNSENT = 4;
@@ -40,7 +32,7 @@
 }
 
 export class Transaction implements attempts.Owner {
-  state: State = "reading";
+  state: states.State = "reading";
   private readonly tried = new Set<string>();
   private sends = 0;
   private unsent = 0;
@@ -59,9 +51,8 @@
     outgoing.once("close", this.clientGone.bind(this));
   }
 
-  private move(to: State): void {
-    if (!MOVES.get(this.state)!.includes(to)) throw new Error(`transaction cannot move from ${this.state} to ${to}`);
-    this.state = to;
+  private move(to: states.State): void {
+    this.state = states.moved(this.state, to);
     if (to !== "done") return;
     this.deadlineTick?.stop();
     this.context.finished(this);
--- /dev/null
+++ b/tests/router.test.ts
@@ -0,0 +1,205 @@
+// The router against stand-in runners over real loopback sockets (design 7).
+import * as net from "node:net";
+import * as nodeHttp from "node:http";
+import * as check from "../src/config/check.js";
+import * as routes from "../src/config/routes.js";
+import * as choosers from "../src/router/chooser.js";
+import * as fleets from "../src/router/fleet.js";
+import * as rotations from "../src/router/rotation.js";
+import * as servers from "../src/router/server.js";
+import * as shares from "../src/shares/shares.js";
+import * as standin from "../src/standin/runner.js";
+import * as world from "../src/wire/world.js";
+
+function routeOf(name: string, type: string, more: object = {}): object {
+  return { name, hostname: "h", path_prefix: `/${name}/`, route_type: type, deadline_ms: 1500, target_latency_ms: 300, target_gap_ms: 200, service: "s", max_attempts: 2, ...more };
+}
+
+const CONFIG = check.check({
+  revision: 1, services: [{ name: "s", max_connections: 100 }], limits: { max_body_bytes: 2000, max_header_bytes: 4096, header_timeout_ms: 5000 },
+  routes: [
+    routeOf("read", "read_only"), routeOf("once", "mutating"), routeOf("stream", "streaming", { resumable: true }),
+    routeOf("single", "streaming", { max_attempts: 1 }), routeOf("home", "mutating", { allowed_regions: ["r2"] }),
+  ],
+}).unwrapOr(null)!;
+
+interface Got {
+  status: number;
+  headers: nodeHttp.IncomingHttpHeaders;
+  body: string;
+  isComplete: boolean;
+}
+
+let runners: standin.StandInRunner[];
+let server: servers.RouterServer;
+let share: shares.Shares;
+let port = 0;
+
+beforeEach(async function start() {
+  const clock = new world.RealWorld();
+  const fleet = new fleets.Fleet(clock, new Map([["z1", "r1"], ["z2", "r2"]]));
+  share = new shares.Shares(clock, { retry_ratio: 0.2, retry_window_s: 10, retry_extra: 50, warmup_overshoot: 1.5, warmup_tolerance: 5 });
+  share.deal(0, 1);
+  const chooser = new choosers.Chooser(clock, fleet, new rotations.Rotation(clock), share, "r1");
+  runners = [new standin.StandInRunner({ id: "i-1" }), new standin.StandInRunner({ id: "i-2" })];
+  for (const runner of runners) await runner.start();
+  fleet.takeList(runners.map((runner, index) => ({
+    id: runner.id, service: "s", address: runner.address, zone: `z${index + 1}`, capacity: 8, isDraining: false, coldMs: 0, leavesMs: -1,
+  })));
+  chooser.table = new routes.RouteTable(CONFIG);
+  server = new servers.RouterServer(clock, chooser, () => true);
+  server.limit(CONFIG.limits);
+  await server.listen("127.0.0.1:0");
+  port = server.port;
+});
+
+afterEach(function stop() {
+  server.close();
+  for (const runner of runners) runner.stop();
+});
+
+let ids = 0;
+function ask(path: string, headers: nodeHttp.OutgoingHttpHeaders = {}, body = "body"): Promise<Got> {
+  ids += 1;
+  return new Promise(function send(resolve, reject) {
+    const request = nodeHttp.request({ port, host: "127.0.0.1", path, method: "POST", agent: false, headers: { Host: "h", "X-Cranewind-Request-Id": `r${ids}`, "X-Cranewind-Time-Budget-Ms": "1200", ...headers } }, taken);
+    request.on("error", reject);
+    request.end(body);
+    function taken(reply: nodeHttp.IncomingMessage): void {
+      let text = "";
+      reply.on("data", (chunk: Buffer) => (text += chunk.toString()));
+      reply.on("error", () => undefined);
+      reply.on("close", () => resolve({ status: reply.statusCode!, headers: reply.headers, body: text, isComplete: reply.complete }));
+    }
+  });
+}
+
+const STREAM = { "X-Cranewind-Token-Usage": "10,4" };
+function pieces(from: number, to: number): string {
+  let text = "";
+  for (let at = from; at <= to; at += 1) text += `id: ${at}\ndata: piece ${at}\n\n`;
+  return text;
+}
+function seenBy(): standin.Seen[] {
+  return [...runners[0]!.seen, ...runners[1]!.seen];
+}
+
+test("a request reaches one runner unchanged, named, with the budget that is left", async function plain() {
+  const got = await ask("/once/x?q=1", { "X-Own": "7", Connection: "close" });
+  expect([got.status, got.isComplete]).toEqual([200, true]);
+  const [seen] = seenBy();
+  expect(seen).toMatchObject({ method: "POST", path: "/once/x?q=1", body: "body", target: "i-1", requestId: `r${ids}` });
+  expect(seen!.headers["x-own"]).toBe("7");
+  expect(seen!.budgetMs).toBeLessThanOrEqual(1200);
+  expect(got.headers["x-cranewind-response-seal"]).toMatch(/^seal-i-1/);
+});
+
+test("homes bind: nothing goes elsewhere, even when the home is gone", async function homes() {
+  expect((await ask("/home/x")).status).toBe(200);
+  expect(runners[1]!.seen).toHaveLength(1);
+  runners[1]!.mishaps.push("shed");
+  expect((await ask("/home/x")).status).toBe(503);
+  expect(runners[0]!.seen).toHaveLength(0);
+});
+
+test("a handed-back request moves on; with no try left it is a 503 that says when", async function handBack() {
+  runners[0]!.mishaps.push("shed");
+  expect((await ask("/once/x")).status).toBe(200);
+  expect(runners[1]!.seen).toHaveLength(1);
+  runners[0]!.mishaps.push("shed");
+  runners[1]!.mishaps.push("shed");
+  const denied = await ask("/once/x");
+  expect(denied.status).toBe(503);
+  expect(Number(denied.headers["retry-after"])).toBeGreaterThan(0);
+});
+
+test("what may have run is never run again and never promised not to have run", async function once() {
+  runners[0]!.mishaps.push("reset");
+  const got = await ask("/once/x");
+  expect(got.status).toBe(502);
+  expect(seenBy()).toHaveLength(1);
+});
+
+test.each(["reset", "stray", "no_seal", "fail"] as const)("a repeatable request gets over %s", async function repeat(mishap) {
+  runners[0]!.mishaps.push(mishap);
+  const got = await ask("/read/x");
+  expect([got.status, JSON.parse(got.body)]).toEqual([200, { by: "i-2" }]);
+});
+
+test("a resumable stream goes on at another runner from the last whole event, in the same reply", async function resume() {
+  runners[0]!.mishaps.push("cut");
+  const got = await ask("/stream/x", STREAM);
+  expect([got.status, got.body, got.isComplete]).toEqual([200, pieces(1, 4), true]);
+  expect(got.headers["x-cranewind-response-seal"]).toMatch(/^seal-i-1/);
+  expect(runners[1]!.seen[0]).toMatchObject({ lastEventId: "2", requestId: `r${ids}` });
+});
+
+test("a stream that may not be resumed ends visibly broken", async function broken() {
+  runners[0]!.mishaps.push("cut");
+  const got = await ask("/single/x", STREAM);
+  expect(got.isComplete).toBe(false);
+  expect(seenBy()).toHaveLength(1);
+});
+
+test("with the shares spent nothing is repeated", async function spent() {
+  while (share.takeRepeat("s")) continue;
+  runners[0]!.mishaps.push("shed");
+  expect((await ask("/once/x")).status).toBe(503);
+  expect(runners[1]!.seen).toHaveLength(0);
+});
+
+test("silence until the deadline is a 504, no promise", async function late() {
+  runners[0]!.mishaps.push("silent");
+  expect((await ask("/once/x", { "X-Cranewind-Time-Budget-Ms": "120" })).status).toBe(504);
+});
+
+test("connections are kept and reused", async function reuse() {
+  for (let turn = 0; turn < 6; turn += 1) await ask("/once/x");
+  expect(runners[0]!.connections).toBe(1);
+});
+
+test("turns of a session land where their earlier turns are kept, and settle elsewhere once when it is lost", async function session() {
+  const prefix = (turn: number): nodeHttp.OutgoingHttpHeaders => ({ "X-Cranewind-Prompt-Prefix": `aa:1500,bb:900,c${turn}:100`, ...STREAM });
+  for (let turn = 0; turn < 4; turn += 1) await ask("/stream/x", prefix(turn));
+  const home = runners.find((runner) => runner.seen.length > 0)!;
+  expect(home.seen.map((seen) => seen.readTokens)).toEqual([2500, 100, 100, 100]);
+  const other = runners.find((runner) => runner !== home)!;
+  home.stop();
+  for (let turn = 4; turn < 8; turn += 1) expect((await ask("/stream/x", prefix(turn))).status).toBe(200);
+  expect(other.seen.map((seen) => seen.readTokens)).toEqual([2500, 100, 100, 100]);
+});
+
+const RAW: [string, string, RegExp][] = [
+  ["both lengths", "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", /^HTTP\/1.1 400/],
+  ["doubled lengths", "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd", /^HTTP\/1.1 400/],
+  ["no HTTP", "nonsense\r\n\r\n", /^HTTP\/1.1 400/],
+  ["header too large", `GET /once/x HTTP/1.1\r\nHost: h\r\nX-Big: ${"x".repeat(9000)}\r\n\r\n`, /^HTTP\/1.1 431/],
+  ["body too large", "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n", /^HTTP\/1.1 413/],
+  ["chunks too large", `POST /once/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nbb8\r\n${"x".repeat(3000)}\r\n0\r\n\r\n`, /^HTTP\/1.1 413/],
+  ["no route", "GET /none/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", /^HTTP\/1.1 404/],
+  ["no host", "GET /once/x HTTP/1.1\r\nHost: other\r\nConnection: close\r\n\r\n", /^HTTP\/1.1 404/],
+  ["no id", "GET /once/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", /^HTTP\/1.1 400/],
+];
+
+test.each(RAW)("bad input: %s", async function raw(_name, text, expected) {
+  const reply = await new Promise<string>(function send(resolve) {
+    const socket = net.connect(port, "127.0.0.1");
+    let got = "";
+    socket.on("data", (chunk) => (got += chunk.toString()));
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(got));
+    socket.write(text);
+  });
+  expect(reply).toMatch(expected);
+  expect(seenBy()).toHaveLength(0);
+});
+
+test("a client that goes away lets its runner go", async function gone() {
+  runners[0]!.mishaps.push("silent");
+  const socket = net.connect(port, "127.0.0.1");
+  socket.write("POST /once/x HTTP/1.1\r\nHost: h\r\nX-Cranewind-Request-Id: q\r\nContent-Length: 0\r\n\r\n");
+  while (runners[0]!.seen.length === 0) await new Promise(setImmediate);
+  socket.destroy();
+  while (runners[0]!.connections > 0) await new Promise(setImmediate);
+  expect(server.activeCount).toBe(0);
+});
