--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -13,6 +13,7 @@
 
 const VOTE_MS = 1300;
 const REPAIR_AFTER_MS = 350;
+const RANK_MS = 250;
 const REPAIR_WITHIN_MS = 1500;
 
 export interface CoreEvents {
@@ -136,12 +137,22 @@
       return;
     }
     const now = this.world.now();
-    if (this.behindSince === 0) this.behindSince = now + this.world.random() * REPAIR_AFTER_MS;
-    if (this.isRepairing || now - this.behindSince < REPAIR_AFTER_MS || this.dial.controls.size === 0) return;
+    const isAlone = accepted?.value.voters.length === 1;
+    if (this.isRepairing || (this.dial.controls.size === 0 && !isAlone)) return;
+    if (this.behindSince === 0) this.behindSince = now;
+    // After a start nobody knows what is chosen: the first in order reads it at once, the others give it time.
+    const patience = (this.isConfirmed ? REPAIR_AFTER_MS : 0) + this.rank() * RANK_MS;
+    if (now - this.behindSince < patience) return;
     this.isRepairing = true;
     void this.repair();
   }
 
+  private rank(): number {
+    let rank = 0;
+    for (const address of this.dial.controls.keys()) if (address < this.options.address) rank += 1;
+    return rank;
+  }
+
   private async repair(): Promise<void> {
     await this.read(REPAIR_WITHIN_MS);
     this.isRepairing = false;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -95,6 +95,7 @@
   }
 
   takeRegister(value: schema.Value): void {
+    const wasReady = this.isReady();
     const config = registers.unpack(value.config) as check.Configuration | null;
     const isFirst = this.epoch < 0;
     this.epoch = value.epoch;
@@ -105,12 +106,19 @@
     for (const zone of this.rotation.take(value.evacuations, isFirst)) this.fleet.chill(zone, CHILL_MS);
     log.state(`config: epoch ${value.epoch}, revision ${value.revision} in force`);
     this.beat();
+    this.turnedReady(wasReady);
   }
 
   takeList(instances: schema.Instance[]): void {
     const wasReady = this.isReady();
     this.fleet.takeList(instances);
-    if (!wasReady && this.isReady()) this.beat();
+    if (this.turnedReady(wasReady)) this.beat();
+  }
+
+  private turnedReady(wasReady: boolean): boolean {
+    if (wasReady || !this.isReady()) return false;
+    this.server.takePending();
+    return true;
   }
 
   takeReport(report: schema.CellReport): void {
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -17,10 +17,13 @@
 const DEFAULT_BUDGET_MS = 60_000;
 const MOST_HELD_BYTES = 48 * 1024 * 1024;
 const CHECK_MS = 1000;
+const PENDING_MS = 800;
+const MOST_PENDING = 500;
 
 export class RouterServer {
   private readonly server: nodeHttp.Server;
   private readonly active = new Set<transactions.Transaction>();
+  private readonly pending = new Set<() => void>();
   private limits = DEFAULTS;
   private heldBytes = 0;
   private reading = 0;
@@ -37,7 +40,7 @@
   }
 
   get activeCount(): number {
-    return this.active.size + this.reading;
+    return this.active.size + this.reading + this.pending.size;
   }
 
   limit(limits: check.Limits | undefined): void {
@@ -130,7 +133,7 @@
   private begin(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse, body: Buffer | null, arrivedAt: number): void {
     const { table } = this.chooser;
     if (!table || !this.isReady()) {
-      this.deny(outgoing, 503, "this node has no configuration yet; come back shortly", 0.3, true);
+      this.wait(incoming, outgoing, body, arrivedAt);
       return;
     }
     const entry = table.find(incoming.headers.host ?? "", incoming.url ?? "/");
@@ -154,6 +157,37 @@
     this.run(request, incoming, outgoing);
   }
 
+  /** Just after a start the first configuration is a moment away: so long a request is pending. */
+  private wait(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse, body: Buffer | null, arrivedAt: number): void {
+    const { pending } = this;
+    const deny = this.deny.bind(this, outgoing, 503, "this node has no configuration yet; come back shortly", 0.3, true);
+    const begin = this.begin.bind(this, incoming, outgoing, body, arrivedAt);
+    if (pending.size >= MOST_PENDING || this.world.now() - arrivedAt >= PENDING_MS) {
+      deny();
+      return;
+    }
+    const tick = this.world.after(PENDING_MS, late);
+    pending.add(go);
+    outgoing.once("close", gone);
+    function late(): void {
+      if (pending.delete(go)) deny();
+    }
+    function gone(): void {
+      if (pending.delete(go)) tick.stop();
+    }
+    function go(): void {
+      tick.stop();
+      begin();
+    }
+  }
+
+  /** The first configuration and list are here. */
+  takePending(): void {
+    const ready = [...this.pending];
+    this.pending.clear();
+    for (const go of ready) go();
+  }
+
   private run(request: transactions.Request, incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
     const { world, chooser, active } = this;
     const isLeaving = this.isGoing.bind(this);
