Restart after a closing fault: hold, read in one round, start turns at once

Cause: after kill_all the routers answered 503 for about 0.7 s although a configuration was a moment away; the core waited up to 0.7 s before it read the register, and read it in two rounds.

--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -19,6 +19,8 @@
 interface Round {
   granted: Set<string>;
   newest: schema.Accepted | null;
+  /** Who has accepted the newest ballot. */
+  standing: Set<string>;
   seen: schema.Value | null;
 }
 
@@ -84,12 +86,19 @@
     const wanted = step(read);
     // What is denied was read at a majority, but must be chosen before anybody hears of it.
     const next = wanted.isOk ? wanted.value : read;
+    // A quorum that has accepted this very ballot has chosen it already: reading needs no second round.
+    const isStanding = next === read && registers.isQuorum(read, promised.standing);
+    if (isStanding) return this.ended(next, wanted);
     const accepted = await this.gather(read, next, this.accepting(ballot, Math.max(asked.voterEpoch, next.voterEpoch), next));
     if (accepted.seen) this.heard(accepted.seen);
     if (!registers.isQuorum(read, accepted.granted) || !registers.isQuorum(next, accepted.granted)) return null;
-    this.heard(next);
-    this.onChosen(next);
-    return wanted.isOk ? result.ok(next) : result.err(wanted.error);
+    return this.ended(next, wanted);
+  }
+
+  private ended(chosen: schema.Value, wanted: Outcome): Outcome {
+    this.heard(chosen);
+    this.onChosen(chosen);
+    return wanted.isOk ? result.ok(chosen) : wanted;
   }
 
   private preparing(ballot: schema.Ballot, voterEpoch: number): (voter: schema.Voter) => Promise<schema.Vote | null> {
@@ -108,7 +117,7 @@
 
   /** Asks all voters of both values; ends at a quorum of both, or once none can come together. */
   private gather(first: schema.Value, second: schema.Value, send: (voter: schema.Voter) => Promise<schema.Vote | null>): Promise<Round> {
-    const round: Round = { granted: new Set(), newest: null, seen: null };
+    const round: Round = { granted: new Set(), newest: null, standing: new Set(), seen: null };
     const voters = registers.allVoters(first, second);
     const take = this.take.bind(this, round);
     const clock = this.clock;
@@ -138,10 +147,18 @@
     });
   }
 
+  private compare(round: Round, voter: schema.Voter, accepted: schema.Accepted): void {
+    const order = round.newest ? registers.compareBallots(accepted.ballot, round.newest.ballot) : 1;
+    if (order > 0) {
+      round.newest = accepted;
+      round.standing.clear();
+    }
+    if (order >= 0) round.standing.add(voter.disk);
+  }
+
   private take(round: Round, voter: schema.Voter, vote: schema.Vote): void {
     if (vote.accepted) {
-      const isNewer = !round.newest || registers.compareBallots(vote.accepted.ballot, round.newest.ballot) > 0;
-      if (vote.isGranted && isNewer) round.newest = vote.accepted;
+      if (vote.isGranted && vote.disk === voter.disk) this.compare(round, voter, vote.accepted);
       if (!round.seen || vote.accepted.value.voterEpoch > round.seen.voterEpoch) round.seen = vote.accepted.value;
     }
     if (vote.isGranted && vote.disk === voter.disk) {
--- a/src/wire/world.ts
+++ b/src/wire/world.ts
@@ -21,9 +21,9 @@
   }
 }
 
-/** Runs `turn` again and again, `ms` apart, until stopped. */
+/** Runs `turn` at once and again and again, `ms` apart, until stopped. */
 export function every(world: types.World, ms: number, turn: () => void): types.Tick {
-  let tick = world.after(ms, again);
+  let tick = world.after(0, again);
   let stopped = false;
   function again(): void {
     if (stopped) return;
