--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -38,16 +38,28 @@
 
   register(handlers: link.Handlers): void {
     const { watcher, orchestrator } = this;
+    const relay = this.relay.bind(this);
     handlers.on(calls.instances, function hear(_from, told) {
       watcher.hear(told);
       return null;
     });
+    handlers.on(calls.doubt, function doubt(from, told) {
+      relay(from, told);
+      return null;
+    });
     handlers.on(calls.report, function hear(_from, told) {
       orchestrator.hear(told);
       return null;
     });
   }
 
+  /** A doubt goes to all siblings once, and to every router that follows here. */
+  private relay(from: link.Link, told: schema.Doubt): void {
+    const relayed = { isRelayed: true, runners: told.runners };
+    if (!told.isRelayed) for (const control of this.dial.controls.values()) control.link.tell(calls.doubt, relayed);
+    this.members.tellRouters(calls.doubt, relayed, from);
+  }
+
   turn(): void {
     this.watcher.turn();
     this.orchestrator.turn();
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -21,7 +21,7 @@
 import * as serve from "./serve.js";
 import * as sessions from "./sessions.js";
 
-const BEAT_MS = 400;
+const BEAT_MS = 300;
 const TURN_MS = 100;
 const SILENT_MS = 1800;
 const POLICY_MS = 1500;
@@ -45,7 +45,7 @@
     this.startedAt = world.now();
     this.address = `${startup.ip_address}:${port}`;
     this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), SILENT_MS);
-    this.members = new sessions.Sessions(world, SILENT_MS);
+    this.members = new sessions.Sessions(world, startup.region, SILENT_MS);
     this.feed = new feeds.Feed(this.life);
     const seeds = startup.seed_nodes.map(inner);
     function inner(seed: string): string {
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -57,8 +57,9 @@
     const shared = request.parts.slice(0, -1);
     let sharedTokens = 0;
     for (const part of shared) sharedTokens += part.tokens;
+    const tokens = sharedTokens + (request.parts[request.parts.length - 1]?.tokens ?? 0);
     const plan: plans.Plan = {
-      requestId: request.requestId, entry: request.entry, service: request.service, shared, sharedTokens, tried,
+      requestId: request.requestId, entry: request.entry, service: request.service, shared, sharedTokens, tokens, tried,
       now: this.world.now(), cells: [], candidates: [],
     };
     const denial = plans.runPolicies(this.chain, plan);
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -1,6 +1,7 @@
 // The runners as this router sees them: the pushed list and reports, and its own signs (design 7.4).
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
+import * as shares from "../shares/shares.js";
 import * as log from "../startup/log.js";
 import * as connections from "./connections.js";
 
@@ -9,7 +10,7 @@
 const SUSPECT_MS = 700;
 const MOST_SUSPECT_MS = 4000;
 const FULL_MS = 150;
-const QUIET_STREAM_MS = 450;
+const QUIET_STREAM_MS = 300;
 const QUIET_START_MS = 1500;
 const GONE_KEPT_MS = 120_000;
 
@@ -25,12 +26,16 @@
   heardAt = 0;
   sentAt = 0;
   fullUntil = 0;
+  private toldAt = 0;
   private suspectUntil = 0;
   private suspicions = 0;
   readonly connections: connections.Connections;
+  /** A fixed place in the order of runners, the same at every router. */
+  readonly mark: number;
 
   constructor(readonly instance: schema.Instance, readonly region: string) {
     this.connections = new connections.Connections(instance.address, opened);
+    this.mark = shares.hash(instance.id);
   }
 
   get id(): string {
@@ -79,6 +84,18 @@
     return !this.isSpeaking && now - this.heardAt > QUIET_STREAM_MS;
   }
 
+  /** Own evidence that others should hear of, once a while. */
+  isNewDoubt(now: number): boolean {
+    if (this.streaming === 0 || this.quietMs(now) <= QUIET_STREAM_MS || now - this.toldAt < SUSPECT_MS / 2) return false;
+    this.toldAt = now;
+    return true;
+  }
+
+  /** Another router's evidence counts unless this one hears the runner. */
+  doubt(now: number): void {
+    if (now - this.heardAt > QUIET_STREAM_MS) this.suspectUntil = Math.max(this.suspectUntil, now + SUSPECT_MS);
+  }
+
   isCold(now: number): boolean {
     return now < this.coldUntil;
   }
@@ -150,6 +167,22 @@
     }
   }
 
+  takeDoubt(ids: readonly string[]): void {
+    for (const id of ids) this.runners.get(id)?.doubt(this.world.now());
+  }
+
+  doubtRegion(region: string): void {
+    const now = this.world.now();
+    for (const runner of this.runners.values()) if (runner.region === region) runner.doubt(now);
+  }
+
+  newDoubts(): string[] {
+    const now = this.world.now();
+    const ids: string[] = [];
+    for (const runner of this.runners.values()) if (runner.isNewDoubt(now)) ids.push(runner.id);
+    return ids;
+  }
+
   /** A zone that is taken back may have turned cold meanwhile: it counts as cold until it is known to be warm. */
   chill(zone: string, ms: number): void {
     const until = this.world.now() + ms;
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -14,6 +14,8 @@
   /** The parts of the prompt that others share: all but the last. */
   readonly shared: readonly Part[];
   readonly sharedTokens: number;
+  /** All tokens of the prompt. */
+  readonly tokens: number;
   readonly tried: ReadonlySet<string>;
   readonly now: number;
   /** Regions in the order to be tried; filled by the homes and cell policies. */
--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -1,4 +1,5 @@
-// Runner selection within the cells: where the prompt is kept, bounded by real usage (design 7.4).
+// Runner selection within the cells: where the prompt is kept, bounded by real usage (design 7.4). Long
+// readings hold up every stream of their runner, so the two kinds prefer runners of their own.
 import * as shares from "../../shares/shares.js";
 import type * as fleets from "../fleet.js";
 import * as plans from "../plan.js";
@@ -6,6 +7,10 @@
 const SLACK = 4;
 const OVER_MEAN = 1.5;
 const FULL_MEMORY = 0.92;
+/** A prompt of so many tokens is a long reading. */
+export const LONG_TOKENS = 2000;
+/** The part of a cell's runners that long readings prefer. */
+const LONG_SHARE = 0.6;
 
 export class RunnerPolicy implements plans.Policy {
   readonly name = "runner";
@@ -21,7 +26,7 @@
       function isHere(runner: fleets.Runner): boolean {
         return runner.region === region;
       }
-      const ranked = isKept ? byKey(key, cell) : byUsage(cell);
+      const ranked = isKept ? byKind(byKey(key, cell), plan.tokens >= LONG_TOKENS) : byUsage(cell);
       const bound = boundOf(cell);
       for (const runner of ranked) {
         if (runner.isDoubtful(plan.now)) doubtful.push(runner);
@@ -57,6 +62,25 @@
   }
 }
 
+/** Every router splits a cell alike: by a fixed order of its runners. The other kind's runners come last. */
+function byKind(ranked: fleets.Runner[], isLong: boolean): fleets.Runner[] {
+  if (ranked.length < 2) return ranked;
+  const order = [...ranked].sort(byMark);
+  const count = Math.min(ranked.length - 1, Math.max(1, Math.round(ranked.length * LONG_SHARE)));
+  const long = new Set(order.slice(0, count));
+  return [...ranked.filter(isOwn), ...ranked.filter(isOther)];
+  function isOwn(runner: fleets.Runner): boolean {
+    return long.has(runner) === isLong;
+  }
+  function isOther(runner: fleets.Runner): boolean {
+    return long.has(runner) !== isLong;
+  }
+}
+
+function byMark(left: fleets.Runner, right: fleets.Runner): number {
+  return left.mark - right.mark;
+}
+
 function byUsage(cell: fleets.Runner[]): fleets.Runner[] {
   return cell.sort(byShare);
 }
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -1,6 +1,7 @@
 // The router role put together: the only way to the runners, with no persistent state (design 7).
 import * as crypto from "node:crypto";
 import * as nodeHttp from "node:http";
+import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
@@ -20,9 +21,10 @@
 import * as rotations from "./rotation.js";
 import * as servers from "./server.js";
 
-const BEAT_MS = 400;
+const BEAT_MS = 300;
 const WATCH_MS = 100;
 const SILENT_MS = 1800;
+const CUT_MS = 750;
 const CHILL_MS = 2500;
 const LAST_MS = 400;
 const STEP_MS = 50;
@@ -53,6 +55,11 @@
     function inner(seed: string): string {
       return `${types.hostOf(seed)}:${port}`;
     }
+    const { fleet } = this;
+    this.handlers.on(calls.doubt, function doubt(_from, told) {
+      fleet.takeDoubt(told.runners);
+      return null;
+    });
     this.root = new supervisor.Supervisor("router", clock, []);
     this.plan();
   }
@@ -92,6 +99,19 @@
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
     this.server.watch();
+    const runners = this.fleet.newDoubts();
+    if (runners.length > 0) this.follower.main?.link.tell(calls.doubt, { isRelayed: false, runners });
+    this.cutRegions();
+  }
+
+  /** A region whose control nodes all fell silent is cut off from here, and its runners with it. */
+  private cutRegions(): void {
+    const heard = new Map<string, number>();
+    for (const control of this.dial.controls.values()) {
+      const { region } = control.node;
+      heard.set(region, Math.min(heard.get(region) ?? Infinity, control.link.silentMs()));
+    }
+    for (const [region, silentMs] of heard) if (silentMs > CUT_MS) this.fleet.doubtRegion(region);
   }
 
   takeRegister(value: schema.Value): void {
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -145,6 +145,12 @@
   { name: "region", type: "string" }, { name: "reports", type: { type: "array", items: reportType } },
 ]);
 
+/** Runners that fell silent while at work, as a router saw it; isRelayed ends its way. */
+export interface Doubt { isRelayed: boolean; runners: string[] }
+export const doubt = record<Doubt>("Doubt", [
+  { name: "isRelayed", type: "boolean" }, { name: "runners", type: { type: "array", items: "string" } },
+]);
+
 export interface Disk { disk: string; promised: Ballot; accepted: Accepted | null }
 export const disk = record<Disk>("Disk", [
   { name: "disk", type: "string" }, { name: "promised", type: ballotType }, { name: "accepted", type: ["null", acceptedType] },
