--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -43,7 +43,7 @@
       watcher.hear(told);
       return null;
     });
-    handlers.on(calls.doubt, function doubt(from, told) {
+    handlers.on(calls.signs, function signs(from, told) {
       relay(from, told);
       return null;
     });
@@ -53,11 +53,11 @@
     });
   }
 
-  /** A doubt goes to all siblings once, and to every router that follows here. */
-  private relay(from: link.Link, told: schema.Doubt): void {
-    const relayed = { isRelayed: true, runners: told.runners };
-    if (!told.isRelayed) for (const control of this.dial.controls.values()) control.link.tell(calls.doubt, relayed);
-    this.members.tellRouters(calls.doubt, relayed, from);
+  /** A router's signs go to all siblings once, and from each to the routers of its region. */
+  private relay(from: link.Link, told: schema.Signs): void {
+    const relayed = { ...told, isRelayed: true };
+    if (!told.isRelayed) for (const control of this.dial.controls.values()) control.link.tell(calls.signs, relayed);
+    this.members.tellRouters(calls.signs, relayed, from);
   }
 
   turn(): void {
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -9,6 +9,7 @@
 import * as cells from "./policies/cells.js";
 import * as homes from "./policies/homes.js";
 import * as runners from "./policies/runner.js";
+import type * as readings from "./readings.js";
 import type * as rotations from "./rotation.js";
 import type * as transactions from "./transaction.js";
 
@@ -32,8 +33,9 @@
     rotation: rotations.Rotation,
     private readonly share: shares.Shares,
     ownRegion: string,
+    readonly known: readings.Readings,
   ) {
-    this.chain = [new homes.HomesPolicy(fleet, rotation), new cells.CellPolicy(ownRegion), new runners.RunnerPolicy()];
+    this.chain = [new homes.HomesPolicy(fleet, rotation), new cells.CellPolicy(ownRegion), new runners.RunnerPolicy(known)];
   }
 
   countRequest(service: string): void {
@@ -57,9 +59,8 @@
     const shared = request.parts.slice(0, -1);
     let sharedTokens = 0;
     for (const part of shared) sharedTokens += part.tokens;
-    const tokens = sharedTokens + (request.parts[request.parts.length - 1]?.tokens ?? 0);
     const plan: plans.Plan = {
-      requestId: request.requestId, entry: request.entry, service: request.service, shared, sharedTokens, tokens, tried,
+      requestId: request.requestId, entry: request.entry, service: request.service, parts: request.parts, keys: request.keys, shared, sharedTokens, tried,
       now: this.world.now(), cells: [], candidates: [],
     };
     const denial = plans.runPolicies(this.chain, plan);
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -14,8 +14,9 @@
   /** The parts of the prompt that others share: all but the last. */
   readonly shared: readonly Part[];
   readonly sharedTokens: number;
-  /** All tokens of the prompt. */
-  readonly tokens: number;
+  /** All parts of the prompt, and one chained key each. */
+  readonly parts: readonly Part[];
+  readonly keys: readonly number[];
   readonly tried: ReadonlySet<string>;
   readonly now: number;
   /** Regions in the order to be tried; filled by the homes and cell policies. */
--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -1,44 +1,77 @@
-// Runner selection within the cells: where the prompt is kept, bounded by real usage (design 7.4). Long
-// readings hold up every stream of their runner, so the two kinds prefer runners of their own.
+// Runner selection (design 7.4): each runner is weighed by what the request would wait for there: readings
+// ahead of it, parts of its prompt to read, its batch, the way to another cell. Ties go by the prompt's key.
 import * as shares from "../../shares/shares.js";
 import type * as fleets from "../fleet.js";
 import * as plans from "../plan.js";
+import type * as readings from "../readings.js";
 
 const SLACK = 4;
 const OVER_MEAN = 1.5;
 const FULL_MEMORY = 0.92;
-/** A prompt of so many tokens is a long reading. */
+/** A prompt of so many unread tokens is a long reading; it holds up every stream of its runner. */
 export const LONG_TOKENS = 2000;
-/** The part of a cell's runners that long readings prefer. */
+/** The part of a cell's runners that long readings prefer; short requests prefer the others. */
 const LONG_SHARE = 0.6;
+/** Weights in milliseconds. */
+const OTHER_KIND_MS = 60;
+const RANK_MS = 6;
+const MOST_RANK = 5;
+const NEXT_CELL_MS = 100;
+const BATCH_MS = 150;
+
+interface Weighed {
+  runner: fleets.Runner;
+  ms: number;
+}
 
 export class RunnerPolicy implements plans.Policy {
   readonly name = "runner";
+  constructor(private readonly known: readings.Readings) {}
 
   apply(plan: plans.Plan): plans.Denial | null {
-    const isKept = plan.shared.length > 0;
-    const key = isKept ? plans.keyOf(plan.shared) : "";
-    const good: fleets.Runner[] = [];
-    const over: fleets.Runner[] = [];
-    const doubtful: fleets.Runner[] = [];
-    for (const region of plan.cells) {
+    const good: Weighed[] = [];
+    const over: Weighed[] = [];
+    const doubtful: Weighed[] = [];
+    for (const [place, region] of plan.cells.entries()) {
       const cell = plan.candidates.filter(isHere);
       function isHere(runner: fleets.Runner): boolean {
         return runner.region === region;
       }
-      const ranked = isKept ? byKind(byKey(key, cell), plan.tokens >= LONG_TOKENS) : byUsage(cell);
       const bound = boundOf(cell);
-      for (const runner of ranked) {
-        if (runner.isDoubtful(plan.now)) doubtful.push(runner);
-        else if (isOver(runner, bound, plan.now)) over.push(runner);
-        else good.push(runner);
+      for (const weighed of this.weigh(plan, cell, place)) {
+        if (weighed.runner.isDoubtful(plan.now)) doubtful.push(weighed);
+        else if (isOver(weighed.runner, bound, plan.now)) over.push(weighed);
+        else good.push(weighed);
       }
     }
-    over.sort(byShare);
-    doubtful.sort(byShare);
-    plan.candidates = [...good, ...over, ...doubtful];
+    plan.candidates = [...good.sort(byMs), ...over.sort(byMs), ...doubtful.sort(byMs)].map(runnerOf);
     return null;
   }
+
+  private weigh(plan: plans.Plan, cell: fleets.Runner[], place: number): Weighed[] {
+    const { known } = this;
+    const hasPrompt = plan.parts.length > 0;
+    const ranked = hasPrompt ? byKey(plans.keyOf(plan.shared), cell) : cell;
+    const long = hasPrompt ? longRunners(cell) : null;
+    return ranked.map(weighed);
+    function weighed(runner: fleets.Runner, rank: number): Weighed {
+      let ms = place * NEXT_CELL_MS + (BATCH_MS * runner.usage()) / runner.instance.capacity;
+      if (hasPrompt) {
+        const unread = known.unread(runner.id, plan.parts, plan.keys);
+        ms += known.backlogMs(runner.id, plan.now) + unread / known.rate + RANK_MS * Math.min(rank, MOST_RANK);
+        if (long && long.has(runner) !== unread >= LONG_TOKENS) ms += OTHER_KIND_MS;
+      }
+      return { runner, ms };
+    }
+  }
+}
+
+function byMs(left: Weighed, right: Weighed): number {
+  return left.ms - right.ms || (left.runner.id < right.runner.id ? -1 : 1);
+}
+
+function runnerOf(item: Weighed): fleets.Runner {
+  return item.runner;
 }
 
 /** No runner takes much more than its cell's mean, so that one hot key does not fill it. */
@@ -53,38 +86,22 @@
   return usage >= runner.instance.capacity || usage > bound || now < runner.fullUntil || runner.kvShare > FULL_MEMORY;
 }
 
-function byKey(key: string, cell: fleets.Runner[]): fleets.Runner[] {
+function byKey(key: string, cell: readonly fleets.Runner[]): fleets.Runner[] {
   const scores = new Map<fleets.Runner, number>();
   for (const runner of cell) scores.set(runner, shares.hash(`${key}|${runner.id}`));
-  return cell.sort(byScore);
+  return [...cell].sort(byScore);
   function byScore(left: fleets.Runner, right: fleets.Runner): number {
     return scores.get(right)! - scores.get(left)!;
   }
 }
 
-/** Every router splits a cell alike: by a fixed order of its runners. The other kind's runners come last. */
-function byKind(ranked: fleets.Runner[], isLong: boolean): fleets.Runner[] {
-  if (ranked.length < 2) return ranked;
-  const order = [...ranked].sort(byMark);
-  const count = Math.min(ranked.length - 1, Math.max(1, Math.round(ranked.length * LONG_SHARE)));
-  const long = new Set(order.slice(0, count));
-  return [...ranked.filter(isOwn), ...ranked.filter(isOther)];
-  function isOwn(runner: fleets.Runner): boolean {
-    return long.has(runner) === isLong;
-  }
-  function isOther(runner: fleets.Runner): boolean {
-    return long.has(runner) !== isLong;
-  }
+/** Every router splits a cell alike, by a fixed order of its runners; a cell of one is not split. */
+function longRunners(cell: readonly fleets.Runner[]): ReadonlySet<fleets.Runner> | null {
+  if (cell.length < 2) return null;
+  const count = Math.min(cell.length - 1, Math.max(1, Math.round(cell.length * LONG_SHARE)));
+  return new Set([...cell].sort(byMark).slice(0, count));
 }
 
 function byMark(left: fleets.Runner, right: fleets.Runner): number {
   return left.mark - right.mark;
 }
-
-function byUsage(cell: fleets.Runner[]): fleets.Runner[] {
-  return cell.sort(byShare);
-}
-
-function byShare(left: fleets.Runner, right: fleets.Runner): number {
-  return left.usage() / left.instance.capacity - right.usage() / right.instance.capacity || (left.id < right.id ? -1 : 1);
-}
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -18,13 +18,16 @@
 import * as supervisor from "../supervisor/tree.js";
 import * as choosers from "./chooser.js";
 import * as fleets from "./fleet.js";
+import * as readings from "./readings.js";
 import * as rotations from "./rotation.js";
 import * as servers from "./server.js";
+import type * as transactions from "./transaction.js";
 
 const BEAT_MS = 300;
 const WATCH_MS = 100;
 const SILENT_MS = 1800;
 const CUT_MS = 750;
+const TOLD_TOKENS = 1000;
 const CHILL_MS = 2500;
 const LAST_MS = 400;
 const STEP_MS = 50;
@@ -37,6 +40,7 @@
   private readonly fleet: fleets.Fleet;
   private readonly rotation: rotations.Rotation;
   private readonly share: shares.Shares;
+  private readonly known = new readings.Readings();
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
   private epoch = -1;
@@ -47,17 +51,18 @@
     this.fleet = new fleets.Fleet(clock, new Map(Object.entries(startup.zones)));
     this.rotation = new rotations.Rotation(clock);
     this.share = new shares.Shares(clock, startup.bounds);
-    this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region);
-    this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this));
+    this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region, this.known);
+    this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this), this.sending.bind(this));
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), SILENT_MS);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
     this.dial.know(startup.seed_nodes.map(inner));
     function inner(seed: string): string {
       return `${types.hostOf(seed)}:${port}`;
     }
-    const { fleet } = this;
-    this.handlers.on(calls.doubt, function doubt(_from, told) {
-      fleet.takeDoubt(told.runners);
+    const { fleet, known } = this;
+    this.handlers.on(calls.signs, function signs(_from, told) {
+      fleet.takeDoubt(told.silent);
+      if (told.reader !== "") known.note(told.reader, told.unread, told.keys, clock.now());
       return null;
     });
     this.root = new supervisor.Supervisor("router", clock, []);
@@ -99,11 +104,21 @@
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
     this.server.watch();
-    const runners = this.fleet.newDoubts();
-    if (runners.length > 0) this.follower.main?.link.tell(calls.doubt, { isRelayed: false, runners });
+    const silent = this.fleet.newDoubts();
+    if (silent.length > 0) this.follower.main?.link.tell(calls.signs, { isRelayed: false, silent, reader: "", unread: 0, keys: [] });
     this.cutRegions();
   }
 
+  /** What is read where is told to the other routers when it is news to them. */
+  private sending(request: transactions.Request, runner: string): number {
+    if (request.parts.length === 0) return 0;
+    const unread = Math.round(this.known.unread(runner, request.parts, request.keys));
+    const isNews = unread >= TOLD_TOKENS;
+    this.known.note(runner, unread, request.keys, this.clock.now());
+    if (isNews) this.follower.main?.link.tell(calls.signs, { isRelayed: false, silent: [], reader: runner, unread, keys: request.keys });
+    return unread;
+  }
+
   /** A region whose control nodes all fell silent is cut off from here, and its runners with it. */
   private cutRegions(): void {
     const heard = new Map<string, number>();
@@ -132,6 +147,7 @@
   takeList(instances: schema.Instance[]): void {
     const wasReady = this.isReady();
     this.fleet.takeList(instances);
+    this.known.forgetAllBut(new Set(instances.map(idOf)));
     if (this.turnedReady(wasReady)) this.beat();
   }
 
@@ -171,6 +187,10 @@
   }
 }
 
+function idOf(instance: schema.Instance): string {
+  return instance.id;
+}
+
 function readinessChild(address: string, isReady: () => boolean, status: () => unknown): supervisor.Child {
   const server = nodeHttp.createServer(reply);
   function reply(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
--- /dev/null
+++ b/src/router/readings.ts
@@ -0,0 +1,83 @@
+// What the routers know together of the runners' readings (design 7.4): who has read which parts, and how long
+// each still reads. Told among routers as it happens, kept in memory, lost with the process.
+import type * as plans from "./plan.js";
+import * as shares from "../shares/shares.js";
+
+const FIRST_RATE = 30;
+const FASTER = 0.3;
+const SLOWER = 0.02;
+const MOST_KEPT = 4000;
+const LONG_SAMPLE = 1500;
+
+interface Reader {
+  busyUntil: number;
+  kept: Set<number>;
+}
+
+export class Readings {
+  private readonly readers = new Map<string, Reader>();
+  /** Tokens read a millisecond, learned from the replies. */
+  rate = FIRST_RATE;
+
+  private readerOf(runner: string): Reader {
+    let reader = this.readers.get(runner);
+    if (!reader) {
+      reader = { busyUntil: 0, kept: new Set() };
+      this.readers.set(runner, reader);
+    }
+    return reader;
+  }
+
+  forgetAllBut(standing: { has(runner: string): boolean }): void {
+    for (const runner of this.readers.keys()) if (!standing.has(runner)) this.readers.delete(runner);
+  }
+
+  /** A reading that was sent, here or by another router. */
+  note(runner: string, unread: number, keys: readonly number[], now: number): void {
+    const reader = this.readerOf(runner);
+    reader.busyUntil = Math.max(now, reader.busyUntil) + unread / this.rate;
+    for (const key of keys) {
+      reader.kept.delete(key);
+      reader.kept.add(key);
+    }
+    for (const oldest of reader.kept) {
+      if (reader.kept.size <= MOST_KEPT) break;
+      reader.kept.delete(oldest);
+    }
+  }
+
+  backlogMs(runner: string, now: number): number {
+    const reader = this.readers.get(runner);
+    return reader ? Math.max(0, reader.busyUntil - now) : 0;
+  }
+
+  /** Tokens that the runner would have to read: a part is kept only if all before it are. */
+  unread(runner: string, parts: readonly plans.Part[], keys: readonly number[]): number {
+    const kept = this.readers.get(runner)?.kept;
+    let unread = 0;
+    let isKept = true;
+    for (const [index, part] of parts.entries()) {
+      isKept &&= kept !== undefined && kept.has(keys[index]!);
+      if (!isKept) unread += part.tokens;
+    }
+    return unread;
+  }
+
+  /** The upper side of what is seen: replies are held up by more than reading. */
+  learn(tokens: number, tookMs: number): void {
+    if (tokens < LONG_SAMPLE || tookMs <= 0) return;
+    const sample = tokens / tookMs;
+    this.rate += (sample > this.rate ? FASTER : SLOWER) * (sample - this.rate);
+  }
+}
+
+/** One key a part, made of it and all before it. */
+export function chainKeys(parts: readonly plans.Part[]): number[] {
+  const keys: number[] = [];
+  let chain = "";
+  for (const part of parts) {
+    chain += `${part.id},`;
+    keys.push(shares.hash(chain) | 0);
+  }
+  return keys;
+}
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -8,6 +8,7 @@
 import * as names from "../wire/names.js";
 import * as types from "../wire/types.js";
 import * as plans from "./plan.js";
+import * as readings from "./readings.js";
 import * as replies from "./replies.js";
 import * as transactions from "./transaction.js";
 
@@ -33,6 +34,7 @@
     private readonly world: types.World,
     private readonly chooser: transactions.Context["chooser"],
     private readonly isReady: () => boolean,
+    private readonly sending: transactions.Context["sending"],
   ) {
     this.server = nodeHttp.createServer({ connectionsCheckingInterval: CHECK_MS, maxHeaderSize: DEFAULTS.max_header_bytes }, this.take.bind(this));
     this.server.on("clientError", clientError);
@@ -148,10 +150,11 @@
     }
     const asked = Number(single(incoming.headers[names.HEADER.budgetMs]));
     const budget = Math.min(asked > 0 ? asked : DEFAULT_BUDGET_MS, entry.route.deadline_ms);
+    const parts = plans.readParts(single(incoming.headers[names.HEADER.prefix]));
     const request: transactions.Request = {
       requestId, entry, body,
       service: routes.chooseService(entry, shares.hash(`${requestId}/split`) / 4294967296),
-      parts: plans.readParts(single(incoming.headers[names.HEADER.prefix])),
+      parts, keys: readings.chainKeys(parts),
       deadline: arrivedAt + budget,
     };
     this.run(request, incoming, outgoing);
@@ -189,7 +192,7 @@
   }
 
   private run(request: transactions.Request, incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
-    const { world, chooser, active } = this;
+    const { world, chooser, active, sending } = this;
     const isLeaving = this.isGoing.bind(this);
     const held = request.body?.length ?? 0;
     this.heldBytes += held;
@@ -197,7 +200,7 @@
     function finished(transaction: transactions.Transaction): void {
       if (active.delete(transaction)) server.heldBytes -= held;
     }
-    const transaction = new transactions.Transaction({ world, chooser, finished, isLeaving }, request, incoming, outgoing);
+    const transaction = new transactions.Transaction({ world, chooser, finished, sending, isLeaving }, request, incoming, outgoing);
     active.add(transaction);
     transaction.start();
   }
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -20,6 +20,7 @@
   entry: routes.RouteEntry;
   service: string;
   parts: plans.Part[];
+  keys: number[];
   deadline: number;
   body: Buffer | null;
 }
@@ -28,6 +29,8 @@
   world: types.World;
   chooser: chooser.Chooser;
   finished(transaction: Transaction): void;
+  /** A prompt is about to be read there: the other routers hear of it. */
+  sending(request: Request, runner: string): number;
   isLeaving(): boolean;
 }
 
@@ -39,6 +42,7 @@
   private attempt: attempts.Attempt | null = null;
   private cutter: events.EventCutter | null = null;
   private deadlineTick: types.Tick | null = null;
+  private reading: { tokens: number; since: number } | null = null;
   private isHeadOut = false;
   private hasRun = false;
 
@@ -93,6 +97,7 @@
       body: this.request.body, requestId: this.request.requestId, isStream,
     });
     this.move("sent");
+    this.reading = { tokens: this.context.sending(this.request, choice.runner.id), since: this.context.world.now() };
     this.attempt.start();
   }
 
@@ -147,6 +152,8 @@
 
   onPiece(_attempt: attempts.Attempt, chunk: Buffer): boolean {
     if (this.state !== "passing") return true;
+    if (this.reading) this.context.chooser.known.learn(this.reading.tokens, this.context.world.now() - this.reading.since);
+    this.reading = null;
     const bytes = this.cutter ? this.cutter.feed(chunk) : chunk;
     return bytes.length === 0 || this.outgoing.write(bytes);
   }
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -31,4 +31,4 @@
 export const change = pair(9, "change", schema.change, schema.empty);
 export const instances = pair(10, "instances", schema.instanceList, schema.empty);
 export const report = pair(11, "report", schema.cellReport, schema.empty);
-export const doubt = pair(12, "doubt", schema.doubt, schema.empty);
+export const signs = pair(12, "signs", schema.signs, schema.empty);
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -145,10 +145,11 @@
   { name: "region", type: "string" }, { name: "reports", type: { type: "array", items: reportType } },
 ]);
 
-/** Runners that fell silent while at work, as a router saw it; isRelayed ends its way. */
-export interface Doubt { isRelayed: boolean; runners: string[] }
-export const doubt = record<Doubt>("Doubt", [
-  { name: "isRelayed", type: "boolean" }, { name: "runners", type: { type: "array", items: "string" } },
+/** What a router tells the others of runners: silent ones, and a prompt sent to be read. isRelayed ends its way. */
+export interface Signs { isRelayed: boolean; silent: string[]; reader: string; unread: number; keys: number[] }
+export const signs = record<Signs>("Signs", [
+  { name: "isRelayed", type: "boolean" }, { name: "silent", type: { type: "array", items: "string" } },
+  { name: "reader", type: "string" }, { name: "unread", type: "int" }, { name: "keys", type: { type: "array", items: "int" } },
 ]);
 
 export interface Disk { disk: string; promised: Ballot; accepted: Accepted | null }
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -5,6 +5,7 @@
 import * as routes from "../src/config/routes.js";
 import * as choosers from "../src/router/chooser.js";
 import * as fleets from "../src/router/fleet.js";
+import * as readings from "../src/router/readings.js";
 import * as rotations from "../src/router/rotation.js";
 import * as servers from "../src/router/server.js";
 import * as shares from "../src/shares/shares.js";
@@ -40,14 +41,14 @@
   const fleet = new fleets.Fleet(clock, new Map([["z1", "r1"], ["z2", "r2"]]));
   share = new shares.Shares(clock, { retry_ratio: 0.2, retry_window_s: 10, retry_extra: 50, warmup_overshoot: 1.5, warmup_tolerance: 5 });
   share.deal(0, 1);
-  const chooser = new choosers.Chooser(clock, fleet, new rotations.Rotation(clock), share, "r1");
+  const chooser = new choosers.Chooser(clock, fleet, new rotations.Rotation(clock), share, "r1", new readings.Readings());
   runners = [new standin.StandInRunner({ id: "i-1" }), new standin.StandInRunner({ id: "i-2" })];
   for (const runner of runners) await runner.start();
   fleet.takeList(runners.map((runner, index) => ({
     id: runner.id, service: "s", address: runner.address, zone: `z${index + 1}`, capacity: 8, isDraining: false, coldMs: 0, leavesMs: -1,
   })));
   chooser.table = new routes.RouteTable(CONFIG);
-  server = new servers.RouterServer(clock, chooser, () => true);
+  server = new servers.RouterServer(clock, chooser, () => true, () => 0);
   server.limit(CONFIG.limits);
   await server.listen("127.0.0.1:0");
   port = server.port;
