--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -13,11 +13,13 @@
 /** The part of a cell's runners that long readings prefer; short requests prefer the others. */
 const LONG_SHARE = 0.6;
 /** Weights in milliseconds. */
-const OTHER_KIND_MS = 60;
-const RANK_MS = 6;
-const MOST_RANK = 5;
+const OTHER_KIND_MS = 120;
+const RANK_MS = 25;
+const MOST_RANK = 3;
 const NEXT_CELL_MS = 100;
-const BATCH_MS = 150;
+const BATCH_MS = 100;
+/** Reading again costs the runner and whoever comes after, not only this request. */
+const READ_WEIGHT = 2;
 
 interface Weighed {
   runner: fleets.Runner;
@@ -58,7 +60,7 @@
       let ms = place * NEXT_CELL_MS + (BATCH_MS * runner.usage()) / runner.instance.capacity;
       if (hasPrompt) {
         const unread = known.unread(runner.id, plan.parts, plan.keys);
-        ms += known.backlogMs(runner.id, plan.now) + unread / known.rate + RANK_MS * Math.min(rank, MOST_RANK);
+        ms += known.backlogMs(runner.id, plan.now) + (READ_WEIGHT * unread) / known.rate + RANK_MS * Math.min(rank, MOST_RANK);
         if (long && long.has(runner) !== unread >= LONG_TOKENS) ms += OTHER_KIND_MS;
       }
       return { runner, ms };
