--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,91 @@
+// What the commands do (design 10.2). Each returns its exit code.
+import * as fs from "node:fs";
+import * as check from "../config/check.js";
+import * as errors from "../startup/errors.js";
+import * as settings from "../startup/settings.js";
+import * as registers from "../register/value.js";
+import * as types from "../wire/types.js";
+import * as client from "./client.js";
+import * as view from "./view.js";
+
+export const EXIT = { ok: 0, denied: 1, usage: 2, unreachable: 3, startup: 78 } as const;
+
+export interface Output {
+  line(text: string): void;
+  failure(text: string): void;
+}
+
+function codeOf(error: errors.CranewindError): number {
+  if (error.kind === "timeout" || error.kind === "no_majority") return EXIT.unreachable;
+  return error.kind === "usage" ? EXIT.usage : EXIT.denied;
+}
+
+function told(output: Output, error: errors.CranewindError): number {
+  output.failure(error.message);
+  return codeOf(error);
+}
+
+function readFile(file: string): Buffer | errors.CranewindError {
+  try {
+    return fs.readFileSync(file);
+  } catch (cause) {
+    return errors.fail("usage", `cannot read ${file}: ${(cause as Error).message}`, "name a readable file");
+  }
+}
+
+export function checkSettings(output: Output, file: string): number {
+  const read = settings.read(file);
+  if (read.isErr) return told(output, read.error);
+  output.line(`${file}: good settings for ${read.value.node_name} in ${read.value.zone}`);
+  return EXIT.ok;
+}
+
+export function checkConfig(output: Output, file: string): number {
+  const bytes = readFile(file);
+  if (bytes instanceof Error) return told(output, bytes);
+  const checked = check.parseJson(bytes).andThen(check.check);
+  if (checked.isErr) return told(output, checked.error);
+  output.line(`${file}: good configuration, revision ${checked.value.revision}, ${checked.value.routes.length} routes`);
+  return EXIT.ok;
+}
+
+export async function describe(world: types.World, output: Output, controls: string[]): Promise<number> {
+  const outcome = await client.send(world, controls, { method: "GET", path: "/-/Config.Describe" });
+  if (outcome.isErr) return told(output, outcome.error);
+  output.line(JSON.stringify(outcome.value.json, null, 2));
+  return EXIT.ok;
+}
+
+/** Sends a whole configuration or, with `isUpdate`, a change of named items, on top of a base revision. */
+export async function apply(world: types.World, output: Output, controls: string[], file: string, base: string, isUpdate: boolean): Promise<number> {
+  if (!/^\d+$/.test(base)) return told(output, errors.fail("usage", `--base ${base} is no revision`, "give the revision it builds on, 0 for the first"));
+  const body = readFile(file);
+  if (body instanceof Error) return told(output, body);
+  const parsed = isUpdate ? check.parseJson(body) : check.parseJson(body).andThen(check.check);
+  if (parsed.isErr) return told(output, parsed.error);
+  const path = isUpdate ? "/-/Config.Update" : "/-/Config.Replace";
+  const headers = { "Content-Type": "application/json", "X-Cranewind-Base-Version": base };
+  const outcome = await client.send(world, controls, { method: "POST", path, headers, body });
+  if (outcome.isErr) return told(output, outcome.error);
+  output.line(`taken: revision ${String((outcome.value.json as { revision?: number }).revision)} (${registers.digest(body)})`);
+  return EXIT.ok;
+}
+
+export async function evacuate(world: types.World, output: Output, controls: string[], verb: string, zone: string): Promise<number> {
+  const call = verb === "start" ? "Start" : verb === "stop" ? "Stop" : null;
+  if (!call) return told(output, errors.fail("usage", `evacuate ${verb} is no order`, "use start or stop"));
+  const outcome = await client.send(world, controls, { method: "POST", path: `/-/Evacuations.${call}/${encodeURIComponent(zone)}` });
+  if (outcome.isErr) return told(output, outcome.error);
+  const { evacuations } = outcome.value.json as { evacuations: string[] };
+  output.line(evacuations.length === 0 ? "no zone is under evacuation" : `under evacuation: ${evacuations.join(", ")}`);
+  return EXIT.ok;
+}
+
+export async function status(world: types.World, output: Output, addresses: string[], isJson: boolean): Promise<number> {
+  const outcome = await client.send(world, addresses, { method: "GET", path: "/-/status" });
+  if (outcome.isErr) return told(output, outcome.error);
+  const { json } = outcome.value;
+  if (isJson) output.line(JSON.stringify(json, null, 2));
+  else for (const line of view.lines(json)) output.line(line);
+  return EXIT.ok;
+}
--- a/src/cli/cranewind.ts
+++ b/src/cli/cranewind.ts
@@ -1,67 +1,121 @@
 #!/usr/bin/env node
-// The one command line: thin programs under it (design 10.1).
+// The one command line (design 10.1): the roles of a node, and the commands of an operator.
 import * as commander from "commander";
-import * as control from "../control/program.js";
-import * as router from "../router/program.js";
-import * as log from "../startup/log.js";
-import * as settings from "../startup/settings.js";
-import * as supervisor from "../supervisor/tree.js";
 import * as world from "../wire/world.js";
+import * as asks from "./ask.js";
+import * as commands from "./commands.js";
+import * as roles from "./roles.js";
+import * as trials from "./try.js";
 
-interface Program {
-  root: supervisor.Supervisor;
-  stop(): Promise<void>;
-}
-
-const EXIT_STARTUP = 78;
+const clock = new world.RealWorld();
+const output: commands.Output = {
+  line(text) {
+    process.stdout.write(`${text}\n`);
+  },
+  failure(text) {
+    process.stderr.write(`cranewind: ${text}\n`);
+  },
+};
 
-async function run(make: (startup: settings.Settings) => Program): Promise<void> {
-  const read = settings.read(settings.settingsPath());
-  if (read.isErr) {
-    process.stderr.write(`cranewind: ${read.error.message}\n`);
-    process.exit(EXIT_STARTUP);
-  }
-  const program = make(read.value);
-  supervisor.catchAll(program.root);
-  let isStopping = false;
-  function stop(): void {
-    if (isStopping) return;
-    isStopping = true;
-    log.state("leaving");
-    void program.stop().finally(end);
-  }
-  function end(): void {
-    log.flushNow();
-    process.exit(0);
-  }
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
-  process.on("SIGHUP", ignored);
-  await program.root.start();
-  log.state(`${read.value.node_name} is up`);
+interface Options {
+  control: string;
+  base: string;
+  json?: boolean;
+  folder: string;
 }
 
-function ignored(): void {
-  log.state("settings: reread on SIGHUP");
+function listOf(option: string): string[] {
+  return option.split(",").filter(Boolean);
 }
 
-function startRouter(): Promise<void> {
-  return run(function make(startup) {
-    return new router.RouterProgram(new world.RealWorld(), startup);
+/** Commands end with their own exit code; roles and `try` run on. */
+function ending(work: Promise<number> | number): Promise<void> {
+  return Promise.resolve(work).then(function ended(code) {
+    process.exitCode = code;
   });
 }
 
-function startControl(): Promise<void> {
-  return run(function make(startup) {
-    return new control.ControlProgram(new world.RealWorld(), startup);
+const program = new commander.Command("cranewind")
+  .description("Serving across regions for a language model")
+  .version("0.1.0")
+  .showHelpAfterError("run cranewind --help for the commands")
+  .addHelpText("after", "\nExit codes: 0 done, 1 denied, 2 wrong use, 3 unreachable or no majority, 78 bad settings.");
+
+program.command("router").description("run the Global Transaction Router on this node").action(roles.startRouter);
+program.command("control").description("run a control node").action(roles.startControl);
+
+const controls = ["--control <host:port,...>", "control nodes to ask, one after the other"] as const;
+
+const checks = program.command("check").description("check a file without a running system");
+checks.command("settings <file>").description("check a node's settings file").action(function settings(file: string) {
+  return ending(commands.checkSettings(output, file));
+});
+checks.command("config <file>").description("check a configuration").action(function config(file: string) {
+  return ending(commands.checkConfig(output, file));
+});
+
+program.command("describe").description("print the newest configuration, read at a majority").requiredOption(...controls)
+  .action(function describe(options: Options) {
+    return ending(commands.describe(clock, output, listOf(options.control)));
   });
+
+program.command("apply <file>").description("send a whole configuration").requiredOption(...controls)
+  .requiredOption("--base <revision>", "the revision it builds on, 0 for the first")
+  .action(function apply(file: string, options: Options) {
+    return ending(commands.apply(clock, output, listOf(options.control), file, options.base, false));
+  });
+
+program.command("update <file>").description("change named items of the configuration").requiredOption(...controls)
+  .requiredOption("--base <revision>", "the revision it builds on")
+  .action(function update(file: string, options: Options) {
+    return ending(commands.apply(clock, output, listOf(options.control), file, options.base, true));
+  });
+
+program.command("evacuate <start|stop> <zone>").description("send nothing more to a zone's runners, or take that back").requiredOption(...controls)
+  .action(function evacuate(verb: string, zone: string, options: Options) {
+    return ending(commands.evacuate(clock, output, listOf(options.control), verb, zone));
+  });
+
+program.command("status").description("members, voters, cells and counters of a node (a router: its readiness address)").requiredOption(...controls)
+  .option("--json", "as the node tells it")
+  .action(function status(options: Options) {
+    return ending(commands.status(clock, output, listOf(options.control), options.json === true));
+  });
+
+program.command("ask").description("send one request through a router")
+  .requiredOption("--router <host:port>", "where the router takes clients")
+  .requiredOption("--host <name>", "host of the route")
+  .requiredOption("--path <path>", "path of the request")
+  .option("--prompt <id:tokens,...>", "parts of the prompt", "")
+  .option("--budget-ms <ms>", "how long to wait", "10000")
+  .action(function ask(options: asks.Ask) {
+    return ending(asks.ask(output, options));
+  });
+
+program.command("try").description("run a small system on loopback against stand-ins")
+  .requiredOption("--folder <path>", "where its settings, disks and logs go")
+  .action(function trial(options: Options) {
+    return trials.run(output, options.folder);
+  });
+
+function exitOf(cause: commander.CommanderError): number {
+  return cause.exitCode === 0 ? commands.EXIT.ok : commands.EXIT.usage;
 }
 
-const command = new commander.Command("cranewind").description("Serving across regions for a language model").version("0.1.0");
-command.command("router").description("run the Global Transaction Router on this node").action(startRouter);
-command.command("control").description("run a control node").action(startControl);
+function strict(command: commander.Command): void {
+  command.exitOverride();
+  for (const child of command.commands) strict(child);
+}
 
-command.parseAsync(process.argv).catch(function failed(cause: Error) {
-  process.stderr.write(`cranewind: ${cause.message}\n`);
-  process.exit(1);
+strict(program);
+process.stdout.on("error", function closed() {
+  process.exit(commands.EXIT.ok);
+});
+program.parseAsync(process.argv).catch(function failed(cause: Error) {
+  if (cause instanceof commander.CommanderError) {
+    process.exitCode = exitOf(cause);
+    return;
+  }
+  output.failure(`${cause.message}; see docs/operating.md`);
+  process.exit(commands.EXIT.denied);
 });
--- /dev/null
+++ b/src/cli/view.ts
@@ -0,0 +1,65 @@
+// A node's own account as lines for people (design 10.2).
+import type * as schema from "../wire/schema.js";
+
+interface ControlStatus {
+  node: schema.NodeInfo;
+  isSettled: boolean;
+  register: { epoch: number; revision: number; evacuations: string[]; voters: schema.Voter[]; former: schema.Voter[] } | null;
+  members: { control: schema.NodeInfo[]; router: schema.NodeInfo[] };
+  cells: { instances: schema.Instance[]; reports: schema.CellReport[] };
+  counters: Record<string, number>;
+}
+
+interface RouterStatus {
+  node: schema.NodeInfo;
+  following: string | null;
+  routers: number;
+  sharesValid: boolean;
+  runners: { id: string; service: string; zone: string; status: string; inflight: number; usage: number }[];
+  counters: Record<string, number>;
+}
+
+export function lines(json: unknown): string[] {
+  const { node } = json as { node: schema.NodeInfo };
+  return node.role === "control" ? controlLines(json as ControlStatus) : routerLines(json as RouterStatus);
+}
+
+function controlLines(status: ControlStatus): string[] {
+  const { register, members, cells } = status;
+  const made = [`node      ${status.node.name} (control, ${status.node.zone}), ${status.isSettled ? "reaches a majority" : "reaches NO majority"}`];
+  if (register) {
+    made.push(`register  epoch ${register.epoch}, revision ${register.revision}, evacuated: ${register.evacuations.join(", ") || "none"}`);
+    for (const voter of register.voters) made.push(`voter     ${voter.address} ${voter.node} ${voter.disk}`);
+    if (register.former.length > 0) made.push("voter     a change of voters is under way");
+  } else made.push("register  not read yet");
+  for (const node of members.control) made.push(`control   ${node.name} ${node.zone}`);
+  for (const node of members.router) made.push(`router    ${node.name} ${node.zone} ${node.isReady ? "ready" : "not ready"}, epoch in force ${node.epoch}, ${node.outside}`);
+  for (const report of cells.reports) {
+    const silent = report.reports.filter(isSilent).length;
+    made.push(`cell      ${report.region}: ${report.reports.length} runners report, ${silent} silent`);
+  }
+  for (const item of cells.instances) made.push(`runner    ${item.id} ${item.service} ${item.zone} ${item.address}${item.isDraining ? " draining" : ""}${item.coldMs > 0 ? " cold" : ""}`);
+  return [...made, ...counterLines(status.counters)];
+}
+
+function routerLines(status: RouterStatus): string[] {
+  const made = [
+    `node      ${status.node.name} (router, ${status.node.zone}), ${status.node.isReady ? "ready" : "not ready"}`,
+    `config    epoch ${status.node.epoch} in force, following ${status.following ?? "nobody"}`,
+    `shares    one of ${status.routers} routers, ${status.sharesValid ? "valid" : "expired"}`,
+  ];
+  for (const runner of status.runners) made.push(`runner    ${runner.id} ${runner.service} ${runner.zone} ${runner.status}, ${runner.inflight} from here, usage ${runner.usage}`);
+  return [...made, ...counterLines(status.counters)];
+}
+
+function isSilent(report: schema.Report): boolean {
+  return !report.isSpeaking;
+}
+
+function counterLines(counters: Record<string, number>): string[] {
+  return Object.entries(counters).sort().map(counterLine);
+}
+
+function counterLine([name, value]: [string, number]): string {
+  return `counter   ${name} ${value}`;
+}
--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -22,7 +22,7 @@
 
   constructor(
     world: types.World,
-    private readonly startup: settings.Settings,
+    private startup: settings.Settings,
     private readonly dial: dialers.Dialer,
     private readonly feed: feeds.Feed,
     core: cores.Core,
@@ -53,6 +53,11 @@
     });
   }
 
+  resettle(startup: settings.Settings): void {
+    this.startup = startup;
+    this.watcher.resettle(startup.cloud_api.address);
+  }
+
   /** A router's signs go to all siblings once, and from each to the routers of its region. */
   private relay(from: link.Link, told: schema.Signs): void {
     const relayed = { ...told, isRelayed: true };
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -40,17 +40,14 @@
   private isChanging = false;
   readonly root: supervisor.Supervisor;
 
-  constructor(private readonly world: types.World, private readonly startup: settings.Settings) {
+  constructor(private readonly world: types.World, private startup: settings.Settings) {
     const port = startup.internal_port_range[0]!;
     this.startedAt = world.now();
     this.address = `${startup.ip_address}:${port}`;
     this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), SILENT_MS);
     this.members = new sessions.Sessions(world, startup.region, SILENT_MS);
     this.feed = new feeds.Feed(this.life);
-    const seeds = startup.seed_nodes.map(inner);
-    function inner(seed: string): string {
-      return `${types.hostOf(seed)}:${port}`;
-    }
+    const seeds = startup.seed_nodes.map(this.inner.bind(this));
     this.dial.know(seeds);
     const first = startup.bootstrap ? registers.firstValue(seeds) : registers.firstValue([]);
     this.core = new cores.Core(world, { life: this.life, address: this.address, first }, this.dial);
@@ -210,6 +207,18 @@
     this.isChanging = false;
   }
 
+  /** Settings read again: seeds, bounds and the platform's address take effect; addresses of its own do not. */
+  resettle(startup: settings.Settings): void {
+    this.startup = startup;
+    this.dial.know(startup.seed_nodes.map(this.inner.bind(this)));
+    this.cells.resettle(startup);
+    log.state("settings: read again");
+  }
+
+  private inner(seed: string): string {
+    return `${types.hostOf(seed)}:${this.startup.internal_port_range[0]}`;
+  }
+
   status(): unknown {
     const value = this.core.chosen;
     return {
--- a/src/control/watcher.ts
+++ b/src/control/watcher.ts
@@ -51,7 +51,7 @@
 
   constructor(
     private readonly world: types.World,
-    private readonly address: string,
+    private address: string,
     private readonly ratePerS: number,
     private readonly dial: dialer.Dialer,
     private readonly rank: () => number,
@@ -114,6 +114,12 @@
     return null;
   }
 
+  resettle(address: string): void {
+    if (address === this.address) return;
+    this.address = address;
+    this.drop();
+  }
+
   private drop(): void {
     void this.client?.destroy().catch(http.ignore);
     this.client = null;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -46,19 +46,15 @@
   private epoch = -1;
   readonly root: supervisor.Supervisor;
 
-  constructor(private readonly clock: types.World, private readonly startup: settings.Settings) {
-    const port = startup.internal_port_range[0]!;
+  constructor(private readonly clock: types.World, private startup: settings.Settings) {
     this.fleet = new fleets.Fleet(clock, new Map(Object.entries(startup.zones)));
     this.rotation = new rotations.Rotation(clock);
     this.share = new shares.Shares(clock, startup.bounds);
     this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region, this.known);
-    this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this), this.sending.bind(this));
+    this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this), this.sending.bind(this), startup.limits);
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), SILENT_MS);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
-    this.dial.know(startup.seed_nodes.map(inner));
-    function inner(seed: string): string {
-      return `${types.hostOf(seed)}:${port}`;
-    }
+    this.dial.know(startup.seed_nodes.map(this.inner.bind(this)));
     const { fleet, known } = this;
     this.handlers.on(calls.signs, function signs(_from, told) {
       fleet.takeDoubt(told.silent);
@@ -161,6 +157,18 @@
     this.fleet.takeReport(report);
   }
 
+  private inner(seed: string): string {
+    return `${types.hostOf(seed)}:${this.startup.internal_port_range[0]}`;
+  }
+
+  /** Settings read again: seeds and bounds take effect; addresses of its own do not. */
+  resettle(startup: settings.Settings): void {
+    this.startup = startup;
+    this.dial.know(startup.seed_nodes.map(this.inner.bind(this)));
+    this.share.resettle(startup.bounds);
+    log.state("settings: read again");
+  }
+
   private status(): unknown {
     const runners: unknown[] = [];
     for (const runner of this.fleet.all()) {
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -16,16 +16,25 @@
   max_header_bytes: 16384, max_body_bytes: 4 * 1024 * 1024, header_timeout_ms: 5000, idle_timeout_ms: 15000,
 };
 const DEFAULT_BUDGET_MS = 60_000;
-const MOST_HELD_BYTES = 48 * 1024 * 1024;
+/** What of the machine's limits goes where (design 2.3). */
+const HELD_SHARE = 0.15;
+const PENDING_PER_MB = 1.5;
+const CONNECTIONS_SHARE = 0.5;
 const CHECK_MS = 1000;
 const PENDING_MS = 800;
-const MOST_PENDING = 500;
+
+export interface Machine {
+  memory_mb: number;
+  max_open_files: number;
+}
 
 export class RouterServer {
   private readonly server: nodeHttp.Server;
   private readonly active = new Set<transactions.Transaction>();
   private readonly pending = new Set<() => void>();
   private limits = DEFAULTS;
+  private readonly mostHeldBytes: number;
+  private readonly mostPending: number;
   private heldBytes = 0;
   private reading = 0;
   isLeaving = false;
@@ -35,9 +44,13 @@
     private readonly chooser: transactions.Context["chooser"],
     private readonly isReady: () => boolean,
     private readonly sending: transactions.Context["sending"],
+    machine: Machine,
   ) {
+    this.mostHeldBytes = machine.memory_mb * 1024 * 1024 * HELD_SHARE;
+    this.mostPending = Math.floor(machine.memory_mb * PENDING_PER_MB);
     this.server = nodeHttp.createServer({ connectionsCheckingInterval: CHECK_MS, maxHeaderSize: DEFAULTS.max_header_bytes }, this.take.bind(this));
     this.server.on("clientError", clientError);
+    this.server.maxConnections = Math.floor(machine.max_open_files * CONNECTIONS_SHARE);
     this.limit(undefined);
   }
 
@@ -91,7 +104,7 @@
       this.deny(outgoing, 413, `the body is over max_body_bytes ${this.limits.max_body_bytes}; send a smaller one`, null, true);
       return;
     }
-    if (this.heldBytes + length > MOST_HELD_BYTES) {
+    if (this.heldBytes + length > this.mostHeldBytes) {
       this.deny(outgoing, 503, "too many bodies are held; come back shortly", 0.5, true);
       return;
     }
@@ -165,7 +178,7 @@
     const { pending } = this;
     const deny = this.deny.bind(this, outgoing, 503, "this node has no configuration yet; come back shortly", 0.3, true);
     const begin = this.begin.bind(this, incoming, outgoing, body, arrivedAt);
-    if (pending.size >= MOST_PENDING || this.world.now() - arrivedAt >= PENDING_MS) {
+    if (pending.size >= this.mostPending || this.world.now() - arrivedAt >= PENDING_MS) {
       deny();
       return;
     }
--- a/src/shares/shares.ts
+++ b/src/shares/shares.ts
@@ -31,7 +31,7 @@
   private readonly windows = new Map<string, Window>();
   private readonly buckets = new Map<string, Bucket>();
 
-  constructor(private readonly world: types.World, private readonly bounds: Bounds) {}
+  constructor(private readonly world: types.World, private bounds: Bounds) {}
 
   deal(index: number, members: number): void {
     this.index = index;
@@ -39,6 +39,10 @@
     this.dealtAt = this.world.now();
   }
 
+  resettle(bounds: Bounds): void {
+    this.bounds = bounds;
+  }
+
   get routers(): number {
     return this.members;
   }
--- /dev/null
+++ b/src/standin/platform.ts
@@ -0,0 +1,60 @@
+// A stand-in for the platform: it keeps the list of runners (design 11.1).
+import * as nodeHttp from "node:http";
+import type * as net from "node:net";
+import * as types from "../wire/types.js";
+
+export interface Listed {
+  instance_id: string;
+  service: string;
+  address: string;
+  zone: string;
+  revision: string;
+  capacity: number;
+  state: "ready" | "draining";
+  warmup_left_ms: number;
+  remaining_ms?: number;
+}
+
+export class StandInPlatform {
+  instances: Listed[] = [];
+  calls = 0;
+  address = "";
+  private readonly server = nodeHttp.createServer(this.reply.bind(this));
+
+  constructor(private readonly pageSize = 50) {}
+
+  start(address = "127.0.0.1:0"): Promise<void> {
+    const { server } = this;
+    const named = this.named.bind(this);
+    return new Promise(function listen(resolve, reject) {
+      server.once("error", reject);
+      server.listen({ host: types.hostOf(address), port: types.portOf(address) }, function listening() {
+        named();
+        resolve();
+      });
+    });
+  }
+
+  private named(): void {
+    const bound = this.server.address() as net.AddressInfo;
+    this.address = `${bound.address}:${bound.port}`;
+  }
+
+  private reply(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    const url = new URL(incoming.url ?? "/", "http://platform");
+    if (url.pathname !== "/instances") {
+      outgoing.writeHead(404).end();
+      return;
+    }
+    this.calls += 1;
+    const from = Number(url.searchParams.get("page_token") ?? 0);
+    const page = this.instances.slice(from, from + this.pageSize);
+    const next = from + this.pageSize < this.instances.length ? String(from + this.pageSize) : null;
+    outgoing.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify({ instances: page, next_page_token: next }));
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- a/src/startup/errors.ts
+++ b/src/startup/errors.ts
@@ -5,7 +5,7 @@
 
 export class CranewindError extends Error {
   constructor(readonly kind: Kind, message: string, readonly remedy: string) {
-    super(`${message}; ${remedy}`);
+    super(remedy === "" ? message : `${message}; ${remedy}`);
   }
 }
 
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -48,7 +48,7 @@
     id: runner.id, service: "s", address: runner.address, zone: `z${index + 1}`, capacity: 8, isDraining: false, coldMs: 0, leavesMs: -1,
   })));
   chooser.table = new routes.RouteTable(CONFIG);
-  server = new servers.RouterServer(clock, chooser, () => true, () => 0);
+  server = new servers.RouterServer(clock, chooser, () => true, () => 0, { memory_mb: 256, max_open_files: 1024 });
   server.limit(CONFIG.limits);
   await server.listen("127.0.0.1:0");
   port = server.port;
