--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -7,6 +7,8 @@
 import type * as connections from "./connections.js";
 import type * as fleets from "./fleet.js";
 
+const CONNECT_MS = 450;
+
 export type Ending =
   | "not_sent" // no byte went out
   | "handed_back" // the runner says that it did not run it
@@ -41,6 +43,7 @@
   heardAt = 0;
   head: Head | null = null;
   isPassing = false;
+  private connecting: types.Tick | null = null;
   private isHandedBack = false;
   private isStreaming = false;
   private abortSend: ((reason?: Error) => void) | null = null;
@@ -55,6 +58,7 @@
   ) {}
 
   start(): void {
+    if (this.connection.isFresh) this.connecting = this.world.after(CONNECT_MS, this.tooLate.bind(this));
     this.runner.inflight += 1;
     this.heardAt = this.world.now();
     if (this.runner.inflight === 1) this.runner.sentAt = this.heardAt;
@@ -69,12 +73,20 @@
     }
   }
 
+  /** No connection came up: nothing was sent, and the request may go elsewhere. */
+  private tooLate(): void {
+    if (this.isSent || this.isOver) return;
+    this.runner.suspect(this.world.now());
+    this.end("not_sent", false);
+  }
+
   onConnect(abort: (reason?: Error) => void): void {
     if (this.isOver) {
       abort();
       return;
     }
     this.isSent = true;
+    this.connecting?.stop();
     this.abortSend = abort;
   }
 
@@ -139,6 +151,7 @@
   private end(ending: Ending, isClean: boolean): void {
     if (this.isOver) return;
     this.isOver = true;
+    this.connecting?.stop();
     this.runner.inflight -= 1;
     if (this.isStreaming) this.runner.streaming -= 1;
     if (!isClean) this.abortSend?.();
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -10,7 +10,7 @@
 const SUSPECT_MS = 700;
 const MOST_SUSPECT_MS = 4000;
 const FULL_MS = 150;
-const QUIET_STREAM_MS = 300;
+const QUIET_STREAM_MS = 400;
 const QUIET_START_MS = 1500;
 const GONE_KEPT_MS = 120_000;
 
--- a/src/router/readings.ts
+++ b/src/router/readings.ts
@@ -3,7 +3,7 @@
 import type * as plans from "./plan.js";
 import * as shares from "../shares/shares.js";
 
-const FIRST_RATE = 30;
+const FIRST_RATE = 40;
 const FASTER = 0.3;
 const SLOWER = 0.02;
 const MOST_KEPT = 4000;
