Reports twice as often, and one miss is silence

Cause: requests that may not be repeated were lost on runners that had gone dark up to 1.8 s before anybody knew. Ruled out: more frequent looks by routers themselves (connections are dear).

--- a/src/control/orchestrator.ts
+++ b/src/control/orchestrator.ts
@@ -7,10 +7,10 @@
 import * as log from "../startup/log.js";
 import type * as dialer from "../feed/dialer.js";
 
-const PERIOD_MS = 1000;
+const PERIOD_MS = 600;
 const STEP_MS = 900;
-const REPORT_MS = 700;
-const MISSES = 2;
+const REPORT_MS = 350;
+const MISSES = 1;
 
 interface Watched {
   client: http.Client;
