--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -65,6 +65,11 @@
     this.members.tellRouters(calls.signs, relayed, from);
   }
 
+  stop(): void {
+    this.watcher.stop();
+    this.orchestrator.stop();
+  }
+
   turn(): void {
     this.watcher.turn();
     this.orchestrator.turn();
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -52,6 +52,11 @@
     }
   }
 
+  /** From now on this node does not vote; the disk may be closed. */
+  leave(): void {
+    this.voter = null;
+  }
+
   register(handlers: link.Handlers): void {
     const core = this;
     handlers.on(calls.prepare, function prepare(_from, ask) {
--- a/src/control/orchestrator.ts
+++ b/src/control/orchestrator.ts
@@ -98,6 +98,11 @@
     return watched.report;
   }
 
+  stop(): void {
+    for (const watched of this.watched.values()) void watched.client.destroy().catch(http.ignore);
+    this.watched.clear();
+  }
+
   private renew(instance: schema.Instance, watched: Watched): void {
     void watched.client.destroy().catch(http.ignore);
     watched.client = http.open(instance.address, { connectMs: REPORT_MS, idleMs: 4000 });
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -10,11 +10,10 @@
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
 import * as registers from "../register/value.js";
-import * as voters from "../register/voter.js";
-import * as ring from "../store/ring.js";
 import * as supervisor from "../supervisor/tree.js";
 import * as cells from "./cells.js";
 import * as cores from "./core.js";
+import * as disks from "./disk.js";
 import * as directory from "./directory.js";
 import * as operators from "./operator.js";
 import * as policy from "./voters.js";
@@ -38,6 +37,7 @@
   private readonly heardAt = new Map<string, number>();
   private readonly startedAt: number;
   private isChanging = false;
+  private closeDisk: (() => Promise<void>) | null = null;
   readonly root: supervisor.Supervisor;
 
   constructor(private readonly world: types.World, private startup: settings.Settings) {
@@ -109,7 +109,7 @@
     }
     root.add(root.turns("beats", BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("turn", TURN_MS, this.turn.bind(this)));
-    root.add({ name: "disk", start: this.openDisk.bind(this, seeds), stop: nothing });
+    root.add({ name: "disk", start: this.openDisk.bind(this, seeds), stop: this.stopDisk.bind(this) });
   }
 
   private internal(): supervisor.Child {
@@ -138,19 +138,16 @@
   }
 
   private async readDisk(seeds: string[]): Promise<void> {
-    const folder = this.startup.data_dir;
+    const { data_dir: folder, bootstrap: isBootstrap } = this.startup;
     if (!folder) return;
-    const { ring: kept, newest } = await ring.Ring.open(ring.realFiles, folder);
-    let state = newest ? voters.Voter.restore(newest) : null;
-    if (!state) {
-      const isFirst = this.startup.bootstrap && seeds.includes(this.address);
-      const disk = isFirst ? registers.firstDisk(this.address) : `disk:${crypto.randomBytes(9).toString("base64url")}`;
-      const accepted = isFirst ? { ballot: registers.NO_BALLOT, value: registers.firstValue(seeds) } : null;
-      state = { disk, promised: registers.NO_BALLOT, accepted };
-      log.state(`store: blank disk, new identity ${disk}`);
-      await kept.write(schema.disk.toBuffer(state));
-    }
-    this.core.enter(new voters.Voter(kept, state));
+    const opened = await disks.open({ folder, address: this.address, seeds, isBootstrap });
+    this.closeDisk = opened.close;
+    this.core.enter(opened.voter);
+  }
+
+  private async stopDisk(): Promise<void> {
+    this.core.leave();
+    await this.closeDisk?.();
   }
 
   private beat(): void {
@@ -232,13 +229,11 @@
   async stop(): Promise<void> {
     await this.root.stop();
     this.dial.end();
+    this.members.end();
+    this.cells.stop();
   }
 }
 
-function nothing(): void {
-  // The ring needs no closing: every reply was synced.
-}
-
 function isRouter(node: schema.NodeInfo): boolean {
   return node.role === "router";
 }
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -69,6 +69,10 @@
     for (const [life, at] of this.left) if (this.world.now() - at > 60_000) this.left.delete(life);
   }
 
+  end(): void {
+    for (const session of [...this.own.values()]) session.link.end("leaving");
+  }
+
   isHeld(name: string): boolean {
     return this.own.has(name);
   }
--- a/src/control/watcher.ts
+++ b/src/control/watcher.ts
@@ -4,6 +4,7 @@
 import * as http from "../wire/http.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
+import * as world from "../wire/world.js";
 import * as log from "../startup/log.js";
 import type * as dialer from "../feed/dialer.js";
 
@@ -94,7 +95,8 @@
     const found: schema.Instance[] = [];
     let token: string | null = null;
     for (let page = 0; page < MOST_PAGES; page += 1) {
-      if (page > 0 && page >= this.ratePerS / 2) return null;
+      // Pages keep to half of the rate that all nodes share.
+      if (page > 0) await world.sleep(this.world, 2000 / this.ratePerS);
       this.client ??= http.open(this.address, { connectMs: CALL_MS, idleMs: 4000 });
       const path: string = token === null ? "/instances" : `/instances?page_token=${encodeURIComponent(token)}`;
       const reply = await http.call(this.world, this.client, path, { withinMs: CALL_MS });
@@ -120,6 +122,10 @@
     this.drop();
   }
 
+  stop(): void {
+    this.drop();
+  }
+
   private drop(): void {
     void this.client?.destroy().catch(http.ignore);
     this.client = null;
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -183,6 +183,10 @@
     return ids;
   }
 
+  closeIdle(): void {
+    for (const runner of this.runners.values()) runner.connections.closeIdle();
+  }
+
   /** A zone that is taken back may have turned cold meanwhile: it counts as cold until it is known to be warm. */
   chill(zone: string, ms: number): void {
     const until = this.world.now() + ms;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -192,6 +192,7 @@
     while (this.server.activeCount > 0 && this.clock.now() < until) await world.sleep(this.clock, STEP_MS);
     await this.root.stop();
     this.dial.end();
+    this.fleet.closeIdle();
   }
 }
 
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -92,7 +92,7 @@
 }
 
 export function parse(content: string): result.Result<Settings, errors.CranewindError> {
-  const tree: Tree = { bounds: {} };
+  const tree: Tree = { bounds: {}, bind_addresses: {} };
   for (const [index, line] of content.split(/\r?\n/).entries()) {
     const bare = line.trim();
     if (bare === "" || bare.startsWith("#")) continue;
--- a/src/store/ring.ts
+++ b/src/store/ring.ts
@@ -17,6 +17,7 @@
 export interface Slot {
   readAll(): Promise<Buffer>;
   write(bytes: Buffer): Promise<void>;
+  close(): Promise<void>;
 }
 
 class RealSlot implements Slot {
@@ -28,6 +29,9 @@
     await this.handle.write(bytes, 0, bytes.length, 0);
     await this.handle.datasync();
   }
+  async close(): Promise<void> {
+    await this.handle.close();
+  }
 }
 
 async function openReal(folder: string, name: string): Promise<Slot> {
@@ -121,6 +125,10 @@
     return { ring, newest };
   }
 
+  async close(): Promise<void> {
+    for (const slot of this.slots) await slot.close();
+  }
+
   /** Resolves once the record is synced. One call at a time. */
   async write(body: Buffer): Promise<void> {
     this.number += 1;
