--- a/build.mjs
+++ b/build.mjs
@@ -1,13 +1,17 @@
-// One file out of all sources: a start then reads one file (design 12.1).
+// Three files out of all sources: the launcher, what a role runs, and the commands (design 12.1).
 import * as esbuild from "esbuild";
 
-await esbuild.build({
-  entryPoints: ["src/cli/cranewind.ts"],
-  outfile: "target/cranewind.js",
+const common = {
   bundle: true,
   platform: "node",
   target: "node20",
   format: "cjs",
   minifySyntax: true,
+  minifyWhitespace: true,
   legalComments: "none",
-});
+  alias: { "node:http2": "./src/wire/no-http2.ts" },
+};
+
+await esbuild.build({ ...common, entryPoints: ["src/cli/cranewind.ts"], outfile: "target/cranewind.js" });
+await esbuild.build({ ...common, entryPoints: ["src/cli/node.ts"], outfile: "target/roles.js" });
+await esbuild.build({ ...common, entryPoints: ["src/cli/main.ts"], outfile: "target/commands.js" });
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,120 @@
+// The command line behind the launcher (design 10.1): the roles of a node, and the commands of an operator.
+import * as commander from "commander";
+import * as world from "../wire/world.js";
+import * as asks from "./ask.js";
+import * as commands from "./commands.js";
+import * as roles from "./roles.js";
+import * as trials from "./try.js";
+
+const clock = new world.RealWorld();
+const output: commands.Output = {
+  line(text) {
+    process.stdout.write(`${text}\n`);
+  },
+  failure(text) {
+    process.stderr.write(`cranewind: ${text}\n`);
+  },
+};
+
+interface Options {
+  control: string;
+  base: string;
+  json?: boolean;
+  folder: string;
+}
+
+function listOf(option: string): string[] {
+  return option.split(",").filter(Boolean);
+}
+
+/** Commands end with their own exit code; roles and `try` run on. */
+function ending(work: Promise<number> | number): Promise<void> {
+  return Promise.resolve(work).then(function ended(code) {
+    process.exitCode = code;
+  });
+}
+
+const program = new commander.Command("cranewind")
+  .description("Serving across regions for a language model")
+  .version("0.1.0")
+  .showHelpAfterError("run cranewind --help for the commands")
+  .addHelpText("after", "\nExit codes: 0 done, 1 denied, 2 wrong use, 3 unreachable or no majority, 78 bad settings.");
+
+program.command("router").description("run the Global Transaction Router on this node").action(roles.startRouter);
+program.command("control").description("run a control node").action(roles.startControl);
+
+const controls = ["--control <host:port,...>", "control nodes to ask, one after the other"] as const;
+
+const checks = program.command("check").description("check a file without a running system");
+checks.command("settings <file>").description("check a node's settings file").action(function settings(file: string) {
+  return ending(commands.checkSettings(output, file));
+});
+checks.command("config <file>").description("check a configuration").action(function config(file: string) {
+  return ending(commands.checkConfig(output, file));
+});
+
+program.command("describe").description("print the newest configuration, read at a majority").requiredOption(...controls)
+  .action(function describe(options: Options) {
+    return ending(commands.describe(clock, output, listOf(options.control)));
+  });
+
+program.command("apply <file>").description("send a whole configuration").requiredOption(...controls)
+  .requiredOption("--base <revision>", "the revision it builds on, 0 for the first")
+  .action(function apply(file: string, options: Options) {
+    return ending(commands.apply(clock, output, listOf(options.control), file, options.base, false));
+  });
+
+program.command("update <file>").description("change named items of the configuration").requiredOption(...controls)
+  .requiredOption("--base <revision>", "the revision it builds on")
+  .action(function update(file: string, options: Options) {
+    return ending(commands.apply(clock, output, listOf(options.control), file, options.base, true));
+  });
+
+program.command("evacuate <start|stop> <zone>").description("send nothing more to a zone's runners, or take that back").requiredOption(...controls)
+  .action(function evacuate(verb: string, zone: string, options: Options) {
+    return ending(commands.evacuate(clock, output, listOf(options.control), verb, zone));
+  });
+
+program.command("status").description("members, voters, cells and counters of a node (a router: its readiness address)").requiredOption(...controls)
+  .option("--json", "as the node tells it")
+  .action(function status(options: Options) {
+    return ending(commands.status(clock, output, listOf(options.control), options.json === true));
+  });
+
+program.command("ask").description("send one request through a router")
+  .requiredOption("--router <host:port>", "where the router takes clients")
+  .requiredOption("--host <name>", "host of the route")
+  .requiredOption("--path <path>", "path of the request")
+  .option("--prompt <id:tokens,...>", "parts of the prompt", "")
+  .option("--budget-ms <ms>", "how long to wait", "10000")
+  .action(function ask(options: asks.Ask) {
+    return ending(asks.ask(output, options));
+  });
+
+program.command("try").description("run a small system on loopback against stand-ins")
+  .requiredOption("--folder <path>", "where its settings, disks and logs go")
+  .action(function trial(options: Options) {
+    return trials.run(output, options.folder);
+  });
+
+function exitOf(cause: commander.CommanderError): number {
+  return cause.exitCode === 0 ? commands.EXIT.ok : commands.EXIT.usage;
+}
+
+function strict(command: commander.Command): void {
+  command.exitOverride();
+  for (const child of command.commands) strict(child);
+}
+
+strict(program);
+process.stdout.on("error", function closed() {
+  process.exit(commands.EXIT.ok);
+});
+program.parseAsync(process.argv).catch(function failed(cause: Error) {
+  if (cause instanceof commander.CommanderError) {
+    process.exitCode = exitOf(cause);
+    return;
+  }
+  output.failure(`${cause.message}; see docs/operating.md`);
+  process.exit(commands.EXIT.denied);
+});
--- /dev/null
+++ b/src/wire/avsc-types.d.ts
@@ -0,0 +1,3 @@
+declare module "avsc/lib/types.js" {
+  export { Type } from "avsc";
+}
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -1,8 +1,9 @@
 // What the system's own processes say to each other, as avsc schemas (design 3.2).
-import * as avsc from "avsc";
+import type * as avsc from "avsc";
+import * as avscTypes from "avsc/lib/types.js"; // its types alone: containers and services would only slow a start
 
 function record<T>(name: string, fields: { name: string; type: unknown; default?: unknown }[]): Schema<T> {
-  return avsc.Type.forSchema({ type: "record", name, fields } as avsc.Schema) as unknown as Schema<T>;
+  return avscTypes.Type.forSchema({ type: "record", name, fields } as avsc.Schema) as unknown as Schema<T>;
 }
 
 export interface Schema<T> {
@@ -10,15 +11,15 @@
   fromBuffer(bytes: Buffer): T;
 }
 
-const voterType = avsc.Type.forSchema({
+const voterType = avscTypes.Type.forSchema({
   type: "record", name: "Voter",
   fields: [{ name: "disk", type: "string" }, { name: "node", type: "string" }, { name: "address", type: "string" }],
 });
-const takenType = avsc.Type.forSchema({
+const takenType = avscTypes.Type.forSchema({
   type: "record", name: "Taken",
   fields: [{ name: "revision", type: "double" }, { name: "digest", type: "string" }],
 });
-const valueType = avsc.Type.forSchema({
+const valueType = avscTypes.Type.forSchema({
   type: "record", name: "Value",
   fields: [
     { name: "epoch", type: "long" }, { name: "revision", type: "double" }, { name: "config", type: "bytes" },
@@ -29,13 +30,13 @@
     { name: "former", type: { type: "array", items: voterType } },
   ],
 });
-const ballotType = avsc.Type.forSchema({
+const ballotType = avscTypes.Type.forSchema({
   type: "record", name: "Ballot", fields: [{ name: "n", type: "long" }, { name: "by", type: "string" }],
 });
-const acceptedType = avsc.Type.forSchema({
+const acceptedType = avscTypes.Type.forSchema({
   type: "record", name: "Accepted", fields: [{ name: "ballot", type: ballotType }, { name: "value", type: valueType }],
 });
-const nodeType = avsc.Type.forSchema({
+const nodeType = avscTypes.Type.forSchema({
   type: "record", name: "Node",
   fields: [
     { name: "name", type: "string" }, { name: "role", type: "string" }, { name: "life", type: "string" },
@@ -44,7 +45,7 @@
     { name: "isReady", type: "boolean" }, { name: "epoch", type: "long" },
   ],
 });
-const instanceType = avsc.Type.forSchema({
+const instanceType = avscTypes.Type.forSchema({
   type: "record", name: "Instance",
   fields: [
     { name: "id", type: "string" }, { name: "service", type: "string" }, { name: "address", type: "string" },
@@ -52,7 +53,7 @@
     { name: "coldMs", type: "int" }, { name: "leavesMs", type: "int" },
   ],
 });
-const reportType = avsc.Type.forSchema({
+const reportType = avscTypes.Type.forSchema({
   type: "record", name: "Report",
   fields: [
     { name: "id", type: "string" }, { name: "isSpeaking", type: "boolean" }, { name: "waiting", type: "int" },
