--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -10,6 +10,8 @@
   link: link.Link;
 }
 
+const MISSED_MS = 900;
+
 interface Told {
   nodes: schema.NodeInfo[];
   at: number;
@@ -79,14 +81,14 @@
 
   ownNodes(): schema.NodeInfo[] {
     const nodes: schema.NodeInfo[] = [];
-    for (const session of this.own.values()) nodes.push(session.node);
+    for (const session of this.own.values()) nodes.push(seen(session));
     return nodes;
   }
 
   /** All members by name: the own sessions first, then what siblings told lately. */
   members(role: string): schema.NodeInfo[] {
     const all = new Map<string, schema.NodeInfo>();
-    for (const session of this.own.values()) if (session.node.role === role) all.set(session.node.name, session.node);
+    for (const session of this.own.values()) if (session.node.role === role) all.set(session.node.name, seen(session));
     for (const told of this.told.values()) {
       for (const node of told.nodes) {
         if (node.role !== role || all.has(node.name)) continue;
@@ -117,6 +119,11 @@
   }
 }
 
+/** Beats that stay out take a node out of the directory long before its session ends. */
+function seen(session: Session): schema.NodeInfo {
+  return session.link.silentMs() > MISSED_MS ? { ...session.node, isReady: false } : session.node;
+}
+
 function byName(left: schema.NodeInfo, right: schema.NodeInfo): number {
   return left.name < right.name ? -1 : left.name > right.name ? 1 : 0;
 }
--- /dev/null
+++ b/tests/sessions.test.ts
@@ -0,0 +1,103 @@
+// Sessions: silence takes a router out of the directory, then out of the members (design 4.1, 4.3).
+import * as directory from "../src/control/directory.js";
+import * as sessions from "../src/control/sessions.js";
+import type * as link from "../src/wire/link.js";
+import * as schema from "../src/wire/schema.js";
+import * as sim from "./sim/world.js";
+
+class FakeLink {
+  heardAt = 0;
+  private ended: ((cause: string) => void)[] = [];
+  readonly told: unknown[] = [];
+  constructor(private readonly clock: sim.SimWorld) {}
+  silentMs(): number {
+    return this.clock.now() - this.heardAt;
+  }
+  once(_event: string, run: (cause: string) => void): void {
+    this.ended.push(run);
+  }
+  tell(_pair: unknown, ask: unknown): void {
+    this.told.push(ask);
+  }
+  end(cause: string): void {
+    for (const run of this.ended.splice(0)) run(cause);
+  }
+  hear(): void {
+    this.heardAt = this.clock.now();
+  }
+}
+
+function node(name: string, role = "router", more: Partial<schema.NodeInfo> = {}): schema.NodeInfo {
+  return { name, role, life: `${name}/1`, zone: "z", region: "r", address: "", outside: `${name}:1`, disk: "", isCounted: false, isReady: true, epoch: 1, ...more };
+}
+
+function setUp(): { clock: sim.SimWorld; members: sessions.Sessions; links: FakeLink[]; enter(info: schema.NodeInfo): FakeLink; names(): string[] } {
+  const clock = new sim.SimWorld(1);
+  const members = new sessions.Sessions(clock, "r", 1800);
+  const links: FakeLink[] = [];
+  return {
+    clock, members, links,
+    enter(info) {
+      const made = new FakeLink(clock);
+      made.hear();
+      links.push(made);
+      members.enter(info, made as unknown as link.Link);
+      return made;
+    },
+    names: () => directory.nearest(members.members("router"), "r", "z").map((item) => item.name),
+  };
+}
+
+test("a router that misses its beats leaves the directory first and the members later", async function missed() {
+  const { clock, members, enter, names } = setUp();
+  const a = enter(node("a"));
+  const b = enter(node("b"));
+  await clock.play(1000);
+  b.hear();
+  expect(names()).toEqual(["b"]);
+  expect(members.members("router")).toHaveLength(2);
+  await clock.play(900);
+  b.hear();
+  members.sweep();
+  expect(members.members("router").map((item) => item.name)).toEqual(["b"]);
+  expect(a.silentMs()).toBeGreaterThan(1800);
+});
+
+test("after the control node itself was frozen, all are silent and still no reply is empty", async function frozen() {
+  const { clock, enter, names } = setUp();
+  enter(node("a"));
+  enter(node("b"));
+  await clock.play(1500);
+  expect(names()).toEqual(["a", "b"]);
+});
+
+test("a sibling's older word does not bring a leaving router back; its next life is taken", async function leaving() {
+  const { members, enter, names } = setUp();
+  const a = enter(node("a"));
+  enter(node("c"));
+  const sibling = enter(node("s", "control"));
+  members.beat(a as unknown as link.Link, { isReady: false, epoch: 1, isSettled: true, index: 0, members: 1 });
+  a.end("closed");
+  members.hear(sibling as unknown as link.Link, [node("a")]);
+  expect(names()).toEqual(["c"]);
+  members.hear(sibling as unknown as link.Link, [node("a", "router", { life: "a/2" })]);
+  expect(names()).toEqual(["a", "c"]);
+});
+
+test("a newer session of a node ends the older one and stays when that ends late", function newer() {
+  const { members, enter, names } = setUp();
+  const first = enter(node("a"));
+  enter(node("a"));
+  first.end("closed");
+  expect(names()).toEqual(["a"]);
+  expect(members.isHeld("a")).toBe(true);
+});
+
+test("shares are dealt by place among all routers, held here or told", function dealt() {
+  const { members, enter } = setUp();
+  const b = enter(node("b"));
+  const sibling = enter(node("s", "control"));
+  members.hear(sibling as unknown as link.Link, [node("a"), node("c")]);
+  members.tellBeats({ isReady: true, epoch: 1, isSettled: true });
+  expect(b.told).toEqual([{ isReady: true, epoch: 1, isSettled: true, index: 1, members: 3 }]);
+});
