--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -5,6 +5,9 @@
 import * as settings from "../startup/settings.js";
 import * as registers from "../register/value.js";
 import * as types from "../wire/types.js";
+import * as play from "../whatif/play.js";
+import * as scenarios from "../whatif/scenario.js";
+import * as table from "../whatif/table.js";
 import * as client from "./client.js";
 import * as view from "./view.js";
 
@@ -49,6 +52,18 @@
   return EXIT.ok;
 }
 
+/** Plays a described day through the router's policies. */
+export function whatIf(output: Output, file: string, isJson: boolean): number {
+  const bytes = readFile(file);
+  if (bytes instanceof Error) return told(output, bytes);
+  const scenario = scenarios.parse(bytes);
+  if (scenario.isErr) return told(output, scenario.error);
+  const rows = table.rows(new play.Day(scenario.value).play());
+  if (isJson) output.line(JSON.stringify(rows, null, 2));
+  else for (const line of table.lines(rows)) output.line(line);
+  return EXIT.ok;
+}
+
 export async function describe(world: types.World, output: Output, controls: string[]): Promise<number> {
   const outcome = await client.send(world, controls, { method: "GET", path: "/-/Config.Describe" });
   if (outcome.isErr) return told(output, outcome.error);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -81,6 +81,11 @@
     return ending(commands.status(clock, output, listOf(options.control), options.json === true));
   });
 
+program.command("whatif <file>").description("play a described day through the router's policies").option("--json", "rows as JSON")
+  .action(function whatIf(file: string, options: Options) {
+    return ending(commands.whatIf(output, file, options.json === true));
+  });
+
 program.command("ask").description("send one request through a router")
   .requiredOption("--router <host:port>", "where the router takes clients")
   .requiredOption("--host <name>", "host of the route")
--- /dev/null
+++ b/src/whatif/play.ts
@@ -0,0 +1,187 @@
+// Plays a what-if day and counts it by phase: before, during and after the faults (design 11.2).
+import * as plans from "../router/plan.js";
+import type * as fleets from "../router/fleet.js";
+import * as models from "./runner.js";
+import type * as scenarios from "./scenario.js";
+import * as systems from "./system.js";
+import * as worlds from "./world.js";
+
+export type Phase = "before" | "during" | "after";
+
+export interface Counted {
+  phase: Phase;
+  kind: string;
+  isFirstTurn: boolean;
+  firstMs: number | null;
+  tokens: number;
+  unread: number;
+  isMoved: boolean;
+}
+
+const DEAL_MS = 500;
+const FOUND_MS = 600;
+
+export class Day {
+  readonly counted: Counted[] = [];
+  private readonly world: worlds.PlannedWorld;
+  private readonly runners = new Map<string, models.ModelRunner>();
+  private readonly routers: systems.ModelRouter[] = [];
+  private readonly lastRunner = new Map<string, string>();
+  private readonly coldMs = new Map<string, number>();
+  private readonly evacuated = new Set<string>();
+  private requests = 0;
+  private lives = 0;
+
+  constructor(private readonly scenario: scenarios.Scenario) {
+    this.world = new worlds.PlannedWorld(scenario.seed);
+    const table = systems.tableOf(scenario);
+    const regions = scenario.regions.map(nameOf);
+    for (const region of scenario.regions) {
+      for (let count = 0; count < region.runners; count += 1) this.addRunner(region.name);
+      for (let count = 0; count < region.routers; count += 1) this.routers.push(new systems.ModelRouter(region.name, this.world, regions, table));
+    }
+  }
+
+  private addRunner(region: string): models.ModelRunner {
+    this.lives += 1;
+    const runner = new models.ModelRunner(`${region}-${this.lives}`, region, this.scenario.runner);
+    this.runners.set(runner.id, runner);
+    return runner;
+  }
+
+  play(): Counted[] {
+    this.pushList();
+    this.deal();
+    for (const fault of this.scenario.faults) this.world.after(fault.at_s * 1000, this.strike.bind(this, fault));
+    for (const kind of this.scenario.kinds) this.world.after(this.gap(kind), this.arrive.bind(this, kind));
+    this.world.play(this.scenario.length_s * 1000);
+    return this.counted;
+  }
+
+  private pushList(): void {
+    const list = systems.instancesOf(this.runners.values(), this.scenario.runner.capacity, this.coldMs);
+    for (const router of this.routers) router.fleet.takeList(list);
+    this.coldMs.clear();
+  }
+
+  private deal(): void {
+    for (const [index, router] of this.routers.entries()) router.share.deal(index, this.routers.length);
+    this.world.after(DEAL_MS, this.deal.bind(this));
+  }
+
+  private strike(fault: scenarios.Fault): void {
+    const end = fault.for_s * 1000;
+    if (fault.kind === "drain") {
+      this.evacuated.add(fault.region);
+      this.pushRotation();
+      this.world.after(end, this.takeBack.bind(this, fault.region));
+      return;
+    }
+    for (const runner of [...this.runners.values()]) {
+      if (runner.region !== fault.region || !runner.isUp) continue;
+      runner.lose();
+      this.world.after(end, this.replaceRunner.bind(this, runner));
+      if (fault.kind === "lose_runner") break;
+    }
+    // Routers hear of it when the report stays out; until then sends there fail and go on.
+    this.world.after(FOUND_MS, this.pushList.bind(this));
+  }
+
+  private takeBack(region: string): void {
+    this.evacuated.delete(region);
+    this.pushRotation();
+  }
+
+  private pushRotation(): void {
+    for (const router of this.routers) router.rotation.take([...this.evacuated], false);
+  }
+
+  private replaceRunner(gone: models.ModelRunner): void {
+    this.runners.delete(gone.id);
+    const runner = this.addRunner(gone.region);
+    this.coldMs.set(runner.id, this.scenario.runner.warmup_s * 1000);
+    this.pushList();
+  }
+
+  private gap(kind: scenarios.Kind): number {
+    return (-Math.log(1 - this.world.random()) * 1000) / kind.turns_per_s;
+  }
+
+  private arrive(kind: scenarios.Kind): void {
+    this.world.after(this.gap(kind), this.arrive.bind(this, kind));
+    const session = `${kind.name}-${Math.floor(this.world.random() * kind.sessions)}`;
+    const router = this.routers[Math.floor(this.world.random() * this.routers.length)]!;
+    this.requests += 1;
+    const parts: plans.Part[] = [
+      { id: `c-${kind.name}`, tokens: kind.common_tokens }, { id: `s-${session}`, tokens: kind.session_tokens }, { id: `t-${this.requests}`, tokens: kind.turn_tokens },
+    ];
+    this.send(kind, session, router, parts, this.world.now(), new Set());
+  }
+
+  private send(kind: scenarios.Kind, session: string, router: systems.ModelRouter, parts: plans.Part[], startedAt: number, tried: Set<string>): void {
+    const entry = router.chooser.table!.find("whatif", `/${kind.name}/`)!;
+    const request = systems.requestOf(entry, `r-${this.requests}`, parts, startedAt + 60_000);
+    router.chooser.countRequest("model");
+    const choice = router.chooser.choose(request, tried, tried.size);
+    if ("status" in choice) {
+      this.count(kind, session, parts, null, 0, "");
+      return;
+    }
+    choice.runner.connections.give(choice.connection, true);
+    const model = this.runners.get(choice.runner.id)!;
+    if (!model.isUp || model.isFull()) {
+      tried.add(model.id);
+      choice.runner.suspect(this.world.now());
+      const again = this.send.bind(this, kind, session, router, parts, startedAt, tried);
+      this.world.after(2 * this.trip(router, model), again);
+      return;
+    }
+    systems.tellReading(this.world, this.routers, router, model.id, request);
+    this.run(kind, session, router, choice.runner, model, parts, startedAt);
+  }
+
+  private trip(router: systems.ModelRouter, model: models.ModelRunner): number {
+    return router.region === model.region ? 0.5 : this.scenario.trip_ms;
+  }
+
+  private run(
+    kind: scenarios.Kind, session: string, router: systems.ModelRouter, seen: fleets.Runner, model: models.ModelRunner, parts: plans.Part[], startedAt: number,
+  ): void {
+    const now = this.world.now();
+    const trip = this.trip(router, model);
+    const { firstMs, endMs, unread } = model.run(parts, kind.events, now);
+    model.active += 1;
+    seen.inflight += 1;
+    seen.heard(now);
+    this.count(kind, session, parts, now - startedAt + 2 * trip + firstMs, unread, model.id);
+    this.world.after(endMs, ended);
+    function ended(): void {
+      model.active -= 1;
+      seen.inflight -= 1;
+    }
+  }
+
+  private phase(): Phase {
+    const at = this.world.now() / 1000;
+    let phase: Phase = "before";
+    for (const fault of this.scenario.faults) {
+      if (at >= fault.at_s && at < fault.at_s + fault.for_s) return "during";
+      if (at >= fault.at_s + fault.for_s) phase = "after";
+    }
+    return phase;
+  }
+
+  private count(kind: scenarios.Kind, session: string, parts: readonly plans.Part[], firstMs: number | null, unread: number, runner: string): void {
+    const last = this.lastRunner.get(session);
+    if (runner !== "") this.lastRunner.set(session, runner);
+    this.counted.push({
+      phase: this.phase(), kind: kind.name, isFirstTurn: last === undefined, firstMs,
+      tokens: parts[0]!.tokens + parts[1]!.tokens, unread: Math.max(0, unread - parts[2]!.tokens),
+      isMoved: last !== undefined && runner !== "" && last !== runner,
+    });
+  }
+}
+
+function nameOf(item: { name: string }): string {
+  return item.name;
+}
--- /dev/null
+++ b/src/whatif/runner.ts
@@ -0,0 +1,42 @@
+// A simple model of a runner: prompts are read one after the other, events come slower in a fuller batch, and
+// what was read is kept (design 11.2).
+import * as plans from "../router/plan.js";
+import * as readings from "../router/readings.js";
+import type * as scenarios from "./scenario.js";
+
+export interface Run {
+  firstMs: number;
+  endMs: number;
+  unread: number;
+}
+
+export class ModelRunner {
+  private readonly kept = new readings.Readings();
+  private readingUntil = 0;
+  active = 0;
+  isUp = true;
+
+  constructor(readonly id: string, readonly region: string, private readonly figures: scenarios.Scenario["runner"]) {}
+
+  isFull(): boolean {
+    return this.active >= this.figures.capacity * 2;
+  }
+
+  /** When the first and the last event leave, from now on. */
+  run(parts: readonly plans.Part[], events: number, nowMs: number): Run {
+    const keys = readings.chainKeys(parts);
+    const unread = this.kept.unread(this.id, parts, keys);
+    this.kept.note(this.id, unread, keys, nowMs);
+    this.readingUntil = Math.max(nowMs, this.readingUntil) + unread / this.figures.tokens_per_ms;
+    const eventMs = this.figures.event_ms * (1 + this.active / this.figures.capacity);
+    const firstMs = this.readingUntil - nowMs + eventMs;
+    return { firstMs, endMs: firstMs + (events - 1) * eventMs, unread };
+  }
+
+  /** A new life keeps nothing. */
+  lose(): void {
+    this.isUp = false;
+    this.kept.forgetAllBut(new Set());
+    this.readingUntil = 0;
+  }
+}
--- /dev/null
+++ b/src/whatif/system.ts
@@ -0,0 +1,81 @@
+// The very policies of the router, several routers of them, over a planned world and model runners (design 11.2).
+import * as check from "../config/check.js";
+import * as routes from "../config/routes.js";
+import * as choosers from "../router/chooser.js";
+import * as fleets from "../router/fleet.js";
+import * as plans from "../router/plan.js";
+import * as readings from "../router/readings.js";
+import * as rotations from "../router/rotation.js";
+import * as shares from "../shares/shares.js";
+import * as schema from "../wire/schema.js";
+import type * as transactions from "../router/transaction.js";
+import type * as models from "./runner.js";
+import type * as scenarios from "./scenario.js";
+import * as worlds from "./world.js";
+
+const SIGN_MS = 5;
+const BOUNDS = { retry_ratio: 0.2, retry_window_s: 10, retry_extra: 50, warmup_overshoot: 1.5, warmup_tolerance: 5 };
+
+export class ModelRouter {
+  readonly known = new readings.Readings();
+  readonly fleet: fleets.Fleet;
+  readonly rotation: rotations.Rotation;
+  readonly share: shares.Shares;
+  readonly chooser: choosers.Chooser;
+
+  constructor(readonly region: string, world: worlds.PlannedWorld, regions: readonly string[], table: routes.RouteTable) {
+    this.fleet = new fleets.Fleet(world, new Map(regions.map(same)));
+    this.rotation = new rotations.Rotation(world);
+    this.share = new shares.Shares(world, BOUNDS);
+    this.chooser = new choosers.Chooser(world, this.fleet, this.rotation, this.share, region, this.known);
+    this.chooser.table = table;
+  }
+}
+
+function same(region: string): [string, string] {
+  return [region, region];
+}
+
+export function tableOf(scenario: scenarios.Scenario): routes.RouteTable {
+  const { capacity, warmup_s, warmup_per_s } = scenario.runner;
+  const config = check.check({
+    revision: 1,
+    services: [{ name: "model", max_connections: capacity * 1000, warmup_s, warmup_per_s, runtime: { capacity } }],
+    routes: scenario.kinds.map(routeOf),
+  });
+  if (config.isErr) throw config.error;
+  return new routes.RouteTable(config.value);
+}
+
+function routeOf(kind: scenarios.Kind): unknown {
+  return {
+    name: kind.name, hostname: "whatif", path_prefix: `/${kind.name}/`, route_type: "streaming", deadline_ms: 60_000,
+    service: "model", max_attempts: 2, session_affinity: true, resumable: true, allowed_regions: kind.homes,
+  };
+}
+
+export function instancesOf(runners: Iterable<models.ModelRunner>, capacity: number, coldMs: ReadonlyMap<string, number>): schema.Instance[] {
+  const made: schema.Instance[] = [];
+  for (const runner of runners) {
+    if (!runner.isUp) continue;
+    made.push({
+      id: runner.id, service: "model", address: "127.0.0.1:9", zone: runner.region, capacity,
+      isDraining: false, coldMs: coldMs.get(runner.id) ?? 0, leavesMs: -1,
+    });
+  }
+  return made;
+}
+
+export function requestOf(entry: routes.RouteEntry, requestId: string, parts: plans.Part[], deadline: number): transactions.Request {
+  return { requestId, entry, service: "model", parts, keys: readings.chainKeys(parts), deadline, body: null };
+}
+
+/** Notes a reading where it is sent from, and tells the other routers a moment later, as signs do. */
+export function tellReading(world: worlds.PlannedWorld, routers: readonly ModelRouter[], from: ModelRouter, runner: string, request: transactions.Request): void {
+  const unread = Math.round(from.known.unread(runner, request.parts, request.keys));
+  from.known.note(runner, unread, request.keys, world.now());
+  world.after(SIGN_MS, tell);
+  function tell(): void {
+    for (const router of routers) if (router !== from) router.known.note(runner, unread, request.keys, world.now());
+  }
+}
--- /dev/null
+++ b/src/whatif/world.ts
@@ -0,0 +1,83 @@
+// A clock that jumps from one planned thing to the next, and chance by seed (design 11.2).
+import * as types from "../wire/types.js";
+
+interface Planned {
+  at: number;
+  order: number;
+  run: (() => void) | null;
+}
+
+export class PlannedWorld implements types.World {
+  private clock = 0;
+  private order = 0;
+  private readonly heap: Planned[] = [];
+  private state: number;
+
+  constructor(seed: number) {
+    this.state = seed >>> 0 || 1;
+  }
+
+  now(): types.SteadyMs {
+    return types.small(this.clock);
+  }
+
+  random(): number {
+    let value = (this.state = (this.state + 0x6d2b79f5) >>> 0);
+    value = Math.imul(value ^ (value >>> 15), value | 1);
+    value ^= value + Math.imul(value ^ (value >>> 7), value | 61);
+    return ((value ^ (value >>> 14)) >>> 0) / 4294967296;
+  }
+
+  after(ms: number, run: () => void): types.Tick {
+    const item: Planned = { at: this.clock + Math.max(0, ms), order: (this.order += 1), run };
+    this.heap.push(item);
+    this.rise(this.heap.length - 1);
+    return {
+      stop(): void {
+        item.run = null;
+      },
+    };
+  }
+
+  play(untilMs: number): void {
+    for (let next = this.heap[0]; next && next.at <= untilMs; next = this.heap[0]) {
+      this.pop();
+      this.clock = next.at;
+      next.run?.();
+    }
+    this.clock = untilMs;
+  }
+
+  private isBefore(left: number, right: number): boolean {
+    const [a, b] = [this.heap[left]!, this.heap[right]!];
+    return a.at < b.at || (a.at === b.at && a.order < b.order);
+  }
+
+  private swap(left: number, right: number): void {
+    const item = this.heap[left]!;
+    this.heap[left] = this.heap[right]!;
+    this.heap[right] = item;
+  }
+
+  private rise(index: number): void {
+    for (let at = index; at > 0; ) {
+      const parent = (at - 1) >> 1;
+      if (!this.isBefore(at, parent)) return;
+      this.swap(at, parent);
+      at = parent;
+    }
+  }
+
+  private pop(): void {
+    this.swap(0, this.heap.length - 1);
+    this.heap.pop();
+    for (let at = 0; ; ) {
+      const left = 2 * at + 1;
+      if (left >= this.heap.length) return;
+      const child = left + 1 < this.heap.length && this.isBefore(left + 1, left) ? left + 1 : left;
+      if (!this.isBefore(child, at)) return;
+      this.swap(child, at);
+      at = child;
+    }
+  }
+}
