--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -30,7 +30,7 @@
   ) {
     for (const [zone, region] of Object.entries(startup.zones)) this.regionOf.set(zone, region);
     const { address, rate_per_s: rate } = startup.cloud_api;
-    this.watcher = new watchers.Watcher(world, address, rate, dial, this.listRank.bind(this), this.listed.bind(this));
+    this.watcher = new watchers.Watcher(world, address ?? "", rate, dial, this.listRank.bind(this), this.listed.bind(this));
     this.orchestrator = new orchestrators.Orchestrator(world, new Set(this.regionOf.values()), this, dial, this.reported.bind(this));
     core.on("chosen", this.configured.bind(this));
     dial.on("up", this.watcher.greet.bind(this.watcher));
@@ -55,7 +55,7 @@
 
   resettle(startup: settings.Settings): void {
     this.startup = startup;
-    this.watcher.resettle(startup.cloud_api.address);
+    this.watcher.resettle(startup.cloud_api.address ?? "");
   }
 
   /** A router's signs go to all siblings once, and from each to the routers of its region. */
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -3,6 +3,7 @@
 import * as net from "node:net";
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
+import * as listening from "../wire/listen.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
@@ -121,10 +122,7 @@
     return {
       name: "internal",
       start(): Promise<void> {
-        return new Promise(function listen(resolve, reject) {
-          server.once("error", reject);
-          server.listen({ host: types.hostOf(address), port: types.portOf(address) }, resolve);
-        });
+        return listening.listen(server, address);
       },
       stop(): void {
         server.close();
--- a/src/control/serve.ts
+++ b/src/control/serve.ts
@@ -3,7 +3,7 @@
 import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
 import type * as supervisor from "../supervisor/tree.js";
-import * as types from "../wire/types.js";
+import * as listening from "../wire/listen.js";
 
 const MOST_BODY = 16 * 1024 * 1024;
 
@@ -37,7 +37,7 @@
   close(): Promise<void>;
 }
 
-export function serve(address: string, mostBodyBytes: number, reply: Reply): Promise<Server> {
+export async function serve(address: string, mostBodyBytes: number, reply: Reply): Promise<Server> {
   const server = http.createServer({ keepAliveTimeout: 10_000, requestTimeout: 30_000, headersTimeout: 5000, connectionsCheckingInterval: 2000 }, take);
   function take(request: http.IncomingMessage, response: http.ServerResponse): void {
     void handle(request, response, mostBodyBytes, reply).catch(lost);
@@ -47,23 +47,17 @@
       response.destroy();
     }
   }
-  return new Promise(function start(resolve, reject) {
-    server.once("error", reject);
-    server.listen({ host: types.hostOf(address), port: types.portOf(address) }, listening);
-    function listening(): void {
-      server.removeListener("error", reject);
-      resolve({ close });
-    }
-    function close(): Promise<void> {
-      return new Promise(function ending(done) {
-        server.close(closed);
-        server.closeIdleConnections();
-        function closed(): void {
-          done();
-        }
-      });
-    }
-  });
+  await listening.listen(server, address);
+  return { close };
+  function close(): Promise<void> {
+    return new Promise(function ending(done) {
+      server.close(closed);
+      server.closeIdleConnections();
+      function closed(): void {
+        done();
+      }
+    });
+  }
 }
 
 async function handle(request: http.IncomingMessage, response: http.ServerResponse, mostBytes: number, reply: Reply): Promise<void> {
--- a/src/control/watcher.ts
+++ b/src/control/watcher.ts
@@ -61,7 +61,8 @@
 
   turn(): void {
     const now = this.world.now();
-    if (this.isBusy || now < this.nextAt) return;
+    // Without a platform there is no list to read.
+    if (this.address === "" || this.isBusy || now < this.nextAt) return;
     const rank = this.rank();
     if (rank > 0 && now - this.heardAt < PERIOD_MS + STEP_MS * rank) return;
     this.isBusy = true;
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -9,7 +9,7 @@
 const CONNECT_MS = 900;
 const FIRST_PAUSE_MS = 150;
 const MOST_PAUSE_MS = 1500;
-const MOST_LINKS = 9;
+const MOST_LINKS = 16;
 
 export interface Control {
   address: string;
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -22,6 +22,12 @@
 const PATIENT_GAPS = 0.75;
 const PATIENT_AIMS = 1;
 const LEAST_PATIENCE_MS = 300;
+const LEAST_RETRY_S = 0.2;
+const MOST_RETRY_S = 3;
+
+function bounded(seconds: number): number {
+  return Math.min(MOST_RETRY_S, Math.max(LEAST_RETRY_S, seconds));
+}
 
 export class Chooser {
   private readonly chain: plans.Policy[];
@@ -72,6 +78,13 @@
     return this.firstOpen(plan);
   }
 
+  /** When it is worth to come back: once the least pending of the candidates has read what it has ahead. */
+  private pendingS(plan: plans.Plan): number {
+    let least = Infinity;
+    for (const runner of plan.candidates) least = Math.min(least, this.known.backlogMs(runner.id, plan.now));
+    return bounded(Number.isFinite(least) ? LEAST_RETRY_S + least / 1000 : LEAST_RETRY_S);
+  }
+
   private firstOpen(plan: plans.Plan): Choice | plans.Denial {
     const service = this.table?.services.get(plan.service);
     const most = Math.max(LEAST_CONNECTIONS, Math.floor((service?.max_connections ?? 1000) / this.share.routers));
@@ -85,6 +98,7 @@
       if (connection) return { runner, connection };
     }
     log.count(hasCold ? "router.all_cold" : "router.all_busy");
-    return { status: 503, cause: hasCold ? "the runners are warming up" : "all runners are taken", retryAfterS: hasCold ? 0.5 : 0.3 };
+    if (hasCold) return { status: 503, cause: "the runners are warming up", retryAfterS: bounded(this.share.coldWaitS(perS)) };
+    return { status: 503, cause: "all runners are taken", retryAfterS: this.pendingS(plan) };
   }
 }
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -3,6 +3,7 @@
 import * as nodeHttp from "node:http";
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
+import * as listening from "../wire/listen.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as world from "../wire/world.js";
@@ -210,10 +211,7 @@
   return {
     name: "readiness",
     start(): Promise<void> {
-      return new Promise(function listen(resolve, reject) {
-        server.once("error", reject);
-        server.listen({ host: types.hostOf(address), port: types.portOf(address) }, resolve);
-      });
+      return listening.listen(server, address);
     },
     stop(): void {
       server.close();
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -5,6 +5,7 @@
 import type * as check from "../config/check.js";
 import * as shares from "../shares/shares.js";
 import * as log from "../startup/log.js";
+import * as listening from "../wire/listen.js";
 import * as names from "../wire/names.js";
 import * as types from "../wire/types.js";
 import * as plans from "./plan.js";
@@ -68,16 +69,12 @@
   }
 
   listen(address: string): Promise<void> {
-    const server = this.server;
-    return new Promise(function start(resolve, reject) {
-      server.once("error", reject);
-      server.listen({ host: types.hostOf(address), port: types.portOf(address), backlog: 1024 }, resolve);
-    });
+    return listening.listen(this.server, address);
   }
 
   /** The port in use, also when 0 was asked for. */
   get port(): number {
-    return (this.server.address() as net.AddressInfo).port;
+    return types.portOf(listening.bound(this.server));
   }
 
   close(): void {
--- a/src/shares/shares.ts
+++ b/src/shares/shares.ts
@@ -14,6 +14,8 @@
   warmup_tolerance: number;
 }
 
+const MOST_BUCKETS = 2000;
+
 interface Window {
   requests: number[];
   repeats: number[];
@@ -83,8 +85,7 @@
    */
   takeCold(runner: string, perS: number): boolean {
     if (!this.isValid()) return false;
-    const room = (this.bounds.warmup_overshoot - 1) * perS + this.bounds.warmup_tolerance;
-    const holders = Math.min(this.members, Math.max(1, Math.floor(room)));
+    const holders = this.holders(perS);
     if ((this.index + hash(runner)) % this.members >= holders) return false;
     const rate = perS / holders / 1000;
     const now = this.world.now();
@@ -92,13 +93,23 @@
     bucket.tokens = Math.min(1, bucket.tokens + (now - bucket.at) * rate);
     bucket.at = now;
     this.buckets.set(runner, bucket);
+    for (const oldest of this.buckets.keys()) {
+      if (this.buckets.size <= MOST_BUCKETS) break;
+      this.buckets.delete(oldest);
+    }
     if (bucket.tokens < 1) return false;
     bucket.tokens -= 1;
     return true;
   }
 
-  forget(runner: string): void {
-    this.buckets.delete(runner);
+  private holders(perS: number): number {
+    const room = (this.bounds.warmup_overshoot - 1) * perS + this.bounds.warmup_tolerance;
+    return Math.min(this.members, Math.max(1, Math.floor(room)));
+  }
+
+  /** How long until this router's bucket of a cold runner holds one again. */
+  coldWaitS(perS: number): number {
+    return perS > 0 ? this.holders(perS) / perS : 1;
   }
 }
 
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -49,7 +49,7 @@
     ttl_max_s: superstruct.defaulted(positive, 5),
   }),
   cloud_api: superstruct.type({
-    address,
+    address: superstruct.optional(address),
     rate_per_s: superstruct.defaulted(positive, 1),
     max_lag_ms: superstruct.defaulted(nonNegative, 1000),
   }),
@@ -92,7 +92,7 @@
 }
 
 export function parse(content: string): result.Result<Settings, errors.CranewindError> {
-  const tree: Tree = { bounds: {}, bind_addresses: {} };
+  const tree: Tree = { bounds: {}, bind_addresses: {}, cloud_api: {} };
   for (const [index, line] of content.split(/\r?\n/).entries()) {
     const bare = line.trim();
     if (bare === "" || bare.startsWith("#")) continue;
--- /dev/null
+++ b/src/wire/listen.ts
@@ -0,0 +1,22 @@
+// A server comes up at an address, or says why not.
+import type * as net from "node:net";
+import * as types from "./types.js";
+
+const BACKLOG = 1024;
+
+export function listen(server: net.Server, address: string): Promise<void> {
+  return new Promise(function start(resolve, reject) {
+    server.once("error", reject);
+    server.listen({ host: types.hostOf(address), port: types.portOf(address), backlog: BACKLOG }, listening);
+    function listening(): void {
+      server.removeListener("error", reject);
+      resolve();
+    }
+  });
+}
+
+/** The address in use, also when port 0 was asked for. */
+export function bound(server: net.Server): string {
+  const { address, port } = server.address() as net.AddressInfo;
+  return `${address}:${port}`;
+}
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -170,6 +170,18 @@
   expect(other.seen.map((seen) => seen.readTokens)).toEqual([2500, 100, 100, 100]);
 });
 
+test("a leaving router finishes what comes and closes the connections after", async function leaving() {
+  server.isLeaving = true;
+  const got = await ask("/once/x", { Connection: "keep-alive" });
+  expect([got.status, got.headers.connection]).toEqual([200, "close"]);
+  expect((await ask("/none/x", { Connection: "keep-alive" })).headers.connection).toBe("close");
+});
+
+test("the budget of the client bounds the work, the route's deadline bounds it too", async function budget() {
+  await ask("/once/x", { "X-Cranewind-Time-Budget-Ms": "60000" });
+  expect(seenBy()[0]!.budgetMs).toBeLessThanOrEqual(1500);
+});
+
 const RAW: [string, string, RegExp][] = [
   ["both lengths", "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", /^HTTP\/1.1 400/],
   ["doubled lengths", "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd", /^HTTP\/1.1 400/],
