--- a/src/router/headers.ts
+++ b/src/router/headers.ts
@@ -25,9 +25,15 @@
   return found;
 }
 
+/** A route of rank 0 goes a step before what names no priority at all, which a runner takes as 5. */
+const FIRST_PRIORITY = 4;
+const LAST_PRIORITY = 9;
+
 export interface Sending {
   target: string;
   budgetMs: number;
+  /** The route's rank; below it the runner lets in, and puts back, in its order. */
+  rank: number;
   lastEventId: string | null;
 }
 
@@ -41,7 +47,8 @@
     if (sending.lastEventId !== null && name === names.HEADER.lastEventId) continue;
     made.push(raw[index]!, raw[index + 1]!);
   }
-  made.push("X-Cranewind-Target-Instance", sending.target, "X-Cranewind-Time-Budget-Ms", String(sending.budgetMs));
+  const priority = Math.min(LAST_PRIORITY, FIRST_PRIORITY + sending.rank);
+  made.push("X-Cranewind-Request-Priority", String(priority), "X-Cranewind-Target-Instance", sending.target, "X-Cranewind-Time-Budget-Ms", String(sending.budgetMs));
   if (sending.lastEventId !== null) made.push("Last-Event-Id", sending.lastEventId);
   return made;
 }
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -89,7 +89,7 @@
     this.tried.add(choice.runner.id);
     this.sends += 1;
     const lastEventId = this.cutter?.lastId ?? null;
-    const sending = { target: choice.runner.id, budgetMs: Math.max(1, Math.floor(left)), lastEventId };
+    const sending = { target: choice.runner.id, budgetMs: Math.max(1, Math.floor(left)), lastEventId, rank: this.request.entry.route.priority ?? 1 };
     const { method, url, rawHeaders, headers: parsed } = this.incoming;
     const isStream = this.request.entry.route.route_type === "streaming";
     this.attempt = new attempts.Attempt(this.context.world, choice.runner, choice.connection, this, {
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -21,11 +21,16 @@
 
 test.each(HEADERS)("header %s: %s is passed on: %s", function header(name, value, isKept) {
   const raw = ["Connection", "X-Gone, close", name, value];
-  const made = headers.forRunner(raw, "X-Gone, close", { target: "i-1", budgetMs: 12, lastEventId: null });
+  const made = headers.forRunner(raw, "X-Gone, close", { target: "i-1", budgetMs: 12, rank: 1, lastEventId: null });
   expect(made.includes(value) && made.includes(name)).toBe(isKept);
   expect(made[made.indexOf("X-Cranewind-Target-Instance") + 1]).toBe("i-1");
 });
 
+test.each([[0, "4"], [1, "5"], [3, "7"], [40, "9"]])("a route of rank %s asks for priority %s, whatever the client asked", (rank, priority) => {
+  const made = headers.forRunner(["X-Cranewind-Request-Priority", "0"], undefined, { target: "i-1", budgetMs: 12, rank, lastEventId: null });
+  expect(made.filter((_item, index) => made[index - 1] === "X-Cranewind-Request-Priority")).toEqual([priority]);
+});
+
 test("whole events only, whatever the pieces", function cutter() {
   const text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nid: 3\ndata: c";
   for (let size = 1; size < 9; size += 1) {
