--- a/tests/register.test.ts
+++ b/tests/register.test.ts
@@ -185,3 +185,39 @@
   expect(vote).toMatchObject({ isGranted: false });
   expect(vote!.disk).not.toBe(before);
 });
+
+test("a core of five grows out of three voters, bears the loss of two, and takes changes with three", async function five() {
+  const clock = new sim.SimWorld(11);
+  const made = new core.SimCore(clock, ADDRESSES);
+  const a = made.nodes.get("a:1")!;
+  expect((await done(clock, a.proposer.change(setTo(0, 2, "x"), 3000))).isOk).toBe(true);
+  made.join("d:1");
+  made.join("e:1");
+  for (let turn = 0; turn < 6; turn += 1) {
+    const read = (await done(clock, a.proposer.change(same, 3000))).unwrapOr(null)!;
+    const wanted = policy.nextVoters(read, [...made.nodes.values()].map(aliveOf), never);
+    const step = read.former.length > 0 ? policy.settleStep : wanted ? policy.voterStep(read, wanted) : null;
+    if (step) expect((await done(clock, a.proposer.change(step, 3000))).isOk).toBe(true);
+  }
+  const grown = (await done(clock, a.proposer.change(same, 3000))).unwrapOr(null)!;
+  expect(grown.voters.map(addressOf).sort()).toEqual(["a:1", "b:1", "c:1", "d:1", "e:1"]);
+  for (const address of ["b:1", "c:1"]) made.nodes.get(address)!.isUp = false;
+  expect((await done(clock, made.nodes.get("e:1")!.proposer.change(setTo(2, 3, "y"), 4000))).isOk).toBe(true);
+  made.nodes.get("d:1")!.isUp = false;
+  const minority = await done(clock, a.proposer.change(setTo(3, 4, "z"), 2500));
+  expect(minority.isErr && minority.error.kind).toBe("no_majority");
+});
+
+test("a frozen voter that wakes denies what is old and takes what is new", async function frozen() {
+  const clock = new sim.SimWorld(13);
+  const made = new core.SimCore(clock, ADDRESSES);
+  const [a, b, c] = [...made.nodes.values()] as [core.SimNode, core.SimNode, core.SimNode];
+  c.isFrozen = true;
+  const old = a.proposer.change(setTo(0, 2, "x"), 3000);
+  expect((await done(clock, old)).isOk).toBe(true);
+  expect((await done(clock, b.proposer.change(setTo(2, 3, "y"), 3000))).isOk).toBe(true);
+  c.isFrozen = false;
+  await clock.play(1000);
+  const read = await done(clock, c.proposer.change(same, 3000));
+  expect(read.isOk && read.value.revision).toBe(3);
+});
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -194,6 +194,23 @@
   ["no id", "GET /once/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", /^HTTP\/1.1 400/],
 ];
 
+test.each([
+  ["a header that never ends", "POST /once/x HTTP/1.1\r\nHost: h\r\n"],
+  ["a body that never ends", "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Cranewind-Request-Id: s\r\nContent-Length: 10\r\n\r\nab"],
+])("%s is ended with a 408 and reaches no runner", async function slow(_name, text) {
+  server.limit({ header_timeout_ms: 150, idle_timeout_ms: 150 });
+  const reply = await new Promise<string>(function send(resolve) {
+    const socket = net.connect(port, "127.0.0.1");
+    let got = "";
+    socket.on("data", (chunk) => (got += chunk.toString()));
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(got));
+    socket.write(text);
+  });
+  expect(reply).toMatch(/^HTTP\/1.1 408/);
+  expect(seenBy()).toHaveLength(0);
+});
+
 test.each(RAW)("bad input: %s", async function raw(_name, text, expected) {
   const reply = await new Promise<string>(function send(resolve) {
     const socket = net.connect(port, "127.0.0.1");
