A fuller batch weighs four times as much

Cause: on the busy evening with a home drained, short streams crowded on the one runner of the remaining home that they prefer; in its batch of over fifty a long draft took ten seconds and met its deadline.

--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -17,7 +17,7 @@
 const RANK_MS = 25;
 const MOST_RANK = 3;
 const NEXT_CELL_MS = 100;
-const BATCH_MS = 100;
+const BATCH_MS = 400;
 /** Reading again costs the runner and whoever comes after, not only this request. */
 const READ_WEIGHT = 2;
 
