--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -20,6 +20,7 @@
 
 function codeOf(error: errors.CranewindError): number {
   if (error.kind === "timeout" || error.kind === "no_majority") return EXIT.unreachable;
+  if (error.kind === "startup") return EXIT.startup;
   return error.kind === "usage" ? EXIT.usage : EXIT.denied;
 }
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -37,7 +37,6 @@
 const program = new commander.Command("cranewind")
   .description("Serving across regions for a language model")
   .version("0.1.0")
-  .showHelpAfterError("run cranewind --help for the commands")
   .addHelpText("after", "\nExit codes: 0 done, 1 denied, 2 wrong use, 3 unreachable or no majority, 78 bad settings.");
 
 program.command("router").description("run the Global Transaction Router on this node").action(roles.startRouter);
@@ -106,8 +105,13 @@
   return cause.exitCode === 0 ? commands.EXIT.ok : commands.EXIT.usage;
 }
 
+/** Wrong use gets one line with its remedy, like any other failure. */
+function oneLine(text: string): void {
+  output.failure(`${text.trim().replace(/^error: /, "").replace(/\n/g, " ")}; run cranewind --help for what there is`);
+}
+
 function strict(command: commander.Command): void {
-  command.exitOverride();
+  command.exitOverride().configureOutput({ outputError: oneLine });
   for (const child of command.commands) strict(child);
 }
 
