A cell that was away comes back by percentage steps

Cause: only zones under evacuation came back by steps; a region past its threshold came back whole, although the design has steps as the default. Short doubts (under a second) are no absence.

--- a/src/router/policies/cells.ts
+++ b/src/router/policies/cells.ts
@@ -3,12 +3,15 @@
 import * as shares from "../../shares/shares.js";
 import type * as fleets from "../fleet.js";
 import * as plans from "../plan.js";
+import * as rotations from "../rotation.js";
 
 /** From so many shared tokens on, the request goes to the data. */
 export const DETERMINISTIC_TOKENS = 1000;
 /** A cell with fewer of its runners in good status than this is unavailable. */
 export const THRESHOLD = 0.34;
 
+const SHORT_MS = 1000;
+
 export interface CellCount {
   all: number;
   good: number;
@@ -25,6 +28,17 @@
   return cells;
 }
 
+interface CellState {
+  isIn: boolean;
+  since: number;
+}
+
+/** A short doubt is no absence: only who was away for longer comes back by steps. */
+function moved(state: CellState, isIn: boolean, now: number): CellState {
+  if (isIn && now - state.since < SHORT_MS) return { isIn, since: -Infinity };
+  return { isIn, since: now };
+}
+
 /** Weighted rendezvous: each cell's share of keys follows its runners, and a lost cell moves only its own keys. */
 export function rankByKey(key: string, weights: ReadonlyMap<string, number>): string[] {
   const scored: [string, number][] = [];
@@ -46,16 +60,13 @@
 
 export class CellPolicy implements plans.Policy {
   readonly name = "cells";
+  private readonly states = new Map<string, CellState>();
   constructor(private readonly ownRegion: string) {}
 
   apply(plan: plans.Plan): plans.Denial | null {
     const counts = countCells(plan.candidates, plan.now);
     const order = plan.sharedTokens >= DETERMINISTIC_TOKENS ? this.byKey(plan, counts) : this.byPriority(counts);
-    const available = order.filter(isAvailable);
-    function isAvailable(region: string): boolean {
-      const cell = counts.get(region)!;
-      return cell.good >= cell.all * THRESHOLD && cell.good > 0;
-    }
+    const available = order.filter(this.isAvailable.bind(this, plan, counts));
     const rest = order.filter(isRest);
     function isRest(region: string): boolean {
       return !available.includes(region);
@@ -64,6 +75,17 @@
     return null;
   }
 
+  /** Past the threshold a cell is unavailable; after a while away it comes back by percentage steps. */
+  private isAvailable(plan: plans.Plan, counts: ReadonlyMap<string, CellCount>, region: string): boolean {
+    const cell = counts.get(region)!;
+    const isGood = cell.good >= cell.all * THRESHOLD && cell.good > 0;
+    const key = `${plan.service}|${region}`;
+    const state = this.states.get(key) ?? { isIn: true, since: -Infinity };
+    if (state.isIn !== isGood) this.states.set(key, moved(state, isGood, plan.now));
+    const { since } = this.states.get(key) ?? state;
+    return isGood && rotations.isWithin(rotations.failbackPercent(plan.now - since), plan.requestId);
+  }
+
   private byKey(plan: plans.Plan, counts: ReadonlyMap<string, CellCount>): string[] {
     const weights = new Map<string, number>();
     for (const [region, cell] of counts) weights.set(region, cell.all);
--- a/src/router/rotation.ts
+++ b/src/router/rotation.ts
@@ -48,14 +48,23 @@
       if (step >= DRAIN_STEPS) this.move(zone, "out");
       return Math.max(0, 100 - (100 / DRAIN_STEPS) * step);
     }
-    const step = Math.floor(passed / FAILBACK_STEP_MS);
-    if (step >= FAILBACK_STEPS.length) this.move(zone, "in");
-    return FAILBACK_STEPS[step] ?? 100;
+    const percent = failbackPercent(passed);
+    if (percent >= 100) this.move(zone, "in");
+    return percent;
   }
 
   /** One request keeps its side of the step whatever router and try it comes by. */
   isIn(zone: string, requestId: string): boolean {
     const percent = this.percentOf(zone);
-    return percent >= 100 || (percent > 0 && shares.hash(requestId) % 100 < percent);
+    return isWithin(percent, requestId);
   }
 }
+
+/** How much of its traffic comes back to what has been back for so long. */
+export function failbackPercent(passedMs: number): number {
+  return FAILBACK_STEPS[Math.floor(passedMs / FAILBACK_STEP_MS)] ?? 100;
+}
+
+export function isWithin(percent: number, requestId: string): boolean {
+  return percent >= 100 || (percent > 0 && shares.hash(requestId) % 100 < percent);
+}
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -114,6 +114,29 @@
   expect(fleet.of("s").map((runner) => [runner.id, runner.status])).toEqual([["i-1", "draining"]]);
 });
 
+test("a cell past its threshold is tried last; back after a while it comes in by steps, after a short doubt at once", () => {
+  const fleet = new fleets.Fleet(new sim.SimWorld(1), new Map([["a", "a"], ["b", "b"]]));
+  fleet.takeList([instance("a-1", { zone: "a" }), instance("b-1", { zone: "b" })]);
+  const policy = new cells.CellPolicy("a");
+  const [first] = fleet.of("s");
+  function share(now: number): number {
+    let own = 0;
+    for (let index = 0; index < 400; index += 1) {
+      const plan = { requestId: `r${index}`, service: "s", sharedTokens: 0, shared: [], now, candidates: [...fleet.of("s")], cells: [] } as unknown as plans.Plan;
+      policy.apply(plan);
+      if (plan.cells[0] === "a") own += 1;
+    }
+    return Math.round(own / 40) * 10;
+  }
+  expect(share(0)).toBe(100);
+  first!.suspect(10);
+  expect(share(100)).toBe(0);
+  expect(share(800)).toBe(100);
+  for (let at = 1000; at <= 4000; at += 200) first!.suspect(at);
+  expect(share(1100)).toBe(0);
+  expect([8100, 8700, 9200, 9700, 10_200].map(share)).toEqual([10, 30, 50, 70, 100]);
+});
+
 test("a lost cell moves only its own keys", function rendezvous() {
   const all = new Map([["a", 6], ["b", 4], ["c", 3]]);
   const less = new Map([["a", 6], ["b", 4]]);
