--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -118,9 +118,9 @@
   }
 
   /** Asks a sibling that knows a newer epoch. */
-  async catchUp(from: link.Link, epoch: number): Promise<void> {
+  async catchUp(from: link.Link, epoch: types.Epoch): Promise<void> {
     if (this.chosen && epoch <= this.chosen.epoch) return;
-    const reply = await from.call(calls.ask, { epoch: this.chosen ? this.chosen.epoch : -1 }, VOTE_MS);
+    const reply = await from.call(calls.ask, { epoch: this.chosen ? this.chosen.epoch : types.NO_EPOCH }, VOTE_MS);
     if (reply?.value) this.learn(reply.value);
   }
 
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -62,7 +62,7 @@
     return {
       name: this.startup.node_name, role: "control", life: this.life, zone: this.startup.zone, region: this.startup.region,
       address: this.address, outside: this.startup.bind_addresses.control_plane ?? "", disk: this.core?.disk ?? "",
-      isCounted: this.startup.failure_counted, isReady: true, epoch: this.core?.chosen?.epoch ?? -1,
+      isCounted: this.startup.failure_counted, isReady: true, epoch: this.core?.chosen?.epoch ?? types.NO_EPOCH,
     };
   }
 
@@ -80,7 +80,7 @@
     handlers.on(calls.beat, function beat(from, told) {
       members.beat(from, told);
       dial.heard(from, told);
-      if (told.epoch > (core.chosen?.epoch ?? -1)) void core.catchUp(from, told.epoch);
+      if (told.epoch > (core.chosen?.epoch ?? types.NO_EPOCH)) void core.catchUp(from, told.epoch);
       return null;
     });
     handlers.on(calls.sessions, function hear(from, told) {
@@ -149,7 +149,7 @@
   }
 
   private beat(): void {
-    const base = { isReady: true, epoch: this.core.chosen?.epoch ?? -1, isSettled: this.core.isSettled() };
+    const base = { isReady: true, epoch: this.core.chosen?.epoch ?? types.NO_EPOCH, isSettled: this.core.isSettled() };
     this.members.tellBeats(base);
     this.dial.tellAll({ ...base, index: 0, members: 1 });
     const nodes = [this.describe(), ...this.members.ownNodes().filter(isRouter)];
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -19,7 +19,7 @@
 export class Follower {
   main: dialers.Control | null = null;
   private readonly places = new Map<string, number>();
-  private epoch = -1;
+  private epoch = types.NO_EPOCH;
 
   constructor(
     private readonly world: types.World,
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -89,7 +89,7 @@
     // A quorum that has accepted this very ballot has chosen it already: reading needs no second round.
     const isStanding = next === read && registers.isQuorum(read, promised.standing);
     if (isStanding) return this.ended(next, wanted);
-    const accepted = await this.gather(read, next, this.accepting(ballot, Math.max(asked.voterEpoch, next.voterEpoch), next));
+    const accepted = await this.gather(read, next, this.accepting(ballot, types.laterEpoch(asked.voterEpoch, next.voterEpoch), next));
     if (accepted.seen) this.heard(accepted.seen);
     if (!registers.isQuorum(read, accepted.granted) || !registers.isQuorum(next, accepted.granted)) return null;
     return this.ended(next, wanted);
@@ -101,14 +101,14 @@
     return wanted.isOk ? result.ok(chosen) : wanted;
   }
 
-  private preparing(ballot: schema.Ballot, voterEpoch: number): (voter: schema.Voter) => Promise<schema.Vote | null> {
+  private preparing(ballot: schema.Ballot, voterEpoch: types.Epoch): (voter: schema.Voter) => Promise<schema.Vote | null> {
     const reach = this.reach;
     return function prepare(voter) {
       return reach.prepare(voter, { disk: voter.disk, ballot, voterEpoch });
     };
   }
 
-  private accepting(ballot: schema.Ballot, voterEpoch: number, value: schema.Value): (voter: schema.Voter) => Promise<schema.Vote | null> {
+  private accepting(ballot: schema.Ballot, voterEpoch: types.Epoch, value: schema.Value): (voter: schema.Voter) => Promise<schema.Vote | null> {
     const reach = this.reach;
     return function accept(voter) {
       return reach.accept(voter, { disk: voter.disk, ballot, voterEpoch, value });
--- a/src/register/value.ts
+++ b/src/register/value.ts
@@ -2,6 +2,7 @@
 import * as crypto from "node:crypto";
 import * as zlib from "node:zlib";
 import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
 
 const MOST_TAKEN = 32;
 
@@ -15,8 +16,8 @@
 /** The value that every process knows at the very first start, made of the seeds alone (design 5.4). */
 export function firstValue(seeds: readonly string[]): schema.Value {
   return {
-    epoch: 0, revision: 0, config: Buffer.alloc(0), taken: [], evacuations: [],
-    voterEpoch: 0, voters: seeds.map(firstVoter), former: [],
+    epoch: types.FIRST_EPOCH, revision: 0, config: Buffer.alloc(0), taken: [], evacuations: [],
+    voterEpoch: types.FIRST_EPOCH, voters: seeds.map(firstVoter), former: [],
   };
 }
 
@@ -44,7 +45,7 @@
 
 export function withConfig(value: schema.Value, revision: number, config: Buffer, mark: string): schema.Value {
   const taken = [...value.taken, { revision, digest: mark }].slice(-MOST_TAKEN);
-  return { ...value, epoch: value.epoch + 1, revision, config, taken };
+  return { ...value, epoch: types.nextEpoch(value.epoch), revision, config, taken };
 }
 
 export function withEvacuation(value: schema.Value, zone: string, isStart: boolean): schema.Value {
@@ -53,17 +54,17 @@
     return item !== zone;
   }
   if (isStart === (others.length < value.evacuations.length)) return value;
-  return { ...value, epoch: value.epoch + 1, evacuations: isStart ? [...others, zone].sort() : others };
+  return { ...value, epoch: types.nextEpoch(value.epoch), evacuations: isStart ? [...others, zone].sort() : others };
 }
 
 /** A change of voters carries the former ones until a majority of both sets holds it (design 5.5). */
 export function withVoters(value: schema.Value, voters: schema.Voter[]): schema.Value {
-  return { ...value, epoch: value.epoch + 1, voterEpoch: value.voterEpoch + 1, voters, former: value.voters };
+  return { ...value, epoch: types.nextEpoch(value.epoch), voterEpoch: types.nextEpoch(value.voterEpoch), voters, former: value.voters };
 }
 
 export function settled(value: schema.Value): schema.Value {
   if (value.former.length === 0) return value;
-  return { ...value, epoch: value.epoch + 1, former: [] };
+  return { ...value, epoch: types.nextEpoch(value.epoch), former: [] };
 }
 
 export function allVoters(...values: schema.Value[]): Map<string, schema.Voter> {
--- a/src/register/voter.ts
+++ b/src/register/voter.ts
@@ -1,5 +1,6 @@
 // One voter: promises and accepts, synced to disk before each reply (design 5.2).
 import * as schema from "../wire/schema.js";
+import type * as types from "../wire/types.js";
 import * as value from "./value.js";
 import * as log from "../startup/log.js";
 
@@ -61,7 +62,7 @@
     return { isGranted: false, disk: this.state.disk, ballot: this.state.promised, accepted: this.state.accepted };
   }
 
-  private isDenied(disk: string, ballot: schema.Ballot, voterEpoch: number): boolean {
+  private isDenied(disk: string, ballot: schema.Ballot, voterEpoch: types.Epoch): boolean {
     if (disk !== this.state.disk) return true;
     if (this.state.accepted && voterEpoch < this.state.accepted.value.voterEpoch) return true;
     return value.compareBallots(ballot, this.state.promised) < 0;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -44,7 +44,7 @@
   private readonly known = new readings.Readings();
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
-  private epoch = -1;
+  private epoch = types.NO_EPOCH;
   readonly root: supervisor.Supervisor;
 
   constructor(private readonly clock: types.World, private startup: settings.Settings) {
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -1,5 +1,6 @@
 // What the system's own processes say to each other, as avsc schemas (design 3.2).
 import type * as avsc from "avsc";
+import type * as types from "./types.js";
 import * as avscTypes from "avsc/lib/types.js"; // its types alone: containers and services would only slow a start
 
 function record<T>(name: string, fields: { name: string; type: unknown; default?: unknown }[]): Schema<T> {
@@ -64,14 +65,14 @@
 export interface Voter { disk: string; node: string; address: string }
 export interface Taken { revision: number; digest: string }
 export interface Value {
-  epoch: number; revision: number; config: Buffer; taken: Taken[]; evacuations: string[];
-  voterEpoch: number; voters: Voter[]; former: Voter[];
+  epoch: types.Epoch; revision: number; config: Buffer; taken: Taken[]; evacuations: string[];
+  voterEpoch: types.Epoch; voters: Voter[]; former: Voter[];
 }
 export interface Ballot { n: number; by: string }
 export interface Accepted { ballot: Ballot; value: Value }
 export interface NodeInfo {
   name: string; role: string; life: string; zone: string; region: string; address: string;
-  outside: string; disk: string; isCounted: boolean; isReady: boolean; epoch: number;
+  outside: string; disk: string; isCounted: boolean; isReady: boolean; epoch: types.Epoch;
 }
 export interface Instance {
   id: string; service: string; address: string; zone: string; capacity: number;
@@ -91,7 +92,7 @@
   { name: "node", type: nodeType }, { name: "controls", type: { type: "array", items: "string" } }, { name: "place", type: "string" },
 ]);
 
-export interface Beat { isReady: boolean; epoch: number; isSettled: boolean; index: number; members: number }
+export interface Beat { isReady: boolean; epoch: types.Epoch; isSettled: boolean; index: number; members: number }
 export const beat = record<Beat>("Beat", [
   { name: "isReady", type: "boolean" }, { name: "epoch", type: "long" }, { name: "isSettled", type: "boolean" },
   { name: "index", type: "int" }, { name: "members", type: "int" },
@@ -102,12 +103,12 @@
   { name: "nodes", type: { type: "array", items: nodeType } }, { name: "controls", type: { type: "array", items: "string" } },
 ]);
 
-export interface Prepare { disk: string; ballot: Ballot; voterEpoch: number }
+export interface Prepare { disk: string; ballot: Ballot; voterEpoch: types.Epoch }
 export const prepare = record<Prepare>("Prepare", [
   { name: "disk", type: "string" }, { name: "ballot", type: ballotType }, { name: "voterEpoch", type: "long" },
 ]);
 
-export interface Accept { disk: string; ballot: Ballot; voterEpoch: number; value: Value }
+export interface Accept { disk: string; ballot: Ballot; voterEpoch: types.Epoch; value: Value }
 export const accept = record<Accept>("Accept", [
   { name: "disk", type: "string" }, { name: "ballot", type: ballotType },
   { name: "voterEpoch", type: "long" }, { name: "value", type: valueType },
@@ -119,7 +120,7 @@
   { name: "accepted", type: ["null", acceptedType] },
 ]);
 
-export interface Ask { epoch: number }
+export interface Ask { epoch: types.Epoch }
 export const ask = record<Ask>("Ask", [{ name: "epoch", type: "long" }]);
 
 export interface Chosen { value: Value | null }
--- a/src/wire/types.ts
+++ b/src/wire/types.ts
@@ -4,12 +4,6 @@
 
 export type Epoch = Small<number, "Epoch">;
 export type SteadyMs = Small<number, "SteadyMs">;
-export type NodeName = Small<string, "NodeName">;
-export type Life = Small<string, "Life">;
-export type DiskId = Small<string, "DiskId">;
-export type Address = Small<string, "Address">;
-export type Zone = Small<string, "Zone">;
-export type Region = Small<string, "Region">;
 export type RunnerId = Small<string, "RunnerId">;
 export type RequestId = Small<string, "RequestId">;
 
@@ -17,6 +11,18 @@
   return value as unknown as T;
 }
 
+/** Nothing known yet, and what every first start knows. */
+export const NO_EPOCH = small<Epoch>(-1);
+export const FIRST_EPOCH = small<Epoch>(0);
+
+export function nextEpoch(epoch: Epoch): Epoch {
+  return small(epoch + 1);
+}
+
+export function laterEpoch(left: Epoch, right: Epoch): Epoch {
+  return left > right ? left : right;
+}
+
 /** Time, chance and ticks, handed in so that tests decide them (design 1.4). */
 export interface World {
   now(): SteadyMs;
--- a/tests/config.test.ts
+++ b/tests/config.test.ts
@@ -3,6 +3,7 @@
 import * as change from "../src/config/change.js";
 import * as routes from "../src/config/routes.js";
 import * as registers from "../src/register/value.js";
+import * as types from "../src/wire/types.js";
 import * as schema from "../src/wire/schema.js";
 
 type Doc = Record<string, unknown>;
@@ -48,7 +49,7 @@
 
 function placed(document: Doc): schema.Value {
   const value = registers.firstValue(["x:1"]);
-  return { ...value, epoch: 1, revision: document["revision"] as number, config: registers.pack(document) };
+  return { ...value, epoch: types.small(1), revision: document["revision"] as number, config: registers.pack(document) };
 }
 
 function kindOf(step: (value: schema.Value) => ReturnType<ReturnType<typeof change.replaceStep>>, value: schema.Value): string {
--- a/tests/link.test.ts
+++ b/tests/link.test.ts
@@ -7,6 +7,7 @@
 import * as log from "../src/startup/log.js";
 import * as calls from "../src/wire/calls.js";
 import * as link from "../src/wire/link.js";
+import * as types from "../src/wire/types.js";
 import * as schema from "../src/wire/schema.js";
 import * as world from "../src/wire/world.js";
 
@@ -43,11 +44,11 @@
 }
 
 function valueOf(epoch: number): schema.Value {
-  return { ...registers.firstValue(["a:1"]), epoch };
+  return { ...registers.firstValue(["a:1"]), epoch: types.small(epoch) };
 }
 
 function node(name: string, region: string): schema.NodeInfo {
-  return { name, role: "control", life: name, zone: region, region, address: "", outside: "", disk: "", isCounted: true, isReady: true, epoch: 0 };
+  return { name, role: "control", life: name, zone: region, region, address: "", outside: "", disk: "", isCounted: true, isReady: true, epoch: types.FIRST_EPOCH };
 }
 
 test("a call gets its reply; a handler that says nothing is silence, and silence is null", async () => {
@@ -57,14 +58,14 @@
   const big = { ...valueOf(7), config: Buffer.alloc(300_000, 7) };
   side.handlers.on(calls.prepare, () => ({ isGranted: true, disk: "d", ballot: { n: 1, by: "x" }, accepted: { ballot: { n: 1, by: "x" }, value: big } }));
   const [reply, silent, vote] = await Promise.all([
-    made.call(calls.ask, { epoch: 1 }, 1000), made.call(calls.ask, { epoch: 9 }, 30),
-    made.call(calls.prepare, { disk: "d", ballot: { n: 1, by: "x" }, voterEpoch: 0 }, 1000),
+    made.call(calls.ask, { epoch: types.small(1) }, 1000), made.call(calls.ask, { epoch: types.small(9) }, 30),
+    made.call(calls.prepare, { disk: "d", ballot: { n: 1, by: "x" }, voterEpoch: types.FIRST_EPOCH }, 1000),
   ]);
   expect(reply!.value!.epoch).toBe(5);
   expect(silent).toBeNull();
   expect(vote!.accepted!.value.config).toHaveLength(300_000);
   side.links[0]!.end("gone");
-  expect(await made.call(calls.ask, { epoch: 1 }, 1000)).toBeNull();
+  expect(await made.call(calls.ask, { epoch: types.small(1) }, 1000)).toBeNull();
 });
 
 const GARBLED: [string, Buffer][] = [
--- a/tests/register.test.ts
+++ b/tests/register.test.ts
@@ -3,6 +3,7 @@
 import * as errors from "../src/startup/errors.js";
 import * as registers from "../src/register/value.js";
 import * as policy from "../src/control/voters.js";
+import * as types from "../src/wire/types.js";
 import * as schema from "../src/wire/schema.js";
 import * as core from "./sim/core.js";
 import * as sim from "./sim/world.js";
@@ -181,7 +182,7 @@
   const a = made.nodes.get("a:1")!;
   const before = a.voter!.disk;
   a.wipe();
-  const vote = await done(clock, a.voter!.accept({ disk: before, ballot: { n: 5, by: "old" }, voterEpoch: 0, value: made.first }));
+  const vote = await done(clock, a.voter!.accept({ disk: before, ballot: { n: 5, by: "old" }, voterEpoch: types.FIRST_EPOCH, value: made.first }));
   expect(vote).toMatchObject({ isGranted: false });
   expect(vote!.disk).not.toBe(before);
 });
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -9,6 +9,7 @@
 import * as cells from "../src/router/policies/cells.js";
 import * as rotations from "../src/router/rotation.js";
 import * as shares from "../src/shares/shares.js";
+import * as types from "../src/wire/types.js";
 import * as schema from "../src/wire/schema.js";
 import * as sim from "./sim/world.js";
 
@@ -156,7 +157,7 @@
 });
 
 function node(name: string, region: string, isReady: boolean): schema.NodeInfo {
-  return { name, role: "router", life: name, zone: `${region}-1`, region, address: "", outside: `${name}:1`, disk: "", isCounted: false, isReady, epoch: 1 };
+  return { name, role: "router", life: name, zone: `${region}-1`, region, address: "", outside: `${name}:1`, disk: "", isCounted: false, isReady, epoch: types.small(1) };
 }
 
 test("the directory: near and ready first, others when there are none, and never empty", function nearest() {
--- a/tests/sessions.test.ts
+++ b/tests/sessions.test.ts
@@ -2,6 +2,7 @@
 import * as directory from "../src/control/directory.js";
 import * as sessions from "../src/control/sessions.js";
 import type * as link from "../src/wire/link.js";
+import * as types from "../src/wire/types.js";
 import * as schema from "../src/wire/schema.js";
 import * as sim from "./sim/world.js";
 
@@ -28,7 +29,7 @@
 }
 
 function node(name: string, role = "router", more: Partial<schema.NodeInfo> = {}): schema.NodeInfo {
-  return { name, role, life: `${name}/1`, zone: "z", region: "r", address: "", outside: `${name}:1`, disk: "", isCounted: false, isReady: true, epoch: 1, ...more };
+  return { name, role, life: `${name}/1`, zone: "z", region: "r", address: "", outside: `${name}:1`, disk: "", isCounted: false, isReady: true, epoch: types.small(1), ...more };
 }
 
 function setUp(): { clock: sim.SimWorld; members: sessions.Sessions; links: FakeLink[]; enter(info: schema.NodeInfo): FakeLink; names(): string[] } {
@@ -76,7 +77,7 @@
   const a = enter(node("a"));
   enter(node("c"));
   const sibling = enter(node("s", "control"));
-  members.beat(a as unknown as link.Link, { isReady: false, epoch: 1, isSettled: true, index: 0, members: 1 });
+  members.beat(a as unknown as link.Link, { isReady: false, epoch: types.small(1), isSettled: true, index: 0, members: 1 });
   a.end("closed");
   members.hear(sibling as unknown as link.Link, [node("a")]);
   expect(names()).toEqual(["c"]);
@@ -98,6 +99,6 @@
   const b = enter(node("b"));
   const sibling = enter(node("s", "control"));
   members.hear(sibling as unknown as link.Link, [node("a"), node("c")]);
-  members.tellBeats({ isReady: true, epoch: 1, isSettled: true });
+  members.tellBeats({ isReady: true, epoch: types.small(1), isSettled: true });
   expect(b.told).toEqual([{ isReady: true, epoch: 1, isSettled: true, index: 1, members: 3 }]);
 });
