--- a/src/control/orchestrator.ts
+++ b/src/control/orchestrator.ts
@@ -121,7 +121,7 @@
   }
 }
 
-export function readReport(id: string, body: Buffer): schema.Report | null {
+export function readReport(id: types.RunnerId, body: Buffer): schema.Report | null {
   try {
     const raw = JSON.parse(body.toString("utf8")) as Record<string, unknown>;
     return {
--- a/src/control/watcher.ts
+++ b/src/control/watcher.ts
@@ -25,7 +25,7 @@
   const { instance_id: id, service, address, zone } = raw;
   if (typeof id !== "string" || typeof service !== "string" || typeof address !== "string" || typeof zone !== "string") return null;
   return {
-    id, service, address, zone,
+    id: types.small(id), service, address, zone,
     capacity: whole(raw["capacity"], 1),
     isDraining: raw["state"] !== "ready",
     coldMs: whole(raw["warmup_left_ms"], 0),
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -33,7 +33,7 @@
   path: string;
   headers: string[];
   body: Buffer | null;
-  requestId: string;
+  requestId: types.RequestId;
   isStream: boolean;
 }
 
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -38,7 +38,7 @@
     this.mark = shares.hash(instance.id);
   }
 
-  get id(): string {
+  get id(): types.RunnerId {
     return this.instance.id;
   }
 
@@ -176,9 +176,9 @@
     for (const runner of this.runners.values()) if (runner.region === region) runner.doubt(now);
   }
 
-  newDoubts(): string[] {
+  newDoubts(): types.RunnerId[] {
     const now = this.world.now();
-    const ids: string[] = [];
+    const ids: types.RunnerId[] = [];
     for (const runner of this.runners.values()) if (runner.isNewDoubt(now)) ids.push(runner.id);
     return ids;
   }
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -1,5 +1,6 @@
 // What the chain of policies works on, and their one interface (design 7.2).
 import type * as routes from "../config/routes.js";
+import type * as types from "../wire/types.js";
 import type * as fleet from "./fleet.js";
 
 export interface Part {
@@ -8,7 +9,7 @@
 }
 
 export interface Plan {
-  readonly requestId: string;
+  readonly requestId: types.RequestId;
   readonly entry: routes.RouteEntry;
   readonly service: string;
   /** The parts of the prompt that others share: all but the last. */
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -107,7 +107,7 @@
   }
 
   /** What is read where is told to the other routers when it is news to them. */
-  private sending(request: transactions.Request, runner: string): number {
+  private sending(request: transactions.Request, runner: types.RunnerId): number {
     if (request.parts.length === 0) return 0;
     const unread = Math.round(this.known.unread(runner, request.parts, request.keys));
     const isNews = unread >= TOLD_TOKENS;
--- a/src/router/rotation.ts
+++ b/src/router/rotation.ts
@@ -54,7 +54,7 @@
   }
 
   /** One request keeps its side of the step whatever router and try it comes by. */
-  isIn(zone: string, requestId: string): boolean {
+  isIn(zone: string, requestId: types.RequestId): boolean {
     const percent = this.percentOf(zone);
     return isWithin(percent, requestId);
   }
@@ -65,6 +65,6 @@
   return FAILBACK_STEPS[Math.floor(passedMs / FAILBACK_STEP_MS)] ?? 100;
 }
 
-export function isWithin(percent: number, requestId: string): boolean {
+export function isWithin(percent: number, requestId: types.RequestId): boolean {
   return percent >= 100 || (percent > 0 && shares.hash(requestId) % 100 < percent);
 }
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -153,7 +153,7 @@
       this.deny(outgoing, 404, "no route has this host and path; see Config.Describe for the routes", null, false);
       return;
     }
-    const requestId = single(incoming.headers[names.HEADER.requestId]);
+    const requestId: types.RequestId = types.small(single(incoming.headers[names.HEADER.requestId]));
     if (requestId === "") {
       this.deny(outgoing, 400, "X-Cranewind-Request-Id is missing; send one id a try", null, false);
       return;
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -16,7 +16,7 @@
 const MOST_UNSENT = 4;
 
 export interface Request {
-  requestId: string;
+  requestId: types.RequestId;
   entry: routes.RouteEntry;
   service: string;
   parts: plans.Part[];
@@ -30,7 +30,7 @@
   chooser: chooser.Chooser;
   finished(transaction: Transaction): void;
   /** A prompt is about to be read there: the other routers hear of it. */
-  sending(request: Request, runner: string): number;
+  sending(request: Request, runner: types.RunnerId): number;
   isLeaving(): boolean;
 }
 
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -8,6 +8,7 @@
 import * as rotations from "../router/rotation.js";
 import * as shares from "../shares/shares.js";
 import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
 import type * as transactions from "../router/transaction.js";
 import type * as models from "./runner.js";
 import type * as scenarios from "./scenario.js";
@@ -59,7 +60,7 @@
   for (const runner of runners) {
     if (!runner.isUp) continue;
     made.push({
-      id: runner.id, service: "model", address: "127.0.0.1:9", zone: runner.region, capacity,
+      id: types.small(runner.id), service: "model", address: "127.0.0.1:9", zone: runner.region, capacity,
       isDraining: false, coldMs: coldMs.get(runner.id) ?? 0, leavesMs: -1,
     });
   }
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -75,11 +75,11 @@
   outside: string; disk: string; isCounted: boolean; isReady: boolean; epoch: types.Epoch;
 }
 export interface Instance {
-  id: string; service: string; address: string; zone: string; capacity: number;
+  id: types.RunnerId; service: string; address: string; zone: string; capacity: number;
   isDraining: boolean; coldMs: number; leavesMs: number;
 }
 export interface Report {
-  id: string; isSpeaking: boolean; waiting: number; active: number; kvUsed: number; kvCapacity: number;
+  id: types.RunnerId; isSpeaking: boolean; waiting: number; active: number; kvUsed: number; kvCapacity: number;
 }
 
 export const node = nodeType as unknown as Schema<NodeInfo>;
@@ -148,7 +148,7 @@
 ]);
 
 /** What a router tells the others of runners: silent ones, and a prompt sent to be read. isRelayed ends its way. */
-export interface Signs { isRelayed: boolean; silent: string[]; reader: string; unread: number; keys: number[] }
+export interface Signs { isRelayed: boolean; silent: types.RunnerId[]; reader: types.RunnerId | ""; unread: number; keys: number[] }
 export const signs = record<Signs>("Signs", [
   { name: "isRelayed", type: "boolean" }, { name: "silent", type: { type: "array", items: "string" } },
   { name: "reader", type: "string" }, { name: "unread", type: "int" }, { name: "keys", type: { type: "array", items: "int" } },
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -104,7 +104,7 @@
 });
 
 function instance(id: string, more: Partial<schema.Instance> = {}): schema.Instance {
-  return { id, service: "s", address: "127.0.0.1:1", zone: "z", capacity: 4, isDraining: false, coldMs: 0, leavesMs: -1, ...more };
+  return { id: types.small(id), service: "s", address: "127.0.0.1:1", zone: "z", capacity: 4, isDraining: false, coldMs: 0, leavesMs: -1, ...more };
 }
 
 test("a runner never goes back from draining or gone, however old the next list is", function never() {
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -10,6 +10,7 @@
 import * as servers from "../src/router/server.js";
 import * as shares from "../src/shares/shares.js";
 import * as standin from "../src/standin/runner.js";
+import * as types from "../src/wire/types.js";
 import * as world from "../src/wire/world.js";
 
 function routeOf(name: string, type: string, more: object = {}): object {
@@ -45,7 +46,7 @@
   runners = [new standin.StandInRunner({ id: "i-1" }), new standin.StandInRunner({ id: "i-2" })];
   for (const runner of runners) await runner.start();
   fleet.takeList(runners.map((runner, index) => ({
-    id: runner.id, service: "s", address: runner.address, zone: `z${index + 1}`, capacity: 8, isDraining: false, coldMs: 0, leavesMs: -1,
+    id: types.small(runner.id), service: "s", address: runner.address, zone: `z${index + 1}`, capacity: 8, isDraining: false, coldMs: 0, leavesMs: -1,
   })));
   chooser.table = new routes.RouteTable(CONFIG);
   server = new servers.RouterServer(clock, chooser, () => true, () => 0, { memory_mb: 256, max_open_files: 1024 });
--- a/tests/watch.test.ts
+++ b/tests/watch.test.ts
@@ -5,6 +5,7 @@
 import * as platforms from "../src/standin/platform.js";
 import * as runners from "../src/standin/runner.js";
 import * as schema from "../src/wire/schema.js";
+import * as types from "../src/wire/types.js";
 import * as world from "../src/wire/world.js";
 import * as sim from "./sim/world.js";
 
@@ -96,8 +97,8 @@
 test("the orchestrator derives status from reports: one miss is silence, the next report ends it", async () => {
   const runner = new runners.StandInRunner({ id: "i-1" });
   await runner.start();
-  const instance: schema.Instance = { id: "i-1", service: "s", address: runner.address, zone: "z", capacity: 4, isDraining: false, coldMs: 0, leavesMs: -1 };
-  const gone: schema.Instance = { ...instance, id: "i-2", address: "127.0.0.1:1" };
+  const instance: schema.Instance = { id: types.small("i-1"), service: "s", address: runner.address, zone: "z", capacity: 4, isDraining: false, coldMs: 0, leavesMs: -1 };
+  const gone: schema.Instance = { ...instance, id: types.small("i-2"), address: "127.0.0.1:1" };
   const clock = new MixedWorld(1);
   const seen: schema.CellReport[] = [];
   const view = { reporting: () => [instance, gone], rank: () => 0 };
