--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -7,7 +7,7 @@
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
-import type * as settings from "../startup/settings.js";
+import * as settings from "../startup/settings.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
 import * as registers from "../register/value.js";
@@ -21,9 +21,7 @@
 import * as serve from "./serve.js";
 import * as sessions from "./sessions.js";
 
-const BEAT_MS = 300;
 const TURN_MS = 100;
-const SILENT_MS = 1800;
 const POLICY_MS = 1500;
 
 export class ControlProgram {
@@ -45,10 +43,10 @@
     const port = startup.internal_port_range[0]!;
     this.startedAt = world.now();
     this.address = `${startup.ip_address}:${port}`;
-    this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), SILENT_MS);
-    this.members = new sessions.Sessions(world, startup.region, SILENT_MS);
+    this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), link.SILENT_MS);
+    this.members = new sessions.Sessions(world, startup.region, link.SILENT_MS);
     this.feed = new feeds.Feed(this.life);
-    const seeds = startup.seed_nodes.map(this.inner.bind(this));
+    const seeds = settings.innerSeeds(startup);
     this.dial.know(seeds);
     const first = startup.bootstrap ? registers.firstValue(seeds) : registers.firstValue([]);
     this.core = new cores.Core(world, { life: this.life, address: this.address, first }, this.dial);
@@ -108,7 +106,7 @@
       if (asked.path === "/-/resolve") return directory.resolve(view, asked.query);
       return { status: 404, json: { message: `no call ${asked.path}; ask /-/resolve` } };
     }
-    root.add(root.turns("beats", BEAT_MS, this.beat.bind(this)));
+    root.add(root.turns("beats", link.BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("turn", TURN_MS, this.turn.bind(this)));
     root.add({ name: "disk", start: this.openDisk.bind(this, seeds), stop: this.stopDisk.bind(this) });
   }
@@ -205,15 +203,11 @@
   /** Settings read again: seeds, bounds and the platform's address take effect; addresses of its own do not. */
   resettle(startup: settings.Settings): void {
     this.startup = startup;
-    this.dial.know(startup.seed_nodes.map(this.inner.bind(this)));
+    this.dial.know(settings.innerSeeds(startup));
     this.cells.resettle(startup);
     log.state("settings: read again");
   }
 
-  private inner(seed: string): string {
-    return `${types.hostOf(seed)}:${this.startup.internal_port_range[0]}`;
-  }
-
   status(): unknown {
     const value = this.core.chosen;
     return {
--- a/src/router/connections.ts
+++ b/src/router/connections.ts
@@ -5,7 +5,6 @@
 const IDLE_MS = 4000;
 
 export class Connection {
-  isBusy = false;
   isClosed = false;
   isFresh = true;
   constructor(readonly client: http.Client) {}
@@ -26,7 +25,6 @@
   take(most: number): Connection | null {
     for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
       if (connection.isClosed) continue;
-      connection.isBusy = true;
       return connection;
     }
     if (this.open >= most) return null;
@@ -37,7 +35,6 @@
     const connection = new Connection(http.open(this.address, { connectMs: CONNECT_MS, idleMs: IDLE_MS }));
     const lost = this.lost.bind(this, connection);
     const opened = this.onOpen;
-    connection.isBusy = true;
     this.open += 1;
     connection.client.on("connect", function up() {
       connection.isFresh = false;
@@ -58,7 +55,6 @@
 
   /** Gives a connection back; one that is not clean is closed. */
   give(connection: Connection, isClean: boolean): void {
-    connection.isBusy = false;
     if (connection.isClosed) return;
     if (isClean) this.idle.push(connection);
     else this.lost(connection);
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -8,7 +8,7 @@
 import * as types from "../wire/types.js";
 import * as world from "../wire/world.js";
 import * as log from "../startup/log.js";
-import type * as settings from "../startup/settings.js";
+import * as settings from "../startup/settings.js";
 import * as check from "../config/check.js";
 import * as routes from "../config/routes.js";
 import * as directory from "../control/directory.js";
@@ -24,9 +24,7 @@
 import * as servers from "./server.js";
 import type * as transactions from "./transaction.js";
 
-const BEAT_MS = 300;
 const WATCH_MS = 100;
-const SILENT_MS = 1800;
 const CUT_MS = 750;
 const TOLD_TOKENS = 1000;
 const CHILL_MS = 2500;
@@ -53,9 +51,9 @@
     this.share = new shares.Shares(clock, startup.bounds);
     this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region, this.known);
     this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this), this.sending.bind(this), startup.limits);
-    this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), SILENT_MS);
+    this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
-    this.dial.know(startup.seed_nodes.map(this.inner.bind(this)));
+    this.dial.know(settings.innerSeeds(startup));
     const { fleet, known } = this;
     this.handlers.on(calls.signs, function signs(_from, told) {
       fleet.takeDoubt(told.silent);
@@ -87,7 +85,7 @@
     const { frontend, readiness } = startup.bind_addresses;
     if (readiness) root.add(readinessChild(readiness, this.isReady.bind(this), this.status.bind(this)));
     if (frontend) root.add({ name: "frontend", start: server.listen.bind(server, frontend), stop: server.close.bind(server) });
-    root.add(root.turns("beats", BEAT_MS, this.beat.bind(this)));
+    root.add(root.turns("beats", link.BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("watch", WATCH_MS, this.watch.bind(this)));
   }
 
@@ -99,7 +97,7 @@
     this.dial.turn();
     this.follower.elect();
     const dealer = this.follower.main;
-    if (dealer?.beat && this.clock.now() - dealer.beatAt < BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
+    if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
     this.server.watch();
     const silent = this.fleet.newDoubts();
     if (silent.length > 0) this.follower.main?.link.tell(calls.signs, { isRelayed: false, silent, reader: "", unread: 0, keys: [] });
@@ -158,14 +156,10 @@
     this.fleet.takeReport(report);
   }
 
-  private inner(seed: string): string {
-    return `${types.hostOf(seed)}:${this.startup.internal_port_range[0]}`;
-  }
-
   /** Settings read again: seeds and bounds take effect; addresses of its own do not. */
   resettle(startup: settings.Settings): void {
     this.startup = startup;
-    this.dial.know(startup.seed_nodes.map(this.inner.bind(this)));
+    this.dial.know(settings.innerSeeds(startup));
     this.share.resettle(startup.bounds);
     log.state("settings: read again");
   }
@@ -187,7 +181,7 @@
     const until = startedAt + this.startup.bounds.grace_s * 1000 - LAST_MS;
     this.server.isLeaving = true;
     this.beat();
-    const leave = Math.min(directory.LEAVE_MS + BEAT_MS, until - startedAt);
+    const leave = Math.min(directory.LEAVE_MS + link.BEAT_MS, until - startedAt);
     await world.sleep(this.clock, leave);
     this.server.close();
     while (this.server.activeCount > 0 && this.clock.now() < until) await world.sleep(this.clock, STEP_MS);
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -2,6 +2,7 @@
 import * as fs from "node:fs";
 import * as superstruct from "superstruct";
 import * as result from "true-myth/result";
+import * as types from "../wire/types.js";
 import * as errors from "./errors.js";
 
 const text = superstruct.nonempty(superstruct.string());
@@ -112,6 +113,14 @@
   return result.ok(settings);
 }
 
+/** Where the seeds listen for other nodes: ports are the same on all machines. */
+export function innerSeeds(startup: Settings): string[] {
+  return startup.seed_nodes.map(inner);
+  function inner(seed: string): string {
+    return `${types.hostOf(seed)}:${startup.internal_port_range[0]}`;
+  }
+}
+
 export function settingsPath(): string {
   return process.env["CRANEWIND_NODE_FILE"] ?? "/etc/cranewind/boot.conf";
 }
