--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -12,17 +12,16 @@
 import * as feeds from "../feed/feed.js";
 import * as registers from "../register/value.js";
 import * as supervisor from "../supervisor/tree.js";
+import * as arrangers from "./arranger.js";
 import * as cells from "./cells.js";
 import * as cores from "./core.js";
 import * as disks from "./disk.js";
 import * as directory from "./directory.js";
 import * as operators from "./operator.js";
-import * as policy from "./voters.js";
 import * as serve from "./serve.js";
 import * as sessions from "./sessions.js";
 
 const TURN_MS = 100;
-const POLICY_MS = 1500;
 
 export class ControlProgram {
   private readonly life = crypto.randomBytes(6).toString("hex");
@@ -33,15 +32,12 @@
   private readonly feed: feeds.Feed;
   private readonly core: cores.Core;
   private readonly cells: cells.Cells;
-  private readonly heardAt = new Map<string, number>();
-  private readonly startedAt: number;
-  private isChanging = false;
+  private readonly arranger: arrangers.Arranger;
   private closeDisk: (() => Promise<void>) | null = null;
   readonly root: supervisor.Supervisor;
 
   constructor(private readonly world: types.World, private startup: settings.Settings) {
     const port = startup.internal_port_range[0]!;
-    this.startedAt = world.now();
     this.address = `${startup.ip_address}:${port}`;
     this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), link.SILENT_MS);
     this.members = new sessions.Sessions(world, startup.region, link.SILENT_MS);
@@ -51,6 +47,7 @@
     const first = startup.bootstrap ? registers.firstValue(seeds) : registers.firstValue([]);
     this.core = new cores.Core(world, { life: this.life, address: this.address, first }, this.dial);
     this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members);
+    this.arranger = new arrangers.Arranger(world, this.core, this.heldControls.bind(this));
     this.root = new supervisor.Supervisor("control", world, []);
     this.handle();
     this.plan(seeds);
@@ -159,45 +156,16 @@
     this.members.sweep();
     this.core.turn();
     this.cells.turn();
-    this.arrangeVoters();
+    this.arranger.turn();
   }
 
-  private alive(): policy.Alive[] {
-    const now = this.world.now();
-    const alive: policy.Alive[] = [];
-    for (const node of [this.describe(), ...this.members.members("control")]) {
-      if (node.name !== this.startup.node_name && !this.members.isHeld(node.name)) continue;
-      this.heardAt.set(node.disk, now);
-      alive.push({ disk: node.disk, node: node.name, address: node.address, isCounted: node.isCounted });
+  /** This node and the control nodes whose sessions it holds itself. */
+  private heldControls(): schema.NodeInfo[] {
+    const held: schema.NodeInfo[] = [this.describe()];
+    for (const node of this.members.members("control")) {
+      if (node.name !== this.startup.node_name && this.members.isHeld(node.name)) held.push(node);
     }
-    return alive;
-  }
-
-  private arrangeVoters(): void {
-    const value = this.core.chosen;
-    const alive = this.alive();
-    const now = this.world.now();
-    const { heardAt, startedAt } = this;
-    if (!value || this.isChanging || !this.core.isSettled()) return;
-    if (!value.voters.some(isOwn.bind(null, this.core.disk))) return;
-    const wanted = value.former.length > 0 ? null : policy.nextVoters(value, alive, silentMs);
-    function silentMs(voter: schema.Voter): number {
-      return now - (heardAt.get(voter.disk) ?? startedAt);
-    }
-    if (!wanted && value.former.length === 0) return;
-    this.isChanging = true;
-    log.count("voters.change");
-    void this.change(wanted ? policy.voterStep(value, wanted) : policy.settleStep);
-  }
-
-  private async change(step: Parameters<cores.Core["change"]>[0]): Promise<void> {
-    await this.core.change(step, POLICY_MS);
-    const again = this.allowChange.bind(this);
-    this.world.after(200 + 400 * this.world.random(), again);
-  }
-
-  private allowChange(): void {
-    this.isChanging = false;
+    return held;
   }
 
   /** Settings read again: seeds, bounds and the platform's address take effect; addresses of its own do not. */
@@ -229,7 +197,3 @@
 function isRouter(node: schema.NodeInfo): boolean {
   return node.role === "router";
 }
-
-function isOwn(disk: string, voter: schema.Voter): boolean {
-  return voter.disk === disk;
-}
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -1,9 +1,7 @@
 // The router role put together: the only way to the runners, with no persistent state (design 7).
 import * as crypto from "node:crypto";
-import * as nodeHttp from "node:http";
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
-import * as listening from "../wire/listen.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as world from "../wire/world.js";
@@ -19,6 +17,7 @@
 import * as supervisor from "../supervisor/tree.js";
 import * as choosers from "./chooser.js";
 import * as fleets from "./fleet.js";
+import * as readiness from "./readiness.js";
 import * as readings from "./readings.js";
 import * as rotations from "./rotation.js";
 import * as servers from "./server.js";
@@ -82,8 +81,8 @@
 
   private plan(): void {
     const { root, startup, server } = this;
-    const { frontend, readiness } = startup.bind_addresses;
-    if (readiness) root.add(readinessChild(readiness, this.isReady.bind(this), this.status.bind(this)));
+    const { frontend, readiness: checked } = startup.bind_addresses;
+    if (checked) root.add(readiness.readinessChild(checked, this.isReady.bind(this), this.status.bind(this)));
     if (frontend) root.add({ name: "frontend", start: server.listen.bind(server, frontend), stop: server.close.bind(server) });
     root.add(root.turns("beats", link.BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("watch", WATCH_MS, this.watch.bind(this)));
@@ -194,22 +193,3 @@
 function idOf(instance: schema.Instance): string {
   return instance.id;
 }
-
-function readinessChild(address: string, isReady: () => boolean, status: () => unknown): supervisor.Child {
-  const server = nodeHttp.createServer(reply);
-  function reply(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
-    if (incoming.url === "/-/ready") outgoing.writeHead(isReady() ? 200 : 503, { "Content-Length": 0 }).end();
-    else if (incoming.url === "/-/status") outgoing.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify(status()));
-    else outgoing.writeHead(404, { "Content-Length": 0 }).end();
-  }
-  return {
-    name: "readiness",
-    start(): Promise<void> {
-      return listening.listen(server, address);
-    },
-    stop(): void {
-      server.close();
-      server.closeIdleConnections();
-    },
-  };
-}
