A silent runner is left only for a further try that is granted, with runner and connection

Cause: watch() cancelled the send to a silent runner first and asked for a further try after. Also a half-read answer that cannot be resumed was left the same way. Change: the chain is run first; without a granted try, a runner and a connection the request stays. A try that was granted and found no connection, or never went out, is given back. Tests: a stalled stream stays whole with the shares spent, moves on with a granted try.

--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -3,36 +3,20 @@
 import * as log from "../startup/log.js";
 import * as names from "../wire/names.js";
 import * as types from "../wire/types.js";
-import type * as routes from "../config/routes.js";
 import * as attempts from "./attempt.js";
-import type * as chooser from "./chooser.js";
+import type * as choosers from "./chooser.js";
 import * as events from "./events.js";
 import * as headers from "./headers.js";
 import type * as plans from "./plan.js";
 import * as replies from "./replies.js";
+import * as requests from "./request.js";
 import * as states from "./states.js";
 
 const LEAST_MS = 10;
 const MOST_UNSENT = 4;
+const LOOK_MS = 250;
 
-export interface Request {
-  requestId: types.RequestId;
-  entry: routes.RouteEntry;
-  service: string;
-  parts: plans.Part[];
-  keys: number[];
-  deadline: number;
-  body: Buffer | null;
-}
-
-export interface Context {
-  world: types.World;
-  chooser: chooser.Chooser;
-  finished(transaction: Transaction): void;
-  /** A prompt is about to be read there: the other routers hear of it. */
-  sending(request: Request, runner: types.RunnerId): number;
-  isLeaving(): boolean;
-}
+export type { Context, Request } from "./request.js";
 
 export class Transaction implements attempts.Owner {
   state: states.State = "reading";
@@ -45,10 +29,11 @@
   private reading: { tokens: number; since: number } | null = null;
   private isHeadOut = false;
   private hasRun = false;
+  private nextLookAt = 0;
 
   constructor(
-    private readonly context: Context,
-    readonly request: Request,
+    private readonly context: requests.Context,
+    readonly request: requests.Request,
     private readonly incoming: nodeHttp.IncomingMessage,
     private readonly outgoing: nodeHttp.ServerResponse,
   ) {
@@ -82,20 +67,19 @@
       return;
     }
     const choice = this.context.chooser.choose(this.request, this.tried, this.sends);
-    if ("status" in choice) {
-      this.deny(choice);
-      return;
-    }
+    if ("status" in choice) this.deny(choice);
+    else this.sendTo(choice);
+  }
+
+  private sendTo(choice: choosers.Choice): void {
+    const left = this.request.deadline - this.context.world.now();
     this.tried.add(choice.runner.id);
     this.sends += 1;
-    const lastEventId = this.cutter?.lastId ?? null;
-    const sending = { target: choice.runner.id, budgetMs: Math.max(1, Math.floor(left)), lastEventId, rank: this.request.entry.route.priority ?? 1 };
-    const { method, url, rawHeaders, headers: parsed } = this.incoming;
-    const isStream = this.request.entry.route.route_type === "streaming";
-    this.attempt = new attempts.Attempt(this.context.world, choice.runner, choice.connection, this, {
-      method: method ?? "GET", path: url ?? "/", headers: headers.forRunner(rawHeaders, parsed.connection, sending),
-      body: this.request.body, requestId: this.request.requestId, isStream,
-    });
+    const sending = {
+      target: choice.runner.id, budgetMs: Math.max(1, Math.floor(left)),
+      lastEventId: this.cutter?.lastId ?? null, rank: this.request.entry.route.priority ?? 1,
+    };
+    this.attempt = new attempts.Attempt(this.context.world, choice.runner, choice.connection, this, requests.sendable(this.request, this.incoming, sending));
     this.move("sent");
     this.reading = { tokens: this.context.sending(this.request, choice.runner.id), since: this.context.world.now() };
     this.attempt.start();
@@ -103,15 +87,16 @@
 
   /** Nothing has run, and nothing will: only then may a promise be given. */
   private deny(denial: plans.Denial): void {
-    if (this.isHeadOut) {
-      this.breakOff();
-      return;
-    }
     log.count("router.denied");
-    if (this.hasRun) this.finish(502, "the runner broke off and the request may have run", null);
+    if (this.isHeadOut || this.hasRun) this.lost();
     else this.finish(denial.status, denial.cause, denial.retryAfterS);
   }
 
+  private lost(): void {
+    if (this.isHeadOut) this.breakOff();
+    else this.finish(502, "the runner broke off and the request may have run", null);
+  }
+
   private finish(status: number, message: string, retryAfterS: number | null): void {
     replies.send(this.outgoing, status, message, retryAfterS, this.context.isLeaving());
     this.move("done");
@@ -134,16 +119,16 @@
     if (isStream && this.isRepeatable() && !head.headers.has("content-length")) this.cutter = new events.EventCutter();
     this.outgoing.writeHead(head.status, raw);
     this.isHeadOut = true;
-    this.outgoing.on("drain", resume);
-    const transaction = this;
-    function resume(): void {
-      transaction.attempt?.resume();
-    }
+    this.outgoing.on("drain", this.drained.bind(this));
     this.attempt = attempt;
     this.move("passing");
     return true;
   }
 
+  private drained(): void {
+    this.attempt?.resume();
+  }
+
   private isSameStream(head: attempts.Head): boolean {
     if (head.status !== 200 || !this.cutter) return false;
     this.move("passing");
@@ -176,12 +161,13 @@
       return;
     }
     const rest = this.cutter?.rest();
-    this.outgoing.end(rest && rest.length > 0 ? rest : undefined);
+    this.outgoing.end(rest?.length ? rest : undefined);
     this.move("done");
   }
 
   private notSent(): void {
     this.sends -= 1;
+    if (this.sends > 0) this.context.chooser.giveBack(this.request.service);
     this.unsent += 1;
     if (this.unsent > MOST_UNSENT) this.deny({ status: 503, cause: "no runner takes a connection", retryAfterS: 0.4 });
     else this.again();
@@ -202,13 +188,8 @@
   private broken(): void {
     this.hasRun = true;
     this.cutter?.drop();
-    const canResume = !this.isHeadOut || this.cutter !== null;
-    if (this.isRepeatable() && canResume && this.mayRepeat()) {
-      this.again();
-      return;
-    }
-    if (this.isHeadOut) this.breakOff();
-    else this.finish(502, "the runner broke off and the request may have run", null);
+    if (this.canGoOn()) this.again();
+    else this.lost();
   }
 
   private again(): void {
@@ -217,15 +198,34 @@
     this.choose();
   }
 
-  /** A stream that may be taken up elsewhere leaves a runner that fell silent; others wait (design 7.9). */
+  /** Whether another runner may take it up: repeatable, a try left, and no answer begun that cannot be resumed. */
+  private canGoOn(): boolean {
+    return this.isRepeatable() && this.mayRepeat() && (!this.isHeadOut || this.cutter !== null);
+  }
+
+  /**
+   * A repeatable request leaves a runner that fell silent (design 7.9), but only for a further try that is granted,
+   * with a runner and a connection: without one it waits, since its runner may still be at work.
+   */
   watch(now: number): void {
-    const attempt = this.attempt;
-    if (!attempt || attempt.isOver || !this.isRepeatable() || !this.mayRepeat()) return;
+    const { attempt, context } = this;
+    if (!attempt || !attempt.isSent || attempt.isOver || now < this.nextLookAt || !this.canGoOn()) return;
     const quiet = now - attempt.heardAt;
-    if (quiet < this.context.chooser.patienceMs(this.request.entry, this.state === "passing", attempt.runner, now)) return;
-    log.count("router.left_silent");
+    if (quiet < context.chooser.patienceMs(this.request.entry, this.state === "passing", attempt.runner, now)) return;
     attempt.runner.suspect(now);
+    const choice = context.chooser.choose(this.request, this.tried, this.sends);
+    if ("status" in choice) {
+      log.count("router.stayed");
+      this.nextLookAt = now + LOOK_MS;
+      return;
+    }
+    log.count("router.left_silent");
+    this.attempt = null;
     attempt.cancel();
+    this.hasRun = true;
+    this.cutter?.drop();
+    this.move("choosing");
+    this.sendTo(choice);
   }
 
   private expired(): void {
--- a/src/shares/shares.ts
+++ b/src/shares/shares.ts
@@ -79,6 +79,11 @@
     return true;
   }
 
+  /** The newest repeat taken was never sent. */
+  giveBack(service: string): void {
+    this.windowOf(service).repeats.pop();
+  }
+
   /**
    * Takes one send to a cold runner. At most `holders` routers hold a share of one runner, each a bucket of
    * one and its part of the rate: their sum over any second is holders + rate, within the bound.
--- a/src/standin/runner.ts
+++ b/src/standin/runner.ts
@@ -16,7 +16,7 @@
 }
 
 /** What to do with the next request instead of serving it. */
-export type Mishap = "shed" | "reset" | "cut" | "stray" | "silent" | "no_seal" | "fail";
+export type Mishap = "shed" | "reset" | "cut" | "stall" | "stray" | "silent" | "no_seal" | "fail";
 
 export const DEFAULTS: RunnerOptions = { id: "i-1", capacity: 8, eventMs: 0, tokensPerMs: 0, events: 4 };
 
@@ -35,7 +35,9 @@
 export class StandInRunner {
   readonly seen: Seen[] = [];
   readonly mishaps: Mishap[] = [];
-  /** A mishap "cut" breaks the stream off after so many events. */
+  /** A mishap "stall" ends when this is called: the stream goes on where it fell silent. */
+  goOn: (() => void) | null = null;
+  /** A mishap "cut" breaks the stream off after so many events, "stall" falls silent after them. */
   cutAfter = 2;
   private readonly kept = new Set<string>();
   private readonly server: nodeHttp.Server;
@@ -167,7 +169,8 @@
 
   private stream(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse, mishap: Mishap | undefined): void {
     const { events, eventMs, tokensPerMs } = this.options;
-    const cutAfter = this.cutAfter;
+    const runner = this;
+    const { cutAfter } = this;
     let at = Number(headerOf(incoming, names.HEADER.lastEventId) || 0);
     const started = at;
     const readMs = tokensPerMs > 0 ? (this.seen[this.seen.length - 1]?.readTokens ?? 0) / tokensPerMs : 0;
@@ -179,6 +182,11 @@
         outgoing.write(`id: ${at + 1}\ndata: half`, cut);
         return;
       }
+      if (mishap === "stall" && at - started >= cutAfter) {
+        mishap = undefined;
+        runner.goOn = next;
+        return;
+      }
       if (at >= events) {
         outgoing.end();
         return;
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -11,7 +11,7 @@
 import * as shares from "../src/shares/shares.js";
 import * as standin from "../src/standin/runner.js";
 import * as types from "../src/wire/types.js";
-import * as world from "../src/wire/world.js";
+import * as sims from "./sim/world.js";
 
 function routeOf(name: string, type: string, more: object = {}): object {
   return { name, hostname: "h", path_prefix: `/${name}/`, route_type: type, deadline_ms: 1500, target_latency_ms: 300, target_gap_ms: 200, service: "s", max_attempts: 2, ...more };
@@ -32,13 +32,14 @@
   isComplete: boolean;
 }
 
+let clock: sims.SkewedWorld;
 let runners: standin.StandInRunner[];
 let server: servers.RouterServer;
 let share: shares.Shares;
 let port = 0;
 
 beforeEach(async function start() {
-  const clock = new world.RealWorld();
+  clock = new sims.SkewedWorld();
   const fleet = new fleets.Fleet(clock, new Map([["z1", "r1"], ["z2", "r2"]]));
   share = new shares.Shares(clock, { retry_ratio: 0.2, retry_window_s: 10, retry_extra: 50, warmup_overshoot: 1.5, warmup_tolerance: 5 });
   share.deal(0, 1);
@@ -155,6 +156,18 @@
   expect(seenBy()).toHaveLength(1);
 });
 
+test.each([["stays while no further try is granted", false], ["moves on with a granted try", true]])("a stream whose runner falls silent %s", async function silent(_name, isGranted) {
+  while (!isGranted && share.takeRepeat("s")) continue;
+  runners[0]!.mishaps.push("stall");
+  const reply = ask("/stream/x", STREAM);
+  while (runners[0]!.goOn === null) await new Promise(setImmediate);
+  clock.aheadMs = 400;
+  server.watch();
+  runners[0]!.goOn();
+  expect(await reply).toMatchObject({ status: 200, body: pieces(1, 4), isComplete: true });
+  expect(runners[1]!.seen).toHaveLength(isGranted ? 1 : 0);
+});
+
 test("with the shares spent nothing is repeated", async function spent() {
   while (share.takeRepeat("s")) continue;
   runners[0]!.mishaps.push("shed");
--- a/tests/sim/world.ts
+++ b/tests/sim/world.ts
@@ -1,5 +1,6 @@
 // A world whose clock, chance and ticks a test decides.
 import * as types from "../../src/wire/types.js";
+import * as world from "../../src/wire/world.js";
 
 interface Planned {
   at: number;
@@ -75,3 +76,11 @@
     setImmediate(resolve);
   });
 }
+
+/** The real clock, set ahead by hand. */
+export class SkewedWorld extends world.RealWorld {
+  aheadMs = 0;
+  override now(): types.SteadyMs {
+    return types.small(super.now() + this.aheadMs);
+  }
+}
