--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -76,11 +76,11 @@
       return { status: 503, cause: "the budget of further tries is spent", retryAfterS: 0.5 };
     }
     const choice = this.firstOpen(plan);
-    if ("status" in choice && sends > 0) this.giveBack(request.service);
+    if (sends > 0 && "status" in choice) this.share.giveBack(request.service);
     return choice;
   }
 
-  /** A further try that was granted and never sent. */
+  /** A further try that was granted and never left is given back. */
   giveBack(service: string): void {
     this.share.giveBack(service);
   }
