Edge: doubled ids and hosts, odd codings are denied; absolute form is routed

Cause: Node joins doubled fields into one (two ids became one id that no client sent), answers 404 for a doubled Host, takes 'identity, chunked', and hands over absolute targets as they are. Its error event for bytes behind a request at work wrote a 400 in the place of that request's reply, and what was pipelined behind a denied request was still sent to a runner. Change: src/router/proper.ts judges the raw fields in one pass before the body is read; a denied request's connection is over.

--- /dev/null
+++ b/src/router/proper.ts
@@ -0,0 +1,122 @@
+// What is no proper request, beyond what the parser denies, is told before its body is read (design 7.12).
+import type * as nodeHttp from "node:http";
+import type * as net from "node:net";
+import * as log from "../startup/log.js";
+import * as names from "../wire/names.js";
+
+export interface Fault {
+  status: 400 | 501 | 505;
+  message: string;
+}
+
+const SLASH = 47;
+const HOST = "host";
+const CODING = "transfer-encoding";
+/** Characters of an authority (RFC 3986), without user information. */
+const AUTHORITY = /^[\w.~!$&'()*+;=%:[\]-]*$/;
+const ABSOLUTE = /^http:\/\/([^/?#]+)([^#]*)$/i;
+/** Visible ASCII: an id is told back and compared byte by byte. */
+const ID = /^[\x21-\x7e]*$/;
+/** Fields that are for the runner, and so can't be for one connection only. */
+const END_TO_END: ReadonlySet<string> = new Set([HOST, names.HEADER.requestId]);
+
+/** Connections that end with the reply to a fault: whatever follows on them in one go is no request. */
+const ended = new WeakSet<net.Socket>();
+
+export function isEnded(socket: net.Socket): boolean {
+  return ended.has(socket);
+}
+
+interface Replying {
+  /** What the server writes there now; Node keeps it under this name. */
+  _httpMessage?: nodeHttp.ServerResponse | null;
+}
+
+/**
+ * Bytes that are no request came after one that was read whole or has its reply under way: that reply stays the last,
+ * and no other is put in its place.
+ */
+export function isReplying(socket: net.Socket): boolean {
+  const reply = (socket as net.Socket & Replying)._httpMessage;
+  if (!reply || !(reply.headersSent || reply.req.complete)) return ended.has(socket);
+  ended.add(socket);
+  reply.shouldKeepAlive = false;
+  reply.once("close", socket.destroySoon.bind(socket));
+  return true;
+}
+
+/** One pass over the fields as they came. A target in absolute form is made one in origin form, with its authority as the host. */
+export function judge(incoming: nodeHttp.IncomingMessage): Fault | null {
+  const fault = find(incoming);
+  if (fault) {
+    ended.add(incoming.socket);
+    log.count("router.improper");
+  }
+  return fault;
+}
+
+function find(incoming: nodeHttp.IncomingMessage): Fault | null {
+  const { rawHeaders: raw } = incoming;
+  let hostAt = -1;
+  let hasId = false;
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index]!;
+    // Lengths first: few fields are looked at any closer.
+    if (name.length === HOST.length && name.toLowerCase() === HOST) {
+      if (hostAt >= 0) return bad("two Host fields; send one");
+      hostAt = index + 1;
+    } else if (name.length === names.HEADER.requestId.length && name.toLowerCase() === names.HEADER.requestId) {
+      if (hasId) return bad("two X-Cranewind-Request-Id fields; send one id a try");
+      hasId = true;
+      if (!ID.test(raw[index + 1]!)) return bad("X-Cranewind-Request-Id holds more than visible ASCII; send a plain id");
+    } else if (name.length === CODING.length && name.toLowerCase() === CODING) {
+      if (incoming.httpVersionMinor === 0) return bad("Transfer-Encoding in HTTP/1.0; send Content-Length");
+      if (raw[index + 1]!.toLowerCase() !== "chunked") return { status: 501, message: "a transfer coding other than chunked; send chunked alone" };
+    }
+  }
+  if (incoming.httpVersionMajor !== 1) return { status: 505, message: "not HTTP/1.1; send HTTP/1.1" };
+  if (hostAt < 0 && incoming.httpVersionMinor > 0) return bad("Host is missing; send one");
+  if (hostAt >= 0 && !AUTHORITY.test(raw[hostAt]!)) return bad("Host is no host; send host or host:port");
+  return ofConnection(incoming.headers.connection) ?? ofTarget(incoming, hostAt);
+}
+
+function bad(message: string): Fault {
+  return { status: 400, message };
+}
+
+function ofConnection(connection: string | undefined): Fault | null {
+  if (connection === undefined || connection === "keep-alive" || connection === "close") return null;
+  for (const item of connection.toLowerCase().split(",")) {
+    if (END_TO_END.has(item.trim())) return bad(`Connection names ${item.trim()}; leave it out`);
+  }
+  return null;
+}
+
+function ofTarget(incoming: nodeHttp.IncomingMessage, hostAt: number): Fault | null {
+  const target = incoming.url ?? "/";
+  if (target.charCodeAt(0) === SLASH) return target.includes("#") ? bad("a fragment in the target; leave it out") : null;
+  if (target === "*") return incoming.method === "OPTIONS" ? null : bad("the target * is for OPTIONS; send a path");
+  const parts = ABSOLUTE.exec(target);
+  if (!parts || !AUTHORITY.test(parts[1]!)) return bad("the target is neither a path nor http://host/path; send a path");
+  const rest = parts[2]!;
+  if (rest === "" && incoming.method === "OPTIONS") incoming.url = "*";
+  else incoming.url = rest.charCodeAt(0) === SLASH ? rest : `/${rest}`;
+  // The authority of the target counts, whatever Host says (RFC 9112, 3.2.2).
+  incoming.headers.host = parts[1]!;
+  if (hostAt >= 0) incoming.rawHeaders[hostAt] = parts[1]!;
+  else incoming.rawHeaders.push("Host", parts[1]!);
+  return null;
+}
+
+/** No tunnels: CONNECT is told so, and its connection ends. */
+export function denyTunnel(_incoming: nodeHttp.IncomingMessage, socket: net.Socket): void {
+  log.count("router.requests");
+  log.count("router.improper");
+  log.count("router.reply_501");
+  socket.on("error", ignore);
+  socket.end("HTTP/1.1 501 Not Implemented\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+}
+
+function ignore(): void {
+  // The client is gone already.
+}
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -9,6 +9,7 @@
 import * as names from "../wire/names.js";
 import * as types from "../wire/types.js";
 import * as plans from "./plan.js";
+import * as proper from "./proper.js";
 import * as readings from "./readings.js";
 import * as replies from "./replies.js";
 import * as transactions from "./transaction.js";
@@ -49,8 +50,9 @@
   ) {
     this.mostHeldBytes = machine.memory_mb * 1024 * 1024 * HELD_SHARE;
     this.mostPending = Math.floor(machine.memory_mb * PENDING_PER_MB);
-    this.server = nodeHttp.createServer({ connectionsCheckingInterval: CHECK_MS, maxHeaderSize: DEFAULTS.max_header_bytes }, this.take.bind(this));
+    this.server = nodeHttp.createServer({ connectionsCheckingInterval: CHECK_MS, maxHeaderSize: DEFAULTS.max_header_bytes, requireHostHeader: false }, this.take.bind(this));
     this.server.on("clientError", clientError);
+    this.server.on("connect", proper.denyTunnel);
     this.server.maxConnections = Math.floor(machine.max_open_files * CONNECTIONS_SHARE);
     this.limit(undefined);
   }
@@ -94,7 +96,10 @@
   }
 
   private take(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    if (proper.isEnded(incoming.socket)) return;
     log.count("router.requests");
+    const fault = proper.judge(incoming);
+    if (fault) return this.deny(outgoing, fault.status, fault.message, null, true);
     const arrivedAt = this.world.now();
     const length = Number(incoming.headers["content-length"] ?? 0);
     if (length > this.limits.max_body_bytes) {
@@ -235,6 +240,7 @@
     socket.destroy();
     return;
   }
+  if (proper.isReplying(socket)) return;
   const status = CLIENT_ERRORS.get(cause.code ?? "") ?? "400 Bad Request";
   log.count(`router.reply_${status.slice(0, 3)}`);
   socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
--- /dev/null
+++ b/tests/sim/edge.ts
@@ -0,0 +1,71 @@
+// A router with stand-in runners on loopback, for tests that speak to it in raw bytes.
+import * as net from "node:net";
+import * as check from "../../src/config/check.js";
+import * as routes from "../../src/config/routes.js";
+import * as choosers from "../../src/router/chooser.js";
+import * as fleets from "../../src/router/fleet.js";
+import * as readings from "../../src/router/readings.js";
+import * as rotations from "../../src/router/rotation.js";
+import * as servers from "../../src/router/server.js";
+import * as shares from "../../src/shares/shares.js";
+import * as standin from "../../src/standin/runner.js";
+import * as types from "../../src/wire/types.js";
+
+function routeOf(name: string, type: string): object {
+  return { name, hostname: "h", path_prefix: `/${name}/`, route_type: type, deadline_ms: 1500, target_latency_ms: 300, target_gap_ms: 200, service: "s", max_attempts: 2 };
+}
+
+const CONFIG = check.check({
+  revision: 1, services: [{ name: "s", max_connections: 100 }], limits: { max_body_bytes: 2000, max_header_bytes: 4096, header_timeout_ms: 5000 },
+  routes: [routeOf("once", "mutating"), routeOf("read", "read_only")],
+}).unwrapOr(null)!;
+
+export class Edge {
+  readonly fleet: fleets.Fleet;
+  readonly server: servers.RouterServer;
+
+  private constructor(readonly clock: types.World, readonly runners: standin.StandInRunner[]) {
+    this.fleet = new fleets.Fleet(clock, new Map([["z", "r"]]));
+    const share = new shares.Shares(clock, { retry_ratio: 0.2, retry_window_s: 10, retry_extra: 50, warmup_overshoot: 1.5, warmup_tolerance: 5 });
+    share.deal(0, 1);
+    const chooser = new choosers.Chooser(clock, this.fleet, new rotations.Rotation(clock), share, "r", new readings.Readings());
+    this.fleet.takeList(runners.map((runner) => ({
+      id: types.small(runner.id), service: "s", address: runner.address, zone: "z", capacity: 8, isDraining: false, coldMs: 0, leavesMs: -1,
+    })));
+    chooser.table = new routes.RouteTable(CONFIG);
+    this.server = new servers.RouterServer(clock, chooser, () => true, () => 0, { memory_mb: 256, max_open_files: 1024 });
+    this.server.limit(CONFIG.limits);
+  }
+
+  static async start(clock: types.World, options: Partial<standin.RunnerOptions>[]): Promise<Edge> {
+    const runners = options.map((item) => new standin.StandInRunner(item));
+    for (const runner of runners) await runner.start();
+    const edge = new Edge(clock, runners);
+    await edge.server.listen("127.0.0.1:0");
+    return edge;
+  }
+
+  stop(): void {
+    this.server.close();
+    this.fleet.closeIdle();
+    for (const runner of this.runners) runner.stop();
+  }
+
+  /** All that reached any runner. */
+  seen(): standin.Seen[] {
+    return this.runners.flatMap((runner) => runner.seen);
+  }
+
+  /** Sends bytes as they are; what came back until the connection ended, or one whole reply of the router's own. */
+  send(text: string): Promise<string> {
+    const { port } = this.server;
+    return new Promise(function start(resolve) {
+      const socket = net.connect(port, "127.0.0.1");
+      let got = "";
+      socket.on("data", (chunk: Buffer) => (got += chunk.toString("latin1")));
+      socket.on("error", () => undefined);
+      socket.on("close", () => resolve(got));
+      socket.write(Buffer.from(text, "latin1"));
+    });
+  }
+}
