Links begin with the release of their frames; another release is denied with the reason

Cause: a build with other frames showed as 'unreadable' frames or as silence, and a peer that said nothing held its link for ever. Measured: tests/release.test.ts: earlier build, other releases, garbage, half a preamble, silent peer; all tests pass.

--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -2,6 +2,7 @@
 import * as events from "node:events";
 import * as net from "node:net";
 import * as calls from "./calls.js";
+import * as releases from "./release.js";
 import * as types from "./types.js";
 import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
@@ -45,6 +46,7 @@
   private held = 0;
   private wanted = HEAD_BYTES;
   private callId = 0;
+  private readonly opening: releases.Opening;
   heardAt: types.SteadyMs;
   isOpen = true;
 
@@ -52,6 +54,7 @@
     super();
     this.heardAt = world.now();
     socket.setNoDelay(true);
+    this.opening = new releases.Opening(world, socket, SILENT_MS, this.over.bind(this));
     socket.on("data", this.read.bind(this));
     socket.on("error", this.failed.bind(this));
     socket.on("close", this.closed.bind(this));
@@ -66,9 +69,14 @@
   }
 
   end(cause: string): void {
+    if (this.isOpen) this.socket.destroy();
+    this.over(cause);
+  }
+
+  private over(cause: string): void {
     if (!this.isOpen) return;
     this.isOpen = false;
-    this.socket.destroy();
+    this.opening.stop();
     for (const item of this.waiting.values()) {
       item.tick.stop();
       item.resolve(null);
@@ -117,8 +125,14 @@
     });
   }
 
-  private read(chunk: Buffer): void {
+  private read(bytes: Buffer): void {
+    if (!this.isOpen) return;
     this.heardAt = this.world.now();
+    const chunk = this.opening.isOver ? bytes : this.opening.take(bytes);
+    if (chunk) this.frames(chunk);
+  }
+
+  private frames(chunk: Buffer): void {
     this.parts.push(chunk);
     this.held += chunk.length;
     if (this.held < this.wanted) return;
--- /dev/null
+++ b/src/wire/release.ts
@@ -0,0 +1,101 @@
+// The first bytes of a link tell the release of its frames' layout (design 3.4). Their own layout never changes:
+// four bytes of magic, then the release as u32, big-endian.
+import type * as net from "node:net";
+import * as errors from "../startup/errors.js";
+import * as log from "../startup/log.js";
+import * as schema from "./schema.js";
+import type * as types from "./types.js";
+
+export const MAGIC = Buffer.from("CWLK", "latin1");
+export const PREAMBLE_BYTES = 8;
+const KIND_AT = 4;
+const LAST_KIND = 2;
+/** How long a denied link stays half open, so that the other side can read why. */
+const LINGER_MS = 1000;
+const MOST_TOLD = 256;
+
+/** What was last logged of each host: its line is repeated only when it changes. */
+const told = new Map<string, string>();
+
+export function preamble(release: number): Buffer {
+  const bytes = Buffer.alloc(PREAMBLE_BYTES);
+  MAGIC.copy(bytes);
+  bytes.writeUInt32BE(release, MAGIC.length);
+  return bytes;
+}
+
+/** Builds before the first numbered release begin with a frame: a small length, then a kind. */
+function isOldFrame(bytes: Buffer): boolean {
+  return bytes[0]! <= 1 && bytes[KIND_AT]! <= LAST_KIND;
+}
+
+/** The start of one link, as this side hears it. */
+export class Opening {
+  isOver = false;
+  private held: Buffer = Buffer.alloc(0);
+  private readonly tick: types.Tick;
+  private readonly host: string;
+
+  /** deny ends the link for the reason told. */
+  constructor(private readonly world: types.World, private readonly socket: net.Socket, withinMs: number, private readonly deny: (cause: string) => void) {
+    this.host = socket.remoteAddress ?? "an unknown host";
+    this.tick = world.after(withinMs, this.late.bind(this));
+    socket.write(preamble(schema.RELEASE));
+  }
+
+  /** What follows the preamble; null while it is not whole, or when the link was denied. */
+  take(chunk: Buffer): Buffer | null {
+    this.held = this.held.length === 0 ? chunk : Buffer.concat([this.held, chunk]);
+    const least = Math.min(this.held.length, MAGIC.length);
+    if (!this.held.subarray(0, least).equals(MAGIC.subarray(0, least))) {
+      if (this.held.length > KIND_AT || this.held[0]! > 1) this.denyStranger();
+      return null;
+    }
+    if (this.held.length < PREAMBLE_BYTES) return null;
+    const release = this.held.readUInt32BE(MAGIC.length);
+    if (release !== schema.RELEASE) {
+      this.denyRelease(`release ${release}`);
+      return null;
+    }
+    this.stop();
+    told.delete(this.host);
+    return this.held.subarray(PREAMBLE_BYTES);
+  }
+
+  private denyStranger(): void {
+    if (isOldFrame(this.held)) this.denyRelease("a build from before releases were told");
+    else this.end("link.garbled", "the first bytes are no link's", "let nothing but cranewind nodes call this port");
+  }
+
+  private denyRelease(theirs: string): void {
+    this.end("link.other_release", `${this.host} speaks frames of ${theirs}, this process those of release ${schema.RELEASE}`, "run the same release on both ends");
+  }
+
+  private late(): void {
+    if (!this.isOver) this.end("link.no_preamble", `${this.host} told no release in time`, "see that it is a cranewind node and reachable both ways");
+  }
+
+  private end(counter: string, what: string, remedy: string): void {
+    this.stop();
+    const { message } = errors.fail("link", what, remedy);
+    log.count(counter);
+    if (told.get(this.host) !== message) log.state(`link: denied: ${message}`);
+    if (told.size >= MOST_TOLD) told.clear();
+    told.set(this.host, message);
+    linger(this.world, this.socket);
+    this.deny(message);
+  }
+
+  /** The link ended, or its start is behind it. */
+  stop(): void {
+    this.isOver = true;
+    this.tick.stop();
+  }
+}
+
+/** Ends the own side and reads on for a moment: a reset would take the preamble from the other side. */
+function linger(world: types.World, socket: net.Socket): void {
+  const tick = world.after(LINGER_MS, socket.destroy.bind(socket));
+  socket.once("close", tick.stop.bind(tick));
+  socket.end();
+}
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -3,6 +3,9 @@
 import type * as types from "./types.js";
 import * as avscTypes from "avsc/lib/types.js"; // its types alone: containers and services would only slow a start
 
+/** The release of the frames' layout. Add one with any change to a message or its code (design 3.4). */
+export const RELEASE = 1;
+
 function record<T>(name: string, fields: { name: string; type: unknown; default?: unknown }[]): Schema<T> {
   return avscTypes.Type.forSchema({ type: "record", name, fields } as avsc.Schema) as unknown as Schema<T>;
 }
--- /dev/null
+++ b/tests/release.test.ts
@@ -0,0 +1,157 @@
+// Links between builds of different releases (design 3.4): told apart, denied with the reason, counted.
+import * as crypto from "node:crypto";
+import * as net from "node:net";
+import * as log from "../src/startup/log.js";
+import * as calls from "../src/wire/calls.js";
+import * as link from "../src/wire/link.js";
+import * as releases from "../src/wire/release.js";
+import * as schema from "../src/wire/schema.js";
+import * as sim from "./sim/world.js";
+
+/** What the frames of each release look like, by digest. A line that stands is not changed: a new release gets a new line. */
+const LAYOUTS = new Map<number, string>([[1, "232a5a89b9761ac5"]]);
+
+function schemaOf(message: unknown): unknown {
+  return (message as { schema(): unknown }).schema();
+}
+
+test("who changes a message or its code numbers a new release", () => {
+  const layout: unknown[] = [];
+  for (let code = 0; code < 256; code += 1) {
+    const pair = calls.byCode(code);
+    if (pair) layout.push([code, schemaOf(pair.ask), schemaOf(pair.reply)]);
+  }
+  expect(JSON.stringify(layout)).toContain("kvCapacity"); // nested messages count too
+  expect(layout.length).toBeGreaterThan(10);
+  const digest = crypto.createHash("sha256").update(JSON.stringify(layout)).digest("hex").slice(0, 16);
+  expect([schema.RELEASE, digest]).toEqual([schema.RELEASE, LAYOUTS.get(schema.RELEASE)]);
+  expect(Math.max(...LAYOUTS.keys())).toBe(schema.RELEASE);
+});
+
+interface Heard {
+  made: link.Link;
+  peer: net.Socket;
+  causes: string[];
+  bytes: Buffer;
+}
+
+const servers: net.Server[] = [];
+const sockets: net.Socket[] = [];
+let clock: sim.SimWorld;
+beforeEach(() => (clock = new sim.SimWorld()));
+afterEach(() => {
+  for (const server of servers.splice(0)) server.close();
+  for (const socket of sockets.splice(0)) socket.destroy();
+});
+
+/** A link, and the socket of its other side in the test's hands. */
+async function open(handlers = new link.Handlers()): Promise<Heard> {
+  const accepted = new Promise<net.Socket>((resolve) => servers.push(net.createServer(resolve)));
+  const server = servers[servers.length - 1]!;
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const peer = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+  sockets.push(peer);
+  const heard: Heard = { made: new link.Link(clock, await accepted, handlers), peer, causes: [], bytes: Buffer.alloc(0) };
+  heard.made.on("end", (cause) => heard.causes.push(cause));
+  peer.on("data", (chunk: Buffer) => (heard.bytes = Buffer.concat([heard.bytes, chunk])));
+  peer.on("error", () => undefined);
+  return heard;
+}
+
+async function until(isSo: () => boolean): Promise<void> {
+  while (!isSo()) await new Promise(setImmediate);
+}
+
+function count(name: string): number {
+  return log.counted().get(name) ?? 0;
+}
+
+function helloFrame(): Buffer {
+  const body = schema.ask.toBuffer({ epoch: 3 as never });
+  const head = Buffer.alloc(10);
+  head.writeUInt32BE(body.length, 0);
+  head.writeUInt8(1, 4);
+  head.writeUInt8(calls.ask.code, 5);
+  return Buffer.concat([head, body]);
+}
+
+test("the preamble never changes: magic, then the release, in eight bytes", async () => {
+  expect(releases.preamble(258).toString("hex")).toBe("43574c4b00000102");
+  const heard = await open();
+  await until(() => heard.bytes.length >= releases.PREAMBLE_BYTES);
+  expect(heard.bytes.toString("hex")).toBe(`43574c4b${schema.RELEASE.toString(16).padStart(8, "0")}`);
+  heard.made.end("test over");
+});
+
+const DENIED: [string, Buffer, string, RegExp][] = [
+  ["frames of an earlier build", helloFrame(), "link.other_release", /before releases were told.*release 1;.*same release on both ends/],
+  ["an earlier release", releases.preamble(0), "link.other_release", /release 0, .*release 1;.*same release on both ends/],
+  ["a later release with a layout unknown here", Buffer.concat([releases.preamble(7), Buffer.alloc(50, 255)]), "link.other_release", /release 7, .*release 1;.*same release on both ends/],
+  ["garbage", Buffer.from("GET / HTTP/1.1\r\n\r\n"), "link.garbled", /no link's; let nothing but cranewind nodes/],
+  ["garbage that begins well", Buffer.from("CWLOCK"), "link.garbled", /no link's; let nothing but cranewind nodes/],
+];
+
+test.each(DENIED)("%s: denied with the reason, which the other side can read too", async (_name, bytes, counter, reason) => {
+  const before = count(counter);
+  const handlers = new link.Handlers();
+  let handled = 0;
+  handlers.on(calls.ask, () => {
+    handled += 1;
+    return null;
+  });
+  const heard = await open(handlers);
+  heard.peer.write(bytes);
+  await until(() => heard.causes.length > 0);
+  expect(heard.causes[0]).toMatch(reason);
+  expect([heard.made.isOpen, handled, count(counter)]).toEqual([false, 0, before + 1]);
+  await until(() => heard.peer.readableEnded); // ended in order: no reset takes the preamble away
+  expect(heard.bytes.equals(releases.preamble(schema.RELEASE))).toBe(true);
+  expect(heard.causes).toHaveLength(1);
+});
+
+test("a whole preamble in single bytes is taken, and the frames after it", async () => {
+  const handlers = new link.Handlers();
+  const epochs: number[] = [];
+  handlers.on(calls.ask, (_from, ask) => {
+    epochs.push(ask.epoch);
+    return null;
+  });
+  const heard = await open(handlers);
+  heard.peer.setNoDelay(true);
+  for (const byte of Buffer.concat([releases.preamble(schema.RELEASE), helloFrame()])) {
+    heard.peer.write(Buffer.from([byte]));
+    await new Promise(setImmediate);
+  }
+  await until(() => epochs.length > 0);
+  await clock.play(link.SILENT_MS * 2);
+  expect([epochs, heard.made.isOpen]).toEqual([[3], true]);
+  heard.made.end("test over");
+});
+
+test.each([["a silent peer", ""], ["half a preamble", "CWLK\0"], ["half an old frame's head", "\0\0\0"]])("%s is ended after the time of silence, and counted", async (_name, text) => {
+  const before = count("link.no_preamble");
+  const heard = await open();
+  if (text !== "") {
+    heard.peer.write(Buffer.from(text, "latin1"));
+    await until(() => heard.made.socket.bytesRead === text.length);
+  }
+  await clock.play(link.SILENT_MS - 1);
+  expect(heard.made.isOpen).toBe(true);
+  await clock.play(1);
+  expect(heard.made.isOpen).toBe(false);
+  expect(heard.causes[0]).toMatch(/told no release in time; see that/);
+  expect(count("link.no_preamble")).toBe(before + 1);
+  await clock.play(1000); // lingering ends as well, whether the other side closes or not
+  await until(() => heard.made.socket.destroyed);
+});
+
+test("two processes of one release speak as before", async () => {
+  const server = net.createServer((socket) => new link.Link(clock, socket, handlers));
+  const handlers = new link.Handlers();
+  handlers.on(calls.ask, () => ({ value: null }));
+  servers.push(server);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const made = (await link.connect(clock, `127.0.0.1:${(server.address() as net.AddressInfo).port}`, new link.Handlers(), 1000))!;
+  expect(await made.call(calls.ask, { epoch: 1 as never }, 1000)).toEqual({ value: null });
+  made.end("test over");
+});
