Idle connections: told times are kept, forgotten ones teach a limit a service

Cause: a connection that its runner had forgotten was reused for what may not run twice: reset, 502, lost. Change: src/router/idle.ts learns the least idle time that ended so and bounds reuse by what is not repeatable to four fifths of it, back up over a minute; Keep-Alive bounds all reuse.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -6,6 +6,7 @@
 import * as types from "../wire/types.js";
 import type * as connections from "./connections.js";
 import type * as fleets from "./fleet.js";
+import * as idle from "./idle.js";
 
 const CONNECT_MS = 450;
 
@@ -136,8 +137,9 @@
     this.end(this.isHandedBack ? "handed_back" : "complete", !isLeaving);
   }
 
-  onError(): void {
+  onError(cause?: { code?: unknown }): void {
     if (this.isOver) return;
+    if (this.isSent && !this.head && idle.isReset(cause)) this.runner.connections.broke(this.connection);
     this.runner.suspect(this.world.now());
     // A denial whose head was read stands, whatever became of the rest.
     this.end(this.isHandedBack ? "handed_back" : this.isSent ? "broken" : "not_sent", false);
@@ -155,7 +157,7 @@
     this.runner.inflight -= 1;
     if (this.isStreaming) this.runner.streaming -= 1;
     if (!isClean) this.abortSend?.();
-    this.runner.connections.give(this.connection, isClean);
+    this.runner.connections.give(this.connection, isClean, this.head?.headers.get("keep-alive"));
     if (this.runner.status !== "ready") this.runner.connections.closeIdle();
     this.owner.onEnd(this, ending, this.head);
   }
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -94,7 +94,7 @@
       const isCold = perS > 0 && runner.isCold(plan.now);
       hasCold ||= isCold;
       if (isCold && !this.share.takeCold(runner.id, perS)) continue;
-      const connection = runner.connections.take(most);
+      const connection = runner.connections.take(most, plan.entry.isRepeatable);
       if (connection) return { runner, connection };
     }
     log.count(hasCold ? "router.all_cold" : "router.all_busy");
--- a/src/router/connections.ts
+++ b/src/router/connections.ts
@@ -1,12 +1,18 @@
 // Connections to one runner, kept and reused within this router's part of the bound (design 7.6).
 import * as http from "../wire/http.js";
+import * as idle from "./idle.js";
 
 const CONNECT_MS = 700;
-const IDLE_MS = 4000;
+export const IDLE_MS = 4000;
 
 export class Connection {
   isClosed = false;
   isFresh = true;
+  /** Since when it is idle, for how long it may be, and how long it was before its present use; -1 at its first. */
+  idleSince = 0;
+  toldMs = Infinity;
+  idleMs = -1;
+  takenAt = 0;
   constructor(readonly client: http.Client) {}
 
   destroy(): void {
@@ -19,18 +25,38 @@
   private readonly idle: Connection[] = [];
   private open = 0;
 
-  constructor(private readonly address: string, private readonly onOpen: () => void) {}
+  constructor(private readonly address: string, private readonly onOpen: () => void, private readonly limit: idle.IdleLimit) {}
 
   /** The connection used last, or a new one within the bound; null when all are busy. */
-  take(most: number): Connection | null {
+  take(most: number, isRepeatable = true): Connection | null {
+    const now = this.limit.world.now();
+    const mostMs = isRepeatable ? Infinity : this.limit.mostMs();
     for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
       if (connection.isClosed) continue;
+      const idleMs = now - connection.idleSince;
+      if (idleMs > connection.toldMs) {
+        this.lost(connection);
+        continue;
+      }
+      if (idleMs > mostMs) {
+        // The others were idle for longer. They stay for what is repeatable, unless the bound asks for the place.
+        this.idle.push(connection);
+        if (this.open >= most) this.lost(this.idle[0]!);
+        break;
+      }
+      connection.idleMs = idleMs;
+      connection.takenAt = now;
       return connection;
     }
     if (this.open >= most) return null;
     return this.make();
   }
 
+  /** It was reset without a byte of reply: perhaps the runner had forgotten it. */
+  broke(connection: Connection): void {
+    if (connection.idleMs >= 0) this.limit.learn(connection.idleMs, this.limit.world.now() - connection.takenAt);
+  }
+
   private make(): Connection {
     const connection = new Connection(http.open(this.address, { connectMs: CONNECT_MS, idleMs: IDLE_MS }));
     const lost = this.lost.bind(this, connection);
@@ -53,9 +79,11 @@
     if (place >= 0) this.idle.splice(place, 1);
   }
 
-  /** Gives a connection back; one that is not clean is closed. */
-  give(connection: Connection, isClean: boolean): void {
+  /** Gives a connection back, with the Keep-Alive of its reply; one that is not clean is closed. */
+  give(connection: Connection, isClean: boolean, keepAlive?: string): void {
     if (connection.isClosed) return;
+    connection.idleSince = this.limit.world.now();
+    connection.toldMs = idle.toldMs(keepAlive);
     if (isClean) this.idle.push(connection);
     else this.lost(connection);
   }
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -4,6 +4,7 @@
 import * as shares from "../shares/shares.js";
 import * as log from "../startup/log.js";
 import * as connections from "./connections.js";
+import * as idle from "./idle.js";
 
 export type Status = "ready" | "draining" | "gone";
 
@@ -33,8 +34,8 @@
   /** A fixed place in the order of runners, the same at every router. */
   readonly mark: number;
 
-  constructor(readonly instance: schema.Instance, readonly region: string) {
-    this.connections = new connections.Connections(instance.address, opened);
+  constructor(readonly instance: schema.Instance, readonly region: string, limit: idle.IdleLimit) {
+    this.connections = new connections.Connections(instance.address, opened, limit);
     this.mark = shares.hash(instance.id);
   }
 
@@ -109,9 +110,12 @@
   private readonly runners = new Map<string, Runner>();
   private readonly gone = new Map<string, number>();
   private byService = new Map<string, Runner[]>();
+  private readonly limits: idle.IdleLimits;
   hasList = false;
 
-  constructor(private readonly world: types.World, private readonly regionOf: ReadonlyMap<string, string>) {}
+  constructor(private readonly world: types.World, private readonly regionOf: ReadonlyMap<string, string>) {
+    this.limits = new idle.IdleLimits(world, connections.IDLE_MS);
+  }
 
   of(service: string): readonly Runner[] {
     return this.byService.get(service) ?? [];
@@ -148,7 +152,7 @@
   private takeInstance(instance: schema.Instance, now: number): void {
     let runner = this.runners.get(instance.id);
     if (!runner) {
-      runner = new Runner(instance, this.regionOf.get(instance.zone) ?? instance.zone);
+      runner = new Runner(instance, this.regionOf.get(instance.zone) ?? instance.zone, this.limits.of(instance.service));
       this.runners.set(instance.id, runner);
     }
     if (instance.coldMs > 0) runner.coldUntil = Math.max(runner.coldUntil, now + instance.coldMs);
--- /dev/null
+++ b/src/router/idle.ts
@@ -0,0 +1,65 @@
+// How long a kept connection may have been idle (design 7.13): what runners tell, and what is learned a service
+// from connections that were forgotten sooner.
+import * as log from "../startup/log.js";
+import type * as types from "../wire/types.js";
+
+/** Told in whole seconds, and counted from another moment than ours: so much sooner a connection is let go. */
+export const MARGIN_MS = 1000;
+const KEPT_SHARE = 0.8;
+/** Shorter idle times are no evidence: such a reset has other causes. */
+const LEAST_MS = 250;
+/** A forgotten connection is reset within a trip there and back; later resets have other causes. */
+const SOON_MS = 600;
+const DECAY_MS = 60_000;
+const RESETS: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
+
+/** The bound in ms that a reply's Keep-Alive sets on idleness; Infinity when it tells none. */
+export function toldMs(keepAlive: string | undefined): number {
+  const seconds = keepAlive === undefined ? null : /timeout=(\d+)/i.exec(keepAlive);
+  return seconds ? Math.max(0, Number(seconds[1]) * 1000 - MARGIN_MS) : Infinity;
+}
+
+/** Whether an error is that of a connection, and not of what came over it. */
+export function isReset(cause: { code?: unknown } | undefined): boolean {
+  return typeof cause?.code === "string" && RESETS.has(cause.code);
+}
+
+/** What one service's runners taught. */
+export class IdleLimit {
+  private learnedMs = Infinity;
+  private learnedAt = 0;
+
+  constructor(readonly world: types.World, private readonly usualMs: number) {}
+
+  /** A kept connection, idle for so long, was reset so soon after its next send, without a byte of reply. */
+  learn(idleMs: number, resetAfterMs: number): void {
+    if (idleMs < LEAST_MS || resetAfterMs > SOON_MS) return;
+    log.count("runner.forgotten");
+    const limit = idleMs * KEPT_SHARE;
+    if (limit >= this.mostMs()) return;
+    this.learnedMs = limit;
+    this.learnedAt = this.world.now();
+  }
+
+  /** For what may not run twice; it goes back up to the usual time over a minute, slowly first. Infinity: nothing is learned. */
+  mostMs(): number {
+    const passed = (this.world.now() - this.learnedAt) / DECAY_MS;
+    if (passed >= 1 || this.learnedMs >= this.usualMs) return Infinity;
+    return this.learnedMs + (this.usualMs - this.learnedMs) * passed * passed;
+  }
+}
+
+export class IdleLimits {
+  private readonly byService = new Map<string, IdleLimit>();
+
+  constructor(private readonly world: types.World, private readonly usualMs: number) {}
+
+  of(service: string): IdleLimit {
+    let limit = this.byService.get(service);
+    if (!limit) {
+      limit = new IdleLimit(this.world, this.usualMs);
+      this.byService.set(service, limit);
+    }
+    return limit;
+  }
+}
--- a/src/standin/runner.ts
+++ b/src/standin/runner.ts
@@ -13,12 +13,20 @@
   eventMs: number;
   tokensPerMs: number;
   events: number;
+  /** Connections idle for longer are forgotten: what comes over them next is reset, unread. */
+  forgetMs: number;
+  /** The clock of forgetMs, in ms. */
+  now: () => number;
+}
+
+function steady(): number {
+  return performance.now();
 }
 
 /** What to do with the next request instead of serving it. */
 export type Mishap = "shed" | "reset" | "cut" | "stray" | "silent" | "no_seal" | "fail";
 
-export const DEFAULTS: RunnerOptions = { id: "i-1", capacity: 8, eventMs: 0, tokensPerMs: 0, events: 4 };
+export const DEFAULTS: RunnerOptions = { id: "i-1", capacity: 8, eventMs: 0, tokensPerMs: 0, events: 4, forgetMs: Infinity, now: steady };
 
 export interface Seen {
   requestId: string;
@@ -40,14 +48,16 @@
   private readonly kept = new Set<string>();
   private readonly server: nodeHttp.Server;
   private readonly sockets = new Set<net.Socket>();
+  private readonly repliedAt = new WeakMap<net.Socket, number>();
   private active = 0;
+  opened = 0;
   private readonly options: RunnerOptions;
   address = "";
 
   constructor(options: Partial<RunnerOptions> = {}) {
     this.options = { ...DEFAULTS, ...options };
     this.server = nodeHttp.createServer({ keepAliveTimeout: 20_000 }, this.take.bind(this));
-    this.server.on("connection", this.opened.bind(this));
+    this.server.on("connection", this.accept.bind(this));
   }
 
   get id(): string {
@@ -58,8 +68,9 @@
     return this.sockets.size;
   }
 
-  private opened(socket: net.Socket): void {
+  private accept(socket: net.Socket): void {
     const { sockets } = this;
+    this.opened += 1;
     sockets.add(socket);
     socket.once("close", function closed() {
       sockets.delete(socket);
@@ -78,6 +89,15 @@
   }
 
   private take(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    const { socket } = incoming;
+    const { repliedAt, options } = this;
+    if (options.now() - (repliedAt.get(socket) ?? Infinity) > options.forgetMs) {
+      socket.resetAndDestroy();
+      return;
+    }
+    outgoing.once("finish", function replied() {
+      repliedAt.set(socket, options.now());
+    });
     const parts: Buffer[] = [];
     const serve = this.serve.bind(this, incoming, outgoing, parts);
     incoming.on("data", function more(chunk: Buffer) {
--- /dev/null
+++ b/tests/idle.test.ts
@@ -0,0 +1,165 @@
+// Kept connections and their idle times (design 7.13): told, learned, forgotten; time is simulated.
+import * as connections from "../src/router/connections.js";
+import * as idle from "../src/router/idle.js";
+import * as edges from "./sim/edge.js";
+import * as sim from "./sim/world.js";
+
+const USUAL = connections.IDLE_MS;
+let clock: sim.SimWorld;
+beforeEach(() => (clock = new sim.SimWorld()));
+
+describe("the limit of a service", () => {
+  test("nothing is learned at first, and nothing from short idle times or late resets", () => {
+    const limit = new idle.IdleLimit(clock, USUAL);
+    expect(limit.mostMs()).toBe(Infinity);
+    limit.learn(249, 5);
+    limit.learn(2000, 601);
+    expect(limit.mostMs()).toBe(Infinity);
+  });
+
+  test("four fifths of the least time count, and go back up over a minute", () => {
+    const limit = new idle.IdleLimit(clock, USUAL);
+    limit.learn(2000, 50);
+    expect(limit.mostMs()).toBe(1600);
+    limit.learn(3000, 50);
+    expect(limit.mostMs()).toBe(1600);
+    limit.learn(1000, 50);
+    expect(limit.mostMs()).toBe(800);
+    clock.skip(30_000);
+    expect(limit.mostMs()).toBe(1600);
+    limit.learn(1500, 50);
+    expect(limit.mostMs()).toBe(1200);
+    clock.skip(59_999);
+    expect(limit.mostMs()).toBeLessThan(USUAL);
+    clock.skip(1);
+    expect(limit.mostMs()).toBe(Infinity);
+  });
+
+  test("services learn for themselves", () => {
+    const limits = new idle.IdleLimits(clock, USUAL);
+    limits.of("a").learn(1000, 1);
+    expect([limits.of("a").mostMs(), limits.of("b").mostMs()]).toEqual([800, Infinity]);
+  });
+
+  test.each([["timeout=5", 4000], ["Timeout=3, max=100", 2000], ["max=9, timeout=1", 0], ["timeout=0", 0], ["max=9", Infinity], [undefined, Infinity]])("Keep-Alive %s allows %d ms", (told, ms) => {
+    expect(idle.toldMs(told as string | undefined)).toBe(ms);
+  });
+
+  test.each([["ECONNRESET", true], ["EPIPE", true], ["UND_ERR_SOCKET", true], ["HPE_INVALID_CONSTANT", false], [undefined, false]])("an error %s is a reset: %s", (code, isReset) => {
+    expect(idle.isReset({ code })).toBe(isReset);
+  });
+});
+
+describe("connections", () => {
+  let opened = 0;
+  let limit: idle.IdleLimit;
+  let kept: connections.Connections;
+  beforeEach(() => {
+    opened = 0;
+    limit = new idle.IdleLimit(clock, USUAL);
+    kept = new connections.Connections("127.0.0.1:1", () => (opened += 1), limit);
+  });
+  afterEach(() => kept.closeIdle());
+
+  /** Two kept connections, given back in this order with so much time between and after. */
+  function two(betweenMs: number, afterMs: number): [connections.Connection, connections.Connection] {
+    const [first, second] = [kept.take(4)!, kept.take(4)!];
+    kept.give(first, true);
+    clock.skip(betweenMs);
+    kept.give(second, true);
+    clock.skip(afterMs);
+    return [first, second];
+  }
+
+  test("by default the freshest is reused, whatever the request", () => {
+    const [first, second] = two(500, 3000);
+    expect(kept.take(4, false)).toBe(second);
+    expect(kept.take(4, true)).toBe(first);
+    expect([second.idleMs, first.idleMs]).toEqual([3000, 3500]);
+  });
+
+  test("with a learned limit, what may not run twice leaves older ones to the rest", () => {
+    const [first, second] = two(500, 1000);
+    limit.learn(1000, 10);
+    const fresh = kept.take(4, false)!;
+    expect([first, second]).not.toContain(fresh);
+    expect(fresh.isFresh).toBe(true);
+    expect([kept.take(4, true), kept.take(4, true)]).toEqual([second, first]);
+    kept.give(fresh, true);
+    clock.skip(800);
+    expect(kept.take(4, false)).toBe(fresh);
+  });
+
+  test("at the bound, the one idle for longest gives its place to a new one", () => {
+    const [first, second] = two(500, 1000);
+    limit.learn(1000, 10);
+    const fresh = kept.take(2, false)!;
+    expect([fresh === first, fresh === second, first.isClosed, second.isClosed]).toEqual([false, false, true, false]);
+    expect(kept.take(2, true)).toBe(second);
+    expect(kept.take(2, false)).toBeNull();
+  });
+
+  test("what the runner told bounds the reuse for all", () => {
+    const made = kept.take(4)!;
+    kept.give(made, true, "timeout=3");
+    clock.skip(2000);
+    expect(kept.take(4, true)).toBe(made);
+    kept.give(made, true, "timeout=3");
+    clock.skip(2001);
+    expect(kept.take(4, true)).not.toBe(made);
+    expect(made.isClosed).toBe(true);
+  });
+
+  test("a break teaches only on a kept connection", () => {
+    const made = kept.take(4)!;
+    clock.skip(2000);
+    kept.broke(made);
+    expect(limit.mostMs()).toBe(Infinity);
+    kept.give(made, true);
+    clock.skip(2000);
+    kept.take(4);
+    clock.skip(40);
+    kept.broke(made);
+    expect(limit.mostMs()).toBe(1600);
+  });
+});
+
+describe("with a runner that forgets connections idle for over 1.5 s", () => {
+  let edge: edges.Edge;
+  let asked = 0;
+  beforeEach(async () => {
+    edge = await edges.Edge.start(clock, [{ id: "i-1", forgetMs: 1500, now: () => clock.now() }]);
+    asked = 0;
+  });
+  afterEach(() => edge.stop());
+
+  async function ask(route: string, idleMs: number): Promise<string> {
+    clock.skip(idleMs);
+    asked += 1;
+    const reply = await edge.send(`POST /${route}/x HTTP/1.1\r\nHost: h\r\nX-Cranewind-Request-Id: q${asked}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    return reply.slice(9, 12);
+  }
+
+  test("one send is lost, the next ones open connections of their own; none runs twice", async () => {
+    expect(await ask("once", 0)).toBe("200");
+    expect(await ask("once", 1000)).toBe("200");
+    expect(edge.runners[0]!.opened).toBe(1);
+    expect(await ask("once", 2000)).toBe("502"); // may have run: nothing says that it has not
+    expect(await ask("once", 5000)).toBe("200");
+    for (let turn = 0; turn < 4; turn += 1) expect(await ask("once", 2000)).toBe("200");
+    expect(await ask("once", 1200)).toBe("200");
+    expect(edge.runners[0]!.opened).toBe(6); // the last one was within the learned limit and reused
+    const ids = edge.seen().map((seen) => seen.requestId);
+    expect(new Set(ids).size).toBe(ids.length);
+    expect(ids).not.toContain("q3");
+  });
+
+  test("what is repeatable goes on reusing, and teaches what is not", async () => {
+    expect(await ask("once", 0)).toBe("200");
+    await ask("read", 2000);
+    expect(edge.seen()).toHaveLength(1); // reset unread; the only runner was tried
+    expect(await ask("once", 3000)).toBe("200");
+    expect(await ask("once", 2000)).toBe("200");
+    expect(edge.seen().map((seen) => seen.requestId)).toEqual(["q1", "q3", "q4"]);
+  });
+});
