Membership by differences; routers hold sessions with a few control nodes

Cause: every router kept a link to every control node, and control nodes told each other all sessions with each beat.

--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -1,5 +1,6 @@
 // Where clients go: ready routers of the asker's region first, others when it has none (design 4.3).
 import * as schema from "../wire/schema.js";
+import type * as doubts from "./doubt.js";
 import * as serve from "./serve.js";
 
 const MOST_ADDRESSES = 64;
@@ -7,7 +8,7 @@
 
 /** Where routers stand: a region of each zone, and the members known. */
 export interface DirectoryView {
-  routers(): schema.NodeInfo[];
+  routers(): doubts.Seen[];
   ttlMostS: number;
 }
 
@@ -20,25 +21,38 @@
   return { status: 200, json: { addresses, ttl_s: Math.min(TTL_S, view.ttlMostS) } };
 }
 
-export function nearest(routers: readonly schema.NodeInfo[], region: string, zone: string): schema.NodeInfo[] {
+/** Routers that are surely alive go before those that are only believed to be (design members 5). */
+export function nearest(routers: readonly doubts.Seen[], region: string, zone: string): schema.NodeInfo[] {
   const ready = routers.filter(isReady);
   // A known router that is not ready beats an empty reply.
   const usable = ready.length > 0 ? ready : routers;
   const here = usable.filter(isHere);
   const near = here.filter(isNear);
-  function isHere(node: schema.NodeInfo): boolean {
-    return node.region === region;
+  function isHere(seen: doubts.Seen): boolean {
+    return seen.node.region === region;
   }
-  function isNear(node: schema.NodeInfo): boolean {
-    return node.zone === zone;
+  function isNear(seen: doubts.Seen): boolean {
+    return seen.node.zone === zone;
   }
   // One router alone is no zone to lean on: then the whole region serves.
-  if (near.length >= 2) return near;
-  return here.length > 0 ? here : [...usable];
+  const sureNear = near.filter(isSure);
+  if (sureNear.length >= 2) return sureNear.map(nodeOf);
+  const sureHere = here.filter(isSure);
+  if (sureHere.length >= 2) return sureHere.map(nodeOf);
+  if (near.length >= 2) return near.map(nodeOf);
+  return (here.length > 0 ? here : usable).map(nodeOf);
 }
 
-function isReady(node: schema.NodeInfo): boolean {
-  return node.isReady;
+function isSure(seen: doubts.Seen): boolean {
+  return seen.isSure;
+}
+
+function nodeOf(seen: doubts.Seen): schema.NodeInfo {
+  return seen.node;
+}
+
+function isReady(seen: doubts.Seen): boolean {
+  return seen.node.isReady;
 }
 
 function outsideOf(node: schema.NodeInfo): string {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -40,7 +40,7 @@
     const port = startup.internal_port_range[0]!;
     this.address = `${startup.ip_address}:${port}`;
     this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), link.SILENT_MS);
-    this.members = new sessions.Sessions(world, startup.region, link.SILENT_MS);
+    this.members = new sessions.Sessions(world, startup.region, link.SILENT_MS, this.life);
     this.feed = new feeds.Feed(this.life);
     const seeds = settings.innerSeeds(startup);
     this.dial.know(seeds);
@@ -64,13 +64,14 @@
   private handle(): void {
     const { handlers, members, dial, core } = this;
     const describe = this.describe.bind(this);
+    const controls = this.controls.bind(this);
     const feed = this.feed;
     core.register(handlers);
     this.cells.register(handlers);
     handlers.on(calls.hello, function hello(from, ask) {
       members.enter(ask.node, from);
       if (ask.node.role === "control") dial.know([ask.node.address]);
-      return { node: describe(), controls: dial.addresses(), place: feed.place };
+      return { node: describe(), controls: controls(), place: feed.place };
     });
     handlers.on(calls.beat, function beat(from, told) {
       members.beat(from, told);
@@ -79,10 +80,17 @@
       return null;
     });
     handlers.on(calls.sessions, function hear(from, told) {
-      members.hear(from, told.nodes);
-      dial.know(told.controls);
+      members.hear(from, told);
+      dial.learn(told.controls);
       return null;
     });
+    handlers.on(calls.whole, function whole(from) {
+      members.forgetPlace(from);
+      return null;
+    });
+    dial.on("up", function met() {
+      members.tellControls(controls());
+    });
     handlers.on(calls.follow, function follow(from, ask) {
       feed.follow(from, ask.place, ask.from, ask.topics);
       return null;
@@ -95,7 +103,7 @@
   private plan(seeds: string[]): void {
     const { root, startup } = this;
     const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this));
-    const view = { routers: this.members.members.bind(this.members, "router"), ttlMostS: startup.bounds.ttl_max_s };
+    const view = { routers: this.members.routers.bind(this.members), ttlMostS: startup.bounds.ttl_max_s };
     root.add(this.internal());
     root.add(serve.child("operator", startup.bind_addresses.control_plane, operator.reply.bind(operator)));
     root.add(serve.child("directory", startup.bind_addresses.directory, resolve));
@@ -144,11 +152,19 @@
   }
 
   private beat(): void {
-    const base = { isReady: true, epoch: this.core.chosen?.epoch ?? types.NO_EPOCH, isSettled: this.core.isSettled() };
+    const base = {
+      isReady: true, epoch: this.core.chosen?.epoch ?? types.NO_EPOCH, isSettled: this.core.isSettled(),
+      silentRegions: this.dial.silentRegions(),
+    };
     this.members.tellBeats(base);
     this.dial.tellAll({ ...base, index: 0, members: 1 });
-    const nodes = [this.describe(), ...this.members.ownNodes().filter(isRouter)];
-    for (const control of this.dial.controls.values()) control.link.tell(calls.sessions, { nodes, controls: this.dial.addresses() });
+    this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
+  }
+
+  /** This control node and those it has links to. */
+  private controls(): schema.ControlInfo[] {
+    const { node_name: name, zone, region } = this.startup;
+    return [{ address: this.address, name, zone, region }, ...this.dial.met()];
   }
 
   private turn(): void {
@@ -193,7 +209,3 @@
     this.cells.stop();
   }
 }
-
-function isRouter(node: schema.NodeInfo): boolean {
-  return node.role === "router";
-}
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -1,9 +1,12 @@
-// A node is a member while its session with a control node stands; siblings tell theirs (design 4.1).
+// A node is a member while its session with a control node stands; siblings tell theirs, by differences
+// (design 4.1, design members 1).
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
+import * as doubts from "./doubt.js";
+import * as rosters from "./roster.js";
 
 interface Session {
   node: schema.NodeInfo;
@@ -11,64 +14,122 @@
 }
 
 const MISSED_MS = 900;
+const ASK_MS = 600;
+const VIEW_MS = 50;
+const LEFT_MS = 60_000;
 
 interface Told {
-  nodes: schema.NodeInfo[];
+  roster: rosters.ToldRoster;
   at: number;
+  askedAt: number;
 }
 
 export class Sessions {
   private readonly own = new Map<string, Session>();
+  private readonly byLink = new Map<link.Link, Session>();
   private readonly told = new Map<string, Told>();
-  /** Routers that said they leave: siblings' older word does not bring them back. */
+  /** Lives of routers that said they leave: siblings' older word does not bring them back. */
   private readonly left = new Map<string, number>();
-
-  constructor(private readonly world: types.World, private readonly region: string, private readonly silentMs: number) {}
+  private readonly roster: rosters.Roster;
+  /** How far each sibling was told the roster, by its link. */
+  private readonly places = new Map<link.Link, number>();
+  private readonly doubt: doubts.Doubt;
+  private controls: schema.ControlInfo[] = [];
+  private view: doubts.Seen[] = [];
+  private viewAt = -1;
+
+  constructor(private readonly world: types.World, private readonly region: string, private readonly silentMs: number, life: string) {
+    this.roster = new rosters.Roster(life);
+    this.doubt = new doubts.Doubt(world);
+  }
 
   enter(node: schema.NodeInfo, from: link.Link): void {
     const before = this.own.get(node.name);
+    const session = { node, link: from };
+    this.own.set(node.name, session);
+    this.byLink.set(from, session);
+    this.viewAt = -1;
     if (before && before.link !== from) before.link.end("a newer session of that node");
-    this.own.set(node.name, { node, link: from });
     log.state(`session: ${node.name} (${node.role}) entered`);
     from.once("end", this.leave.bind(this, node.name, from));
   }
 
   private leave(name: string, from: link.Link, cause: string): void {
+    this.byLink.delete(from);
     if (this.own.get(name)?.link !== from) return;
     this.own.delete(name);
+    this.viewAt = -1;
     log.state(`session: ${name} left: ${cause}`);
   }
 
   beat(from: link.Link, beat: schema.Beat): void {
-    for (const session of this.own.values()) {
-      if (session.link !== from) continue;
-      if (session.node.isReady && !beat.isReady) this.left.set(session.node.life, this.world.now());
-      if (beat.isReady) this.left.delete(session.node.life);
-      session.node = { ...session.node, isReady: beat.isReady, epoch: beat.epoch };
-      return;
-    }
+    const session = this.byLink.get(from);
+    if (!session) return;
+    const { node } = session;
+    if (node.isReady === beat.isReady && node.epoch === beat.epoch) return;
+    if (node.isReady && !beat.isReady) this.left.set(node.life, this.world.now());
+    if (beat.isReady) this.left.delete(node.life);
+    session.node = { ...node, isReady: beat.isReady, epoch: beat.epoch };
+    this.viewAt = -1;
   }
 
-  hear(from: link.Link, nodes: schema.NodeInfo[]): void {
-    let sibling = "";
-    for (const session of this.own.values()) {
-      if (session.link !== from) continue;
-      sibling = session.node.name;
-      for (const node of nodes) if (node.name === sibling) session.node = node;
+  /** A sibling's roster or what changed in it; after a gap the whole is asked for, once. */
+  hear(from: link.Link, news: schema.Sessions): void {
+    const session = this.byLink.get(from);
+    if (!session) return;
+    const sibling = session.node.name;
+    for (const node of news.nodes) if (node.name === sibling) session.node = node;
+    const told = this.told.get(sibling) ?? { roster: new rosters.ToldRoster(), at: 0, askedAt: -ASK_MS };
+    const now = this.world.now();
+    told.at = now;
+    this.told.set(sibling, told);
+    for (const life of news.leaving) if (!this.left.has(life)) this.left.set(life, now);
+    if (news.nodes.length > 0 || news.gone.length > 0 || news.leaving.length > 0) this.viewAt = -1;
+    if (told.roster.hear(news) || now - told.askedAt < ASK_MS) return;
+    told.askedAt = now;
+    log.count("members.gap");
+    from.tell(calls.whole, { _: false });
+  }
+
+  /** A sibling misses something: its next telling is whole. */
+  forgetPlace(from: link.Link): void {
+    this.places.delete(from);
+  }
+
+  /** With each beat, to each sibling: what changed since it was told last (design members 1). */
+  tellSiblings(self: schema.NodeInfo, siblings: Iterable<link.Link>, controls: schema.ControlInfo[]): void {
+    const nodes = [self];
+    for (const session of this.own.values()) if (session.node.role === "router") nodes.push(this.seen(session));
+    this.roster.update(nodes, this.left.keys());
+    const isNew = controls.length !== this.controls.length || controls.some(differs.bind(null, this.controls));
+    this.controls = controls;
+    for (const to of siblings) {
+      const place = this.places.get(to);
+      const news = this.roster.since(place ?? -1);
+      if (news.isWhole) log.count("members.whole");
+      log.count("members.entries", news.nodes.length + news.gone.length);
+      to.tell(calls.sessions, isNew || news.isWhole ? { ...news, controls } : news);
+      if (place === undefined) to.once("end", this.forgetPlace.bind(this, to));
+      this.places.set(to, this.roster.newest);
     }
-    if (sibling === "") return;
-    this.told.set(sibling, { nodes, at: this.world.now() });
+  }
+
+  /** Control nodes newly met are told to the routers that hold sessions here. */
+  tellControls(controls: schema.ControlInfo[]): void {
+    for (const session of this.own.values()) if (session.node.role === "router") session.link.tell(calls.controls, { controls });
   }
 
   /** Ends links that are silent: a cut says nothing. */
   sweep(): void {
+    const now = this.world.now();
     for (const session of [...this.own.values()]) {
       if (session.link.silentMs() > this.silentMs) session.link.end("silent");
     }
     for (const [sibling, told] of this.told) {
-      if (this.world.now() - told.at > 2 * this.silentMs) this.told.delete(sibling);
+      if (now - told.at > 2 * this.silentMs) this.told.delete(sibling);
     }
-    for (const [life, at] of this.left) if (this.world.now() - at > 60_000) this.left.delete(life);
+    for (const [life, at] of this.left) if (now - at > LEFT_MS) this.left.delete(life);
+    this.routers();
   }
 
   end(): void {
@@ -79,26 +140,41 @@
     return this.own.has(name);
   }
 
-  ownNodes(): schema.NodeInfo[] {
-    const nodes: schema.NodeInfo[] = [];
-    for (const session of this.own.values()) nodes.push(seen(session));
-    return nodes;
+  private hasLeft(life: string): boolean {
+    return this.left.has(life);
   }
 
-  /** All members by name: the own sessions first, then what siblings told lately. */
-  members(role: string): schema.NodeInfo[] {
+  /** All members by name: the own sessions first, then what siblings told; one that any of them hears is ready. */
+  private heard(role: string): schema.NodeInfo[] {
     const all = new Map<string, schema.NodeInfo>();
-    for (const session of this.own.values()) if (session.node.role === role) all.set(session.node.name, seen(session));
-    for (const told of this.told.values()) {
-      for (const node of told.nodes) {
-        if (node.role !== role || all.has(node.name)) continue;
-        const left = this.left.get(node.life);
-        all.set(node.name, left === undefined ? node : { ...node, isReady: false });
+    for (const { roster } of this.told.values()) {
+      for (const node of roster.all()) {
+        if (node.role !== role || (all.get(node.name)?.isReady && !node.isReady)) continue;
+        all.set(node.name, this.left.has(node.life) ? { ...node, isReady: false } : node);
       }
     }
+    for (const session of this.own.values()) if (session.node.role === role) all.set(session.node.name, this.seen(session));
     return [...all.values()].sort(byName);
   }
 
+  /** The routers as believed (design members 5), by name; made anew when something changed or 50 ms passed. */
+  routers(): doubts.Seen[] {
+    const now = this.world.now();
+    if (this.viewAt >= 0 && now - this.viewAt < VIEW_MS) return this.view;
+    this.view = this.doubt.view(this.heard("router"), this.hasLeft.bind(this));
+    this.viewAt = now;
+    return this.view;
+  }
+
+  members(role: string): schema.NodeInfo[] {
+    return role === "router" ? this.routers().map(nodeOf) : this.heard(role);
+  }
+
+  /** Beats that stay out take a node out of the directory long before its session ends. */
+  private seen(session: Session): schema.NodeInfo {
+    return session.link.silentMs() > MISSED_MS ? { ...session.node, isReady: false } : session.node;
+  }
+
   /** To the own routers of this region: others hear it from their own region's control node. */
   tellRouters<Ask>(pair: calls.Pair<Ask, unknown>, ask: Ask, except: link.Link): void {
     for (const session of this.own.values()) {
@@ -119,9 +195,13 @@
   }
 }
 
-/** Beats that stay out take a node out of the directory long before its session ends. */
-function seen(session: Session): schema.NodeInfo {
-  return session.link.silentMs() > MISSED_MS ? { ...session.node, isReady: false } : session.node;
+function nodeOf(seen: doubts.Seen): schema.NodeInfo {
+  return seen.node;
+}
+
+function differs(before: readonly schema.ControlInfo[], control: schema.ControlInfo, index: number): boolean {
+  const old = before[index];
+  return old?.address !== control.address || old.name !== control.name;
 }
 
 function byName(left: schema.NodeInfo, right: schema.NodeInfo): number {
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -1,15 +1,20 @@
-// Keeps one link to each known control node: from the seeds, later from what is told (design 4.2).
+// Keeps links to the known control nodes, to all or to a few: from the seeds, later from what is told (design 4.2).
 import * as events from "node:events";
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
+import type * as fews from "./few.js";
 
 const CONNECT_MS = 900;
 const FIRST_PAUSE_MS = 150;
 const MOST_PAUSE_MS = 1500;
 const MOST_LINKS = 16;
+/** Retries of one that is not needed now. */
+const CALM_PAUSE_MS = 6000;
+/** A region whose control nodes were all silent for so long is cut off from here. */
+const CUT_MS = 750;
 
 export interface Control {
   address: string;
@@ -26,15 +31,22 @@
   down: [control: Control];
 }
 
-interface Target {
+/** A known address. failures: in a row, since it was last up; dueAt, urgency: when and why it is dialled (few.ts). */
+export interface Target {
   state: "idle" | "dialing" | "up";
   notBefore: number;
   pauseMs: number;
+  failures: number;
+  dialedAt: number;
+  dueAt: number;
+  urgency: number;
+  isReleased: boolean;
+  region: string;
 }
 
 export class Dialer extends events.EventEmitter<DialerEvents> {
   readonly controls = new Map<string, Control>();
-  private readonly targets = new Map<string, Target>();
+  readonly targets = new Map<string, Target>();
   private isOver = false;
 
   constructor(
@@ -43,6 +55,7 @@
     private readonly handlers: link.Handlers,
     private readonly describe: () => schema.NodeInfo,
     private readonly silentMs: number,
+    private readonly few: fews.Few | null = null,
   ) {
     super();
   }
@@ -50,10 +63,45 @@
   know(addresses: Iterable<string>): void {
     for (const address of addresses) {
       if (address === this.own || this.targets.has(address) || address === "") continue;
-      this.targets.set(address, { state: "idle", notBefore: 0, pauseMs: FIRST_PAUSE_MS });
+      this.targets.set(address, {
+        state: "idle", notBefore: 0, pauseMs: FIRST_PAUSE_MS, failures: 0, dialedAt: 0, dueAt: Infinity, urgency: 0, isReleased: false, region: "",
+      });
     }
   }
 
+  /** Control nodes told of by others, with where they stand. */
+  learn(controls: Iterable<schema.ControlInfo>): void {
+    for (const { address, region } of controls) {
+      this.know([address]);
+      const target = this.targets.get(address);
+      if (target && region !== "") target.region = region;
+    }
+  }
+
+  /** The control nodes with links now. */
+  met(): schema.ControlInfo[] {
+    const met: schema.ControlInfo[] = [];
+    for (const { address, node } of this.controls.values()) met.push({ address, name: node.name, zone: node.zone, region: node.region });
+    return met;
+  }
+
+  links(): link.Link[] {
+    const links: link.Link[] = [];
+    for (const control of this.controls.values()) links.push(control.link);
+    return links;
+  }
+
+  /** Regions all whose control nodes with links fell silent. */
+  silentRegions(): string[] {
+    const silent = new Map<string, boolean>();
+    for (const { node, link: held } of this.controls.values()) {
+      silent.set(node.region, (silent.get(node.region) ?? true) && held.silentMs() > CUT_MS);
+    }
+    const regions: string[] = [];
+    for (const [region, isSilent] of silent) if (isSilent) regions.push(region);
+    return regions;
+  }
+
   addresses(): string[] {
     return [...this.controls.keys()];
   }
@@ -64,32 +112,46 @@
     for (const control of [...this.controls.values()]) {
       if (control.link.silentMs() > this.silentMs) control.link.end("silent");
     }
+    this.few?.plan(this.targets, this.controls);
     for (const [address, target] of this.targets) {
+      if (this.few && target.dueAt > now) continue;
       if (target.state !== "idle" || target.notBefore > now || this.controls.size >= MOST_LINKS) continue;
       target.state = "dialing";
+      target.dialedAt = now;
       void this.dial(address, target);
     }
   }
 
+  /** Simulations hand in links of their own here. */
+  protected connect(address: string): Promise<link.Link | null> {
+    return link.connect(this.world, address, this.handlers, CONNECT_MS);
+  }
+
   private async dial(address: string, target: Target): Promise<void> {
-    const made = await link.connect(this.world, address, this.handlers, CONNECT_MS);
+    const made = await this.connect(address);
     const asked = this.world.now();
     const known = made ? await made.call(calls.hello, { node: this.describe() }, CONNECT_MS) : null;
     if (!made || !known || !made.isOpen || this.isOver) {
       made?.end("no hello");
       target.state = "idle";
+      target.failures += 1;
+      this.few?.forget(target);
       target.notBefore = this.world.now() + target.pauseMs * (0.7 + 0.6 * this.world.random());
-      target.pauseMs = Math.min(MOST_PAUSE_MS, target.pauseMs * 2);
+      target.pauseMs = Math.min(this.few?.hasEnough ? CALM_PAUSE_MS : MOST_PAUSE_MS, target.pauseMs * 2);
       return;
     }
     target.state = "up";
     target.pauseMs = FIRST_PAUSE_MS;
+    target.failures = 0;
+    target.isReleased = false;
+    target.region = known.node.region;
+    this.few?.forget(target);
     const control: Control = {
       address, node: known.node, place: known.place, link: made, beat: null,
       beatAt: this.world.now(), tripMs: this.world.now() - asked,
     };
     this.controls.set(address, control);
-    this.know(known.controls);
+    this.learn(known.controls);
     made.once("end", this.ended.bind(this, control, target));
     log.state(`link: up to ${known.node.name}`);
     this.emit("up", control);
@@ -98,6 +160,7 @@
   private ended(control: Control, target: Target, cause: string): void {
     this.controls.delete(control.address);
     target.state = "idle";
+    if (!target.isReleased) target.failures = 1;
     target.notBefore = this.world.now() + FIRST_PAUSE_MS;
     log.state(`link: down to ${control.node.name}: ${cause}`);
     this.emit("down", control);
--- /dev/null
+++ b/src/feed/few.ts
@@ -0,0 +1,169 @@
+// Which few control nodes a router holds sessions with, and when it dials or releases one (design members 2, 3).
+import * as types from "../wire/types.js";
+import * as log from "../startup/log.js";
+import * as shares from "../shares/shares.js";
+import type * as dialers from "./dialer.js";
+
+/** Control nodes that a router holds sessions with. */
+export const FEW = 3;
+/** Fewer than these left: a replacement is dialled at once. */
+const ENOUGH = 2;
+const REPLACE_MS = 600;
+const MOVE_MS = 4000;
+const RELEASE_MS = 1000;
+const FRESH_MS = 750;
+/** A turn so late says that this process stood still, not that others are silent. */
+const LATE_MS = 400;
+/** A dial that takes longer is not waited for: another is tried beside it. */
+const SLOW_MS = 500;
+
+const NOT_DUE = 0;
+const TO_MOVE = 1;
+const TO_REPLACE = 2;
+const AT_ONCE = 3;
+
+export interface Place {
+  address: string;
+  /** "" when not met yet. */
+  region: string;
+}
+
+export interface Self {
+  name: string;
+  region: string;
+}
+
+/** Weighted rendezvous: the place with the highest score; each gets its part by weight (design members 2). */
+function scoreOf(self: Self, place: Place, weight: number): number {
+  const part = (shares.hash(`${self.name}\n${place.address}`) + 0.5) / 2 ** 32;
+  return -weight / Math.log(part);
+}
+
+/** The own region's best, the best of another region, then the best of the rest, up to FEW. */
+export function choose(places: readonly Place[], self: Self): Set<string> {
+  const counts = new Map<string, number>();
+  for (const { region } of places) counts.set(region, (counts.get(region) ?? 0) + 1);
+  // All routers of a region hold its control nodes: those of small regions get less from elsewhere.
+  const isWeighed = counts.has(self.region);
+  const ranked = places.map(scored).sort(byScore);
+  function scored(place: Place): { place: Place; score: number } {
+    const weight = isWeighed && place.region !== "" ? counts.get(place.region)! : 1;
+    return { place, score: scoreOf(self, place, weight) };
+  }
+  const chosen = new Set<string>();
+  const own = ranked.find(isOwn);
+  if (own) chosen.add(own.place.address);
+  const other = ranked.find(isOther);
+  if (other) chosen.add(other.place.address);
+  for (const { place } of ranked) if (chosen.size < FEW) chosen.add(place.address);
+  return chosen;
+  function isOwn(item: { place: Place }): boolean {
+    return item.place.region === self.region;
+  }
+  function isOther(item: { place: Place }): boolean {
+    return item.place.region !== self.region && item.place.region !== "";
+  }
+}
+
+function byScore(left: { score: number }, right: { score: number }): number {
+  return right.score - left.score;
+}
+
+export class Few {
+  private releaseAt = Infinity;
+  private plannedAt = -Infinity;
+  /** Enough good ones are held: what else is known may wait. */
+  hasEnough = false;
+
+  constructor(private readonly world: types.World, private readonly self: Self) {}
+
+  /** One that says it is not settled, or is silent, does not count toward the few. */
+  private isGood(control: dialers.Control, isLate: boolean): boolean {
+    return this.isHeard(control, isLate) && (!control.beat || control.beat.isSettled);
+  }
+
+  private isHeard(control: dialers.Control, isLate: boolean): boolean {
+    return control.link.isOpen && (isLate || control.link.silentMs() < FRESH_MS);
+  }
+
+  /** Sets when each target is due to be dialled; releases those that are held beyond the few. */
+  plan(targets: ReadonlyMap<string, dialers.Target>, controls: ReadonlyMap<string, dialers.Control>): void {
+    const now = this.world.now();
+    const isLate = now - this.plannedAt > LATE_MS;
+    this.plannedAt = now;
+    const all: Place[] = [];
+    const counted: Place[] = [];
+    let good = 0;
+    for (const [address, target] of targets) {
+      const control = controls.get(address);
+      const place = { address, region: target.region };
+      all.push(place);
+      if (control && this.isGood(control, isLate)) good += 1;
+      if (control ? this.isGood(control, isLate) : isFresh(target, now)) counted.push(place);
+    }
+    const goal = choose(counted, this.self);
+    const isShort = goal.size < Math.min(FEW, all.length);
+    const ideal = choose(all, this.self);
+    this.hasEnough = good >= FEW;
+    const urgency = good < ENOUGH ? AT_ONCE : good < FEW ? TO_REPLACE : TO_MOVE;
+    for (const [address, target] of targets) {
+      const isWanted = isShort || goal.has(address) || ideal.has(address);
+      if (target.state === "idle") this.setDue(target, isWanted ? urgency : NOT_DUE);
+    }
+    this.release(targets, controls, new Set([...goal, ...ideal]), !isShort && isAllUp(goal, controls));
+  }
+
+  /** A target's urgency only grows while it is idle, so that each wait is drawn once. */
+  private setDue(target: dialers.Target, urgency: number): void {
+    if (urgency === NOT_DUE) {
+      this.forget(target);
+      return;
+    }
+    if (urgency <= target.urgency) return;
+    const now = this.world.now();
+    const mostMs = urgency === AT_ONCE ? 0 : urgency === TO_REPLACE ? REPLACE_MS : MOVE_MS;
+    target.urgency = urgency;
+    target.dueAt = Math.min(target.dueAt, now + mostMs * this.world.random());
+    // A pause that grew while it was not needed does not hold up what is needed now.
+    if (urgency !== TO_MOVE) target.notBefore = Math.min(target.notBefore, now + REPLACE_MS);
+  }
+
+  /** Dialled, up or no longer wanted: the next wait is drawn anew. */
+  forget(target: dialers.Target): void {
+    target.urgency = NOT_DUE;
+    target.dueAt = Infinity;
+  }
+
+  private release(
+    targets: ReadonlyMap<string, dialers.Target>, controls: ReadonlyMap<string, dialers.Control>, kept: ReadonlySet<string>, isAllowed: boolean,
+  ): void {
+    const extra: dialers.Control[] = [];
+    for (const control of controls.values()) if (!kept.has(control.address)) extra.push(control);
+    if (!isAllowed || extra.length === 0) {
+      this.releaseAt = Infinity;
+      return;
+    }
+    const now = this.world.now();
+    if (this.releaseAt === Infinity) this.releaseAt = now + RELEASE_MS + MOVE_MS * this.world.random();
+    if (now < this.releaseAt) return;
+    this.releaseAt = Infinity;
+    for (const control of extra) {
+      const target = targets.get(control.address)!;
+      // One that is not good now must not be taken for a fresh one next.
+      target.failures = this.isGood(control, false) ? 0 : 1;
+      target.isReleased = true;
+      log.count("few.released");
+      control.link.end("not among the few");
+    }
+  }
+}
+
+/** Not known to be down: never tried, let go while it was good, or being dialled for a short while. */
+function isFresh(target: dialers.Target, now: number): boolean {
+  return target.failures === 0 && (target.state !== "dialing" || now - target.dialedAt < SLOW_MS);
+}
+
+function isAllUp(goal: ReadonlySet<string>, controls: ReadonlyMap<string, dialers.Control>): boolean {
+  for (const address of goal) if (!controls.has(address)) return false;
+  return true;
+}
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -10,7 +10,9 @@
 import * as check from "../config/check.js";
 import * as routes from "../config/routes.js";
 import * as directory from "../control/directory.js";
+import * as cuts from "../feed/cuts.js";
 import * as dialers from "../feed/dialer.js";
+import * as fews from "../feed/few.js";
 import * as followers from "../feed/follower.js";
 import * as registers from "../register/value.js";
 import * as shares from "../shares/shares.js";
@@ -24,7 +26,6 @@
 import type * as transactions from "./transaction.js";
 
 const WATCH_MS = 100;
-const CUT_MS = 750;
 const TOLD_TOKENS = 1000;
 const CHILL_MS = 2500;
 const LAST_MS = 400;
@@ -50,10 +51,15 @@
     this.share = new shares.Shares(clock, startup.bounds);
     this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region, this.known);
     this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this), this.sending.bind(this), startup.limits);
-    this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS);
+    const few = new fews.Few(clock, { name: startup.node_name, region: startup.region });
+    this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS, few);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
     this.dial.know(settings.innerSeeds(startup));
-    const { fleet, known } = this;
+    const { fleet, known, dial } = this;
+    this.handlers.on(calls.controls, function learn(_from, told) {
+      dial.learn(told.controls);
+      return null;
+    });
     this.handlers.on(calls.signs, function signs(_from, told) {
       fleet.takeDoubt(told.silent);
       if (told.reader !== "") known.note(told.reader, told.unread, told.keys, clock.now());
@@ -89,7 +95,7 @@
   }
 
   private beat(): void {
-    this.dial.tellAll({ isReady: this.isReady(), epoch: this.epoch, isSettled: true, index: 0, members: 1 });
+    this.dial.tellAll({ isReady: this.isReady(), epoch: this.epoch, isSettled: true, index: 0, members: 1, silentRegions: [] });
   }
 
   private watch(): void {
@@ -113,14 +119,9 @@
     return unread;
   }
 
-  /** A region whose control nodes all fell silent is cut off from here, and its runners with it. */
+  /** The runners of a region that is cut off from here are doubted. */
   private cutRegions(): void {
-    const heard = new Map<string, number>();
-    for (const control of this.dial.controls.values()) {
-      const { region } = control.node;
-      heard.set(region, Math.min(heard.get(region) ?? Infinity, control.link.silentMs()));
-    }
-    for (const [region, silentMs] of heard) if (silentMs > CUT_MS) this.fleet.doubtRegion(region);
+    for (const region of cuts.cutRegions(this.dial, this.startup.region, this.clock.now())) this.fleet.doubtRegion(region);
   }
 
   takeRegister(value: schema.Value): void {
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -84,23 +84,45 @@
 
 export const node = nodeType as unknown as Schema<NodeInfo>;
 
+/** Where a control node is reached, and where it stands. */
+export interface ControlInfo { address: string; name: string; zone: string; region: string }
+const controlType = avscTypes.Type.forSchema({
+  type: "record", name: "Control",
+  fields: [{ name: "address", type: "string" }, { name: "name", type: "string" }, { name: "zone", type: "string" }, { name: "region", type: "string" }],
+});
+const controlsType = avscTypes.Type.forSchema({ type: "array", items: controlType });
+
+export interface Controls { controls: ControlInfo[] }
+export const controls = record<Controls>("Controls", [{ name: "controls", type: controlsType }]);
+
 export interface Hello { node: NodeInfo }
 export const hello = record<Hello>("Hello", [{ name: "node", type: nodeType }]);
 
-export interface Known { node: NodeInfo; controls: string[]; place: string }
+export interface Known { node: NodeInfo; controls: ControlInfo[]; place: string }
 export const known = record<Known>("Known", [
-  { name: "node", type: nodeType }, { name: "controls", type: { type: "array", items: "string" } }, { name: "place", type: "string" },
+  { name: "node", type: nodeType }, { name: "controls", type: controlsType }, { name: "place", type: "string" },
 ]);
 
-export interface Beat { isReady: boolean; epoch: types.Epoch; isSettled: boolean; index: number; members: number }
+/** silentRegions: of these the teller hears no control node now (design members 4). */
+export interface Beat { isReady: boolean; epoch: types.Epoch; isSettled: boolean; index: number; members: number; silentRegions: string[] }
 export const beat = record<Beat>("Beat", [
   { name: "isReady", type: "boolean" }, { name: "epoch", type: "long" }, { name: "isSettled", type: "boolean" },
-  { name: "index", type: "int" }, { name: "members", type: "int" },
+  { name: "index", type: "int" }, { name: "members", type: "int" }, { name: "silentRegions", type: { type: "array", items: "string" } },
 ]);
 
-export interface Sessions { nodes: NodeInfo[]; controls: string[] }
+/**
+ * A control node's roster (itself, and the routers whose sessions it holds): what changed after number `from` of the
+ * teller's life, or all of it when isWhole. count and digest are those of the whole roster at `number`.
+ */
+export interface Sessions {
+  life: string; isWhole: boolean; from: number; number: number; count: number; digest: number;
+  nodes: NodeInfo[]; gone: string[]; leaving: string[]; controls: ControlInfo[];
+}
 export const sessions = record<Sessions>("Sessions", [
-  { name: "nodes", type: { type: "array", items: nodeType } }, { name: "controls", type: { type: "array", items: "string" } },
+  { name: "life", type: "string" }, { name: "isWhole", type: "boolean" }, { name: "from", type: "long" }, { name: "number", type: "long" },
+  { name: "count", type: "int" }, { name: "digest", type: "long" }, { name: "nodes", type: { type: "array", items: nodeType } },
+  { name: "gone", type: { type: "array", items: "string" } }, { name: "leaving", type: { type: "array", items: "string" } },
+  { name: "controls", type: controlsType },
 ]);
 
 export interface Prepare { disk: string; ballot: Ballot; voterEpoch: types.Epoch }
--- a/tests/link.test.ts
+++ b/tests/link.test.ts
@@ -110,7 +110,7 @@
 async function control(name: string, region: string): Promise<Control> {
   const side = await listen();
   const feed = new feeds.Feed(name);
-  side.handlers.on(calls.hello, () => ({ node: node(name, region), controls: sides.map((item) => item.address), place: name }));
+  side.handlers.on(calls.hello, () => ({ node: node(name, region), controls: sides.map((item) => ({ address: item.address, name: "", zone: "", region: "" })), place: name }));
   side.handlers.on(calls.follow, (from, ask) => {
     feed.follow(from, ask.place, ask.from, ask.topics);
     return null;
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -160,11 +160,15 @@
   return { name, role: "router", life: name, zone: `${region}-1`, region, address: "", outside: `${name}:1`, disk: "", isCounted: false, isReady, epoch: types.small(1) };
 }
 
+function heard(item: schema.NodeInfo): { node: schema.NodeInfo; isSure: boolean } {
+  return { node: item, isSure: true };
+}
+
 test("the directory: near and ready first, others when there are none, and never empty", function nearest() {
-  const all = [node("a", "r", true), node("b", "r", false), node("c", "q", true)];
+  const all = [node("a", "r", true), node("b", "r", false), node("c", "q", true)].map(heard);
   expect(directory.nearest(all, "r", "r-1").map((item) => item.name)).toEqual(["a"]);
   expect(directory.nearest(all, "p", "p-1").map((item) => item.name)).toEqual(["a", "c"]);
-  expect(directory.nearest([node("b", "r", false)], "q", "q-1").map((item) => item.name)).toEqual(["b"]);
+  expect(directory.nearest([heard(node("b", "r", false))], "q", "q-1").map((item) => item.name)).toEqual(["b"]);
 });
 
 test("who votes: two joiners grow an odd core, one alone waits, an even core sheds a silent voter", function voters() {
--- a/tests/sessions.test.ts
+++ b/tests/sessions.test.ts
@@ -1,5 +1,6 @@
 // Sessions: silence takes a router out of the directory, then out of the members (design 4.1, 4.3).
 import * as directory from "../src/control/directory.js";
+import * as rosters from "../src/control/roster.js";
 import * as sessions from "../src/control/sessions.js";
 import type * as link from "../src/wire/link.js";
 import * as types from "../src/wire/types.js";
@@ -32,9 +33,15 @@
   return { name, role, life: `${name}/1`, zone: "z", region: "r", address: "", outside: `${name}:1`, disk: "", isCounted: false, isReady: true, epoch: types.small(1), ...more };
 }
 
+function told(nodes: schema.NodeInfo[]): schema.Sessions {
+  const roster = new rosters.Roster("sibling");
+  roster.update(nodes, []);
+  return roster.since(-1);
+}
+
 function setUp(): { clock: sim.SimWorld; members: sessions.Sessions; links: FakeLink[]; enter(info: schema.NodeInfo): FakeLink; names(): string[] } {
   const clock = new sim.SimWorld(1);
-  const members = new sessions.Sessions(clock, "r", 1800);
+  const members = new sessions.Sessions(clock, "r", 1800, "life");
   const links: FakeLink[] = [];
   return {
     clock, members, links,
@@ -45,7 +52,7 @@
       members.enter(info, made as unknown as link.Link);
       return made;
     },
-    names: () => directory.nearest(members.members("router"), "r", "z").map((item) => item.name),
+    names: () => directory.nearest(members.routers(), "r", "z").map((item) => item.name),
   };
 }
 
@@ -77,11 +84,11 @@
   const a = enter(node("a"));
   enter(node("c"));
   const sibling = enter(node("s", "control"));
-  members.beat(a as unknown as link.Link, { isReady: false, epoch: types.small(1), isSettled: true, index: 0, members: 1 });
+  members.beat(a as unknown as link.Link, { isReady: false, epoch: types.small(1), isSettled: true, index: 0, members: 1, silentRegions: [] });
   a.end("closed");
-  members.hear(sibling as unknown as link.Link, [node("a")]);
+  members.hear(sibling as unknown as link.Link, told([node("a")]));
   expect(names()).toEqual(["c"]);
-  members.hear(sibling as unknown as link.Link, [node("a", "router", { life: "a/2" })]);
+  members.hear(sibling as unknown as link.Link, told([node("a", "router", { life: "a/2" })]));
   expect(names()).toEqual(["a", "c"]);
 });
 
@@ -98,7 +105,7 @@
   const { members, enter } = setUp();
   const b = enter(node("b"));
   const sibling = enter(node("s", "control"));
-  members.hear(sibling as unknown as link.Link, [node("a"), node("c")]);
-  members.tellBeats({ isReady: true, epoch: types.small(1), isSettled: true });
-  expect(b.told).toEqual([{ isReady: true, epoch: 1, isSettled: true, index: 1, members: 3 }]);
+  members.hear(sibling as unknown as link.Link, told([node("a"), node("c")]));
+  members.tellBeats({ isReady: true, epoch: types.small(1), isSettled: true, silentRegions: [] });
+  expect(b.told).toEqual([{ isReady: true, epoch: 1, isSettled: true, index: 1, members: 3, silentRegions: [] }]);
 });
