Few: seeds tried one after the other, weights from all known; simulated fleet tests

Cause: weights taken from the usable control nodes alone moved routers that had lost nothing; a start dialled three blind picks and moved later. Change: weights from all known; at a start the first that replies tells of the others; silent after 1.2 s, not 0.75.

--- a/src/feed/few.ts
+++ b/src/feed/few.ts
@@ -11,11 +11,13 @@
 const REPLACE_MS = 600;
 const MOVE_MS = 4000;
 const RELEASE_MS = 1000;
-const FRESH_MS = 750;
+const FRESH_MS = 1200;
 /** A turn so late says that this process stood still, not that others are silent. */
 const LATE_MS = 400;
 /** A dial that takes longer is not waited for: another is tried beside it. */
 const SLOW_MS = 500;
+/** At the start no regions are known: seeds are tried one after the other, so long apart, until one replies. */
+const STAGGER_MS = 150;
 
 const NOT_DUE = 0;
 const TO_MOVE = 1;
@@ -39,39 +41,46 @@
   return -weight / Math.log(part);
 }
 
-/** The own region's best, the best of another region, then the best of the rest, up to FEW. */
-export function choose(places: readonly Place[], self: Self): Set<string> {
-  const counts = new Map<string, number>();
-  for (const { region } of places) counts.set(region, (counts.get(region) ?? 0) + 1);
-  // All routers of a region hold its control nodes: those of small regions get less from elsewhere.
-  const isWeighed = counts.has(self.region);
-  const ranked = places.map(scored).sort(byScore);
-  function scored(place: Place): { place: Place; score: number } {
-    const weight = isWeighed && place.region !== "" ? counts.get(place.region)! : 1;
-    return { place, score: scoreOf(self, place, weight) };
-  }
+/**
+ * The own region's best, the best of another region, then the best of the rest, up to FEW. Weights come from all that
+ * are known, usable or not: one that is lost then moves nobody but those that held it.
+ */
+export function choose(places: readonly Place[], self: Self, known: readonly Place[] = places): Set<string> {
+  const ranked = rank(places, self, known);
   const chosen = new Set<string>();
   const own = ranked.find(isOwn);
-  if (own) chosen.add(own.place.address);
+  if (own) chosen.add(own.address);
   const other = ranked.find(isOther);
-  if (other) chosen.add(other.place.address);
-  for (const { place } of ranked) if (chosen.size < FEW) chosen.add(place.address);
+  if (other) chosen.add(other.address);
+  for (const { address } of ranked) if (chosen.size < FEW) chosen.add(address);
   return chosen;
-  function isOwn(item: { place: Place }): boolean {
-    return item.place.region === self.region;
+  function isOwn(place: Place): boolean {
+    return place.region === self.region;
   }
-  function isOther(item: { place: Place }): boolean {
-    return item.place.region !== self.region && item.place.region !== "";
+  function isOther(place: Place): boolean {
+    return place.region !== self.region && place.region !== "";
   }
 }
 
-function byScore(left: { score: number }, right: { score: number }): number {
-  return right.score - left.score;
+/** All routers of a region hold its control nodes: those of small regions get less from routers of elsewhere. */
+function rank(places: readonly Place[], self: Self, known: readonly Place[]): Place[] {
+  const counts = new Map<string, number>();
+  for (const { region } of known) counts.set(region, (counts.get(region) ?? 0) + 1);
+  const isWeighed = counts.has(self.region);
+  const scores = new Map<Place, number>();
+  for (const place of places) {
+    scores.set(place, scoreOf(self, place, isWeighed && place.region !== "" ? counts.get(place.region)! : 1));
+  }
+  return [...places].sort(byScore);
+  function byScore(left: Place, right: Place): number {
+    return scores.get(right)! - scores.get(left)!;
+  }
 }
 
 export class Few {
   private releaseAt = Infinity;
   private plannedAt = -Infinity;
+  private startedAt = -1;
   /** Enough good ones are held: what else is known may wait. */
   hasEnough = false;
 
@@ -101,7 +110,11 @@
       if (control && this.isGood(control, isLate)) good += 1;
       if (control ? this.isGood(control, isLate) : isFresh(target, now)) counted.push(place);
     }
-    const goal = choose(counted, this.self);
+    if (!all.some(isMet)) {
+      this.start(all, targets);
+      return;
+    }
+    const goal = choose(counted, this.self, all);
     const isShort = goal.size < Math.min(FEW, all.length);
     const ideal = choose(all, this.self);
     this.hasEnough = good >= FEW;
@@ -113,6 +126,15 @@
     this.release(targets, controls, new Set([...goal, ...ideal]), !isShort && isAllUp(goal, controls));
   }
 
+  /** Nobody was met yet: whoever replies first tells of all the others. */
+  private start(all: readonly Place[], targets: ReadonlyMap<string, dialers.Target>): void {
+    if (this.startedAt < 0) this.startedAt = this.world.now();
+    for (const [index, place] of rank(all, this.self, all).entries()) {
+      const target = targets.get(place.address)!;
+      if (target.state === "idle") target.dueAt = this.startedAt + index * STAGGER_MS;
+    }
+  }
+
   /** A target's urgency only grows while it is idle, so that each wait is drawn once. */
   private setDue(target: dialers.Target, urgency: number): void {
     if (urgency === NOT_DUE) {
@@ -163,6 +185,10 @@
   return target.failures === 0 && (target.state !== "dialing" || now - target.dialedAt < SLOW_MS);
 }
 
+function isMet(place: Place): boolean {
+  return place.region !== "";
+}
+
 function isAllUp(goal: ReadonlySet<string>, controls: ReadonlyMap<string, dialers.Control>): boolean {
   for (const address of goal) if (!controls.has(address)) return false;
   return true;
--- /dev/null
+++ b/tests/sim/fleet.ts
@@ -0,0 +1,192 @@
+// Control nodes and routers over simulated links: frames in memory, with delay, cuts and kills by the test.
+import * as events from "node:events";
+import type * as net from "node:net";
+import * as sessions from "../../src/control/sessions.js";
+import * as dialers from "../../src/feed/dialer.js";
+import * as fews from "../../src/feed/few.js";
+import * as calls from "../../src/wire/calls.js";
+import * as link from "../../src/wire/link.js";
+import * as schema from "../../src/wire/schema.js";
+import * as types from "../../src/wire/types.js";
+import * as sim from "./world.js";
+
+const DELAY_MS = 5;
+
+/** One end of a connection: what is written comes out of the other end a little later. */
+class SimSocket extends events.EventEmitter {
+  readonly writableLength = 0;
+  other: SimSocket | null = null;
+  isCut = false;
+  constructor(private readonly clock: sim.SimWorld) {
+    super();
+  }
+  setNoDelay(): void {}
+  write(bytes: Buffer): void {
+    const { other } = this;
+    if (!this.isCut) this.clock.after(DELAY_MS, () => other?.emit("data", bytes));
+  }
+  destroy(): void {
+    const { other } = this;
+    this.other = null;
+    if (other && !this.isCut) this.clock.after(DELAY_MS, () => other.emit("close"));
+  }
+}
+
+class SimDialer extends dialers.Dialer {
+  reach: (address: string) => Promise<link.Link | null> = () => Promise.resolve(null);
+  protected override connect(address: string): Promise<link.Link | null> {
+    return this.reach(address);
+  }
+}
+
+export class SimControl {
+  readonly handlers = new link.Handlers();
+  readonly dial: SimDialer;
+  readonly members: sessions.Sessions;
+  isUp = true;
+  isSettled = true;
+  entries = 0;
+  wholes = 0;
+  constructor(fleet: SimFleet, readonly info: schema.ControlInfo) {
+    this.members = new sessions.Sessions(fleet.clock, info.region, link.SILENT_MS, `${info.name}/1`);
+    this.dial = new SimDialer(fleet.clock, info.address, this.handlers, this.describe.bind(this), link.SILENT_MS);
+    this.dial.reach = (address) => fleet.connect(address, this.handlers);
+    this.handlers.on(calls.hello, (from, ask) => {
+      this.members.enter(ask.node, from);
+      if (ask.node.role === "control") this.dial.know([ask.node.address]);
+      return { node: this.describe(), controls: [info, ...this.dial.met()], place: info.name };
+    });
+    this.handlers.on(calls.beat, (from, told) => {
+      this.members.beat(from, told);
+      this.dial.heard(from, told);
+      return null;
+    });
+    this.handlers.on(calls.sessions, (from, told) => {
+      if (fleet.losesNews()) return null;
+      if (told.isWhole) this.wholes += 1;
+      else this.entries += told.nodes.length + told.gone.length;
+      this.members.hear(from, told);
+      this.dial.learn(told.controls);
+      return null;
+    });
+    this.handlers.on(calls.whole, (from) => {
+      this.members.forgetPlace(from);
+      return null;
+    });
+    this.dial.on("up", () => this.members.tellControls([info, ...this.dial.met()]));
+  }
+  private describe(): schema.NodeInfo {
+    return nodeOf(this.info.name, "control", this.info.region, this.info.address);
+  }
+  beat(): void {
+    if (!this.isUp) return;
+    const base = { isReady: true, epoch: types.FIRST_EPOCH, isSettled: this.isSettled, silentRegions: this.dial.silentRegions() };
+    this.members.tellBeats(base);
+    this.dial.tellAll({ ...base, index: 0, members: 1 });
+    this.members.tellSiblings(this.describe(), this.dial.links(), [this.info, ...this.dial.met()]);
+  }
+  turn(): void {
+    if (!this.isUp) return;
+    this.dial.turn();
+    this.members.sweep();
+  }
+  kill(): void {
+    this.isUp = false;
+    this.dial.end();
+    this.members.end();
+  }
+}
+
+export class SimRouter {
+  readonly handlers = new link.Handlers();
+  readonly dial: SimDialer;
+  readonly dials: { address: string; at: number }[] = [];
+  isUp = true;
+  isReady = true;
+  epoch = types.FIRST_EPOCH;
+  constructor(fleet: SimFleet, readonly name: string, readonly region: string, seeds: string[]) {
+    const few = new fews.Few(fleet.clock, { name, region });
+    this.dial = new SimDialer(fleet.clock, "", this.handlers, () => ({ ...nodeOf(name, "router", region, ""), isReady: this.isReady }), link.SILENT_MS, few);
+    this.dial.reach = (address) => {
+      this.dials.push({ address, at: fleet.clock.now() });
+      return fleet.connect(address, this.handlers);
+    };
+    this.handlers.on(calls.beat, (from, told) => {
+      this.dial.heard(from, told);
+      return null;
+    });
+    this.handlers.on(calls.controls, (_from, told) => {
+      this.dial.learn(told.controls);
+      return null;
+    });
+    this.dial.know(seeds);
+  }
+  beat(): void {
+    if (this.isUp) this.dial.tellAll({ isReady: this.isReady, epoch: this.epoch, isSettled: true, index: 0, members: 1, silentRegions: [] });
+  }
+  kill(): void {
+    this.isUp = false;
+    this.dial.end();
+  }
+  held(): string[] {
+    return [...this.dial.controls.keys()].sort();
+  }
+}
+
+export class SimFleet {
+  readonly controls = new Map<string, SimControl>();
+  readonly routers: SimRouter[] = [];
+  /** Part of the news between control nodes that is dropped unread, as no real link does. */
+  lossPart = 0;
+  /** Addresses where nobody even refuses. */
+  readonly holes = new Set<string>();
+  constructor(readonly clock: sim.SimWorld) {}
+
+  losesNews(): boolean {
+    return this.lossPart > 0 && this.clock.random() < this.lossPart;
+  }
+
+  /** Each member's turns and beats at a phase of its own. */
+  private every(ms: number, run: () => void): void {
+    const again = (): void => {
+      run();
+      this.clock.after(ms, again);
+    };
+    this.clock.after(ms * this.clock.random(), again);
+  }
+
+  control(name: string, region: string, seeds: string[]): SimControl {
+    const made = new SimControl(this, { address: `${name}:1`, name, zone: region, region });
+    this.controls.set(made.info.address, made);
+    made.dial.know(seeds);
+    this.every(100, () => made.turn());
+    this.every(link.BEAT_MS, () => made.beat());
+    return made;
+  }
+
+  router(name: string, region: string, seeds: string[]): SimRouter {
+    const made = new SimRouter(this, name, region, seeds);
+    this.routers.push(made);
+    this.every(100, () => made.isUp && made.dial.turn());
+    this.every(link.BEAT_MS, () => made.beat());
+    return made;
+  }
+
+  connect(address: string, handlers: link.Handlers): Promise<link.Link | null> {
+    const target = this.controls.get(address);
+    return new Promise((resolve) => {
+      this.clock.after(this.holes.has(address) ? 900 : DELAY_MS, () => {
+        if (!target?.isUp) return resolve(null);
+        const [near, far] = [new SimSocket(this.clock), new SimSocket(this.clock)];
+        near.other = far;
+        far.other = near;
+        new link.Link(this.clock, far as unknown as net.Socket, target.handlers);
+        resolve(new link.Link(this.clock, near as unknown as net.Socket, handlers));
+      });
+    });
+  }
+}
+
+export function nodeOf(name: string, role: string, region: string, address: string): schema.NodeInfo {
+  return { name, role, life: `${name}/1`, zone: region, region, address, outside: `${name}:2`, disk: "", isCounted: false, isReady: true, epoch: types.FIRST_EPOCH };
+}
