--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -48,6 +48,7 @@
     for (const node of nodes) {
       names.add(node.name);
       const before = this.entries.get(node.name);
+      if (before && before.node === node && !before.isEpochOld) continue;
       const hashed = hashOf(node);
       if (before && before.hash === hashed) {
         before.isEpochOld ||= before.node.epoch !== node.epoch;
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -15,7 +15,7 @@
 
 const MISSED_MS = 900;
 const ASK_MS = 600;
-const VIEW_MS = 50;
+const VIEW_MS = 100;
 const LEFT_MS = 60_000;
 
 interface Told {
@@ -157,7 +157,7 @@
     return [...all.values()].sort(byName);
   }
 
-  /** The routers as believed (design members 5), by name; made anew when something changed or 50 ms passed. */
+  /** The routers as believed (design members 5), by name; made anew when something changed or 100 ms passed. */
   routers(): doubts.Seen[] {
     const now = this.world.now();
     if (this.viewAt >= 0 && now - this.viewAt < VIEW_MS) return this.view;
