Signs in batches, by mark, and only to routers that follow the runner's cell

Cause: each long reading was one frame per router of the whole system: frames grew as routers x requests. Runners go by a 32-bit mark; of a reading only the keys of unread parts are told; a kept key implies all before it.

--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -11,6 +11,7 @@
 import type * as cores from "./core.js";
 import type * as sessions from "./sessions.js";
 import * as orchestrators from "./orchestrator.js";
+import * as relays from "../signs/relay.js";
 import * as watchers from "./watcher.js";
 
 export class Cells implements orchestrators.CellsView {
@@ -18,6 +19,7 @@
   private readonly reports = new Map<string, schema.CellReport>();
   private readonly watcher: watchers.Watcher;
   private readonly orchestrator: orchestrators.Orchestrator;
+  private readonly relay: relays.Relay;
   private engines = new Set<string>();
 
   constructor(
@@ -32,19 +34,19 @@
     const { address, rate_per_s: rate } = startup.cloud_api;
     this.watcher = new watchers.Watcher(world, address ?? "", rate, dial, this.listRank.bind(this), this.listed.bind(this));
     this.orchestrator = new orchestrators.Orchestrator(world, new Set(this.regionOf.values()), this, dial, this.reported.bind(this));
+    this.relay = new relays.Relay(world, this);
     core.on("chosen", this.configured.bind(this));
     dial.on("up", this.watcher.greet.bind(this.watcher));
   }
 
   register(handlers: link.Handlers): void {
-    const { watcher, orchestrator } = this;
-    const relay = this.relay.bind(this);
+    const { watcher, orchestrator, relay } = this;
     handlers.on(calls.instances, function hear(_from, told) {
       watcher.hear(told);
       return null;
     });
     handlers.on(calls.signs, function signs(from, told) {
-      relay(from, told);
+      relay.hear(from, told);
       return null;
     });
     handlers.on(calls.report, function hear(_from, told) {
@@ -58,16 +60,19 @@
     this.watcher.resettle(startup.cloud_api.address ?? "");
   }
 
-  /** A router's signs go to all siblings once, and from each to the routers of its region. */
-  private relay(from: link.Link, told: schema.Signs): void {
-    const relayed = { ...told, isRelayed: true };
-    if (!told.isRelayed) for (const control of this.dial.controls.values()) control.link.tell(calls.signs, relayed);
-    this.members.tellRouters(calls.signs, relayed, from);
+  siblings(): link.Link[] {
+    return [...this.dial.controls.values()].map(linkOf);
+  }
+
+  /** Own routers that follow the reports of the region. */
+  followers(region: string): Iterable<link.Link> {
+    return this.feed.followersOf(feeds.cellTopic(region));
   }
 
   stop(): void {
     this.watcher.stop();
     this.orchestrator.stop();
+    this.relay.stop();
   }
 
   turn(): void {
@@ -82,6 +87,9 @@
   }
 
   private listed(instances: schema.Instance[]): void {
+    const regions = new Map<types.RunnerId, string>();
+    for (const item of instances) regions.set(item.id, this.regionOf.get(item.zone) ?? item.zone);
+    this.relay.takeList(regions);
     this.feed.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances }));
   }
 
@@ -140,3 +148,7 @@
 function byName(left: { name: string }, right: { name: string }): number {
   return left.name < right.name ? -1 : left.name > right.name ? 1 : 0;
 }
+
+function linkOf(control: dialers.Control): link.Link {
+  return control.link;
+}
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -40,7 +40,7 @@
     const port = startup.internal_port_range[0]!;
     this.address = `${startup.ip_address}:${port}`;
     this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), link.SILENT_MS);
-    this.members = new sessions.Sessions(world, startup.region, link.SILENT_MS);
+    this.members = new sessions.Sessions(world, link.SILENT_MS);
     this.feed = new feeds.Feed(this.life);
     const seeds = settings.innerSeeds(startup);
     this.dial.know(seeds);
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -23,7 +23,7 @@
   /** Routers that said they leave: siblings' older word does not bring them back. */
   private readonly left = new Map<string, number>();
 
-  constructor(private readonly world: types.World, private readonly region: string, private readonly silentMs: number) {}
+  constructor(private readonly world: types.World, private readonly silentMs: number) {}
 
   enter(node: schema.NodeInfo, from: link.Link): void {
     const before = this.own.get(node.name);
@@ -99,14 +99,6 @@
     return [...all.values()].sort(byName);
   }
 
-  /** To the own routers of this region: others hear it from their own region's control node. */
-  tellRouters<Ask>(pair: calls.Pair<Ask, unknown>, ask: Ask, except: link.Link): void {
-    for (const session of this.own.values()) {
-      const { role, region } = session.node;
-      if (role === "router" && region === this.region && session.link !== except) session.link.tell(pair, ask);
-    }
-  }
-
   /** A beat to each own member, with its place among the routers: the base of its shares (design 8.1). */
   tellBeats(base: Omit<schema.Beat, "index" | "members">): void {
     const routers = this.members("router");
--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -47,6 +47,10 @@
     this.followers.set(follower, { topics });
   }
 
+  *followersOf(topic: string): Generator<link.Link> {
+    for (const [follower, { topics }] of this.followers) if (isWanted(topics, topic)) yield follower;
+  }
+
   private forget(follower: link.Link): void {
     this.followers.delete(follower);
   }
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -14,6 +14,7 @@
 import * as followers from "../feed/follower.js";
 import * as registers from "../register/value.js";
 import * as shares from "../shares/shares.js";
+import * as tellers from "../signs/teller.js";
 import * as supervisor from "../supervisor/tree.js";
 import * as choosers from "./chooser.js";
 import * as fleets from "./fleet.js";
@@ -30,7 +31,7 @@
 const LAST_MS = 400;
 const STEP_MS = 50;
 
-export class RouterProgram implements followers.Taker {
+export class RouterProgram implements followers.Taker, tellers.Hearer {
   private readonly life = crypto.randomBytes(6).toString("hex");
   private readonly handlers = new link.Handlers();
   private readonly dial: dialers.Dialer;
@@ -39,6 +40,7 @@
   private readonly rotation: rotations.Rotation;
   private readonly share: shares.Shares;
   private readonly known = new readings.Readings();
+  private readonly teller: tellers.Teller;
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
   private epoch = types.NO_EPOCH;
@@ -53,10 +55,10 @@
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
     this.dial.know(settings.innerSeeds(startup));
-    const { fleet, known } = this;
+    this.teller = new tellers.Teller(clock, this, this.tellSigns.bind(this));
+    const { teller } = this;
     this.handlers.on(calls.signs, function signs(_from, told) {
-      fleet.takeDoubt(told.silent);
-      if (told.reader !== "") known.note(told.reader, told.unread, told.keys, clock.now());
+      teller.hear(told);
       return null;
     });
     this.root = new supervisor.Supervisor("router", clock, []);
@@ -98,8 +100,7 @@
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
     this.server.watch();
-    const silent = this.fleet.newDoubts();
-    if (silent.length > 0) this.follower.main?.link.tell(calls.signs, { isRelayed: false, silent, reader: "", unread: 0, keys: [] });
+    this.teller.silence(this.fleet.newDoubts());
     this.cutRegions();
   }
 
@@ -107,12 +108,24 @@
   private sending(request: transactions.Request, runner: types.RunnerId): number {
     if (request.parts.length === 0) return 0;
     const unread = Math.round(this.known.unread(runner, request.parts, request.keys));
-    const isNews = unread >= TOLD_TOKENS;
+    const kept = this.known.keptParts(runner, request.keys);
     this.known.note(runner, unread, request.keys, this.clock.now());
-    if (isNews) this.follower.main?.link.tell(calls.signs, { isRelayed: false, silent: [], reader: runner, unread, keys: request.keys });
+    if (unread >= TOLD_TOKENS) this.teller.reading(runner, unread, request.keys.slice(kept));
     return unread;
   }
 
+  private tellSigns(told: schema.Signs): void {
+    this.follower.main?.link.tell(calls.signs, told);
+  }
+
+  doubted(ids: types.RunnerId[]): void {
+    this.fleet.takeDoubt(ids);
+  }
+
+  read(runner: types.RunnerId, unread: number, keys: readonly number[]): void {
+    this.known.note(runner, unread, keys, this.clock.now());
+  }
+
   /** A region whose control nodes all fell silent is cut off from here, and its runners with it. */
   private cutRegions(): void {
     const heard = new Map<string, number>();
@@ -141,6 +154,7 @@
   takeList(instances: schema.Instance[]): void {
     const wasReady = this.isReady();
     this.fleet.takeList(instances);
+    this.teller.takeList(instances.map(idOf));
     this.known.forgetAllBut(new Set(instances.map(idOf)));
     if (this.turnedReady(wasReady)) this.beat();
   }
@@ -190,6 +204,6 @@
   }
 }
 
-function idOf(instance: schema.Instance): string {
+function idOf(instance: schema.Instance): types.RunnerId {
   return instance.id;
 }
--- a/src/router/readings.ts
+++ b/src/router/readings.ts
@@ -51,18 +51,21 @@
     return reader ? Math.max(0, reader.busyUntil - now) : 0;
   }
 
-  /** Tokens that the runner would have to read: a part is kept only if all before it are. */
+  /** Tokens that the runner would have to read: the key of a part is made of all before it, so these are kept with it. */
   unread(runner: string, parts: readonly plans.Part[], keys: readonly number[]): number {
-    const kept = this.readers.get(runner)?.kept;
     let unread = 0;
-    let isKept = true;
-    for (const [index, part] of parts.entries()) {
-      isKept &&= kept !== undefined && kept.has(keys[index]!);
-      if (!isKept) unread += part.tokens;
-    }
+    for (const part of parts.slice(this.keptParts(runner, keys))) unread += part.tokens;
     return unread;
   }
 
+  /** How many parts of the prompt, from the first on, the runner keeps. */
+  keptParts(runner: string, keys: readonly number[]): number {
+    const kept = this.readers.get(runner)?.kept;
+    if (!kept) return 0;
+    for (let count = keys.length; count > 0; count -= 1) if (kept.has(keys[count - 1]!)) return count;
+    return 0;
+  }
+
   /** The upper side of what is seen: replies are held up by more than reading. */
   learn(tokens: number, tookMs: number): void {
     if (tokens < LONG_SAMPLE || tookMs <= 0) return;
--- /dev/null
+++ b/src/signs/batch.ts
@@ -0,0 +1,57 @@
+// Signs gathered for one frame (design/usage 2.2): readings of one runner from one side are one entry, and
+// the oldest entries are dropped beyond the bound. Signs are hints.
+import * as schema from "../wire/schema.js";
+import * as log from "../startup/log.js";
+
+/** Entries of one frame, and keys of one entry (*ours*). */
+export const MOST_ENTRIES = 64;
+export const MOST_KEYS = 24;
+
+/** One frame: the marks of silent runners, and readings that were sent. */
+export interface Told {
+  silent: number[];
+  readings: schema.ReadingSign[];
+}
+
+export class Batch {
+  private readonly silent = new Set<number>();
+  private readonly readings = new Map<number, schema.ReadingSign>();
+
+  get isEmpty(): boolean {
+    return this.silent.size === 0 && this.readings.size === 0;
+  }
+
+  addSilent(mark: number): void {
+    this.silent.add(mark);
+    dropOldest(this.silent);
+  }
+
+  addReading(reading: schema.ReadingSign): void {
+    const before = this.readings.get(reading.runner);
+    const keys = new Set([...(before?.keys ?? []), ...reading.keys]);
+    this.readings.set(reading.runner, {
+      runner: reading.runner, unread: (before?.unread ?? 0) + reading.unread, keys: [...keys].slice(-MOST_KEYS),
+    });
+    dropOldest(this.readings);
+  }
+
+  take(): Told {
+    const told = { silent: [...this.silent], readings: [...this.readings.values()] };
+    this.silent.clear();
+    this.readings.clear();
+    return told;
+  }
+}
+
+function dropOldest(held: Map<number, unknown> | Set<number>): void {
+  for (const oldest of held.keys()) {
+    if (held.size <= MOST_ENTRIES) return;
+    held.delete(oldest);
+    log.count("signs.dropped");
+  }
+}
+
+/** Upper side of an entry's bytes in a frame: varints of a mark, tokens and keys, and the ends of its array. */
+export function bytesOf(reading: schema.ReadingSign): number {
+  return 10 + 5 * reading.keys.length;
+}
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -147,11 +147,18 @@
   { name: "region", type: "string" }, { name: "reports", type: { type: "array", items: reportType } },
 ]);
 
-/** What a router tells the others of runners: silent ones, and a prompt sent to be read. isRelayed ends its way. */
-export interface Signs { isRelayed: boolean; silent: types.RunnerId[]; reader: types.RunnerId | ""; unread: number; keys: number[] }
+/** A prompt sent to be read: the runner's mark, its unread tokens, the chained keys of the unread parts. */
+export interface ReadingSign { runner: number; unread: number; keys: number[] }
+const readingSignType = avscTypes.Type.forSchema({
+  type: "record", name: "ReadingSign",
+  fields: [{ name: "runner", type: "int" }, { name: "unread", type: "int" }, { name: "keys", type: { type: "array", items: "int" } }],
+});
+
+/** What routers tell each other of runners: marks of silent ones, and readings. isRelayed ends its way (design/usage 2). */
+export interface Signs { isRelayed: boolean; silent: number[]; readings: ReadingSign[] }
 export const signs = record<Signs>("Signs", [
-  { name: "isRelayed", type: "boolean" }, { name: "silent", type: { type: "array", items: "string" } },
-  { name: "reader", type: "string" }, { name: "unread", type: "int" }, { name: "keys", type: { type: "array", items: "int" } },
+  { name: "isRelayed", type: "boolean" }, { name: "silent", type: { type: "array", items: "int" } },
+  { name: "readings", type: { type: "array", items: readingSignType } },
 ]);
 
 export interface Disk { disk: string; promised: Ballot; accepted: Accepted | null }
--- a/tests/sessions.test.ts
+++ b/tests/sessions.test.ts
@@ -34,7 +34,7 @@
 
 function setUp(): { clock: sim.SimWorld; members: sessions.Sessions; links: FakeLink[]; enter(info: schema.NodeInfo): FakeLink; names(): string[] } {
   const clock = new sim.SimWorld(1);
-  const members = new sessions.Sessions(clock, "r", 1800);
+  const members = new sessions.Sessions(clock, 1800);
   const links: FakeLink[] = [];
   return {
     clock, members, links,
