--- /dev/null
+++ b/src/usage/quantum.ts
@@ -0,0 +1,47 @@
+// How exactly runners' reports are told (design/usage 3.1). A report is told again when it is a quantum away from
+// what was told last: differences from the told value, not steps, so that a value at a border does not flicker.
+import * as schema from "../wire/schema.js";
+
+/** Parts of the capacity, and of the kept tokens (*ours*). */
+const USAGE_PARTS = 16;
+const KV_PARTS = 32;
+/** Kept tokens travel in finer steps than they are compared in. */
+const KV_STEPS = 64;
+
+/** Requests: one up to a capacity of 16, then a sixteenth of it. */
+export function quantumOf(capacity: number): number {
+  return Math.max(1, Math.ceil(capacity / USAGE_PARTS));
+}
+
+function kvShare(report: schema.Report): number {
+  return report.kvCapacity > 0 ? report.kvUsed / report.kvCapacity : 0;
+}
+
+/** In quanta: from 1 on the report has moved materially; a change of status always has. */
+export function deviation(told: schema.Report, report: schema.Report, capacity: number): number {
+  if (told.isSpeaking !== report.isSpeaking || told.kvCapacity !== report.kvCapacity) return Infinity;
+  if (!report.isSpeaking) return 0;
+  const quantum = quantumOf(capacity);
+  const kv = Math.abs(kvShare(told) - kvShare(report)) * KV_PARTS;
+  return Math.max(Math.abs(told.active - report.active) / quantum, Math.abs(told.waiting - report.waiting) / quantum, kv);
+}
+
+/** The report as it travels and as every side holds it: kept tokens in steps of the capacity. */
+export function rounded(report: schema.Report): schema.Report {
+  return { ...report, kvUsed: Math.round((stepOf(report) / KV_STEPS) * report.kvCapacity) };
+}
+
+function stepOf(report: schema.Report): number {
+  return Math.min(KV_STEPS, Math.round(kvShare(report) * KV_STEPS));
+}
+
+/** Report <-> body of an item of the topic `cell:REGION`; the key names the runner. */
+export function bodyOf(report: schema.Report): Buffer {
+  const { isSpeaking, active, waiting, kvCapacity } = report;
+  return schema.usage.toBuffer({ isSpeaking, active, waiting, kvStep: stepOf(report), kvCapacity });
+}
+
+export function reportOf(id: schema.Report["id"], body: Buffer): schema.Report {
+  const { isSpeaking, active, waiting, kvStep, kvCapacity } = schema.usage.fromBuffer(body);
+  return { id, isSpeaking, active, waiting, kvUsed: Math.round((kvStep / KV_STEPS) * kvCapacity), kvCapacity };
+}
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -147,6 +147,20 @@
   { name: "region", type: "string" }, { name: "reports", type: { type: "array", items: reportType } },
 ]);
 
+/** A runner's report in the topic of its cell; the key names the runner. kvStep: sixty-fourths of kvCapacity (design/usage 3.1). */
+export interface Usage { isSpeaking: boolean; active: number; waiting: number; kvStep: number; kvCapacity: number }
+export const usage = record<Usage>("Usage", [
+  { name: "isSpeaking", type: "boolean" }, { name: "active", type: "int" }, { name: "waiting", type: "int" },
+  { name: "kvStep", type: "int" }, { name: "kvCapacity", type: "int" },
+]);
+
+/** One service in one region; usage and room in sixteenths of its capacity (design/usage 4.2). */
+export interface Summary { isFresh: boolean; total: number; good: number; usage: number; room: number }
+export const summary = record<Summary>("Summary", [
+  { name: "isFresh", type: "boolean" }, { name: "total", type: "int" }, { name: "good", type: "int" },
+  { name: "usage", type: "int" }, { name: "room", type: "int" },
+]);
+
 /** A prompt sent to be read: the runner's mark, its unread tokens, the chained keys of the unread parts. */
 export interface ReadingSign { runner: number; unread: number; keys: number[] }
 const readingSignType = avscTypes.Type.forSchema({
