The feed carries keyed items of topics; differences also across control nodes

Cause: each change of the configuration or the list sent it whole to every router, from every control node. Change: feed.ts (publisher), mirror.ts (follower), keyed.ts and digest.ts; routers get items from their main control node and notices of the register from the others, and ask a noticing one when the main one is 150 ms late. The present parts travel as one item each until they are split. Tests: the old feed test (place named -> what came after, else a view; topics not followed are not told) is replaced by tests/parts.test.ts, which asks the same of items and more: gap, mismatch, order, tombstones, moves between sources. tests/link.test.ts keeps its epochs and its way between control nodes over real sockets.

--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -21,7 +21,7 @@
   private engines = new Set<string>();
 
   constructor(
-    world: types.World,
+    private readonly world: types.World,
     private startup: settings.Settings,
     private readonly dial: dialers.Dialer,
     private readonly feed: feeds.Feed,
@@ -82,12 +82,16 @@
   }
 
   private listed(instances: schema.Instance[]): void {
-    this.feed.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances }));
+    this.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances }));
   }
 
   private reported(report: schema.CellReport): void {
     this.reports.set(report.region, report);
-    this.feed.publish(feeds.cellTopic(report.region), schema.cellReport.toBuffer(report));
+    this.publish(feeds.cellTopic(report.region), schema.cellReport.toBuffer(report));
+  }
+
+  private publish(topic: string, body: Buffer): void {
+    this.feed.publish(topic, new Map([[feeds.ALL_KEY, body]]), types.small(this.world.now()));
   }
 
   /** Control nodes that this one hears, itself among them, in one order for all. */
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -84,11 +84,11 @@
       return null;
     });
     handlers.on(calls.follow, function follow(from, ask) {
-      feed.follow(from, ask.place, ask.from, ask.topics);
+      feed.follow(from, ask);
       return null;
     });
     core.on("chosen", function chosen(value) {
-      feed.publish(feeds.REGISTER_TOPIC, schema.chosen.toBuffer({ value }));
+      feed.publish(feeds.REGISTER_TOPIC, new Map([[feeds.ALL_KEY, schema.chosen.toBuffer({ value })]]), types.small(value.epoch));
     });
   }
 
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -1,5 +1,6 @@
-// The router's side of the feed: one control node followed in full, the others for the register alone, so
-// that whichever hears of a new epoch first brings it; never backwards (design 6.4).
+// The router's side of the feed (design 6.4, docs/design/parts.md 3): one control node followed for the items of all
+// wanted topics, the others for notices of the register alone. A notice of more than the main one brings in time is
+// asked for where it came from; never backwards.
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
@@ -7,43 +8,57 @@
 import * as log from "../startup/log.js";
 import * as dialers from "./dialer.js";
 import * as feeds from "./feed.js";
+import * as mirrors from "./mirror.js";
 
 const FRESH_MS = 1300;
+const LATE_MS = 150;
+const LATE_AGAIN_MS = 500;
+const GAP_MS = 20;
+const MISMATCH_MS = 500;
 
 export interface Taker {
-  takeRegister(value: schema.Value): void;
-  takeList(instances: schema.Instance[]): void;
-  takeReport(report: schema.CellReport): void;
+  /** What changed and what is gone of one topic, proved whole. */
+  take(applied: mirrors.Applied): void;
 }
 
 export class Follower {
   main: dialers.Control | null = null;
-  private readonly places = new Map<string, number>();
-  private epoch = types.NO_EPOCH;
+  readonly mirror = new mirrors.Mirror(new Set([feeds.REGISTER_TOPIC]));
+  private followed = new Set<string>();
+  private readonly asking = new Set<string>();
+  private readonly noticed = new Map<dialers.Control, types.Stamp>();
+  private isWaiting = false;
 
   constructor(
     private readonly world: types.World,
     private readonly region: string,
     private readonly dial: dialers.Dialer,
     handlers: link.Handlers,
+    private readonly topics: () => Iterable<string>,
     private readonly taker: Taker,
   ) {
     handlers.on(calls.change, this.take.bind(this));
+    handlers.on(calls.notice, this.notice.bind(this));
     handlers.on(calls.beat, this.beat.bind(this));
     dial.on("up", this.up.bind(this));
     dial.on("down", this.down.bind(this));
   }
 
   private up(control: dialers.Control): void {
-    control.link.tell(calls.follow, { place: "", from: 0, topics: [feeds.REGISTER_TOPIC] });
+    this.ask(control, [this.mirror.wanted(feeds.REGISTER_TOPIC, "notices", control.place)]);
     this.elect();
   }
 
   private down(control: dialers.Control): void {
+    this.noticed.delete(control);
     if (this.main === control) this.main = null;
     this.elect();
   }
 
+  private ask(control: dialers.Control, topics: schema.Wanted[]): void {
+    control.link.tell(calls.follow, { place: control.place, topics });
+  }
+
   private beat(from: link.Link, beat: schema.Beat): null {
     this.dial.heard(from, beat);
     return null;
@@ -61,32 +76,103 @@
     return rank;
   }
 
-  /** Follows the best control node in full; moves only when another is better by rank. */
+  /** Follows the best control node; moves only when another is better by rank, and then asks for differences. */
   elect(): void {
     let best: dialers.Control | null = this.main;
     for (const control of this.dial.controls.values()) {
       if (!best || this.rankOf(control) < this.rankOf(best)) best = control;
     }
     if (!best || best === this.main) return;
-    if (this.main) this.main.link.tell(calls.follow, { place: this.main.place, from: this.places.get(this.main.place) ?? 0, topics: [feeds.REGISTER_TOPIC] });
+    if (this.main) this.leave(this.main);
     this.main = best;
     log.state(`feed: following ${best.node.name}`);
-    best.link.tell(calls.follow, { place: "", from: 0, topics: [] });
+    this.followed = new Set();
+    this.narrow();
   }
 
-  private take(from: link.Link, change: schema.Change): null {
-    this.places.set(change.place, change.number);
-    if (change.topic === feeds.REGISTER_TOPIC) {
-      const { value } = schema.chosen.fromBuffer(change.body);
-      if (value && value.epoch > this.epoch) {
-        this.epoch = value.epoch;
-        this.taker.takeRegister(value);
-      }
-      return null;
+  private leave(control: dialers.Control): void {
+    const topics: schema.Wanted[] = [];
+    for (const topic of this.followed) {
+      topics.push(this.mirror.wanted(topic, topic === feeds.REGISTER_TOPIC ? "notices" : "none", control.place));
+    }
+    this.ask(control, topics);
+  }
+
+  /** Follows what is wanted by now, and no longer what is not. */
+  narrow(): void {
+    const { main, mirror } = this;
+    if (!main) return;
+    const wanted = new Set([feeds.REGISTER_TOPIC, ...this.topics()]);
+    const topics: schema.Wanted[] = [];
+    for (const topic of wanted) if (!this.followed.has(topic)) topics.push(mirror.wanted(topic, "items", main.place));
+    for (const topic of this.followed) {
+      if (wanted.has(topic)) continue;
+      topics.push(mirror.wanted(topic, "none", main.place));
+      mirror.forget(topic);
     }
-    if (this.main?.link !== from) return null;
-    if (change.topic === feeds.LIST_TOPIC) this.taker.takeList(schema.instanceList.fromBuffer(change.body).instances);
-    else this.taker.takeReport(schema.cellReport.fromBuffer(change.body));
+    this.followed = wanted;
+    if (topics.length > 0) this.ask(main, topics);
+  }
+
+  private controlOf(from: link.Link): dialers.Control | null {
+    for (const control of this.dial.controls.values()) if (control.link === from) return control;
+    return null;
+  }
+
+  private take(from: link.Link, change: schema.Change): null {
+    const { topic } = change;
+    // The register may come from any; of the rest the main one's word counts.
+    if (topic !== feeds.REGISTER_TOPIC && (this.main?.link !== from || !this.followed.has(topic))) return null;
+    const outcome = this.mirror.take(change);
+    if (outcome.kind === "applied") this.taker.take(outcome);
+    else if (outcome.kind === "gap" || outcome.kind === "mismatch") this.askAgain(from, topic, outcome.kind === "mismatch");
     return null;
   }
+
+  /** After a gap what is missing, after a mismatch all; one question at a time for each topic. */
+  private askAgain(from: link.Link, topic: string, isAll: boolean): void {
+    if (this.asking.has(topic)) return;
+    this.asking.add(topic);
+    const again = this.again.bind(this, from, topic, isAll);
+    this.world.after(isAll ? MISMATCH_MS : GAP_MS, again);
+  }
+
+  private again(from: link.Link, topic: string, isAll: boolean): void {
+    this.asking.delete(topic);
+    const control = this.controlOf(from);
+    if (!control) return;
+    const mode = control === this.main && this.followed.has(topic) ? "items" : "once";
+    this.ask(control, [isAll ? this.mirror.wantedView(topic, mode) : this.mirror.wanted(topic, mode, control.place)]);
+  }
+
+  private notice(from: link.Link, notice: schema.Notice): null {
+    const control = this.controlOf(from);
+    if (!control || notice.topic !== feeds.REGISTER_TOPIC) return null;
+    this.noticed.set(control, notice.stamp);
+    if (notice.stamp > this.mirror.stamp(feeds.REGISTER_TOPIC)) this.waitFor(LATE_MS);
+    return null;
+  }
+
+  private waitFor(ms: number): void {
+    if (this.isWaiting) return;
+    this.isWaiting = true;
+    const late = this.late.bind(this);
+    this.world.after(ms, late);
+  }
+
+  /** The main control node has not brought what another noticed: that one is asked, later the next one. */
+  private late(): void {
+    this.isWaiting = false;
+    const held = this.mirror.stamp(feeds.REGISTER_TOPIC);
+    for (const [control, stamp] of this.noticed) {
+      if (stamp <= held || !control.link.isOpen) continue;
+      log.count("feed.late");
+      this.ask(control, [this.mirror.wanted(feeds.REGISTER_TOPIC, "once", control.place)]);
+      // It goes to the end: each is asked in turn.
+      this.noticed.delete(control);
+      this.noticed.set(control, stamp);
+      this.waitFor(LATE_AGAIN_MS);
+      return;
+    }
+  }
 }
--- /dev/null
+++ b/src/feed/keyed.ts
@@ -0,0 +1,129 @@
+// Keyed items of one topic with a digest that costs only what changes (docs/design/parts.md 2).
+import * as zlib from "node:zlib";
+import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import * as digests from "./digest.js";
+
+const PACK_BYTES = 2048;
+const PACK_LEVEL = 4;
+
+interface Item {
+  body: Buffer;
+  high: number;
+  low: number;
+}
+
+/** A body of null is an item that is gone. */
+export type Changes = ReadonlyMap<string, Buffer | null>;
+
+/** What a set of changes comes to; nothing is in force before `apply`. */
+export interface Plan {
+  changed: Map<string, Buffer>;
+  gone: string[];
+  digest: types.Digest;
+  items: Map<string, Item>;
+  high: number;
+  low: number;
+}
+
+function itemOf(key: string, body: Buffer): Item {
+  const [high, low] = digests.hash(key, body);
+  return { body, high, low };
+}
+
+function textOf(high: number, low: number): types.Digest {
+  return types.small(high.toString(16).padStart(8, "0") + low.toString(16).padStart(8, "0"));
+}
+
+export const EMPTY_DIGEST = textOf(0, 0);
+
+export class Keyed {
+  private readonly items = new Map<string, Item>();
+  private high = 0;
+  private low = 0;
+  digest: types.Digest = EMPTY_DIGEST;
+
+  get size(): number {
+    return this.items.size;
+  }
+
+  keys(): Iterable<string> {
+    return this.items.keys();
+  }
+
+  body(key: string): Buffer | undefined {
+    return this.items.get(key)?.body;
+  }
+
+  bodies(): Map<string, Buffer> {
+    const bodies = new Map<string, Buffer>();
+    for (const [key, item] of this.items) bodies.set(key, item.body);
+    return bodies;
+  }
+
+  /** The sums of all items' hashes, each half modulo 2^32: order-free, and only changed items are hashed. */
+  plan(changes: Changes): Plan {
+    const plan: Plan = { changed: new Map(), gone: [], digest: this.digest, items: new Map(), high: this.high, low: this.low };
+    for (const [key, body] of changes) {
+      const before = this.items.get(key);
+      if (body === null ? !before : before?.body.equals(body)) continue;
+      if (before) {
+        plan.high = (plan.high - before.high) >>> 0;
+        plan.low = (plan.low - before.low) >>> 0;
+      }
+      if (body === null) {
+        plan.gone.push(key);
+        continue;
+      }
+      const item = itemOf(key, body);
+      plan.high = (plan.high + item.high) >>> 0;
+      plan.low = (plan.low + item.low) >>> 0;
+      plan.items.set(key, item);
+      plan.changed.set(key, body);
+    }
+    plan.digest = textOf(plan.high, plan.low);
+    return plan;
+  }
+
+  /** As `plan`, for a view: what it does not hold is gone. */
+  planView(whole: Changes): Plan {
+    const changes = new Map<string, Buffer | null>(whole);
+    for (const key of this.items.keys()) if (!changes.has(key)) changes.set(key, null);
+    return this.plan(changes);
+  }
+
+  apply(plan: Plan): void {
+    for (const key of plan.gone) this.items.delete(key);
+    for (const [key, item] of plan.items) this.items.set(key, item);
+    this.high = plan.high;
+    this.low = plan.low;
+    this.digest = plan.digest;
+  }
+}
+
+export function isEmpty(plan: Plan): boolean {
+  return plan.changed.size === 0 && plan.gone.length === 0;
+}
+
+/** Items as they travel: packed where that is worth it. */
+export function pack(changes: Changes): { isPacked: boolean; items: Buffer } {
+  const items: schema.Item[] = [];
+  for (const [key, body] of changes) items.push({ key, body });
+  const plain = schema.items.toBuffer({ items });
+  if (plain.length < PACK_BYTES) return { isPacked: false, items: plain };
+  return { isPacked: true, items: zlib.deflateRawSync(plain, { level: PACK_LEVEL }) };
+}
+
+export function unpack(change: schema.Change): Map<string, Buffer | null> {
+  const { items } = schema.items.fromBuffer(change.isPacked ? zlib.inflateRawSync(change.items) : change.items);
+  const changes = new Map<string, Buffer | null>();
+  for (const { key, body } of items) changes.set(key, body);
+  return changes;
+}
+
+/** The changes of a plan, ready to travel. */
+export function changesOf(plan: Plan): Map<string, Buffer | null> {
+  const changes = new Map<string, Buffer | null>(plan.changed);
+  for (const key of plan.gone) changes.set(key, null);
+  return changes;
+}
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -11,7 +11,9 @@
 import * as routes from "../config/routes.js";
 import * as directory from "../control/directory.js";
 import * as dialers from "../feed/dialer.js";
+import * as feeds from "../feed/feed.js";
 import * as followers from "../feed/follower.js";
+import type * as mirrors from "../feed/mirror.js";
 import * as registers from "../register/value.js";
 import * as shares from "../shares/shares.js";
 import * as supervisor from "../supervisor/tree.js";
@@ -51,7 +53,7 @@
     this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region, this.known);
     this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this), this.sending.bind(this), startup.limits);
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS);
-    this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
+    this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this.topics.bind(this), this);
     this.dial.know(settings.innerSeeds(startup));
     const { fleet, known } = this;
     this.handlers.on(calls.signs, function signs(_from, told) {
@@ -95,6 +97,7 @@
   private watch(): void {
     this.dial.turn();
     this.follower.elect();
+    this.follower.narrow();
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
     this.server.watch();
@@ -123,7 +126,21 @@
     for (const [region, silentMs] of heard) if (silentMs > CUT_MS) this.fleet.doubtRegion(region);
   }
 
-  takeRegister(value: schema.Value): void {
+  private topics(): string[] {
+    const topics = [feeds.LIST_TOPIC];
+    for (const region of new Set(Object.values(this.startup.zones))) topics.push(feeds.cellTopic(region));
+    return topics;
+  }
+
+  take(applied: mirrors.Applied): void {
+    const body = applied.changed.get(feeds.ALL_KEY);
+    if (!body) return;
+    if (applied.topic === feeds.LIST_TOPIC) this.takeList(schema.instanceList.fromBuffer(body).instances);
+    else if (applied.topic === feeds.REGISTER_TOPIC) this.takeRegister(schema.chosen.fromBuffer(body).value!);
+    else this.takeReport(schema.cellReport.fromBuffer(body));
+  }
+
+  private takeRegister(value: schema.Value): void {
     const wasReady = this.isReady();
     const config = registers.unpack(value.config) as check.Configuration | null;
     const isFirst = this.epoch < 0;
@@ -138,7 +155,7 @@
     this.turnedReady(wasReady);
   }
 
-  takeList(instances: schema.Instance[]): void {
+  private takeList(instances: schema.Instance[]): void {
     const wasReady = this.isReady();
     this.fleet.takeList(instances);
     this.known.forgetAllBut(new Set(instances.map(idOf)));
@@ -151,7 +168,7 @@
     return true;
   }
 
-  takeReport(report: schema.CellReport): void {
+  private takeReport(report: schema.CellReport): void {
     this.fleet.takeReport(report);
   }
 
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -32,3 +32,4 @@
 export const instances = pair(10, "instances", schema.instanceList, schema.empty);
 export const report = pair(11, "report", schema.cellReport, schema.empty);
 export const signs = pair(12, "signs", schema.signs, schema.empty);
+export const notice = pair(13, "notice", schema.notice, schema.empty);
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -126,14 +126,40 @@
 export interface Chosen { value: Value | null }
 export const chosen = record<Chosen>("Chosen", [{ name: "value", type: ["null", valueType] }]);
 
-export interface Follow { place: string; from: number; topics: string[] }
+/** mode: items, notices, once or none (docs/design/parts.md 1.3). */
+export interface Wanted { topic: string; mode: string; from: number; digest: types.Digest }
+export interface Follow { place: string; topics: Wanted[] }
 export const follow = record<Follow>("Follow", [
-  { name: "place", type: "string" }, { name: "from", type: "long" }, { name: "topics", type: { type: "array", items: "string" } },
+  { name: "place", type: "string" },
+  { name: "topics", type: { type: "array", items: avscTypes.Type.forSchema({
+    type: "record", name: "Wanted",
+    fields: [{ name: "topic", type: "string" }, { name: "mode", type: "string" }, { name: "from", type: "long" }, { name: "digest", type: "string" }],
+  }) } },
 ]);
 
-export interface Change { place: string; number: number; topic: string; body: Buffer }
+export interface Item { key: string; body: Buffer | null }
+export interface Items { items: Item[] }
+export const items = record<Items>("Items", [
+  { name: "items", type: { type: "array", items: avscTypes.Type.forSchema({
+    type: "record", name: "Item", fields: [{ name: "key", type: "string" }, { name: "body", type: ["null", "bytes"] }],
+  }) } },
+]);
+
+/** From the items with the digest `base` to those with `digest`; a view holds them all. items: `Items`, packed or not. */
+export interface Change {
+  place: string; topic: string; number: number; stamp: types.Stamp; base: types.Digest; digest: types.Digest;
+  isView: boolean; isPacked: boolean; items: Buffer;
+}
 export const change = record<Change>("Change", [
-  { name: "place", type: "string" }, { name: "number", type: "long" }, { name: "topic", type: "string" }, { name: "body", type: "bytes" },
+  { name: "place", type: "string" }, { name: "topic", type: "string" }, { name: "number", type: "long" }, { name: "stamp", type: "double" },
+  { name: "base", type: "string" }, { name: "digest", type: "string" }, { name: "isView", type: "boolean" },
+  { name: "isPacked", type: "boolean" }, { name: "items", type: "bytes" },
+]);
+
+export interface Notice { place: string; topic: string; number: number; stamp: types.Stamp; digest: types.Digest }
+export const notice = record<Notice>("Notice", [
+  { name: "place", type: "string" }, { name: "topic", type: "string" }, { name: "number", type: "long" },
+  { name: "stamp", type: "double" }, { name: "digest", type: "string" },
 ]);
 
 /** isSame: nothing but the time of reading has changed since the last list told. */
--- a/tests/link.test.ts
+++ b/tests/link.test.ts
@@ -94,10 +94,11 @@
 
 function follow(dial: dialers.Dialer, handlers: link.Handlers, region: string): { follower: followers.Follower; taken: Taken } {
   const taken: Taken = { epochs: [], lists: 0 };
-  const follower = new followers.Follower(clock, region, dial, handlers, {
-    takeRegister: (value) => taken.epochs.push(value.epoch),
-    takeList: () => (taken.lists += 1),
-    takeReport: () => undefined,
+  const follower = new followers.Follower(clock, region, dial, handlers, () => [feeds.LIST_TOPIC], {
+    take: (applied) => {
+      if (applied.topic === feeds.REGISTER_TOPIC) taken.epochs.push(applied.stamp);
+      else taken.lists += 1;
+    },
   });
   return { follower, taken };
 }
@@ -112,14 +113,14 @@
   const feed = new feeds.Feed(name);
   side.handlers.on(calls.hello, () => ({ node: node(name, region), controls: sides.map((item) => item.address), place: name }));
   side.handlers.on(calls.follow, (from, ask) => {
-    feed.follow(from, ask.place, ask.from, ask.topics);
+    feed.follow(from, ask);
     return null;
   });
   return { side, feed };
 }
 
 function publish(feed: feeds.Feed, epoch: number): void {
-  feed.publish(feeds.REGISTER_TOPIC, schema.chosen.toBuffer({ value: valueOf(epoch) }));
+  feed.publish(feeds.REGISTER_TOPIC, new Map([[feeds.ALL_KEY, schema.chosen.toBuffer({ value: valueOf(epoch) })]]), types.small(epoch));
 }
 
 test("a router finds control nodes from one seed, follows the near one, takes epochs from any, never back", async () => {
@@ -128,8 +129,8 @@
   const handlers = new link.Handlers();
   const dial = new dialers.Dialer(clock, "", handlers, () => node("router", "r"), 5000);
   const { follower, taken } = follow(dial, handlers, "r");
-  near.feed.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances: [] }));
-  far.feed.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances: [] }));
+  near.feed.publish(feeds.LIST_TOPIC, new Map(), types.small(0));
+  far.feed.publish(feeds.LIST_TOPIC, new Map(), types.small(0));
   publish(far.feed, 3);
   dial.know([far.side.address]);
   await until(() => {
@@ -148,19 +149,3 @@
   await until(() => follower.main?.node.name === "far");
   dial.end();
 });
-
-test("a follower that names its place gets what came after, another a view", () => {
-  const sent: [string, number][] = [];
-  const fake = { tell: (_pair: unknown, change: schema.Change) => sent.push([change.topic, change.number]), once: () => undefined } as unknown as link.Link;
-  const feed = new feeds.Feed("p");
-  for (const [topic, body] of [["a", "1"], ["b", "1"], ["a", "2"], ["a", "2"], ["c", "1"]]) feed.publish(topic!, Buffer.from(body!));
-  feed.follow(fake, "p", 3, []);
-  expect(sent.splice(0)).toEqual([["c", 4]]);
-  feed.follow(fake, "other life", 3, []);
-  expect(sent.splice(0)).toEqual([["b", 2], ["a", 3], ["c", 4]]);
-  feed.follow(fake, "p", 0, ["b"]);
-  sent.splice(0);
-  feed.publish("a", Buffer.from("3"));
-  feed.publish("b", Buffer.from("2"));
-  expect(sent).toEqual([["b", 6]]);
-});
--- /dev/null
+++ b/tests/parts.test.ts
@@ -0,0 +1,241 @@
+// The keyed feed: only what changes travels, nothing unproved is seen, nothing goes back (docs/design/parts.md 1-3).
+import * as feeds from "../src/feed/feed.js";
+import * as keyed from "../src/feed/keyed.js";
+import * as mirrors from "../src/feed/mirror.js";
+import * as log from "../src/startup/log.js";
+import type * as link from "../src/wire/link.js";
+import * as schema from "../src/wire/schema.js";
+import * as types from "../src/wire/types.js";
+import * as links from "./sim/links.js";
+import * as sim from "./sim/world.js";
+
+const { changes, items, stampOf, LIST } = links;
+
+/** A follower's link that keeps what it is told, and the mirror behind it. */
+function setUp(ordered: string[] = []) {
+  const told: schema.Change[] = [];
+  const notices: schema.Notice[] = [];
+  const fake = {
+    tell: (pair: { name: string }, ask: unknown) => (pair.name === "change" ? told.push(ask as schema.Change) : notices.push(ask as schema.Notice)),
+    once: () => undefined,
+  } as unknown as link.Link;
+  const mirror = new mirrors.Mirror(new Set(ordered));
+  return {
+    fake, told, notices, mirror,
+    follow(feed: feeds.Feed, mode: feeds.Mode = "items", topic = "t"): void {
+      feed.follow(fake, { place: feed.place, topics: [mirror.wanted(topic, mode, feed.place)] });
+    },
+    takeAll: () => told.splice(0).map((change) => mirror.take(change)),
+    held: (topic = "t") => Object.fromEntries([...mirror.bodies(topic)].map(([key, body]) => [key, body.toString()])),
+  };
+}
+
+function keysOf(change: schema.Change): string[] {
+  return [...keyed.unpack(change).keys()].sort();
+}
+
+test("only items that differ travel; what vanished is told as gone; the same again tells nothing", () => {
+  const { follow, told, takeAll, held } = setUp();
+  const feed = new feeds.Feed("p");
+  follow(feed);
+  feed.publish("t", items({ a: "1", b: "1", c: "1" }), stampOf(1));
+  feed.publish("t", items({ a: "1", b: "2" }), stampOf(1));
+  feed.publish("t", items({ a: "1", b: "2" }), stampOf(1));
+  feed.amend("t", changes({ a: "1", x: null, d: "1" }), stampOf(1));
+  expect(told.map((change) => [change.isView, change.number, keysOf(change)])).toEqual([[false, 1, ["a", "b", "c"]], [false, 2, ["b", "c"]], [false, 3, ["d"]]]);
+  const outcomes = takeAll() as mirrors.Applied[];
+  expect(outcomes.map((outcome) => [outcome.kind, outcome.isFirst, [...outcome.changed.keys()], outcome.gone])).toEqual([
+    ["applied", true, ["a", "b", "c"], []], ["applied", false, ["b"], ["c"]], ["applied", false, ["d"], []],
+  ]);
+  expect(held()).toEqual({ a: "1", b: "2", d: "1" });
+});
+
+test("an empty topic is a view, too: nothing is there, and that is known", () => {
+  const { follow, mirror, takeAll } = setUp();
+  const feed = new feeds.Feed("p");
+  feed.publish("t", new Map(), stampOf(1));
+  expect(mirror.has("t")).toBe(false);
+  follow(feed);
+  expect(takeAll()).toMatchObject([{ kind: "applied", isFirst: true }]);
+  expect(mirror.has("t")).toBe(true);
+});
+
+test("a stamp that moves on without items travels alone, also to those who follow notices", () => {
+  const { follow, told, notices, takeAll, mirror } = setUp(["t"]);
+  const watcher = setUp();
+  const feed = new feeds.Feed("p");
+  feed.publish("t", items({ a: "1" }), stampOf(1));
+  follow(feed);
+  watcher.follow(feed, "notices");
+  feed.publish("t", items({ a: "1" }), stampOf(2));
+  expect(told.map((change) => [change.stamp, keysOf(change)])).toEqual([[1, ["a"]], [2, []]]);
+  expect(watcher.notices.map((notice) => [notice.stamp, notice.number])).toEqual([[1, 1], [2, 2]]);
+  expect([watcher.told.length, notices.length, takeAll().map((outcome) => outcome.kind), mirror.stamp("t")]).toEqual([0, 0, ["applied", "applied"], 2]);
+});
+
+const RETURNS: [string, (feed: feeds.Feed) => feeds.Feed, boolean, string[]][] = [
+  ["the same life", (feed) => feed, false, ["b", "c"]],
+  ["another life that had these items", () => lifeOf(["1", "2"]), false, ["b", "c"]],
+  ["another life that never had them", () => lifeOf(["2"]), true, ["a", "b"]],
+];
+
+/** b goes through these values; c is gone with the second. */
+function lifeOf(values: string[], name = "q"): feeds.Feed {
+  const feed = new feeds.Feed(name);
+  for (const value of values) feed.publish("t", items(value === "1" ? { a: "1", b: "1", c: "1" } : { a: "1", b: value }), stampOf(Number(value)));
+  return feed;
+}
+
+test.each(RETURNS)("a follower that comes back to %s gets what it lacks", (_name, move, isView, keys) => {
+  const { follow, told, takeAll, held } = setUp();
+  const feed = lifeOf(["1"], "p");
+  follow(feed, "once");
+  takeAll();
+  feed.publish("t", items({ a: "1", b: "2" }), stampOf(2));
+  expect(told).toEqual([]);
+  follow(move(feed));
+  expect([told[0]!.isView, keysOf(told[0]!)]).toEqual([isView, keys]);
+  expect(takeAll()).toMatchObject([{ kind: "applied", gone: ["c"] }]);
+  expect(held()).toEqual({ a: "1", b: "2" });
+});
+
+test("a lost change is a gap: nothing of the next is seen, and the difference heals it", () => {
+  const { follow, told, takeAll, mirror, held } = setUp();
+  const feed = lifeOf(["1"], "p");
+  follow(feed);
+  takeAll();
+  feed.amend("t", changes({ b: "2" }), stampOf(2));
+  told.splice(0);
+  feed.amend("t", changes({ c: "2" }), stampOf(3));
+  const before = log.counted().get("feed.gap") ?? 0;
+  expect([takeAll().map((outcome) => outcome.kind), log.counted().get("feed.gap")]).toEqual([["gap"], before + 1]);
+  expect(held()).toEqual({ a: "1", b: "1", c: "1" });
+  follow(feed);
+  expect([told[0]!.isView, keysOf(told[0]!)]).toEqual([false, ["b", "c"]]);
+  takeAll();
+  expect([held(), mirror.digest("t")]).toEqual([{ a: "1", b: "2", c: "2" }, told[0]?.digest ?? mirror.digest("t")]);
+});
+
+const GARBLES: [string, (change: schema.Change) => schema.Change][] = [
+  ["a body", (change) => ({ ...change, ...keyed.pack(changes({ b: "3" })) })],
+  ["a missing item", (change) => ({ ...change, ...keyed.pack(new Map()) })],
+  ["a further item", (change) => ({ ...change, ...keyed.pack(changes({ b: "2", d: "1" })) })],
+  ["a digest", (change) => ({ ...change, digest: types.small("0123456789abcdef") })],
+  ["unreadable items", (change) => ({ ...change, isPacked: true, items: Buffer.from([7, 7, 7]) })],
+];
+
+test.each(GARBLES)("%s that does not fit the digest leaves all as it was, counted; a view heals it", (_name, garble) => {
+  const { fake, follow, told, takeAll, mirror, held } = setUp();
+  const feed = lifeOf(["1"], "p");
+  follow(feed);
+  takeAll();
+  feed.amend("t", changes({ b: "2" }), stampOf(2));
+  const before = log.counted().get("feed.mismatch") ?? 0;
+  expect(mirror.take(garble(told.splice(0)[0]!)).kind).toBe("mismatch");
+  expect([log.counted().get("feed.mismatch"), held()]).toEqual([before + 1, { a: "1", b: "1", c: "1" }]);
+  feed.follow(fake, { place: "p", topics: [mirror.wantedView("t", "items")] });
+  expect(told[0]!.isView).toBe(true);
+  expect(takeAll()).toMatchObject([{ kind: "applied", gone: [] }]);
+  expect(held()).toEqual({ a: "1", b: "2", c: "1" });
+});
+
+test("a topic with an order never goes back, by difference or by view", () => {
+  const { mirror, follow, takeAll, held, told } = setUp(["t"]);
+  const newer = lifeOf(["1", "2", "3"], "p");
+  const older = lifeOf(["1", "2"], "q");
+  follow(newer);
+  takeAll();
+  older.follow(setUp().fake, { place: "q", topics: [] });
+  follow(older);
+  expect([told[0]!.isView, takeAll().map((outcome) => outcome.kind), mirror.stamp("t"), held()]).toEqual([true, ["stale"], 3, { a: "1", b: "3" }]);
+});
+
+test("tombstones are bounded: who is older than the oldest kept gets a view, others the difference", () => {
+  const feed = new feeds.Feed("p");
+  feed.publish("t", items({ stays: "1" }), stampOf(0));
+  const early = setUp();
+  early.follow(feed, "once");
+  early.takeAll();
+  const late = setUp();
+  for (let index = 0; index < 1000; index += 1) {
+    feed.amend("t", changes({ [`k${index}`]: "1" }), stampOf(index));
+    feed.amend("t", changes({ [`k${index}`]: null }), stampOf(index));
+    if (index === 900) {
+      late.follow(feed, "once");
+      late.takeAll();
+    }
+  }
+  early.follow(feed, "once");
+  late.follow(feed, "once");
+  expect([early.told[0]!.isView, late.told[0]!.isView, keysOf(late.told[0]!).length]).toEqual([true, false, 99]);
+  early.takeAll();
+  late.takeAll();
+  expect([early.held(), late.held()]).toEqual([{ stays: "1" }, { stays: "1" }]);
+});
+
+test("who follows a topic no longer, or follows another, is told nothing of it", () => {
+  const { follow, told } = setUp();
+  const feed = lifeOf(["1"], "p");
+  follow(feed);
+  follow(feed, "none");
+  told.splice(0);
+  feed.amend("t", changes({ b: "2" }), stampOf(2));
+  feed.publish("u", items({ a: "1" }), stampOf(2));
+  expect(told).toEqual([]);
+});
+
+async function routerWith(...regions: string[]) {
+  const clock = new sim.SimWorld(7);
+  const router = new links.SimRouter(clock);
+  const sources = regions.map((region) => new feeds.Feed(`life-${region}`));
+  for (const feed of sources) feed.publish(feeds.REGISTER_TOPIC, items({ a: "1", b: "1" }), stampOf(1));
+  for (const [index, feed] of sources.entries()) router.join(regions[index]!, regions[index]!, feed);
+  await clock.play(200);
+  return { clock, router, sources };
+}
+
+function sentBy(router: links.SimRouter, name: string): string[] {
+  return router.sessions.get(name)!.down.frames.splice(0).map((frame) => (frame.name === "change" ? `${(frame.ask as schema.Change).isView ? "view" : "difference"}:${keysOf(frame.ask as schema.Change).join("")}` : frame.name));
+}
+
+test("bodies come from the main control node, notices from the others; a late main is helped out by a noticing one", async () => {
+  const { clock, router, sources } = await routerWith("a", "b");
+  expect([sentBy(router, "a"), sentBy(router, "b")]).toEqual([["notice", "view:ab"], ["notice"]]);
+  sources[1]!.amend(feeds.REGISTER_TOPIC, changes({ b: "2" }), stampOf(2));
+  await clock.play(160);
+  expect([sentBy(router, "a"), sentBy(router, "b"), router.epochs]).toEqual([[], ["notice"], [1]]);
+  await clock.play(100);
+  expect([sentBy(router, "b"), router.epochs]).toEqual([["difference:b"], [1, 2]]);
+  sources[0]!.amend(feeds.REGISTER_TOPIC, changes({ b: "2" }), stampOf(2));
+  sources[0]!.amend(feeds.REGISTER_TOPIC, changes({ a: "3" }), stampOf(3));
+  sources[1]!.amend(feeds.REGISTER_TOPIC, changes({ a: "3" }), stampOf(3));
+  await clock.play(400);
+  expect([sentBy(router, "a"), sentBy(router, "b"), router.epochs]).toEqual([["difference:b", "difference:a"], ["notice"], [1, 2, 3]]);
+});
+
+test("a follower that moves between control nodes and back gets only the difference", async () => {
+  const { clock, router, sources } = await routerWith("a", "b");
+  router.cut("a");
+  for (const feed of sources) feed.amend(feeds.REGISTER_TOPIC, changes({ b: "2" }), stampOf(2));
+  sentBy(router, "b");
+  await clock.play(200);
+  expect([sentBy(router, "b"), router.epochs]).toEqual([["difference:b"], [1, 2]]);
+  for (const feed of sources) feed.amend(feeds.REGISTER_TOPIC, changes({ c: "3" }), stampOf(3));
+  await clock.play(100);
+  router.join("a", "a", sources[0]!);
+  await clock.play(200);
+  expect([sentBy(router, "a"), router.epochs]).toEqual([["notice", "difference:"], [1, 2, 3]]);
+});
+
+test("topics that are no longer wanted are left and forgotten, others are taken up", async () => {
+  const { clock, router, sources } = await routerWith("a");
+  sources[0]!.publish(LIST, items({ i: "1" }), stampOf(1));
+  sources[0]!.publish("list:b", items({ j: "1" }), stampOf(1));
+  await clock.play(100);
+  expect([router.held(LIST), router.held("list:b")]).toEqual([{ i: "1" }, {}]);
+  router.topics = ["list:b"];
+  router.follower.narrow();
+  sources[0]!.amend(LIST, changes({ i: "2" }), stampOf(2));
+  await clock.play(100);
+  expect([router.held(LIST), router.follower.mirror.has(LIST), router.held("list:b")]).toEqual([{}, false, { j: "1" }]);
+});
