Merge parts: usage as differences in the keyed feed, details only where they are used

Cause: every router heard every runner's whole report each 0.6 s. Change: the orchestrator tells what moved by a quantum, the most moved first, and a sixteenth as it was told; one keyed item per runner in cell:REGION; routers follow their own region and those they sent to in the last 10 s, and a summary of the others. Reports that stand still for 2 s fade. Runner keeps active, waiting, kvUsed and kvCapacity. tests/watch.test.ts: the orchestrator's view has differ(), the assertions stand.

--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -12,18 +12,19 @@
 import type * as sessions from "./sessions.js";
 import * as orchestrators from "./orchestrator.js";
 import * as relays from "../signs/relay.js";
+import * as publishers from "../usage/publisher.js";
 import * as watchers from "./watcher.js";
 
 export class Cells implements orchestrators.CellsView {
   private readonly regionOf = new Map<string, string>();
-  private readonly reports = new Map<string, schema.CellReport>();
   private readonly watcher: watchers.Watcher;
   private readonly orchestrator: orchestrators.Orchestrator;
+  private readonly publisher: publishers.Publisher;
   private readonly relay: relays.Relay;
   private engines = new Set<string>();
 
   constructor(
-    world: types.World,
+    private readonly world: types.World,
     private startup: settings.Settings,
     private readonly dial: dialers.Dialer,
     private readonly feed: feeds.Feed,
@@ -34,9 +35,11 @@
     const { address, rate_per_s: rate } = startup.cloud_api;
     this.watcher = new watchers.Watcher(world, address ?? "", rate, dial, this.listRank.bind(this), this.listed.bind(this));
     this.orchestrator = new orchestrators.Orchestrator(world, new Set(this.regionOf.values()), this, dial, this.reported.bind(this));
+    this.publisher = new publishers.Publisher(world, feed);
     this.relay = new relays.Relay(world, this);
     core.on("chosen", this.configured.bind(this));
     dial.on("up", this.watcher.greet.bind(this.watcher));
+    dial.on("up", this.greet.bind(this));
   }
 
   register(handlers: link.Handlers): void {
@@ -69,6 +72,13 @@
     return this.feed.followersOf(feeds.cellTopic(region));
   }
 
+  /** A sibling that came up gets whole what is read here. */
+  private greet(control: dialers.Control): void {
+    for (const region of new Set(this.regionOf.values())) {
+      if (this.orchestrator.isReader(region)) control.link.tell(calls.report, { region, reports: this.publisher.whole(region) });
+    }
+  }
+
   stop(): void {
     this.watcher.stop();
     this.orchestrator.stop();
@@ -78,6 +88,7 @@
   turn(): void {
     this.watcher.turn();
     this.orchestrator.turn();
+    this.publisher.turn();
   }
 
   private configured(value: schema.Value): void {
@@ -90,12 +101,16 @@
     const regions = new Map<types.RunnerId, string>();
     for (const item of instances) regions.set(item.id, this.regionOf.get(item.zone) ?? item.zone);
     this.relay.takeList(regions);
-    this.feed.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances }));
+    this.publisher.takeList(instances, regions);
+    this.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances }));
   }
 
   private reported(report: schema.CellReport): void {
-    this.reports.set(report.region, report);
-    this.feed.publish(feeds.cellTopic(report.region), schema.cellReport.toBuffer(report));
+    this.publisher.take(report);
+  }
+
+  private publish(topic: string, body: Buffer): void {
+    this.feed.publish(topic, new Map([[feeds.ALL_KEY, body]]), types.small(this.world.now()));
   }
 
   /** Control nodes that this one hears, itself among them, in one order for all. */
@@ -140,8 +155,12 @@
     return found;
   }
 
+  differ(region: string, reports: readonly schema.Report[]): schema.Report[] {
+    return this.publisher.differ(region, reports);
+  }
+
   status(): unknown {
-    return { instances: this.watcher.instances, reports: [...this.reports.values()] };
+    return { instances: this.watcher.instances, reports: this.publisher.status() };
   }
 }
 
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -3,6 +3,7 @@
 import * as types from "../wire/types.js";
 import * as shares from "../shares/shares.js";
 import * as log from "../startup/log.js";
+import * as summaries from "../usage/summary.js";
 import * as connections from "./connections.js";
 
 export type Status = "ready" | "draining" | "gone";
@@ -21,7 +22,11 @@
   inflight = 0;
   streaming = 0;
   others = 0;
-  kvShare = 0;
+  /** As reported last; faded while the reports of its region are stale (design/usage 3.4). */
+  active = 0;
+  waiting = 0;
+  kvUsed = 0;
+  kvCapacity = 0;
   isSpeaking = true;
   heardAt = 0;
   sentAt = 0;
@@ -54,6 +59,38 @@
     return this.inflight + this.others;
   }
 
+  get kvShare(): number {
+    return this.kvCapacity > 0 ? this.kvUsed / this.kvCapacity : 0;
+  }
+
+  takeReport(report: schema.Report): void {
+    this.isSpeaking = report.isSpeaking;
+    if (!report.isSpeaking) return;
+    this.active = report.active;
+    this.waiting = report.waiting;
+    this.kvUsed = report.kvUsed;
+    this.kvCapacity = report.kvCapacity;
+    this.rebase();
+  }
+
+  /** What it has from others is what was told less what it has from here. */
+  rebase(): void {
+    if (this.isSpeaking) this.others = Math.max(0, this.active + this.waiting - this.inflight);
+  }
+
+  /** Nothing new was told: part by part it counts as unknown. */
+  fade(by: number): void {
+    this.active *= by;
+    this.waiting *= by;
+    this.kvUsed *= by;
+    this.others *= by;
+  }
+
+  forgetReport(): void {
+    this.fade(0);
+    this.isSpeaking = true;
+  }
+
   suspect(now: number): void {
     this.suspicions = Math.min(6, this.suspicions + 1);
     this.suspectUntil = now + Math.min(MOST_SUSPECT_MS, SUSPECT_MS * this.suspicions);
@@ -109,6 +146,7 @@
   private readonly runners = new Map<string, Runner>();
   private readonly gone = new Map<string, number>();
   private byService = new Map<string, Runner[]>();
+  readonly summaries = new summaries.Summaries();
   hasList = false;
 
   constructor(private readonly world: types.World, private readonly regionOf: ReadonlyMap<string, string>) {}
@@ -157,14 +195,11 @@
   }
 
   takeReport(report: schema.CellReport): void {
-    for (const item of report.reports) {
-      const runner = this.runners.get(item.id);
-      if (!runner) continue;
-      runner.isSpeaking = item.isSpeaking;
-      if (!item.isSpeaking) continue;
-      runner.others = Math.max(0, item.active + item.waiting - runner.inflight);
-      runner.kvShare = item.kvCapacity > 0 ? item.kvUsed / item.kvCapacity : 0;
-    }
+    for (const item of report.reports) this.runners.get(item.id)?.takeReport(item);
+  }
+
+  regionFor(id: types.RunnerId): string {
+    return this.runners.get(id)?.region ?? "";
   }
 
   takeDoubt(ids: readonly string[]): void {
--- a/src/router/policies/cells.ts
+++ b/src/router/policies/cells.ts
@@ -1,6 +1,7 @@
 // Cell selection (design 7.3): deterministic by the key of the kept prompt where reading it again is dear,
 // else priority order: the own region, then the others in one fixed order.
 import * as shares from "../../shares/shares.js";
+import * as summaries from "../../usage/summary.js";
 import type * as fleets from "../fleet.js";
 import * as plans from "../plan.js";
 import * as rotations from "../rotation.js";
@@ -61,10 +62,14 @@
 export class CellPolicy implements plans.Policy {
   readonly name = "cells";
   private readonly states = new Map<string, CellState>();
-  constructor(private readonly ownRegion: string) {}
+  constructor(private readonly ownRegion: string, private readonly known = new summaries.Summaries()) {}
 
   apply(plan: plans.Plan): plans.Denial | null {
     const counts = countCells(plan.candidates, plan.now);
+    for (const [region, cell] of counts) {
+      const summary = this.known.of(region, plan.service);
+      if (summary) cell.good = Math.min(cell.good, Math.round((cell.all * summary.good) / Math.max(1, summary.total)));
+    }
     const order = plan.sharedTokens >= DETERMINISTIC_TOKENS ? this.byKey(plan, counts) : this.byPriority(counts);
     const available = order.filter(this.isAvailable.bind(this, plan, counts));
     const rest = order.filter(isRest);
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -11,11 +11,14 @@
 import * as routes from "../config/routes.js";
 import * as directory from "../control/directory.js";
 import * as dialers from "../feed/dialer.js";
+import * as feeds from "../feed/feed.js";
 import * as followers from "../feed/follower.js";
+import type * as mirrors from "../feed/mirror.js";
 import * as registers from "../register/value.js";
 import * as shares from "../shares/shares.js";
 import * as tellers from "../signs/teller.js";
 import * as supervisor from "../supervisor/tree.js";
+import * as usages from "../usage/reader.js";
 import * as choosers from "./chooser.js";
 import * as fleets from "./fleet.js";
 import * as readiness from "./readiness.js";
@@ -40,6 +43,7 @@
   private readonly rotation: rotations.Rotation;
   private readonly share: shares.Shares;
   private readonly known = new readings.Readings();
+  private readonly usage: usages.Reader;
   private readonly teller: tellers.Teller;
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
@@ -53,8 +57,9 @@
     this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region, this.known);
     this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this), this.sending.bind(this), startup.limits);
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS);
-    this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
+    this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this.topics.bind(this), this);
     this.dial.know(settings.innerSeeds(startup));
+    this.usage = new usages.Reader(clock, this.fleet, startup.region);
     this.teller = new tellers.Teller(clock, this, this.tellSigns.bind(this));
     const { teller } = this;
     this.handlers.on(calls.signs, function signs(_from, told) {
@@ -97,6 +102,8 @@
   private watch(): void {
     this.dial.turn();
     this.follower.elect();
+    this.follower.narrow();
+    this.usage.watch(this.follower.mirror);
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
     this.server.watch();
@@ -106,6 +113,7 @@
 
   /** What is read where is told to the other routers when it is news to them. */
   private sending(request: transactions.Request, runner: types.RunnerId): number {
+    this.usage.sent(this.fleet.regionFor(runner));
     if (request.parts.length === 0) return 0;
     const unread = Math.round(this.known.unread(runner, request.parts, request.keys));
     const kept = this.known.keptParts(runner, request.keys);
@@ -136,7 +144,19 @@
     for (const [region, silentMs] of heard) if (silentMs > CUT_MS) this.fleet.doubtRegion(region);
   }
 
-  takeRegister(value: schema.Value): void {
+  private topics(): string[] {
+    return [feeds.LIST_TOPIC, ...this.usage.topics()];
+  }
+
+  take(applied: mirrors.Applied): void {
+    if (this.usage.take(applied)) return;
+    const body = applied.changed.get(feeds.ALL_KEY);
+    if (!body) return;
+    if (applied.topic === feeds.LIST_TOPIC) this.takeList(schema.instanceList.fromBuffer(body).instances);
+    else this.takeRegister(schema.chosen.fromBuffer(body).value!);
+  }
+
+  private takeRegister(value: schema.Value): void {
     const wasReady = this.isReady();
     const config = registers.unpack(value.config) as check.Configuration | null;
     const isFirst = this.epoch < 0;
@@ -151,9 +171,10 @@
     this.turnedReady(wasReady);
   }
 
-  takeList(instances: schema.Instance[]): void {
+  private takeList(instances: schema.Instance[]): void {
     const wasReady = this.isReady();
     this.fleet.takeList(instances);
+    this.usage.takeList(instances, this.follower.mirror);
     this.teller.takeList(instances.map(idOf));
     this.known.forgetAllBut(new Set(instances.map(idOf)));
     if (this.turnedReady(wasReady)) this.beat();
@@ -165,10 +186,6 @@
     return true;
   }
 
-  takeReport(report: schema.CellReport): void {
-    this.fleet.takeReport(report);
-  }
-
   /** Settings read again: seeds and bounds take effect; addresses of its own do not. */
   resettle(startup: settings.Settings): void {
     this.startup = startup;
--- a/src/usage/picture.ts
+++ b/src/usage/picture.ts
@@ -61,7 +61,7 @@
 }
 
 function isMeasured(moved: Moved): boolean {
-  return Number.isMeasured(moved.by);
+  return Number.isFinite(moved.by);
 }
 
 function reportOf(moved: Moved): schema.Report {
--- a/src/usage/summary.ts
+++ b/src/usage/summary.ts
@@ -67,13 +67,21 @@
 /** The router's side: region and service -> summary. */
 export class Summaries {
   private readonly held = new Map<string, schema.Summary>();
+  private details: ReadonlySet<string> = new Set();
 
   take(key: string, body: Buffer | null): void {
     if (body) this.held.set(key, schema.summary.fromBuffer(body));
     else this.held.delete(key);
   }
 
+  /** Of these regions more is known than a summary says. */
+  detailed(regions: ReadonlySet<string>): void {
+    this.details = regions;
+  }
+
+  /** Null when nothing fresh is known, or more is known by reports. */
   of(region: string, service: string): schema.Summary | null {
+    if (this.details.has(region)) return null;
     const found = this.held.get(keyOf(region, service));
     return found?.isFresh ? found : null;
   }
--- a/tests/watch.test.ts
+++ b/tests/watch.test.ts
@@ -101,7 +101,7 @@
   const gone: schema.Instance = { ...instance, id: types.small("i-2"), address: "127.0.0.1:1" };
   const clock = new MixedWorld(1);
   const seen: schema.CellReport[] = [];
-  const view = { reporting: () => [instance, gone], rank: () => 0 };
+  const view = { reporting: () => [instance, gone], rank: () => 0, differ: (_region: string, reports: readonly schema.Report[]) => [...reports] };
   const orchestrator = new orchestrators.Orchestrator(clock, ["r"], view, dialTo([]), (report) => seen.push(report));
   clock.skip(1000);
   orchestrator.turn();
@@ -120,6 +120,7 @@
       return [];
     },
     rank: () => 1,
+    differ: () => [],
   };
   const orchestrator = new orchestrators.Orchestrator(clock, ["r"], view, dialTo([]), () => undefined);
   clock.skip(5000);
