The configuration travels in parts: an item a route, a table amended in place

Cause: a changed route of thousands cost each router the whole configuration on the way and a whole parse. RouteTable is amended in place, all old places left first.

--- a/src/config/routes.ts
+++ b/src/config/routes.ts
@@ -13,16 +13,44 @@
   byPrefix: Map<string, RouteEntry>;
 }
 
+/** Changed and new items, and the names of those that are gone. */
+export interface Amendment {
+  routes: check.Route[];
+  goneRoutes: string[];
+  services: check.Service[];
+  goneServices: string[];
+}
+
 export class RouteTable {
   private readonly hosts = new Map<string, Host>();
+  private readonly byName = new Map<string, check.Route>();
   readonly services = new Map<string, check.Service>();
 
-  constructor(readonly config: check.Configuration) {
-    for (const service of config.services) this.services.set(service.name, service);
-    for (const route of config.routes) this.add(route);
+  constructor(config: Pick<check.Configuration, "routes" | "services">) {
+    this.amend({ routes: config.routes, goneRoutes: [], services: config.services, goneServices: [] });
+  }
+
+  /** Costs what changes. All places are left before any is taken: a place may pass from one route to another. */
+  amend(amended: Amendment): void {
+    for (const name of amended.goneServices) this.services.delete(name);
+    for (const service of amended.services) this.services.set(service.name, service);
+    for (const name of amended.goneRoutes) this.remove(name);
+    for (const route of amended.routes) this.remove(route.name);
+    for (const route of amended.routes) this.add(route);
+  }
+
+  private remove(name: string): void {
+    const route = this.byName.get(name);
+    if (!route) return;
+    this.byName.delete(name);
+    const key = route.hostname.toLowerCase();
+    const host = this.hosts.get(key)!;
+    host.byPrefix.delete(route.path_prefix);
+    if (host.byPrefix.size === 0) this.hosts.delete(key);
   }
 
   private add(route: check.Route): void {
+    this.byName.set(route.name, route);
     const key = route.hostname.toLowerCase();
     let host = this.hosts.get(key);
     if (!host) {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -8,6 +8,7 @@
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
+import * as parts from "../config/parts.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
 import * as registers from "../register/value.js";
@@ -65,6 +66,7 @@
     const { handlers, members, dial, core } = this;
     const describe = this.describe.bind(this);
     const feed = this.feed;
+    const splitter = new parts.Splitter();
     core.register(handlers);
     this.cells.register(handlers);
     handlers.on(calls.hello, function hello(from, ask) {
@@ -88,7 +90,7 @@
       return null;
     });
     core.on("chosen", function chosen(value) {
-      feed.publish(feeds.REGISTER_TOPIC, new Map([[feeds.ALL_KEY, schema.chosen.toBuffer({ value })]]), types.small(value.epoch));
+      feed.publish(feeds.REGISTER_TOPIC, splitter.split(value), types.small(value.epoch));
     });
   }
 
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -7,14 +7,12 @@
 import * as world from "../wire/world.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
-import * as check from "../config/check.js";
-import * as routes from "../config/routes.js";
+import * as parts from "../config/parts.js";
 import * as directory from "../control/directory.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
 import * as followers from "../feed/follower.js";
 import type * as mirrors from "../feed/mirror.js";
-import * as registers from "../register/value.js";
 import * as shares from "../shares/shares.js";
 import * as supervisor from "../supervisor/tree.js";
 import * as choosers from "./chooser.js";
@@ -40,6 +38,7 @@
   private readonly fleet: fleets.Fleet;
   private readonly rotation: rotations.Rotation;
   private readonly share: shares.Shares;
+  private readonly config = new parts.ConfigParts();
   private readonly known = new readings.Readings();
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
@@ -133,24 +132,27 @@
   }
 
   take(applied: mirrors.Applied): void {
+    if (applied.topic === feeds.REGISTER_TOPIC) {
+      this.takeRegister(applied);
+      return;
+    }
     const body = applied.changed.get(feeds.ALL_KEY);
     if (!body) return;
     if (applied.topic === feeds.LIST_TOPIC) this.takeList(schema.instanceList.fromBuffer(body).instances);
-    else if (applied.topic === feeds.REGISTER_TOPIC) this.takeRegister(schema.chosen.fromBuffer(body).value!);
     else this.takeReport(schema.cellReport.fromBuffer(body));
   }
 
-  private takeRegister(value: schema.Value): void {
+  /** An epoch is taken whole, between two requests (docs/design/parts.md 4). */
+  private takeRegister(applied: mirrors.Applied): void {
     const wasReady = this.isReady();
-    const config = registers.unpack(value.config) as check.Configuration | null;
+    const { config } = this;
     const isFirst = this.epoch < 0;
-    this.epoch = value.epoch;
-    if (config) {
-      this.chooser.table = new routes.RouteTable(config);
-      this.server.limit(config.limits);
-    }
-    for (const zone of this.rotation.take(value.evacuations, isFirst)) this.fleet.chill(zone, CHILL_MS);
-    log.state(`config: epoch ${value.epoch}, revision ${value.revision} in force`);
+    config.take(applied);
+    this.epoch = types.small(applied.stamp);
+    this.chooser.table = config.table;
+    if (config.table) this.server.limit(config.limits);
+    for (const zone of this.rotation.take(config.evacuations, isFirst)) this.fleet.chill(zone, CHILL_MS);
+    log.state(`config: epoch ${this.epoch}, revision ${config.revision} in force`);
     this.beat();
     this.turnedReady(wasReady);
   }
