The platform's list travels in parts: a topic a region, an item an instance

Cause: one changed instance sent the whole list to all siblings and all routers. Change: control/list.ts keeps the list as items and divides it by region; siblings hear differences with a digest and reply with theirs, and one that holds another list is told the whole; Fleet takes changes; router/topics.ts decides which regions are followed. An id that was gone and is listed again is believed after the same 120 s as before, now without a further list. A coldness that begins again with the same figure used to be told to nobody, since the bytes were the same; each item now counts its readings.

--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -6,16 +6,19 @@
 import type * as settings from "../startup/settings.js";
 import type * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
+import type * as keyed from "../feed/keyed.js";
 import * as registers from "../register/value.js";
 import type * as check from "../config/check.js";
 import type * as cores from "./core.js";
 import type * as sessions from "./sessions.js";
+import * as lists from "./list.js";
 import * as orchestrators from "./orchestrator.js";
 import * as watchers from "./watcher.js";
 
 export class Cells implements orchestrators.CellsView {
   private readonly regionOf = new Map<string, string>();
   private readonly reports = new Map<string, schema.CellReport>();
+  private readonly lists: lists.RegionLists;
   private readonly watcher: watchers.Watcher;
   private readonly orchestrator: orchestrators.Orchestrator;
   private engines = new Set<string>();
@@ -29,6 +32,7 @@
     private readonly members: sessions.Sessions,
   ) {
     for (const [zone, region] of Object.entries(startup.zones)) this.regionOf.set(zone, region);
+    this.lists = new lists.RegionLists(this.regionOf, feed);
     const { address, rate_per_s: rate } = startup.cloud_api;
     this.watcher = new watchers.Watcher(world, address ?? "", rate, dial, this.listRank.bind(this), this.listed.bind(this));
     this.orchestrator = new orchestrators.Orchestrator(world, new Set(this.regionOf.values()), this, dial, this.reported.bind(this));
@@ -40,8 +44,7 @@
     const { watcher, orchestrator } = this;
     const relay = this.relay.bind(this);
     handlers.on(calls.instances, function hear(_from, told) {
-      watcher.hear(told);
-      return null;
+      return watcher.hear(told);
     });
     handlers.on(calls.signs, function signs(from, told) {
       relay(from, told);
@@ -81,8 +84,8 @@
     for (const service of config?.services ?? []) if (service.runtime) this.engines.add(service.name);
   }
 
-  private listed(instances: schema.Instance[]): void {
-    this.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances }));
+  private listed(plan: keyed.Plan): void {
+    this.lists.take(plan, types.small(this.world.now()));
   }
 
   private reported(report: schema.CellReport): void {
@@ -130,14 +133,12 @@
 
   reporting(region: string): schema.Instance[] {
     const found: schema.Instance[] = [];
-    for (const item of this.watcher.instances) {
-      if (this.regionOf.get(item.zone) === region && this.engines.has(item.service)) found.push(item);
-    }
+    for (const item of this.lists.of(region)) if (this.engines.has(item.service)) found.push(item);
     return found;
   }
 
   status(): unknown {
-    return { instances: this.watcher.instances, reports: [...this.reports.values()] };
+    return { instances: this.watcher.instances(), reports: [...this.reports.values()] };
   }
 }
 
--- a/src/control/watcher.ts
+++ b/src/control/watcher.ts
@@ -7,12 +7,13 @@
 import * as world from "../wire/world.js";
 import * as log from "../startup/log.js";
 import type * as dialer from "../feed/dialer.js";
+import * as keyed from "../feed/keyed.js";
+import * as lists from "./list.js";
 
 const PERIOD_MS = 700;
 const STEP_MS = 700;
 const CALL_MS = 900;
 const MOST_PAGES = 200;
-const COLD_SLACK_MS = 400;
 
 interface Page {
   instances?: unknown[];
@@ -37,13 +38,8 @@
   return typeof value === "number" && Number.isFinite(value) ? Math.round(value) : otherwise;
 }
 
-function byId(left: schema.Instance, right: schema.Instance): number {
-  return left.id < right.id ? -1 : left.id > right.id ? 1 : 0;
-}
-
 export class Watcher {
-  instances: schema.Instance[] = [];
-  private readAt = 0;
+  private readonly items = new lists.InstanceItems();
   private heardAt = -1e9;
   private isBusy = false;
   private nextAt = 0;
@@ -56,9 +52,13 @@
     private readonly ratePerS: number,
     private readonly dial: dialer.Dialer,
     private readonly rank: () => number,
-    private readonly onList: (instances: schema.Instance[]) => void,
+    private readonly onList: (plan: keyed.Plan) => void,
   ) {}
 
+  instances(): schema.Instance[] {
+    return this.items.all();
+  }
+
   turn(): void {
     const now = this.world.now();
     // Without a platform there is no list to read.
@@ -69,9 +69,14 @@
     void this.poll();
   }
 
-  hear(told: schema.InstanceList): void {
+  /** Replies with what is held now: the reader tells the whole list to one that holds another. */
+  hear(told: schema.Change): schema.HeldList {
     this.heardAt = this.world.now();
-    if (!told.isSame) this.take(told.instances);
+    if (told.digest !== this.items.digest || !this.hasList) {
+      const plan = this.items.hear(told, this.world.now());
+      if (plan) this.take(plan);
+    }
+    return { digest: this.items.digest };
   }
 
   private async poll(): Promise<void> {
@@ -82,14 +87,32 @@
     log.count(list ? "platform.read" : "platform.failed");
     if (!list) return;
     this.heardAt = this.world.now();
-    const isSame = !this.take(list);
-    const told = { isSame, instances: isSame ? [] : this.instances };
-    for (const control of this.dial.controls.values()) control.link.tell(calls.instances, told);
+    const base = this.items.digest;
+    const plan = this.items.read(list, this.world.now());
+    this.take(plan);
+    const told = this.frame(base, false, keyed.pack(keyed.changesOf(plan)));
+    for (const control of this.dial.controls.values()) void this.tell(control, told);
+  }
+
+  /** What changed, also when that is nothing: siblings hear that the list is read (docs/design/parts.md 6). */
+  private async tell(control: dialer.Control, told: schema.Change): Promise<void> {
+    const reply = await control.link.call(calls.instances, told, CALL_MS);
+    if (!reply || reply.digest === told.digest) return;
+    log.count("list.view");
+    this.tellView(control);
+  }
+
+  private tellView(control: dialer.Control): void {
+    control.link.tell(calls.instances, this.frame(keyed.EMPTY_DIGEST, true, this.items.view()));
+  }
+
+  private frame(base: types.Digest, isView: boolean, packed: ReturnType<typeof keyed.pack>): schema.Change {
+    return { place: "", topic: "list", number: 0, stamp: types.small(this.world.now()), base, digest: this.items.digest, isView, ...packed };
   }
 
   /** A sibling that came up gets the list whole. */
   greet(control: dialer.Control): void {
-    if (this.hasList && this.rank() === 0) control.link.tell(calls.instances, { isSame: false, instances: this.instances });
+    if (this.hasList && this.rank() === 0) this.tellView(control);
   }
 
   private async readAll(): Promise<schema.Instance[] | null> {
@@ -112,7 +135,7 @@
         if (instance) found.push(instance);
       }
       token = body.next_page_token ?? null;
-      if (token === null) return found.sort(byId);
+      if (token === null) return found;
     }
     return null;
   }
@@ -132,27 +155,13 @@
     this.client = null;
   }
 
-  /** True when something changed that others must hear; a coldness that only runs down is nothing new. */
-  private take(list: schema.Instance[]): boolean {
-    const now = this.world.now();
-    const passed = now - this.readAt;
+  private take(plan: keyed.Plan): void {
     const isFirst = !this.hasList;
-    const isChanged = isFirst || list.length !== this.instances.length || list.some(differs.bind(null, this.instances, passed));
-    this.readAt = now;
     this.hasList = true;
-    this.instances = list;
-    if (isChanged) this.onList(list);
-    return isChanged;
+    if (isFirst || !keyed.isEmpty(plan)) this.onList(plan);
   }
 }
 
-function differs(before: readonly schema.Instance[], passedMs: number, item: schema.Instance, index: number): boolean {
-  const old = before[index];
-  if (!old || old.id !== item.id || old.address !== item.address || old.isDraining !== item.isDraining) return true;
-  if (old.capacity !== item.capacity || (old.leavesMs < 0) !== (item.leavesMs < 0)) return true;
-  return item.coldMs > Math.max(0, old.coldMs - passedMs) + COLD_SLACK_MS;
-}
-
 function parsePage(body: Buffer): Page | null {
   try {
     return JSON.parse(body.toString("utf8")) as Page;
--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -162,7 +162,15 @@
 export const REGISTER_TOPIC = "register";
 /** The key of a topic's only item. */
 export const ALL_KEY = "all";
-export const LIST_TOPIC = "list";
+/** Stands for zones that the settings do not name. */
+export const NO_REGION = "";
+const LIST_PREFIX = "list:";
+export function listTopic(region: string): string {
+  return LIST_PREFIX + region;
+}
+export function isListTopic(topic: string): boolean {
+  return topic.startsWith(LIST_PREFIX);
+}
 export function cellTopic(region: string): string {
   return `cell:${region}`;
 }
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -19,6 +19,8 @@
 export interface Taker {
   /** What changed and what is gone of one topic, proved whole. */
   take(applied: mirrors.Applied): void;
+  /** A topic is followed no longer; these were its items. */
+  leave(topic: string, keys: readonly string[]): void;
 }
 
 export class Follower {
@@ -108,12 +110,19 @@
     for (const topic of this.followed) {
       if (wanted.has(topic)) continue;
       topics.push(mirror.wanted(topic, "none", main.place));
-      mirror.forget(topic);
+      const keys = mirror.forget(topic);
+      this.taker.leave(topic, keys);
     }
     this.followed = wanted;
     if (topics.length > 0) this.ask(main, topics);
   }
 
+  /** Whether all of these topics are wanted no less than held. */
+  hasAll(isAsked: (topic: string) => boolean): boolean {
+    for (const topic of this.topics()) if (isAsked(topic) && !this.mirror.has(topic)) return false;
+    return true;
+  }
+
   private controlOf(from: link.Link): dialers.Control | null {
     for (const control of this.dial.controls.values()) if (control.link === from) return control;
     return null;
--- a/src/feed/mirror.ts
+++ b/src/feed/mirror.ts
@@ -67,8 +67,11 @@
     return { topic, mode, from: 0, digest: types.small("") };
   }
 
-  forget(topic: string): void {
+  /** The keys of what was held. */
+  forget(topic: string): string[] {
+    const keys = [...(this.topics.get(topic)?.items.keys() ?? [])];
     this.topics.delete(topic);
+    return keys;
   }
 
   take(change: schema.Change): Outcome {
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -4,6 +4,7 @@
 import * as shares from "../shares/shares.js";
 import * as log from "../startup/log.js";
 import * as connections from "./connections.js";
+import * as departures from "./gone.js";
 
 export type Status = "ready" | "draining" | "gone";
 
@@ -12,7 +13,6 @@
 const FULL_MS = 150;
 const QUIET_STREAM_MS = 400;
 const QUIET_START_MS = 1500;
-const GONE_KEPT_MS = 120_000;
 
 export class Runner {
   status: Status = "ready";
@@ -107,9 +107,8 @@
 
 export class Fleet {
   private readonly runners = new Map<string, Runner>();
-  private readonly gone = new Map<string, number>();
-  private byService = new Map<string, Runner[]>();
-  hasList = false;
+  private readonly gone = new departures.GoneRunners();
+  private readonly byService = new Map<string, Runner[]>();
 
   constructor(private readonly world: types.World, private readonly regionOf: ReadonlyMap<string, string>) {}
 
@@ -121,32 +120,68 @@
     return this.runners.values();
   }
 
+  has(id: string): boolean {
+    return this.runners.has(types.small(id));
+  }
+
+  /** The whole list. */
   takeList(list: readonly schema.Instance[]): void {
-    const now = this.world.now();
-    this.hasList = true;
+    this.sweep();
     const listed = new Set<string>();
-    for (const instance of list) {
-      if (this.gone.has(instance.id)) continue;
-      listed.add(instance.id);
-      this.takeInstance(instance, now);
-    }
-    for (const runner of this.runners.values()) {
-      if (listed.has(runner.id)) continue;
-      runner.move("gone");
-      this.runners.delete(runner.id);
-      this.gone.set(runner.id, now);
+    for (const instance of list) listed.add(instance.id);
+    const gone: string[] = [];
+    for (const id of this.runners.keys()) if (!listed.has(id)) gone.push(id);
+    this.takeChanges(list, gone);
+  }
+
+  /** What changed of the list: each is acted on at once, and costs no more than itself and its service's runners. */
+  takeChanges(changed: Iterable<schema.Instance>, gone: Iterable<string>): void {
+    const now = this.world.now();
+    const services = new Set<string>();
+    for (const instance of changed) if (this.takeInstance(instance, now)) services.add(instance.service);
+    for (const id of gone) {
+      const runner = this.remove(id, services);
+      if (runner) this.gone.add(id, now);
+      else this.gone.unlist(id);
+      runner?.move("gone");
     }
-    for (const [id, at] of this.gone) if (now - at > GONE_KEPT_MS) this.gone.delete(id);
-    this.byService = new Map();
+    this.arrange(services);
+  }
+
+  /** Of a region that is followed no longer; its runners are not gone. */
+  forget(ids: Iterable<string>): void {
+    const services = new Set<string>();
+    for (const id of ids) this.remove(id, services)?.connections.closeIdle();
+    this.arrange(services);
+  }
+
+  /** Of runners that were gone: listed still after a while, they are taken again. */
+  sweep(): void {
+    const back = this.gone.sweep(this.world.now());
+    if (back.length > 0) this.takeChanges(back, []);
+  }
+
+  private remove(id: string, services: Set<string>): Runner | null {
+    const runner = this.runners.get(id);
+    if (!runner) return null;
+    this.runners.delete(id);
+    services.add(runner.instance.service);
+    return runner;
+  }
+
+  private arrange(services: ReadonlySet<string>): void {
+    if (services.size === 0) return;
+    for (const service of services) this.byService.set(service, []);
     for (const runner of this.runners.values()) {
-      const same = this.byService.get(runner.instance.service);
-      if (same) same.push(runner);
-      else this.byService.set(runner.instance.service, [runner]);
+      if (services.has(runner.instance.service)) this.byService.get(runner.instance.service)!.push(runner);
     }
   }
 
-  private takeInstance(instance: schema.Instance, now: number): void {
+  /** True when a runner was added. */
+  private takeInstance(instance: schema.Instance, now: number): boolean {
+    if (this.gone.holds(instance)) return false;
     let runner = this.runners.get(instance.id);
+    const isNew = !runner;
     if (!runner) {
       runner = new Runner(instance, this.regionOf.get(instance.zone) ?? instance.zone);
       this.runners.set(instance.id, runner);
@@ -154,6 +189,7 @@
     if (instance.coldMs > 0) runner.coldUntil = Math.max(runner.coldUntil, now + instance.coldMs);
     if (instance.leavesMs >= 0) runner.leavesAt = Math.min(runner.leavesAt, now + instance.leavesMs);
     if (instance.isDraining) runner.move("draining");
+    return isNew;
   }
 
   takeReport(report: schema.CellReport): void {
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -21,6 +21,7 @@
 import * as readings from "./readings.js";
 import * as rotations from "./rotation.js";
 import * as servers from "./server.js";
+import * as topics from "./topics.js";
 import type * as transactions from "./transaction.js";
 
 const WATCH_MS = 100;
@@ -43,6 +44,7 @@
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
   private epoch = types.NO_EPOCH;
+  private hasLists = false;
   readonly root: supervisor.Supervisor;
 
   constructor(private readonly clock: types.World, private startup: settings.Settings) {
@@ -65,7 +67,7 @@
   }
 
   private hasAll(): boolean {
-    return this.chooser.table !== null && this.fleet.hasList;
+    return this.chooser.table !== null && this.hasLists;
   }
 
   private isReady(): boolean {
@@ -100,6 +102,7 @@
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
     this.server.watch();
+    this.fleet.sweep();
     const silent = this.fleet.newDoubts();
     if (silent.length > 0) this.follower.main?.link.tell(calls.signs, { isRelayed: false, silent, reader: "", unread: 0, keys: [] });
     this.cutRegions();
@@ -126,9 +129,7 @@
   }
 
   private topics(): string[] {
-    const topics = [feeds.LIST_TOPIC];
-    for (const region of new Set(Object.values(this.startup.zones))) topics.push(feeds.cellTopic(region));
-    return topics;
+    return topics.topicsOf(topics.neededRegions(this.startup.zones));
   }
 
   take(applied: mirrors.Applied): void {
@@ -136,10 +137,16 @@
       this.takeRegister(applied);
       return;
     }
+    if (feeds.isListTopic(applied.topic)) {
+      this.takeList(applied);
+      return;
+    }
     const body = applied.changed.get(feeds.ALL_KEY);
-    if (!body) return;
-    if (applied.topic === feeds.LIST_TOPIC) this.takeList(schema.instanceList.fromBuffer(body).instances);
-    else this.takeReport(schema.cellReport.fromBuffer(body));
+    if (body) this.fleet.takeReport(schema.cellReport.fromBuffer(body));
+  }
+
+  leave(topic: string, keys: readonly string[]): void {
+    if (feeds.isListTopic(topic)) this.fleet.forget(keys);
   }
 
   /** An epoch is taken whole, between two requests (docs/design/parts.md 4). */
@@ -157,10 +164,14 @@
     this.turnedReady(wasReady);
   }
 
-  private takeList(instances: schema.Instance[]): void {
+  private takeList(applied: mirrors.Applied): void {
     const wasReady = this.isReady();
-    this.fleet.takeList(instances);
-    this.known.forgetAllBut(new Set(instances.map(idOf)));
+    const changed: schema.Instance[] = [];
+    for (const body of applied.changed.values()) changed.push(schema.listed.fromBuffer(body).instance);
+    this.fleet.takeChanges(changed, applied.gone);
+    if (applied.gone.length > 0) this.known.forgetAllBut(this.fleet);
+    // The first lists of all regions count together; later a region may come in while this router serves.
+    this.hasLists ||= this.follower.hasAll(feeds.isListTopic);
     if (this.turnedReady(wasReady)) this.beat();
   }
 
@@ -170,10 +181,6 @@
     return true;
   }
 
-  private takeReport(report: schema.CellReport): void {
-    this.fleet.takeReport(report);
-  }
-
   /** Settings read again: seeds and bounds take effect; addresses of its own do not. */
   resettle(startup: settings.Settings): void {
     this.startup = startup;
@@ -208,7 +215,3 @@
     this.fleet.closeIdle();
   }
 }
-
-function idOf(instance: schema.Instance): string {
-  return instance.id;
-}
--- /dev/null
+++ b/src/router/topics.ts
@@ -0,0 +1,13 @@
+// Which parts of the state this router follows (docs/design/parts.md 3): all that its settings and routes may need.
+import * as feeds from "../feed/feed.js";
+
+/** Regions whose runners this router may need; all that the settings know, until a narrower choice is proved right. */
+export function neededRegions(zones: Readonly<Record<string, string>>): Set<string> {
+  return new Set(Object.values(zones));
+}
+
+export function topicsOf(regions: Iterable<string>): string[] {
+  const topics = [feeds.listTopic(feeds.NO_REGION)];
+  for (const region of regions) topics.push(feeds.listTopic(region), feeds.cellTopic(region));
+  return topics;
+}
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -162,11 +162,13 @@
   { name: "stamp", type: "double" }, { name: "digest", type: "string" },
 ]);
 
-/** isSame: nothing but the time of reading has changed since the last list told. */
-export interface InstanceList { isSame: boolean; instances: Instance[] }
-export const instanceList = record<InstanceList>("InstanceList", [
-  { name: "isSame", type: "boolean" }, { name: "instances", type: { type: "array", items: instanceType } },
-]);
+/** An item of the list: `times` moves on when the relative times count anew from this reading. */
+export interface Listed { times: number; instance: Instance }
+export const listed = record<Listed>("Listed", [{ name: "times", type: "int" }, { name: "instance", type: instanceType }]);
+
+/** What a sibling holds of a list after it was told a change. */
+export interface HeldList { digest: types.Digest }
+export const heldList = record<HeldList>("HeldList", [{ name: "digest", type: "string" }]);
 
 export interface CellReport { region: string; reports: Report[] }
 export const cellReport = record<CellReport>("CellReport", [
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -115,6 +115,38 @@
   expect(fleet.of("s").map((runner) => [runner.id, runner.status])).toEqual([["i-1", "draining"]]);
 });
 
+test("changes of the list are acted on at once; others' runners stay as they are", async () => {
+  const clock = new sim.SimWorld(1);
+  const fleet = new fleets.Fleet(clock, new Map([["z", "r"]]));
+  const seen = (): string[] => fleet.of("s").map((runner) => `${runner.id} ${runner.status}`);
+  fleet.takeChanges([instance("i-1"), instance("i-2"), instance("i-3")], []);
+  const [first, second] = fleet.of("s");
+  fleet.takeChanges([instance("i-1", { isDraining: true })], ["i-2"]);
+  expect([seen(), second!.status, fleet.of("s")[0] === first]).toEqual([["i-1 draining", "i-3 ready"], "gone", true]);
+  fleet.takeChanges([instance("i-2")], []); // an older word from another source
+  await clock.play(119_000);
+  fleet.sweep();
+  expect(seen()).toEqual(["i-1 draining", "i-3 ready"]);
+  await clock.play(2000);
+  fleet.sweep();
+  expect(seen()).toEqual(["i-1 draining", "i-3 ready", "i-2 ready"]);
+  fleet.forget(["i-3"]); // its region is followed no longer
+  fleet.takeChanges([instance("i-3")], []);
+  expect(seen()).toEqual(["i-1 draining", "i-2 ready", "i-3 ready"]);
+});
+
+test("a runner that is gone twice does not come back", async () => {
+  const clock = new sim.SimWorld(1);
+  const fleet = new fleets.Fleet(clock, new Map([["z", "r"]]));
+  fleet.takeChanges([instance("i-1")], []);
+  fleet.takeChanges([], ["i-1"]);
+  fleet.takeChanges([instance("i-1")], []);
+  fleet.takeChanges([], ["i-1"]);
+  await clock.play(121_000);
+  fleet.sweep();
+  expect([...fleet.all()]).toEqual([]);
+});
+
 test("a cell past its threshold is tried last; back after a while it comes in by steps, after a short doubt at once", () => {
   const fleet = new fleets.Fleet(new sim.SimWorld(1), new Map([["a", "a"], ["b", "b"]]));
   fleet.takeList([instance("a-1", { zone: "a" }), instance("b-1", { zone: "b" })]);
--- a/tests/sim/links.ts
+++ b/tests/sim/links.ts
@@ -66,6 +66,7 @@
   readonly sessions = new Map<string, Session>();
   readonly epochs: number[] = [];
   readonly applied: mirrors.Applied[] = [];
+  readonly left: [string, readonly string[]][] = [];
   readonly follower: followers.Follower;
   private readonly handlers = new link.Handlers();
   topics: string[] = [LIST];
@@ -73,6 +74,7 @@
   constructor(readonly clock: sims.SimWorld, region = "a") {
     super();
     this.follower = new followers.Follower(clock, region, this as unknown as dialers.Dialer, this.handlers, () => this.topics, {
+      leave: (topic, keys) => this.left.push([topic, keys]),
       take: (applied) => {
         this.applied.push(applied);
         if (applied.topic === feeds.REGISTER_TOPIC) this.epochs.push(applied.stamp);
