--- a/src/feed/keyed.ts
+++ b/src/feed/keyed.ts
@@ -28,7 +28,10 @@
 
 function itemOf(key: string, body: Buffer): Item {
   const [high, low] = digests.hash(key, body);
-  return { body, high, low };
+  // A copy of its own: a body kept for long must not hold on to the large buffer it was cut from.
+  const kept = Buffer.allocUnsafeSlow(body.length);
+  body.copy(kept);
+  return { body: kept, high, low };
 }
 
 function textOf(high: number, low: number): types.Digest {
