Topics that are no longer wanted are also left when the control node changes

Cause: a narrower choice just as the followed control node was lost kept the old topics and their runners for good. Change: what is followed and what the present control node was told are two things.

--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -88,8 +88,7 @@
     if (this.main) this.leave(this.main);
     this.main = best;
     log.state(`feed: following ${best.node.name}`);
-    this.followed = new Set();
-    this.narrow();
+    this.refollow(new Set());
   }
 
   private leave(control: dialers.Control): void {
@@ -102,14 +101,19 @@
 
   /** Follows what is wanted by now, and no longer what is not. */
   narrow(): void {
+    this.refollow(this.followed);
+  }
+
+  /** `told`: what the main control node knows to be followed. */
+  private refollow(told: ReadonlySet<string>): void {
     const { main, mirror } = this;
     if (!main) return;
     const wanted = new Set([feeds.REGISTER_TOPIC, ...this.topics()]);
     const topics: schema.Wanted[] = [];
-    for (const topic of wanted) if (!this.followed.has(topic)) topics.push(mirror.wanted(topic, "items", main.place));
+    for (const topic of wanted) if (!told.has(topic)) topics.push(mirror.wanted(topic, "items", main.place));
     for (const topic of this.followed) {
       if (wanted.has(topic)) continue;
-      topics.push(mirror.wanted(topic, "none", main.place));
+      if (told.has(topic)) topics.push(mirror.wanted(topic, "none", main.place));
       const keys = mirror.forget(topic);
       this.taker.leave(topic, keys);
     }
@@ -117,7 +121,7 @@
     if (topics.length > 0) this.ask(main, topics);
   }
 
-  /** Whether all of these topics are wanted no less than held. */
+  /** Whether each wanted topic of a kind has had its first view. */
   hasAll(isAsked: (topic: string) => boolean): boolean {
     for (const topic of this.topics()) if (isAsked(topic) && !this.mirror.has(topic)) return false;
     return true;
--- a/tests/parts.test.ts
+++ b/tests/parts.test.ts
@@ -238,4 +238,10 @@
   sources[0]!.amend(LIST, changes({ i: "2" }), stampOf(2));
   await clock.play(100);
   expect([router.held(LIST), router.follower.mirror.has(LIST), router.held("list:b")]).toEqual([{}, false, { j: "1" }]);
+  expect(router.left.splice(0)).toEqual([[LIST, ["i"]]]);
+  router.cut("a"); // what is no longer wanted when the next control node is found is left as well
+  router.topics = [LIST];
+  router.join("a", "a", sources[0]!);
+  await clock.play(100);
+  expect([router.left, router.held(LIST), router.follower.mirror.has("list:b")]).toEqual([[["list:b", ["j"]]], { i: "2" }, false]);
 });
