--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -6,10 +6,12 @@
 import type * as settings from "../startup/settings.js";
 import type * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
+import type * as keyed from "../feed/keyed.js";
 import * as registers from "../register/value.js";
 import type * as check from "../config/check.js";
 import type * as cores from "./core.js";
 import type * as sessions from "./sessions.js";
+import * as lists from "./list.js";
 import * as orchestrators from "./orchestrator.js";
 import * as relays from "../signs/relay.js";
 import * as publishers from "../usage/publisher.js";
@@ -17,6 +19,7 @@
 
 export class Cells implements orchestrators.CellsView {
   private readonly regionOf = new Map<string, string>();
+  private readonly lists: lists.RegionLists;
   private readonly watcher: watchers.Watcher;
   private readonly orchestrator: orchestrators.Orchestrator;
   private readonly publisher: publishers.Publisher;
@@ -32,6 +35,7 @@
     private readonly members: sessions.Sessions,
   ) {
     for (const [zone, region] of Object.entries(startup.zones)) this.regionOf.set(zone, region);
+    this.lists = new lists.RegionLists(this.regionOf, feed);
     const { address, rate_per_s: rate } = startup.cloud_api;
     this.watcher = new watchers.Watcher(world, address ?? "", rate, dial, this.listRank.bind(this), this.listed.bind(this));
     this.orchestrator = new orchestrators.Orchestrator(world, new Set(this.regionOf.values()), this, dial, this.reported.bind(this));
@@ -45,8 +49,7 @@
   register(handlers: link.Handlers): void {
     const { watcher, orchestrator, relay } = this;
     handlers.on(calls.instances, function hear(_from, told) {
-      watcher.hear(told);
-      return null;
+      return watcher.hear(told);
     });
     handlers.on(calls.signs, function signs(from, told) {
       relay.hear(from, told);
@@ -97,22 +100,19 @@
     for (const service of config?.services ?? []) if (service.runtime) this.engines.add(service.name);
   }
 
-  private listed(instances: schema.Instance[]): void {
+  private listed(plan: keyed.Plan): void {
+    this.lists.take(plan, types.small(this.world.now()));
+    const instances = this.watcher.instances();
     const regions = new Map<types.RunnerId, string>();
     for (const item of instances) regions.set(item.id, this.regionOf.get(item.zone) ?? item.zone);
     this.relay.takeList(regions);
     this.publisher.takeList(instances, regions);
-    this.publish(feeds.LIST_TOPIC, schema.instanceList.toBuffer({ isSame: false, instances }));
   }
 
   private reported(report: schema.CellReport): void {
     this.publisher.take(report);
   }
 
-  private publish(topic: string, body: Buffer): void {
-    this.feed.publish(topic, new Map([[feeds.ALL_KEY, body]]), types.small(this.world.now()));
-  }
-
   /** Control nodes that this one hears, itself among them, in one order for all. */
   private controls(): { name: string; region: string }[] {
     const all = [{ name: this.startup.node_name, region: this.startup.region }];
@@ -149,9 +149,7 @@
 
   reporting(region: string): schema.Instance[] {
     const found: schema.Instance[] = [];
-    for (const item of this.watcher.instances) {
-      if (this.regionOf.get(item.zone) === region && this.engines.has(item.service)) found.push(item);
-    }
+    for (const item of this.lists.of(region)) if (this.engines.has(item.service)) found.push(item);
     return found;
   }
 
@@ -160,7 +158,7 @@
   }
 
   status(): unknown {
-    return { instances: this.watcher.instances, reports: this.publisher.status() };
+    return { instances: this.watcher.instances(), reports: this.publisher.status() };
   }
 }
 
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -3,8 +3,10 @@
 import * as types from "../wire/types.js";
 import * as shares from "../shares/shares.js";
 import * as log from "../startup/log.js";
+import * as reports from "../usage/reported.js";
 import * as summaries from "../usage/summary.js";
 import * as connections from "./connections.js";
+import * as departures from "./gone.js";
 
 export type Status = "ready" | "draining" | "gone";
 
@@ -13,21 +15,12 @@
 const FULL_MS = 150;
 const QUIET_STREAM_MS = 400;
 const QUIET_START_MS = 1500;
-const GONE_KEPT_MS = 120_000;
 
-export class Runner {
+export class Runner extends reports.Reported {
   status: Status = "ready";
   coldUntil = 0;
   leavesAt = Infinity;
-  inflight = 0;
   streaming = 0;
-  others = 0;
-  /** As reported last; faded while the reports of its region are stale (design/usage 3.4). */
-  active = 0;
-  waiting = 0;
-  kvUsed = 0;
-  kvCapacity = 0;
-  isSpeaking = true;
   heardAt = 0;
   sentAt = 0;
   fullUntil = 0;
@@ -39,6 +32,7 @@
   readonly mark: number;
 
   constructor(readonly instance: schema.Instance, readonly region: string) {
+    super();
     this.connections = new connections.Connections(instance.address, opened);
     this.mark = shares.hash(instance.id);
   }
@@ -55,42 +49,6 @@
     if (to !== "ready") this.connections.closeIdle();
   }
 
-  usage(): number {
-    return this.inflight + this.others;
-  }
-
-  get kvShare(): number {
-    return this.kvCapacity > 0 ? this.kvUsed / this.kvCapacity : 0;
-  }
-
-  takeReport(report: schema.Report): void {
-    this.isSpeaking = report.isSpeaking;
-    if (!report.isSpeaking) return;
-    this.active = report.active;
-    this.waiting = report.waiting;
-    this.kvUsed = report.kvUsed;
-    this.kvCapacity = report.kvCapacity;
-    this.rebase();
-  }
-
-  /** What it has from others is what was told less what it has from here. */
-  rebase(): void {
-    if (this.isSpeaking) this.others = Math.max(0, this.active + this.waiting - this.inflight);
-  }
-
-  /** Nothing new was told: part by part it counts as unknown. */
-  fade(by: number): void {
-    this.active *= by;
-    this.waiting *= by;
-    this.kvUsed *= by;
-    this.others *= by;
-  }
-
-  forgetReport(): void {
-    this.fade(0);
-    this.isSpeaking = true;
-  }
-
   suspect(now: number): void {
     this.suspicions = Math.min(6, this.suspicions + 1);
     this.suspectUntil = now + Math.min(MOST_SUSPECT_MS, SUSPECT_MS * this.suspicions);
@@ -144,10 +102,11 @@
 
 export class Fleet {
   private readonly runners = new Map<string, Runner>();
-  private readonly gone = new Map<string, number>();
-  private byService = new Map<string, Runner[]>();
+  private readonly gone = new departures.GoneRunners();
+  private readonly byService = new Map<string, Runner[]>();
   readonly summaries = new summaries.Summaries();
-  hasList = false;
+  /** Grows with each runner that comes or goes. */
+  listing = 0;
 
   constructor(private readonly world: types.World, private readonly regionOf: ReadonlyMap<string, string>) {}
 
@@ -159,32 +118,69 @@
     return this.runners.values();
   }
 
+  has(id: string): boolean {
+    return this.runners.has(types.small(id));
+  }
+
+  /** The whole list. */
   takeList(list: readonly schema.Instance[]): void {
-    const now = this.world.now();
-    this.hasList = true;
+    this.sweep();
     const listed = new Set<string>();
-    for (const instance of list) {
-      if (this.gone.has(instance.id)) continue;
-      listed.add(instance.id);
-      this.takeInstance(instance, now);
-    }
-    for (const runner of this.runners.values()) {
-      if (listed.has(runner.id)) continue;
-      runner.move("gone");
-      this.runners.delete(runner.id);
-      this.gone.set(runner.id, now);
+    for (const instance of list) listed.add(instance.id);
+    const gone: string[] = [];
+    for (const id of this.runners.keys()) if (!listed.has(id)) gone.push(id);
+    this.takeChanges(list, gone);
+  }
+
+  /** What changed of the list: each is acted on at once, and costs no more than itself and its service's runners. */
+  takeChanges(changed: Iterable<schema.Instance>, gone: Iterable<string>): void {
+    const now = this.world.now();
+    const services = new Set<string>();
+    for (const instance of changed) if (this.takeInstance(instance, now)) services.add(instance.service);
+    for (const id of gone) {
+      const runner = this.remove(id, services);
+      if (runner) this.gone.add(id, now);
+      else this.gone.unlist(id);
+      runner?.move("gone");
     }
-    for (const [id, at] of this.gone) if (now - at > GONE_KEPT_MS) this.gone.delete(id);
-    this.byService = new Map();
+    this.arrange(services);
+  }
+
+  /** Of a region that is followed no longer; its runners are not gone. */
+  forget(ids: Iterable<string>): void {
+    const services = new Set<string>();
+    for (const id of ids) this.remove(id, services)?.connections.closeIdle();
+    this.arrange(services);
+  }
+
+  /** Of runners that were gone: listed still after a while, they are taken again. */
+  sweep(): void {
+    const back = this.gone.sweep(this.world.now());
+    if (back.length > 0) this.takeChanges(back, []);
+  }
+
+  private remove(id: string, services: Set<string>): Runner | null {
+    const runner = this.runners.get(id);
+    if (!runner) return null;
+    this.runners.delete(id);
+    services.add(runner.instance.service);
+    return runner;
+  }
+
+  private arrange(services: ReadonlySet<string>): void {
+    if (services.size === 0) return;
+    this.listing += 1;
+    for (const service of services) this.byService.set(service, []);
     for (const runner of this.runners.values()) {
-      const same = this.byService.get(runner.instance.service);
-      if (same) same.push(runner);
-      else this.byService.set(runner.instance.service, [runner]);
+      if (services.has(runner.instance.service)) this.byService.get(runner.instance.service)!.push(runner);
     }
   }
 
-  private takeInstance(instance: schema.Instance, now: number): void {
+  /** True when a runner was added. */
+  private takeInstance(instance: schema.Instance, now: number): boolean {
+    if (this.gone.holds(instance)) return false;
     let runner = this.runners.get(instance.id);
+    const isNew = !runner;
     if (!runner) {
       runner = new Runner(instance, this.regionOf.get(instance.zone) ?? instance.zone);
       this.runners.set(instance.id, runner);
@@ -192,6 +188,7 @@
     if (instance.coldMs > 0) runner.coldUntil = Math.max(runner.coldUntil, now + instance.coldMs);
     if (instance.leavesMs >= 0) runner.leavesAt = Math.min(runner.leavesAt, now + instance.leavesMs);
     if (instance.isDraining) runner.move("draining");
+    return isNew;
   }
 
   takeReport(report: schema.CellReport): void {
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -7,14 +7,12 @@
 import * as world from "../wire/world.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
-import * as check from "../config/check.js";
-import * as routes from "../config/routes.js";
+import * as parts from "../config/parts.js";
 import * as directory from "../control/directory.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
 import * as followers from "../feed/follower.js";
 import type * as mirrors from "../feed/mirror.js";
-import * as registers from "../register/value.js";
 import * as shares from "../shares/shares.js";
 import * as tellers from "../signs/teller.js";
 import * as supervisor from "../supervisor/tree.js";
@@ -25,6 +23,7 @@
 import * as readings from "./readings.js";
 import * as rotations from "./rotation.js";
 import * as servers from "./server.js";
+import * as topics from "./topics.js";
 import type * as transactions from "./transaction.js";
 
 const WATCH_MS = 100;
@@ -42,12 +41,14 @@
   private readonly fleet: fleets.Fleet;
   private readonly rotation: rotations.Rotation;
   private readonly share: shares.Shares;
+  private readonly config = new parts.ConfigParts();
   private readonly known = new readings.Readings();
   private readonly usage: usages.Reader;
   private readonly teller: tellers.Teller;
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
   private epoch = types.NO_EPOCH;
+  private hasLists = false;
   readonly root: supervisor.Supervisor;
 
   constructor(private readonly clock: types.World, private startup: settings.Settings) {
@@ -60,7 +61,7 @@
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this.topics.bind(this), this);
     this.dial.know(settings.innerSeeds(startup));
     this.usage = new usages.Reader(clock, this.fleet, startup.region);
-    this.teller = new tellers.Teller(clock, this, this.tellSigns.bind(this));
+    this.teller = new tellers.Teller(clock, this.usage.marks, this, this.tellSigns.bind(this));
     const { teller } = this;
     this.handlers.on(calls.signs, function signs(_from, told) {
       teller.hear(told);
@@ -71,7 +72,7 @@
   }
 
   private hasAll(): boolean {
-    return this.chooser.table !== null && this.fleet.hasList;
+    return this.chooser.table !== null && this.hasLists;
   }
 
   private isReady(): boolean {
@@ -107,6 +108,7 @@
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
     this.server.watch();
+    this.fleet.sweep();
     this.teller.silence(this.fleet.newDoubts());
     this.cutRegions();
   }
@@ -145,38 +147,42 @@
   }
 
   private topics(): string[] {
-    return [feeds.LIST_TOPIC, ...this.usage.topics()];
+    return [...topics.topicsOf(topics.neededRegions(this.startup.zones)), ...this.usage.topics()];
   }
 
   take(applied: mirrors.Applied): void {
-    if (this.usage.take(applied)) return;
-    const body = applied.changed.get(feeds.ALL_KEY);
-    if (!body) return;
-    if (applied.topic === feeds.LIST_TOPIC) this.takeList(schema.instanceList.fromBuffer(body).instances);
-    else this.takeRegister(schema.chosen.fromBuffer(body).value!);
+    if (applied.topic === feeds.REGISTER_TOPIC) this.takeRegister(applied);
+    else if (feeds.isListTopic(applied.topic)) this.takeList(applied);
+    else this.usage.take(applied);
   }
 
-  private takeRegister(value: schema.Value): void {
+  leave(topic: string, keys: readonly string[]): void {
+    if (feeds.isListTopic(topic)) this.fleet.forget(keys);
+  }
+
+  /** An epoch is taken whole, between two requests (docs/design/parts.md 4). */
+  private takeRegister(applied: mirrors.Applied): void {
     const wasReady = this.isReady();
-    const config = registers.unpack(value.config) as check.Configuration | null;
+    const { config } = this;
     const isFirst = this.epoch < 0;
-    this.epoch = value.epoch;
-    if (config) {
-      this.chooser.table = new routes.RouteTable(config);
-      this.server.limit(config.limits);
-    }
-    for (const zone of this.rotation.take(value.evacuations, isFirst)) this.fleet.chill(zone, CHILL_MS);
-    log.state(`config: epoch ${value.epoch}, revision ${value.revision} in force`);
+    config.take(applied);
+    this.epoch = types.small(applied.stamp);
+    this.chooser.table = config.table;
+    if (config.table) this.server.limit(config.limits);
+    for (const zone of this.rotation.take(config.evacuations, isFirst)) this.fleet.chill(zone, CHILL_MS);
+    log.state(`config: epoch ${this.epoch}, revision ${config.revision} in force`);
     this.beat();
     this.turnedReady(wasReady);
   }
 
-  private takeList(instances: schema.Instance[]): void {
+  private takeList(applied: mirrors.Applied): void {
     const wasReady = this.isReady();
-    this.fleet.takeList(instances);
-    this.usage.takeList(instances, this.follower.mirror);
-    this.teller.takeList(instances.map(idOf));
-    this.known.forgetAllBut(new Set(instances.map(idOf)));
+    const changed: schema.Instance[] = [];
+    for (const body of applied.changed.values()) changed.push(schema.listed.fromBuffer(body).instance);
+    this.fleet.takeChanges(changed, applied.gone);
+    if (applied.gone.length > 0) this.known.forgetAllBut(this.fleet);
+    // The first lists of all regions count together; later a region may come in while this router serves.
+    this.hasLists ||= this.follower.hasAll(feeds.isListTopic);
     if (this.turnedReady(wasReady)) this.beat();
   }
 
@@ -220,7 +226,3 @@
     this.fleet.closeIdle();
   }
 }
-
-function idOf(instance: schema.Instance): types.RunnerId {
-  return instance.id;
-}
--- a/src/signs/teller.ts
+++ b/src/signs/teller.ts
@@ -3,7 +3,7 @@
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import * as batches from "./batch.js";
-import * as marks from "./marks.js";
+import type * as marks from "./marks.js";
 import * as paces from "./pace.js";
 
 /** Keys of one reading that are told (*ours*). */
@@ -15,18 +15,18 @@
 }
 
 export class Teller {
-  private readonly marks = new marks.Marks<types.RunnerId>();
   private readonly batch = new batches.Batch();
   private readonly pace: paces.Pace;
 
-  constructor(world: types.World, private readonly hearer: Hearer, private readonly tell: (told: schema.Signs) => void) {
+  constructor(
+    world: types.World,
+    private readonly marks: marks.Marks<types.RunnerId>,
+    private readonly hearer: Hearer,
+    private readonly tell: (told: schema.Signs) => void,
+  ) {
     this.pace = new paces.Pace(world, this.flush.bind(this));
   }
 
-  takeList(ids: Iterable<types.RunnerId>): void {
-    this.marks.takeList(ids);
-  }
-
   /** A reading sent from here; `keys` are those of its unread parts: the others were told when they were read. */
   reading(runner: types.RunnerId, unread: number, keys: readonly number[]): void {
     const mark = this.marks.markOf(runner);
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -22,7 +22,9 @@
 
 export class Reader {
   private readonly interest: interests.Interest;
-  private readonly marks = new marks.Marks<types.RunnerId>();
+  private listing = 0;
+  /** The runners of the lists that this router follows. */
+  readonly marks = new marks.Marks<types.RunnerId>();
   private ids = new Map<string, types.RunnerId>();
   private readonly followed = new Map<string, Followed>();
 
@@ -39,17 +41,14 @@
     return [summaries.SUMMARY_TOPIC, ...this.interest.regions().map(feeds.cellTopic)];
   }
 
-  /** True when the topic is one of these. */
-  take(applied: mirrors.Applied): boolean {
+  take(applied: mirrors.Applied): void {
     if (applied.topic === summaries.SUMMARY_TOPIC) {
       for (const [key, body] of applied.changed) this.fleet.summaries.take(key, body);
       for (const key of applied.gone) this.fleet.summaries.take(key, null);
-      return true;
+      return;
     }
     const region = feeds.regionOf(applied.topic);
-    if (region === null) return false;
-    this.takeItems(region, applied.changed);
-    return true;
+    if (region !== null) this.takeItems(region, applied.changed);
   }
 
   private takeItems(region: string, items: ReadonlyMap<string, Buffer>): void {
@@ -62,16 +61,20 @@
   }
 
   /** What was told of runners before they were listed counts from now on. */
-  takeList(instances: readonly schema.Instance[], mirror: mirrors.Mirror): void {
-    this.marks.takeList(instances.map(idOf));
+  private relist(mirror: mirrors.Mirror): void {
+    this.listing = this.fleet.listing;
+    const ids: types.RunnerId[] = [];
+    for (const { id } of this.fleet.all()) ids.push(id);
+    this.marks.takeList(ids);
     this.ids = new Map();
-    for (const { id } of instances) this.ids.set(publishers.keyOf(this.marks, id), id);
+    for (const id of ids) this.ids.set(publishers.keyOf(this.marks, id), id);
     for (const region of this.interest.regions()) this.takeItems(region, mirror.bodies(feeds.cellTopic(region)));
   }
 
   /** Each period moves the stamp of a cell; one that stands still is stale, and its usage fades (design/usage 3.4). */
   watch(mirror: mirrors.Mirror): void {
     const now = this.world.now();
+    if (this.listing !== this.fleet.listing) this.relist(mirror);
     const regions = new Set(this.interest.regions());
     for (const region of this.followed.keys()) if (!regions.has(region)) this.leave(region);
     for (const region of regions) {
@@ -112,7 +115,3 @@
     for (const runner of this.fleet.all()) if (runner.region === region) yield runner;
   }
 }
-
-function idOf(instance: schema.Instance): types.RunnerId {
-  return instance.id;
-}
--- a/tests/signs.test.ts
+++ b/tests/signs.test.ts
@@ -58,8 +58,9 @@
   const told: schema.Signs[] = [];
   const heard: unknown[] = [];
   const hearer: tellers.Hearer = { doubted: (silent) => heard.push(silent), read: (id, unread, keys) => heard.push([id, unread, [...keys]]) };
-  const teller = new tellers.Teller(clock, hearer, (frame) => told.push(frame));
-  teller.takeList(ids("a", "b", "c"));
+  const known = new marks.Marks<types.RunnerId>();
+  known.takeList(ids("a", "b", "c"));
+  const teller = new tellers.Teller(clock, known, hearer, (frame) => told.push(frame));
   return { teller, told, heard };
 }
 
--- a/tests/sim/usage.ts
+++ b/tests/sim/usage.ts
@@ -85,8 +85,11 @@
     this.fleet.takeList(system.instances());
     this.made = new links.SimRouter(system.clock, region);
     this.made.topics = this.reader.topics();
-    this.made.applied.push = (...applied: mirrors.Applied[]) => applied.filter((item) => this.reader.take(item)).length;
-    this.reader.takeList(system.instances(), this.made.follower.mirror);
+    this.made.applied.push = (...applied: mirrors.Applied[]) => {
+      for (const item of applied) this.reader.take(item);
+      return applied.length;
+    };
+    this.reader.watch(this.made.follower.mirror);
     this.session = this.made.join("c", region, system.feed);
   }
 
