Usage: estimates by summary only when something changed; a new list does not revive stale reports

Cause: 5,500 runners would be estimated ten times a second; a list taken while a cell is stale undid the fading. Measured: tests/usage.test.ts.

--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -23,6 +23,8 @@
 export class Reader {
   private readonly interest: interests.Interest;
   private listing = 0;
+  /** Estimates by summary are renewed when a summary, the list or what is followed has changed. */
+  private isEstimateDue = true;
   /** The runners of the lists that this router follows. */
   readonly marks = new marks.Marks<types.RunnerId>();
   private ids = new Map<string, types.RunnerId>();
@@ -45,6 +47,7 @@
     if (applied.topic === summaries.SUMMARY_TOPIC) {
       for (const [key, body] of applied.changed) this.fleet.summaries.take(key, body);
       for (const key of applied.gone) this.fleet.summaries.take(key, null);
+      this.isEstimateDue = true;
       return;
     }
     const region = feeds.regionOf(applied.topic);
@@ -63,12 +66,15 @@
   /** What was told of runners before they were listed counts from now on. */
   private relist(mirror: mirrors.Mirror): void {
     this.listing = this.fleet.listing;
+    this.isEstimateDue = true;
     const ids: types.RunnerId[] = [];
     for (const { id } of this.fleet.all()) ids.push(id);
     this.marks.takeList(ids);
     this.ids = new Map();
     for (const id of ids) this.ids.set(publishers.keyOf(this.marks, id), id);
-    for (const region of this.interest.regions()) this.takeItems(region, mirror.bodies(feeds.cellTopic(region)));
+    for (const region of this.interest.regions()) {
+      if (!this.followed.get(region)?.isStale) this.takeItems(region, mirror.bodies(feeds.cellTopic(region)));
+    }
   }
 
   /** Each period moves the stamp of a cell; one that stands still is stale, and its usage fades (design/usage 3.4). */
@@ -91,7 +97,8 @@
       if (followed.isStale) for (const runner of this.in(region)) runner.fade(FADE);
     }
     this.fleet.summaries.detailed(regions);
-    for (const runner of this.fleet.all()) if (!regions.has(runner.region)) this.estimate(runner);
+    if (this.isEstimateDue) for (const runner of this.fleet.all()) if (!regions.has(runner.region)) this.estimate(runner);
+    this.isEstimateDue = false;
   }
 
   private mark(region: string, followed: Followed, isStale: boolean): void {
@@ -102,6 +109,7 @@
 
   private leave(region: string): void {
     this.followed.delete(region);
+    this.isEstimateDue = true;
     for (const runner of this.in(region)) runner.forgetReport();
   }
 
--- a/tests/usage.test.ts
+++ b/tests/usage.test.ts
@@ -145,6 +145,10 @@
   expect(used()).toBe(before);
   await play(2500);
   expect(used()).toBeLessThan(before * 0.1);
+  // A new list is no report.
+  router.fleet.takeChanges([{ ...instance("new", "a") }], []);
+  await play(100);
+  expect(used()).toBeLessThan(before * 0.1);
   // Nothing moved meanwhile: a stamp alone brings back what was told.
   system.publisher.take({ region: "a", reports: [] });
   await play(200);
