Cells that requests rank by key are followed before the first send there

Cause: a router heard no signs of a region before its own first request to it, and read prompts there again. Tests: tests/usage.test.ts, homebound prompts still follow their home alone.

--- a/src/router/policies/cells.ts
+++ b/src/router/policies/cells.ts
@@ -12,6 +12,8 @@
 export const THRESHOLD = 0.34;
 
 const SHORT_MS = 1000;
+/** Cells of the key's order that a request may well be sent to (*ours*): these are followed in detail (design/usage 4.1). */
+const RANKED_CELLS = 2;
 
 export interface CellCount {
   all: number;
@@ -77,6 +79,7 @@
       return !available.includes(region);
     }
     plan.cells = [...available, ...rest];
+    if (plan.sharedTokens >= DETERMINISTIC_TOKENS) for (const region of plan.cells.slice(0, RANKED_CELLS)) this.known.want(region);
     return null;
   }
 
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -40,6 +40,7 @@
   }
 
   topics(): string[] {
+    for (const region of this.fleet.summaries.takeWanted()) this.interest.use(region);
     return [summaries.SUMMARY_TOPIC, ...this.interest.regions().map(feeds.cellTopic)];
   }
 
--- a/src/usage/summary.ts
+++ b/src/usage/summary.ts
@@ -68,12 +68,24 @@
 export class Summaries {
   private readonly held = new Map<string, schema.Summary>();
   private details: ReadonlySet<string> = new Set();
+  private wanted = new Set<string>();
 
   take(key: string, body: Buffer | null): void {
     if (body) this.held.set(key, schema.summary.fromBuffer(body));
     else this.held.delete(key);
   }
 
+  /** A request ranks runners of this region: a summary is not enough. */
+  want(region: string): void {
+    this.wanted.add(region);
+  }
+
+  takeWanted(): ReadonlySet<string> {
+    const { wanted } = this;
+    if (wanted.size > 0) this.wanted = new Set();
+    return wanted;
+  }
+
   /** Of these regions more is known than a summary says. */
   detailed(regions: ReadonlySet<string>): void {
     this.details = regions;
--- a/tests/usage.test.ts
+++ b/tests/usage.test.ts
@@ -188,6 +188,21 @@
   expect(known.of("b", "s")).toBeNull();
 });
 
+test.each([
+  ["no prompt to keep", 0, ["a", "b", "c"], []], ["a long prompt at home", 5000, ["a"], ["a"]],
+  ["a long prompt anywhere", 5000, ["a", "b", "c"], ["a", "b", "c"]],
+])("cells that requests rank by key are followed: %s", (_name, tokens, regions, expected) => {
+  const known = new summaries.Summaries();
+  const policy = new cells.CellPolicy("a", known);
+  for (let index = 0; index < 50; index += 1) {
+    const shared = [{ id: `p${index}`, tokens }];
+    const candidates = regions.map((region) => ({ id: region, region, isDoubtful: () => false }));
+    policy.apply({ requestId: "q", service: "s", shared, sharedTokens: tokens, now: 0, cells: [], candidates } as never);
+  }
+  expect([...known.takeWanted()].sort()).toEqual(expected);
+  expect(known.takeWanted().size).toBe(0);
+});
+
 test("items are named by marks, by the id where two runners share a mark", () => {
   const made = new marks.Marks<types.RunnerId>((id) => (id === "c" ? 40 : 7));
   made.takeList([types.small("a"), types.small("b"), types.small("c")]);
