--- a/build.mjs
+++ b/build.mjs
@@ -9,6 +9,7 @@
   minifySyntax: true,
   minifyWhitespace: true,
   legalComments: "none",
+  external: ["vega", "vega-lite"],
   alias: { "node:http2": "./src/wire/no-http2.ts" },
 };
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,6 @@
 // The command line behind the launcher (design 10.1): the roles of a node, and the commands of an operator.
 import * as commander from "commander";
+import * as experiment from "../experiment/command.js";
 import * as world from "../wire/world.js";
 import * as asks from "./ask.js";
 import * as commands from "./commands.js";
@@ -101,6 +102,8 @@
     return trials.run(output, options.folder);
   });
 
+experiment.add(program, clock, output);
+
 function exitOf(cause: commander.CommanderError): number {
   return cause.exitCode === 0 ? commands.EXIT.ok : commands.EXIT.usage;
 }
--- a/src/cli/view.ts
+++ b/src/cli/view.ts
@@ -1,5 +1,7 @@
 // A node's own account as lines for people (design 10.2).
+import type * as counts from "../wire/counts.js";
 import type * as schema from "../wire/schema.js";
+import type * as vitals from "../startup/vitals.js";
 
 interface ControlStatus {
   node: schema.NodeInfo;
@@ -8,6 +10,8 @@
   members: { control: schema.NodeInfo[]; router: schema.NodeInfo[] };
   cells: { instances: schema.Instance[]; reports: schema.CellReport[] };
   counters: Record<string, number>;
+  vitals: vitals.Vitals;
+  links: Record<string, counts.LinkCount>;
 }
 
 interface RouterStatus {
@@ -17,6 +21,8 @@
   sharesValid: boolean;
   runners: { id: string; service: string; zone: string; status: string; inflight: number; usage: number }[];
   counters: Record<string, number>;
+  vitals: vitals.Vitals;
+  links: Record<string, counts.LinkCount>;
 }
 
 export function lines(json: unknown): string[] {
@@ -39,7 +45,7 @@
     made.push(`cell      ${report.region}: ${report.reports.length} runners report, ${silent} silent`);
   }
   for (const item of cells.instances) made.push(`runner    ${item.id} ${item.service} ${item.zone} ${item.address}${item.isDraining ? " draining" : ""}${item.coldMs > 0 ? " cold" : ""}`);
-  return [...made, ...counterLines(status.counters)];
+  return [...made, ...spentLines(status.vitals, status.links), ...counterLines(status.counters)];
 }
 
 function routerLines(status: RouterStatus): string[] {
@@ -49,7 +55,13 @@
     `shares    one of ${status.routers} routers, ${status.sharesValid ? "valid" : "expired"}`,
   ];
   for (const runner of status.runners) made.push(`runner    ${runner.id} ${runner.service} ${runner.zone} ${runner.status}, ${runner.inflight} from here, usage ${runner.usage}`);
-  return [...made, ...counterLines(status.counters)];
+  return [...made, ...spentLines(status.vitals, status.links), ...counterLines(status.counters)];
+}
+
+function spentLines(spent: vitals.Vitals, links: Record<string, counts.LinkCount>): string[] {
+  const made = [`process   ${(spent.cpuMs / 1000).toFixed(1)} s of processor time, ${spent.memoryMb.toFixed(0)} MB, loop late ${spent.loopP99Ms.toFixed(1)} ms (99 in 100), ${spent.descriptors} descriptors`];
+  for (const [name, of] of Object.entries(links).sort()) made.push(`frames    ${name}: told ${of.framesTold} (${of.bytesTold} bytes), heard ${of.framesHeard} (${of.bytesHeard} bytes)`);
+  return made;
 }
 
 function isSilent(report: schema.Report): boolean {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -2,12 +2,14 @@
 import * as crypto from "node:crypto";
 import * as net from "node:net";
 import * as calls from "../wire/calls.js";
+import * as counts from "../wire/counts.js";
 import * as link from "../wire/link.js";
 import * as listening from "../wire/listen.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
+import * as vitals from "../startup/vitals.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
 import * as registers from "../register/value.js";
@@ -183,6 +185,7 @@
       register: value && { epoch: value.epoch, revision: value.revision, evacuations: value.evacuations, voters: value.voters, former: value.former },
       members: { control: this.members.members("control"), router: this.members.members("router") },
       cells: this.cells.status(), counters: Object.fromEntries(log.counted()),
+      vitals: vitals.vitals(), links: Object.fromEntries(counts.linkCounts()),
     };
   }
 
--- /dev/null
+++ b/src/experiment/changes.ts
@@ -0,0 +1,104 @@
+// The operator of an experiment: one change after the other, each on top of the one before (design 13.3).
+import * as client from "../cli/client.js";
+import * as errors from "../startup/errors.js";
+import * as types from "../wire/types.js";
+import * as world from "../wire/world.js";
+import * as clock from "./clock.js";
+import type * as layouts from "./layout.js";
+import type * as experiment from "./options.js";
+import * as routers from "./routers.js";
+import * as rows from "./rows.js";
+
+interface Acknowledged {
+  revision: number;
+  askedMs: number;
+  atMs: number;
+}
+
+const DEADLINES_MS = [10_000, 20_000];
+
+export class Changes {
+  private revision = 0;
+  private sent = 0;
+  private bytes = 0;
+  private acknowledged: Acknowledged[] = [];
+
+  constructor(private readonly world: types.World, private readonly options: experiment.Options, private readonly layout: layouts.Layout) {}
+
+  get newest(): number {
+    return this.revision;
+  }
+
+  private async send(path: string, document: unknown, revision: number): Promise<errors.CranewindError | null> {
+    const controls = this.layout.controls();
+    const start = this.sent % controls.length;
+    const body = Buffer.from(JSON.stringify(document));
+    const headers = { "Content-Type": "application/json", "X-Cranewind-Base-Version": String(this.revision) };
+    const askedMs = clock.machineMs();
+    this.sent += 1;
+    const outcome = await client.send(this.world, [...controls.slice(start), ...controls.slice(0, start)], { method: "POST", path, headers, body });
+    if (outcome.isErr) return outcome.error;
+    this.revision = revision;
+    this.bytes = body.length;
+    this.acknowledged.push({ revision, askedMs, atMs: clock.machineMs() });
+    return null;
+  }
+
+  /** The first configuration, sent again until it is taken. */
+  async first(): Promise<errors.CranewindError | null> {
+    let failure: errors.CranewindError | null = null;
+    for (let round = 0; round < 5; round += 1) {
+      failure = await this.send("/-/Config.Replace", this.layout.configuration(1), 1);
+      if (!failure) return null;
+      await world.sleep(this.world, 500);
+    }
+    return failure;
+  }
+
+  /** Sends changes for so long, at the rate that was asked for or as fast as they are acknowledged. */
+  async play(seconds: number): Promise<void> {
+    this.sent = 0;
+    this.acknowledged = [];
+    const { changesPerS, routes } = this.options;
+    const startedMs = this.world.now();
+    const mostCount = Math.round(seconds * changesPerS);
+    for (let index = 0; index < mostCount; index += 1) {
+      const waitMs = startedMs + ((index + 0.5) * 1000) / changesPerS - this.world.now();
+      if (waitMs > 0) await world.sleep(this.world, waitMs);
+      if (this.world.now() - startedMs >= seconds * 1000) break;
+      const revision = this.revision + 1;
+      const route = this.layout.route(index % routes, DEADLINES_MS[index % DEADLINES_MS.length]!);
+      // A change that fails leaves its revision unused: the next one is sent on the same base.
+      await this.send("/-/Config.Update", { revision, upsert: { routes: [route] } }, revision);
+    }
+    const leftMs = startedMs + seconds * 1000 - this.world.now();
+    if (leftMs > 0) await world.sleep(this.world, leftMs);
+  }
+
+  row(point: rows.Point, taken: readonly (readonly routers.Taken[])[], routerCount: number): rows.ChangeRow {
+    const inForceMs: number[] = [];
+    const ackMs: number[] = [];
+    for (const { revision, askedMs, atMs } of this.acknowledged) {
+      ackMs.push(atMs - askedMs);
+      for (const group of taken) {
+        for (const at of firstAt(group, revision).values()) inForceMs.push(Math.max(0, at - atMs));
+      }
+    }
+    return {
+      ...point, sent: this.sent, acknowledged: this.acknowledged.length, changeBytes: this.bytes,
+      acknowledgeP50Ms: rows.quantile(ackMs, 0.5), acknowledgeWorstMs: rows.quantile(ackMs, 1),
+      inForceP50Ms: rows.quantile(inForceMs, 0.5), inForceP99Ms: rows.quantile(inForceMs, 0.99), inForceWorstMs: rows.quantile(inForceMs, 1),
+      missing: this.acknowledged.length * routerCount - inForceMs.length,
+    };
+  }
+}
+
+/** When each router first held that revision or a later one. */
+function firstAt(taken: readonly routers.Taken[], revision: number): Map<number, number> {
+  const found = new Map<number, number>();
+  for (const item of taken) {
+    if (item.revision < revision) continue;
+    found.set(item.router, Math.min(found.get(item.router) ?? Infinity, item.atMs));
+  }
+  return found;
+}
--- /dev/null
+++ b/src/experiment/command.ts
@@ -0,0 +1,86 @@
+// The commands `experiment` and `experiment sweep` (design 13.1).
+import * as fs from "node:fs";
+import * as commander from "commander";
+import * as commands from "../cli/commands.js";
+import * as check from "../config/check.js";
+import * as errors from "../startup/errors.js";
+import type * as types from "../wire/types.js";
+import * as experiment from "./options.js";
+import * as sweeps from "./sweep.js";
+import * as worker from "./worker.js";
+
+const ABOUT: ReadonlyMap<experiment.CountField, string> = new Map([
+  ["routers", "hollow routers"], ["runners", "hollow runners"], ["routes", "routes of the configuration"], ["tenants", "tenants of the configuration"],
+  ["controls", "control nodes"], ["workers", "processes that hold the routers, 0: as many as needed"], ["changesPerS", "configuration changes a second"],
+  ["listChangesPerS", "changes a second in the platform's list"], ["seconds", "length of the measured window"], ["seed", "seed of chance"],
+]);
+
+interface Raw {
+  [name: string]: unknown;
+}
+
+/** An option's name as it is written: changesPerS is --changes-per-s. */
+function flagOf(field: string): string {
+  return field.replace(/[A-Z]/g, dashed);
+}
+
+function dashed(letter: string): string {
+  return `-${letter.toLowerCase()}`;
+}
+
+function numbersOf(raw: Raw): Raw {
+  const made: Raw = { loseControl: raw["loseControl"] === true };
+  for (const field of ABOUT.keys()) made[field] = raw[field] === "" ? Number.NaN : Number(raw[field]);
+  return made;
+}
+
+function denied(output: commands.Output, error: errors.CranewindError): number {
+  output.failure(error.message);
+  return error.kind === "usage" ? commands.EXIT.usage : commands.EXIT.denied;
+}
+
+async function play(world: types.World, output: commands.Output, places: readonly sweeps.Place[], raw: Raw): Promise<number> {
+  const failure = await sweeps.play(places, {
+    world, program: process.argv[1]!, out: String(raw["out"]), hasPlots: raw["plots"] !== false, progress: output.line.bind(output),
+  });
+  if (failure) return denied(output, failure);
+  output.line(`written to ${String(raw["out"])}`);
+  return commands.EXIT.ok;
+}
+
+async function runOne(world: types.World, output: commands.Output, raw: Raw): Promise<number> {
+  const options = experiment.check(numbersOf(raw));
+  if (options.isErr) return denied(output, options.error);
+  return play(world, output, [{ sweep: "one", field: "routers", options: options.value }], raw);
+}
+
+async function runSweep(world: types.World, output: commands.Output, raw: Raw): Promise<number> {
+  const file = String(raw["plan"]);
+  let bytes: Buffer;
+  try {
+    bytes = fs.readFileSync(file);
+  } catch (cause) {
+    return denied(output, errors.fail("usage", `cannot read ${file}: ${(cause as Error).message}`, "name a readable plan with --plan"));
+  }
+  const places = check.parseJson(bytes).andThen(sweeps.places);
+  if (places.isErr) return denied(output, places.error);
+  return play(world, output, places.value, raw);
+}
+
+export function add(program: commander.Command, world: types.World, output: commands.Output): void {
+  const command = program.command("experiment").description("measure control by real control nodes, hollow routers and hollow runners on loopback");
+  const one = command.command("run", { isDefault: true }).description("one run").requiredOption("--out <folder>", "where the tables go")
+    .option("--lose-control", "a control node is lost after the window, once frozen and once killed").option("--no-plots", "tables alone");
+  for (const [field, about] of ABOUT) one.option(`--${flagOf(field)} <count>`, about, String(experiment.DEFAULTS[field]));
+  one.action(async function run(raw: Raw) {
+    process.exitCode = await runOne(world, output, raw);
+  });
+  command.command("sweep").description("all runs of a plan, with slopes and plots").requiredOption("--plan <file>", "the plan as JSON")
+    .requiredOption("--out <folder>", "where tables and plots go").option("--no-plots", "tables alone")
+    .action(async function sweep(raw: Raw) {
+      process.exitCode = await runSweep(world, output, raw);
+    });
+  command.command("worker <seed>", { hidden: true }).action(function hold(seed: string) {
+    worker.run(Number(seed));
+  });
+}
--- /dev/null
+++ b/src/experiment/crew.ts
@@ -0,0 +1,120 @@
+// The processes of an experiment: each is started here, known by its handle, and ended by it (design 13.2).
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as errors from "../startup/errors.js";
+import * as hosts from "./hosts.js";
+import type * as worker from "./worker.js";
+
+const REMEDY = "read its log in the folder of the run";
+
+class ProcessHost implements hosts.Host {
+  private readonly waiting = new Map<number, { resolve(reply: unknown): void; reject(cause: Error): void }>();
+  private id = 0;
+  private isOver = false;
+
+  constructor(readonly name: string, private readonly child: childProcess.ChildProcess) {
+    child.on("message", this.take.bind(this));
+    child.on("exit", this.ended.bind(this));
+  }
+
+  ask(order: hosts.Order): Promise<unknown> {
+    if (this.isOver) return Promise.reject(this.gone());
+    const id = (this.id += 1);
+    const { waiting, child } = this;
+    return new Promise(function start(resolve, reject) {
+      waiting.set(id, { resolve, reject });
+      child.send({ id, order } satisfies worker.Asked);
+    });
+  }
+
+  private take(message: unknown): void {
+    const { id, reply, failure } = message as worker.Replied;
+    const item = this.waiting.get(id);
+    this.waiting.delete(id);
+    if (failure === "") item?.resolve(reply);
+    else item?.reject(errors.fail("usage", `${this.name}: ${failure}`, REMEDY));
+  }
+
+  private gone(): Error {
+    return errors.fail("usage", `${this.name} has ended`, REMEDY);
+  }
+
+  private ended(): void {
+    this.isOver = true;
+    for (const item of this.waiting.values()) item.reject(this.gone());
+    this.waiting.clear();
+  }
+}
+
+class ProcessControl implements hosts.ControlHost {
+  constructor(readonly name: string, private readonly child: childProcess.ChildProcess) {}
+
+  freeze(): void {
+    this.child.kill("SIGSTOP");
+  }
+
+  kill(): Promise<void> {
+    return finish(this.child);
+  }
+}
+
+function finish(child: childProcess.ChildProcess): Promise<void> {
+  return new Promise(function wait(resolve) {
+    if (child.exitCode !== null || child.signalCode !== null) {
+      resolve();
+      return;
+    }
+    child.once("exit", ended);
+    child.kill("SIGKILL");
+    function ended(): void {
+      resolve();
+    }
+  });
+}
+
+export class ProcessCrew implements hosts.Crew {
+  private readonly children = new Set<childProcess.ChildProcess>();
+  private readonly controls = new Set<childProcess.ChildProcess>();
+  private guard: hosts.Host | null = null;
+  private seed: number;
+
+  constructor(private readonly program: string, private readonly folder: string, seed: number) {
+    this.seed = seed;
+  }
+
+  async host(name: string): Promise<hosts.Host> {
+    this.seed += 1;
+    const child = this.spawn(name, ["experiment", "worker", String(this.seed)], {}, true);
+    const host = new ProcessHost(name, child);
+    this.guard ??= host;
+    return host;
+  }
+
+  async control(name: string, settingsFile: string): Promise<hosts.ControlHost> {
+    const child = this.spawn(name, ["control"], { CRANEWIND_NODE_FILE: settingsFile }, false);
+    this.controls.add(child);
+    child.once("exit", this.controls.delete.bind(this.controls, child));
+    await this.guard?.ask({ kind: "guard", pids: [...this.controls].map(pidOf) });
+    return new ProcessControl(name, child);
+  }
+
+  private spawn(name: string, words: string[], environment: NodeJS.ProcessEnv, hasChannel: boolean): childProcess.ChildProcess {
+    const log = fs.openSync(path.join(this.folder, `${name}.log`), "a");
+    const child = childProcess.spawn(process.execPath, [this.program, ...words], {
+      env: { ...process.env, ...environment }, stdio: hasChannel ? ["ignore", log, log, "ipc"] : ["ignore", log, log],
+    });
+    fs.closeSync(log);
+    this.children.add(child);
+    child.once("exit", this.children.delete.bind(this.children, child));
+    return child;
+  }
+
+  async end(): Promise<void> {
+    await Promise.all([...this.children].map(finish));
+  }
+}
+
+function pidOf(child: childProcess.ChildProcess): number {
+  return child.pid ?? 0;
+}
--- /dev/null
+++ b/src/experiment/hosts.ts
@@ -0,0 +1,60 @@
+// What a run asks of the processes that hold hollow nodes, whether they are processes of their own or, in
+// tests, this one (design 13.2).
+import type * as platforms from "../standin/platform.js";
+import type * as types from "../wire/types.js";
+import * as routers from "./routers.js";
+import * as runners from "./runners.js";
+
+export type Order =
+  | { kind: "routers"; settings: string[] }
+  | { kind: "runners"; platform: string; instances: platforms.Listed[]; listChangesPerS: number }
+  | { kind: "guard"; pids: number[] }
+  | { kind: "census" }
+  | { kind: "account" };
+
+export interface Host {
+  readonly name: string;
+  ask(order: Order): Promise<unknown>;
+}
+
+/** A control node as a process: lost without a word, or frozen first. */
+export interface ControlHost {
+  readonly name: string;
+  freeze(): void;
+  kill(): Promise<void>;
+}
+
+export interface Crew {
+  host(name: string): Promise<Host>;
+  control(name: string, settingsFile: string): Promise<ControlHost>;
+  /** Ends what it started, and nothing else. */
+  end(): Promise<void>;
+}
+
+/** Takes the orders inside a process. */
+export class Hands {
+  private routers: routers.RouterGroup | null = null;
+  private runners: runners.RunnerGroup | null = null;
+  guarded: number[] = [];
+
+  constructor(private readonly world: types.World) {}
+
+  async take(order: Order): Promise<unknown> {
+    if (order.kind === "census") return this.routers?.census();
+    if (order.kind === "account") return this.routers?.account();
+    if (order.kind === "guard") this.guarded = order.pids;
+    else if (order.kind === "routers") {
+      this.routers = new routers.RouterGroup(this.world);
+      await this.routers.start(order.settings);
+    } else {
+      this.runners = new runners.RunnerGroup(this.world);
+      await this.runners.start(order.platform, order.instances, order.listChangesPerS);
+    }
+    return null;
+  }
+
+  async stop(): Promise<void> {
+    await this.routers?.stop();
+    this.runners?.stop();
+  }
+}
--- /dev/null
+++ b/src/experiment/losses.ts
@@ -0,0 +1,31 @@
+// A control node is lost: how long until all routers that followed it follow another, and how many dial at
+// once meanwhile and at its return (design 13.3).
+import * as routers from "./routers.js";
+import * as rows from "./rows.js";
+
+export function lossRow(
+  point: rows.Point, manner: "killed" | "frozen", lost: string, atMs: number, followers: number, accounts: readonly routers.Account[],
+): rows.LossRow {
+  const movedMs: number[] = [];
+  const dials = new Map<number, number>();
+  for (const account of accounts) {
+    const leaving = new Set<number>();
+    for (const item of account.moved) {
+      if (item.atMs < atMs) continue;
+      if (item.from === lost) leaving.add(item.router);
+      if (item.to !== null && item.to !== lost && leaving.delete(item.router)) movedMs.push(item.atMs - atMs);
+    }
+    for (const [slot, count] of account.dials) {
+      if ((slot + 1) * routers.DIALS_MS > atMs) dials.set(slot, (dials.get(slot) ?? 0) + count);
+    }
+  }
+  const counts = [...dials.values()];
+  return {
+    ...point, manner, followers, moved: movedMs.length, movedP50Ms: rows.quantile(movedMs, 0.5), movedP99Ms: rows.quantile(movedMs, 0.99),
+    movedWorstMs: rows.quantile(movedMs, 1), dials: counts.reduce(add, 0), mostDialsIn50Ms: Math.max(0, ...counts),
+  };
+}
+
+function add(left: number, right: number): number {
+  return left + right;
+}
--- /dev/null
+++ b/src/experiment/run.ts
@@ -0,0 +1,227 @@
+// One run: the nodes come up, settle, are measured over a window of changes, and may lose a control node
+// (design 13.2, 13.3). It is bounded by time and ends what it started.
+import * as fs from "node:fs";
+import * as path from "node:path";
+import * as client from "../cli/client.js";
+import * as errors from "../startup/errors.js";
+import type * as vitals from "../startup/vitals.js";
+import type * as counts from "../wire/counts.js";
+import * as types from "../wire/types.js";
+import * as world from "../wire/world.js";
+import * as changing from "./changes.js";
+import * as clock from "./clock.js";
+import * as hosts from "./hosts.js";
+import * as layouts from "./layout.js";
+import * as losses from "./losses.js";
+import * as experiment from "./options.js";
+import type * as routers from "./routers.js";
+import * as rows from "./rows.js";
+import * as windows from "./window.js";
+
+const LOOK_MS = 50;
+const SETTLE_WITHIN_MS = 40_000;
+const MOVE_WITHIN_MS = 10_000;
+const QUIET_MS = 1500;
+const RETURN_MS = 2500;
+
+interface ControlStatus {
+  isSettled: boolean;
+  vitals: vitals.Vitals;
+  links: Record<string, counts.LinkCount>;
+  counters: Record<string, number>;
+}
+
+interface RouterHost {
+  host: hosts.Host;
+  count: number;
+}
+
+export class Run {
+  private readonly layout: layouts.Layout;
+  private readonly changes: changing.Changes;
+  private readonly routerHosts: RouterHost[] = [];
+  private readonly controls: hosts.ControlHost[] = [];
+  private readonly outcome: rows.Outcome = { nodes: [], links: [], changes: [], losses: [] };
+  private readonly point: rows.Point;
+
+  constructor(
+    private readonly world: types.World,
+    private readonly crew: hosts.Crew,
+    private readonly options: experiment.Options,
+    private readonly folder: string,
+    private readonly progress: (step: string) => void,
+    sweep: string,
+  ) {
+    this.layout = new layouts.Layout(options, layouts.netOf(process.pid), folder);
+    this.changes = new changing.Changes(world, options, this.layout);
+    this.point = rows.pointOf(sweep, options);
+  }
+
+  async play(): Promise<rows.Outcome> {
+    try {
+      this.progress("starting");
+      await this.startAll();
+      this.progress("settling");
+      await this.settle();
+      this.progress("measuring");
+      await this.measure();
+      if (this.options.loseControl && this.controls.length > 1) {
+        for (const manner of ["frozen", "killed"] as const) {
+          this.progress(`a control node is ${manner}`);
+          await this.lose(manner);
+        }
+      }
+      return this.outcome;
+    } finally {
+      await this.crew.end();
+    }
+  }
+
+  private async startAll(): Promise<void> {
+    const { options, layout, crew } = this;
+    const runners = await crew.host("runners");
+    await runners.ask({ kind: "runners", platform: layout.platformAddress(), instances: layout.instances(), listChangesPerS: options.listChangesPerS });
+    for (let index = 0; index < options.controls; index += 1) this.controls.push(await this.startControl(index, true));
+    await this.until("the control nodes reach a majority", SETTLE_WITHIN_MS, this.isSettled.bind(this));
+    const workers = experiment.workersOf(options);
+    for (let worker = 0; worker < workers; worker += 1) {
+      const texts: string[] = [];
+      for (let index = worker; index < options.routers; index += workers) texts.push(layout.routerSettings(index));
+      const host = await crew.host(`routers-${1 + worker}`);
+      await host.ask({ kind: "routers", settings: texts });
+      this.routerHosts.push({ host, count: texts.length });
+    }
+  }
+
+  private startControl(index: number, isFirst: boolean): Promise<hosts.ControlHost> {
+    const name = this.layout.controlName(index);
+    const file = path.join(this.folder, `${name}.conf`);
+    fs.writeFileSync(file, this.layout.controlSettings(index, isFirst));
+    return this.crew.control(name, file);
+  }
+
+  private async settle(): Promise<void> {
+    const failure = await this.changes.first();
+    if (failure) throw failure;
+    await this.until("the first configuration is in force at all routers", SETTLE_WITHIN_MS, this.isInForce.bind(this));
+    await world.sleep(this.world, QUIET_MS);
+  }
+
+  private async until(what: string, withinMs: number, isSo: () => Promise<boolean>): Promise<void> {
+    const startedMs = this.world.now();
+    while (!(await isSo())) {
+      if (this.world.now() - startedMs > withinMs) {
+        throw errors.fail("timeout", `not so within ${withinMs / 1000} s: ${what}`, "give fewer nodes or wait until the machine is less busy");
+      }
+      await world.sleep(this.world, LOOK_MS);
+    }
+  }
+
+  private async statusOf(index: number): Promise<ControlStatus | null> {
+    const outcome = await client.send(this.world, [this.layout.controls()[index]!], { method: "GET", path: "/-/status" });
+    return outcome.isOk ? (outcome.value.json as ControlStatus) : null;
+  }
+
+  private async isSettled(): Promise<boolean> {
+    const all = await Promise.all(this.controls.map(this.statusAt.bind(this)));
+    return all.every(isSettledStatus);
+  }
+
+  private statusAt(_control: hosts.ControlHost, index: number): Promise<ControlStatus | null> {
+    return this.statusOf(index);
+  }
+
+  private async census(): Promise<{ leastRevision: number; following: Map<string, number> }> {
+    const following = new Map<string, number>();
+    let leastRevision = Infinity;
+    for (const { host } of this.routerHosts) {
+      const census = (await host.ask({ kind: "census" })) as routers.Census;
+      leastRevision = Math.min(leastRevision, census.leastRevision);
+      for (const [name, count] of census.following) following.set(name, (following.get(name) ?? 0) + count);
+    }
+    return { leastRevision, following };
+  }
+
+  private async isInForce(): Promise<boolean> {
+    return (await this.census()).leastRevision >= this.changes.newest;
+  }
+
+  private async accounts(): Promise<routers.Account[]> {
+    const found: routers.Account[] = [];
+    for (const { host } of this.routerHosts) found.push((await host.ask({ kind: "account" })) as routers.Account);
+    return found;
+  }
+
+  private async readControls(): Promise<windows.Reading[]> {
+    const readings: windows.Reading[] = [];
+    for (const index of this.controls.keys()) {
+      const status = await this.statusOf(index);
+      if (!status) throw errors.fail("timeout", `${this.layout.controlName(index)} tells no status`, `read its log in ${this.folder}`);
+      readings.push({ atMs: clock.machineMs(), vitals: status.vitals, links: new Map(Object.entries(status.links)), reports: status.counters["runner.report"] ?? 0 });
+    }
+    return readings;
+  }
+
+  private async readRouters(): Promise<{ readings: windows.Reading[]; accounts: routers.Account[] }> {
+    const accounts = await this.accounts();
+    const readings: windows.Reading[] = [];
+    for (const account of accounts) readings.push({ atMs: account.atMs, vitals: account.vitals, links: new Map(account.links), reports: 0 });
+    return { readings, accounts };
+  }
+
+  private async measure(): Promise<void> {
+    const controlsBefore = await this.readControls();
+    const before = await this.readRouters();
+    await this.changes.play(this.options.seconds);
+    const controlsAfter = await this.readControls();
+    const after = await this.readRouters();
+    await this.until("the last change is in force at all routers", SETTLE_WITHIN_MS, this.isInForce.bind(this));
+    const rest = await this.accounts();
+    for (const [index, control] of this.controls.entries()) this.add({ role: "control", node: control.name, sharedBy: 1 }, controlsBefore[index]!, controlsAfter[index]!);
+    for (const [index, { host, count }] of this.routerHosts.entries()) this.add({ role: "router", node: host.name, sharedBy: count }, before.readings[index]!, after.readings[index]!);
+    const taken: routers.Taken[][] = [];
+    for (const [index, account] of after.accounts.entries()) taken.push([...account.taken, ...rest[index]!.taken]);
+    this.outcome.changes.push(this.changes.row(this.point, taken, this.options.routers));
+  }
+
+  private add(part: windows.Part, before: windows.Reading, after: windows.Reading): void {
+    const links = windows.linkRows(this.point, part, before, after);
+    this.outcome.links.push(...links);
+    this.outcome.nodes.push(windows.nodeRow(this.point, part, before, after, links));
+  }
+
+  /** The node that most routers follow is lost, and started again when none follows it any more. */
+  private async lose(manner: "killed" | "frozen"): Promise<void> {
+    const { following } = await this.census();
+    const index = mostFollowed(this.controls, following);
+    const lost = this.controls[index]!;
+    const followers = following.get(lost.name) ?? 0;
+    await this.accounts();
+    const atMs = clock.machineMs();
+    if (manner === "frozen") lost.freeze();
+    else await lost.kill();
+    const census = this.census.bind(this);
+    await this.until(`no router follows ${lost.name}`, MOVE_WITHIN_MS, async function hasMoved() {
+      const now = (await census()).following;
+      return (now.get(lost.name) ?? 0) === 0 && (now.get("") ?? 0) === 0;
+    });
+    if (manner === "frozen") await lost.kill();
+    this.controls[index] = await this.startControl(index, false);
+    await world.sleep(this.world, RETURN_MS);
+    const accounts = await this.accounts();
+    this.outcome.losses.push(losses.lossRow(this.point, manner, lost.name, atMs, followers, accounts));
+    await this.until("the control nodes reach a majority again", SETTLE_WITHIN_MS, this.isSettled.bind(this));
+  }
+}
+
+function isSettledStatus(status: ControlStatus | null): boolean {
+  return status?.isSettled === true;
+}
+
+function mostFollowed(controls: readonly hosts.ControlHost[], following: ReadonlyMap<string, number>): number {
+  let most = 0;
+  for (const [index, control] of controls.entries()) {
+    if ((following.get(control.name) ?? 0) > (following.get(controls[most]!.name) ?? 0)) most = index;
+  }
+  return most;
+}
--- /dev/null
+++ b/src/experiment/runners.ts
@@ -0,0 +1,77 @@
+// Hollow runners: reports and health answers without work, all behind one process, and the platform that lists
+// them. Each report differs from the one before, as those of busy runners do (design 13.2).
+import * as nodeHttp from "node:http";
+import * as net from "node:net";
+import * as platforms from "../standin/platform.js";
+import * as listening from "../wire/listen.js";
+import * as names from "../wire/names.js";
+import * as types from "../wire/types.js";
+import * as world from "../wire/world.js";
+
+const PAGE = 200;
+const CAPACITY = 16;
+const KV_TOKENS = 100_000;
+
+export class RunnerGroup {
+  private readonly platform = new platforms.StandInPlatform(PAGE);
+  private readonly idAt = new Map<string, string>();
+  private readonly front = nodeHttp.createServer({ keepAliveTimeout: 20_000 }, this.take.bind(this));
+  private readonly sockets = new Set<net.Socket>();
+  private readonly listeners: net.Server[] = [];
+  private reports = 0;
+  private changed = 0;
+  private tick: types.Tick | null = null;
+
+  constructor(private readonly world: types.World) {}
+
+  async start(platformAddress: string, instances: platforms.Listed[], listChangesPerS: number): Promise<void> {
+    for (const instance of instances) {
+      const server = net.createServer(this.opened.bind(this));
+      await listening.listen(server, instance.address);
+      this.idAt.set(instance.address, instance.instance_id);
+      this.listeners.push(server);
+    }
+    this.platform.instances = instances;
+    await this.platform.start(platformAddress);
+    if (listChangesPerS > 0) this.tick = world.every(this.world, 1000 / listChangesPerS, this.changeList.bind(this));
+  }
+
+  private opened(socket: net.Socket): void {
+    const { sockets } = this;
+    sockets.add(socket);
+    socket.once("close", function closed() {
+      sockets.delete(socket);
+    });
+    this.front.emit("connection", socket);
+  }
+
+  /** One runner after the other changes in the list, which is then news to all. */
+  private changeList(): void {
+    const { instances } = this.platform;
+    const item = instances[this.changed % instances.length]!;
+    this.changed += 1;
+    item.capacity = item.capacity === CAPACITY ? CAPACITY + 1 : CAPACITY;
+  }
+
+  private take(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    const { localAddress, localPort } = incoming.socket;
+    if (incoming.url === "/-/report") this.report(outgoing);
+    else outgoing.writeHead(200, { [names.HEADER.instance]: this.idAt.get(`${localAddress}:${localPort}`) ?? "", "Content-Length": 0 }).end();
+  }
+
+  private report(outgoing: nodeHttp.ServerResponse): void {
+    this.reports += 1;
+    const body = JSON.stringify({
+      phase: "combined", models: [], utilization: false, sequence: 0, waiting_requests: Math.floor(this.world.random() * 3),
+      active: Math.floor(this.world.random() * CAPACITY), kv_used: this.reports % KV_TOKENS, kv_capacity: KV_TOKENS, supported_models: 0,
+    });
+    outgoing.writeHead(200, { "Content-Type": "application/json", "Content-Length": body.length }).end(body);
+  }
+
+  stop(): void {
+    this.tick?.stop();
+    this.platform.stop();
+    for (const server of this.listeners) server.close();
+    for (const socket of this.sockets) socket.destroy();
+  }
+}
--- /dev/null
+++ b/src/experiment/sweep.ts
@@ -0,0 +1,134 @@
+// Runs one after the other over the places of a plan (design 13.4).
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as result from "true-myth/result";
+import * as superstruct from "superstruct";
+import * as errors from "../startup/errors.js";
+import type * as types from "../wire/types.js";
+import * as crews from "./crew.js";
+import * as experiment from "./options.js";
+import * as panels from "./panels.js";
+import * as plot from "./plot.js";
+import * as rows from "./rows.js";
+import * as runs from "./run.js";
+
+const SWEPT = ["routers", "runners", "routes", "tenants", "controls", "changesPerS", "listChangesPerS"] as const;
+const extra = superstruct.record(superstruct.string(), superstruct.union([superstruct.number(), superstruct.boolean()]));
+const shape = superstruct.object({
+  base: extra,
+  sweeps: superstruct.nonempty(superstruct.array(superstruct.object({
+    name: superstruct.pattern(superstruct.string(), /^[a-z][a-z-]*$/),
+    field: superstruct.enums(SWEPT),
+    values: superstruct.nonempty(superstruct.array(superstruct.number())),
+    with: superstruct.optional(extra),
+  }))),
+});
+
+export interface Place {
+  sweep: string;
+  field: (typeof SWEPT)[number];
+  options: experiment.Options;
+}
+
+type Checked<T> = result.Result<T, errors.CranewindError>;
+
+/** All places of a plan, each checked before the first run begins. */
+export function places(raw: unknown): Checked<Place[]> {
+  const [failure, plan] = superstruct.validate(raw, shape);
+  if (failure) return result.err(errors.fail("usage", `plan field ${failure.path.join(".") || "the file"}: ${failure.message}`, "see docs/experiment.md for the plan's fields"));
+  const found: Place[] = [];
+  for (const { name, field, values, with: more } of plan.sweeps) {
+    for (const value of values) {
+      const options = experiment.check({ ...experiment.DEFAULTS, ...plan.base, ...more, [field]: value });
+      if (options.isErr) return result.err(options.error);
+      found.push({ sweep: name, field, options: options.value });
+    }
+  }
+  return result.ok(found);
+}
+
+export interface Surroundings {
+  world: types.World;
+  program: string;
+  out: string;
+  hasPlots: boolean;
+  progress(text: string): void;
+}
+
+async function playOne(place: Place, around: Surroundings, of: string): Promise<rows.Outcome> {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-experiment-"));
+  const crew = new crews.ProcessCrew(around.program, folder, place.options.seed);
+  function stop(): void {
+    around.progress("interrupted: ending what was started");
+    void crew.end().finally(leave);
+  }
+  function progress(step: string): void {
+    const { routers, runners, routes, controls, changesPerS } = place.options;
+    around.progress(`${of} ${place.sweep}: ${routers} routers, ${runners} runners, ${routes} routes, ${controls} control nodes, ${changesPerS} changes/s: ${step}`);
+  }
+  process.on("SIGINT", stop);
+  process.on("SIGTERM", stop);
+  try {
+    const outcome = await new runs.Run(around.world, crew, place.options, folder, progress, place.sweep).play();
+    fs.rmSync(folder, { recursive: true });
+    return outcome;
+  } finally {
+    process.removeListener("SIGINT", stop);
+    process.removeListener("SIGTERM", stop);
+  }
+}
+
+function leave(): void {
+  process.exit(130);
+}
+
+/** Plays all places; one that fails is told and left out, and the others are still measured. */
+export async function play(all: readonly Place[], around: Surroundings): Promise<errors.CranewindError | null> {
+  for (const { options } of all) {
+    const admitted = experiment.admit(options, experiment.machine());
+    if (admitted.isErr) return admitted.error;
+  }
+  fs.mkdirSync(around.out, { recursive: true });
+  const outcome: rows.Outcome = { nodes: [], links: [], changes: [], losses: [] };
+  const failures: string[] = [];
+  for (const [index, place] of all.entries()) {
+    try {
+      const one = await playOne(place, around, `${index + 1}/${all.length}`);
+      for (const field of ["nodes", "links", "changes", "losses"] as const) (outcome[field] as unknown[]).push(...one[field]);
+    } catch (cause) {
+      failures.push(`${place.sweep} at ${place.field} ${place.options[place.field]}: ${(cause as Error).message}`);
+      around.progress(`failed: ${failures[failures.length - 1]}`);
+    }
+    write(all, outcome, around.out);
+  }
+  if (around.hasPlots) await draw(all, outcome, around.out);
+  if (failures.length === 0) return null;
+  return errors.fail("timeout", `${failures.length} of ${all.length} runs failed: ${failures.join(" | ")}`, "");
+}
+
+function fieldsOf(all: readonly Place[]): Map<string, Place["field"]> {
+  const fields = new Map<string, Place["field"]>();
+  for (const { sweep, field } of all) fields.set(sweep, field);
+  return fields;
+}
+
+/** After each run, so that what was measured stays when a later one fails. */
+function write(all: readonly Place[], outcome: rows.Outcome, out: string): void {
+  const slopes: rows.SlopeRow[] = [];
+  for (const [sweep, field] of fieldsOf(all)) slopes.push(...rows.slopes(sweep, field, outcome.nodes));
+  for (const name of ["nodes", "links", "changes", "losses"] as const) fs.writeFileSync(path.join(out, `${name}.csv`), rows.text(outcome[name]));
+  fs.writeFileSync(path.join(out, "slopes.csv"), rows.text(slopes));
+}
+
+async function draw(all: readonly Place[], outcome: rows.Outcome, out: string): Promise<void> {
+  for (const [sweep, field] of fieldsOf(all)) {
+    const own: rows.Outcome = {
+      nodes: outcome.nodes.filter(isOwn), links: [], changes: outcome.changes.filter(isOwn), losses: outcome.losses.filter(isOwn),
+    };
+    fs.writeFileSync(path.join(out, `${sweep}.svg`), await plot.svg(panels.panelsOf(field, own), field));
+    function isOwn(row: rows.Point): boolean {
+      return row.sweep === sweep;
+    }
+  }
+}
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -1,12 +1,14 @@
 // The router role put together: the only way to the runners, with no persistent state (design 7).
 import * as crypto from "node:crypto";
 import * as calls from "../wire/calls.js";
+import * as counts from "../wire/counts.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as world from "../wire/world.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
+import * as vitals from "../startup/vitals.js";
 import * as check from "../config/check.js";
 import * as routes from "../config/routes.js";
 import * as directory from "../control/directory.js";
@@ -30,6 +32,12 @@
 const LAST_MS = 400;
 const STEP_MS = 50;
 
+export interface Standing {
+  epoch: types.Epoch;
+  revision: number;
+  following: string | null;
+}
+
 export class RouterProgram implements followers.Taker {
   private readonly life = crypto.randomBytes(6).toString("hex");
   private readonly handlers = new link.Handlers();
@@ -171,9 +179,15 @@
     return {
       node: this.describe(), following: this.follower.main?.node.name ?? null, routers: this.share.routers,
       sharesValid: this.share.isValid(), runners, counters: Object.fromEntries(log.counted()),
+      vitals: vitals.vitals(), links: Object.fromEntries(counts.linkCounts()),
     };
   }
 
+  /** What it goes by now, for watchers in the same process (docs/experiment.md). */
+  standing(): Standing {
+    return { epoch: this.epoch, revision: this.chooser.table?.config.revision ?? 0, following: this.follower.main?.node.name ?? null };
+  }
+
   /** Out of the directory first; then what is at work is finished within grace_s (design 7.11). */
   async stop(): Promise<void> {
     const startedAt = this.clock.now();
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -2,6 +2,7 @@
 import * as events from "node:events";
 import * as net from "node:net";
 import * as calls from "./calls.js";
+import * as counts from "./counts.js";
 import * as types from "./types.js";
 import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
@@ -92,6 +93,7 @@
       this.end("the other side does not read");
       return;
     }
+    counts.told(code, body.length);
     this.socket.write(Buffer.concat([head, body]));
   }
 
@@ -149,6 +151,7 @@
       this.garbled(`unknown frame ${kind}/${code}`);
       return;
     }
+    counts.heard(code, body.length);
     try {
       if (kind === REPLY) this.settle(id, body);
       else void this.handle(pair, kind, id, pair.ask.fromBuffer(body));
@@ -179,6 +182,7 @@
 }
 
 export function connect(world: types.World, address: string, handlers: Handlers, withinMs: number): Promise<Link | null> {
+  log.count("link.dials");
   return new Promise(function start(resolve) {
     const socket = net.connect({ host: types.hostOf(address), port: types.portOf(address) });
     const tick = world.after(withinMs, giveUp);
