--- a/src/experiment/layout.ts
+++ b/src/experiment/layout.ts
@@ -1,6 +1,7 @@
 // Where the nodes of an experiment stand on loopback, their settings, and the configuration (design 13.2).
 import * as path from "node:path";
 import type * as platforms from "../standin/platform.js";
+import * as shares from "../shares/shares.js";
 import type * as experiment from "./options.js";
 
 const REGIONS = 3;
@@ -32,6 +33,11 @@
   return lines;
 }
 
+/** Names as unlike each other as real ones are: even ones would pack the configuration too well. */
+function nameOf(kind: string, index: number): string {
+  return `${kind}-${shares.hash(`${kind}/${index}`).toString(36)}`;
+}
+
 export class Layout {
   constructor(private readonly options: experiment.Options, private readonly net: number, private readonly folder: string) {}
 
@@ -96,7 +102,7 @@
 
   route(index: number, deadlineMs: number): unknown {
     return {
-      name: `route-${index}`, hostname: `tenant-${index % this.options.tenants}.example`, path_prefix: `/path-${index}/`, route_type: "streaming",
+      name: nameOf("route", index), hostname: `${nameOf("host", index % this.options.tenants)}.example`, path_prefix: `/${nameOf("p", index)}/${index}/`, route_type: "streaming",
       deadline_ms: deadlineMs, target_latency_ms: 800, target_gap_ms: 600, priority: index % 3, service: `model-${1 + (index % SERVICES)}`,
       max_attempts: 2, session_affinity: true, resumable: true, allowed_regions: index % 10 === 0 ? [regionOf(index)] : [],
     };
@@ -106,7 +112,7 @@
     const { routes, tenants } = this.options;
     const made = { revision, routes: [] as unknown[], services: [] as unknown[], tenants: [] as unknown[] };
     for (let index = 0; index < routes; index += 1) made.routes.push(this.route(index, 15_000));
-    for (let index = 0; index < tenants; index += 1) made.tenants.push({ name: `tenant-${index}`, priority: index % 3 });
+    for (let index = 0; index < tenants; index += 1) made.tenants.push({ name: nameOf("tenant", index), priority: index % 3 });
     for (let index = 1; index <= SERVICES; index += 1) {
       made.services.push({ name: `model-${index}`, health_check_path: "/health", max_connections: 100, warmup_s: 3, warmup_per_s: 10, runtime: { capacity: 16, kv_token_capacity: 100_000 } });
     }
--- a/src/experiment/options.ts
+++ b/src/experiment/options.ts
@@ -63,7 +63,7 @@
 /** A rough upper estimate from measured sizes (docs/CAPACITY.md), in megabytes. */
 export function memoryMbOf(options: Options): number {
   const { controls, routers, runners, routes } = options;
-  const eachRouter = 0.5 + runners * 0.003 + routes * 0.003;
+  const eachRouter = 0.5 + runners * 0.0025 + routes * 0.002;
   return processesOf(options) * 90 + controls * (runners * 0.06 + routers * 0.1 + routes * 0.01) + routers * eachRouter + runners * 0.06;
 }
 
--- a/src/experiment/rows.ts
+++ b/src/experiment/rows.ts
@@ -94,8 +94,10 @@
   return { sweep, routers, runners, routes, tenants, controls, changesPerS, listChangesPerS, seed };
 }
 
+const DIGITS = 6;
+
 function shown(value: number): string {
-  return Number.isFinite(value) ? String(Math.round(value * 1000) / 1000) : "";
+  return Number.isFinite(value) ? String(Number(value.toPrecision(DIGITS))) : "";
 }
 
 /** The columns are those of the first row; a figure that could not be measured is left empty. */
--- a/tests/experiment.test.ts
+++ b/tests/experiment.test.ts
@@ -93,7 +93,7 @@
 
 function nodeRow(): rows.NodeRow {
   return {
-    ...rows.pointOf("s", options()), role: "control", node: "control-1", sharedBy: 1, seconds: 2, cpuPercent: 1.23456, memoryMb: 60, loopP50Ms: 0,
+    ...rows.pointOf("s", options()), role: "control", node: "control-1", sharedBy: 1, seconds: 2, cpuPercent: 1.2345678, memoryMb: 60, loopP50Ms: 0,
     loopP99Ms: 1, loopWorstMs: 2, descriptors: 40, toldBytesPerS: 100, heardBytesPerS: 90, toldFramesPerS: 4, heardFramesPerS: 3, reportsReadPerS: Number.NaN,
   };
 }
@@ -102,7 +102,7 @@
   const lines = rows.text([nodeRow(), nodeRow()]).trimEnd().split("\n");
   expect(lines).toHaveLength(3);
   expect(lines[0]).toMatch(/^sweep,routers,runners,routes,tenants,controls,.*,cpuPercent,.*,reportsReadPerS$/);
-  expect(lines[1]).toMatch(/^s,15,50,50,20,5,1,0,1,control,control-1,1,2,1.235,.*,$/);
+  expect(lines[1]).toMatch(/^s,15,50,50,20,5,1,0,1,control,control-1,1,2,1.23457,.*,$/);
   expect(rows.text([])).toBe("");
 });
 
