--- a/src/experiment/panels.ts
+++ b/src/experiment/panels.ts
@@ -31,6 +31,7 @@
     moved.series.push({ x: Number(row[field]), y: row.movedWorstMs, line: row.manner });
     dials.series.push({ x: Number(row[field]), y: row.mostDialsIn50Ms, line: row.manner });
   }
+  inForce.series = inForce.series.filter(isMeasured);
   return [
     nodePanel("Control node: processor time", "% of a core", field, "cpuPercent", nodes, "control"),
     nodePanel("Router: processor time of control", "% of a core", field, "cpuPercent", nodes, "router"),
@@ -40,3 +41,7 @@
     inForce, moved, dials,
   ];
 }
+
+function isMeasured(point: plot.Series): boolean {
+  return Number.isFinite(point.y);
+}
--- a/src/startup/vitals.ts
+++ b/src/startup/vitals.ts
@@ -7,7 +7,7 @@
   cpuMs: number;
   memoryMb: number;
   heapMb: number;
-  /** How late the loop ran since these figures were asked for the last time; zeros at the first asking. */
+  /** How late the loop ran since these figures were asked for the last time; zeros when that is long ago. */
   loopP50Ms: number;
   loopP99Ms: number;
   loopWorstMs: number;
@@ -16,9 +16,11 @@
 
 const RESOLUTION_MS = 10;
 const MEGA = 1024 * 1024;
+const REST_MS = 60_000;
 let delay: perf.IntervalHistogram | null = null;
+let resting: NodeJS.Timeout | null = null;
 
-/** The loop is watched from the first asking on: nodes that nobody asks don't pay for it. */
+/** The loop is watched from an asking on for a minute: nodes that nobody asks don't pay for it. */
 export function vitals(): Vitals {
   const cpu = process.cpuUsage();
   const memory = process.memoryUsage();
@@ -33,9 +35,16 @@
     loopWorstMs: before && before.count > 0 ? lateMs(before.max) : 0, descriptors: openDescriptors(),
   };
   delay.reset();
+  if (resting) clearTimeout(resting);
+  resting = setTimeout(rest, REST_MS).unref();
   return made;
 }
 
+function rest(): void {
+  delay?.disable();
+  delay = null;
+}
+
 /** The histogram holds the whole time between its ticks. */
 function lateMs(nanoseconds: number): number {
   return Math.max(0, nanoseconds / 1e6 - RESOLUTION_MS);
