Few: pauses hold while nothing answers, and end early only for one that was not needed

Cause: each failed dial of a needed control node cut its own pause to 0.6 s, so a lost core was dialled ever as fast. Change: the pause is cut only when a calm target becomes needed; a pause taken while needed is 1.5 s at most.

--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -136,8 +136,9 @@
       target.state = "idle";
       target.failures += 1;
       this.few?.forget(target);
-      target.notBefore = this.world.now() + target.pauseMs * (0.7 + 0.6 * this.world.random());
-      target.pauseMs = Math.min(this.few?.hasEnough ? CALM_PAUSE_MS : MOST_PAUSE_MS, target.pauseMs * 2);
+      const mostMs = this.few?.hasEnough ? CALM_PAUSE_MS : MOST_PAUSE_MS;
+      target.notBefore = this.world.now() + Math.min(mostMs, target.pauseMs) * (0.7 + 0.6 * this.world.random());
+      target.pauseMs = Math.min(mostMs, target.pauseMs * 2);
       return;
     }
     target.state = "up";
--- a/src/feed/few.ts
+++ b/src/feed/few.ts
@@ -144,10 +144,10 @@
     if (urgency <= target.urgency) return;
     const now = this.world.now();
     const mostMs = urgency === AT_ONCE ? 0 : urgency === TO_REPLACE ? REPLACE_MS : MOVE_MS;
+    // A pause that grew while it was not needed does not hold up what is needed now.
+    if (target.urgency === TO_MOVE) target.notBefore = Math.min(target.notBefore, now + REPLACE_MS);
     target.urgency = urgency;
     target.dueAt = Math.min(target.dueAt, now + mostMs * this.world.random());
-    // A pause that grew while it was not needed does not hold up what is needed now.
-    if (urgency !== TO_MOVE) target.notBefore = Math.min(target.notBefore, now + REPLACE_MS);
   }
 
   /** Dialled, up or no longer wanted: the next wait is drawn anew. */
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -182,3 +182,25 @@
   for (const router of fleet.routers) expect(router.epoch).toBe(types.FIRST_EPOCH);
   expectOneView(fleet);
 }, 30_000);
+
+test("one that was away for long is dialled soon once it is needed; with all away the pauses still grow", async () => {
+  const fleet = await start(10, 15);
+  await fleet.clock.play(8000);
+  const kill = (address: string): void => fleet.controls.get(address)!.kill();
+  kill("c3:1");
+  await fleet.clock.play(40_000);
+  for (const router of fleet.routers) router.dials.splice(0);
+  await fleet.clock.play(20_000);
+  for (const router of fleet.routers) expect(router.dials.length).toBeLessThan(6); // calm: pauses of seconds
+  fleet.control("c3", "b", SEEDS);
+  for (const address of ["c1:1", "c2:1", "c4:1"]) kill(address);
+  await fleet.clock.play(1500);
+  for (const router of fleet.routers) expect(router.held()).toEqual(["c3:1", "c5:1"]);
+  for (const address of ["c3:1", "c5:1"]) kill(address);
+  await fleet.clock.play(5000);
+  for (const router of fleet.routers) router.dials.splice(0);
+  await fleet.clock.play(10_000);
+  for (const router of fleet.routers) {
+    for (const address of SEEDS) expect(router.dials.filter((dial) => dial.address === address).length).toBeLessThan(10);
+  }
+}, 30_000);
