Status of runners from outcomes at the routers, with ejection, probation and damping

Cause: health and reports alone miss runners that fail part of their requests, lie, flap or pass packets one way; a head read cleared all suspicion at once. Change: weighed signs of each send decay in a score per runner; good, suspected, ejected, probation with one move; siblings of a cell are compared, at most a third is ejected; failures are told to the other routers; reports are one sign among others.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -6,8 +6,11 @@
 import * as types from "../wire/types.js";
 import type * as connections from "./connections.js";
 import type * as fleets from "./fleet.js";
+import type * as signs from "./signs.js";
 
 const CONNECT_MS = 450;
+/** After so many events the pace of a stream is known. */
+const GAP_PIECES = 6;
 
 export type Ending =
   | "not_sent" // no byte went out
@@ -44,7 +47,12 @@
   head: Head | null = null;
   isPassing = false;
   private connecting: types.Tick | null = null;
+  private startedAt = 0;
+  private tokens = 0;
+  private pieces = 0;
+  private firstAt = 0;
   private isHandedBack = false;
+  private isFirst = false;
   private isStreaming = false;
   private abortSend: ((reason?: Error) => void) | null = null;
   private resumeRead: (() => void) | null = null;
@@ -57,10 +65,14 @@
     private readonly what: Sendable,
   ) {}
 
-  start(): void {
-    if (this.connection.isFresh) this.connecting = this.world.after(CONNECT_MS, this.tooLate.bind(this));
+  /** `tokens`: of its prompt, those that the runner has to read. */
+  start(tokens = 0): void {
+    this.isFirst = this.connection.isFresh;
+    if (this.isFirst) this.connecting = this.world.after(CONNECT_MS, this.tooLate.bind(this));
     this.runner.inflight += 1;
-    this.heardAt = this.world.now();
+    this.heardAt = this.startedAt = this.world.now();
+    this.tokens = tokens;
+    this.runner.waits(this, this.startedAt + this.runner.outcomes.overdueMs(this.work(), tokens));
     if (this.runner.inflight === 1) this.runner.sentAt = this.heardAt;
     const { method, path, headers, body } = this.what;
     try {
@@ -76,10 +88,14 @@
   /** No connection came up: nothing was sent, and the request may go elsewhere. */
   private tooLate(): void {
     if (this.isSent || this.isOver) return;
-    this.runner.suspect(this.world.now());
+    this.runner.sign("unreached", this.world.now());
     this.end("not_sent", false);
   }
 
+  private work(): "start" | "reply" {
+    return this.what.isStream ? "start" : "reply";
+  }
+
   onConnect(abort: (reason?: Error) => void): void {
     if (this.isOver) {
       abort();
@@ -98,7 +114,7 @@
     const id = headers.get(names.HEADER.requestId);
     if (id !== undefined && id !== this.what.requestId) {
       // An answer too many, of an earlier request: nothing on this connection can be trusted.
-      this.end("broken", false);
+      this.spoiled("broken");
       return true;
     }
     this.head = { status, raw, headers };
@@ -107,19 +123,48 @@
       return true;
     }
     this.isPassing = this.owner.onHead(this, this.head);
-    if (!this.isPassing) this.end("broken", false);
+    if (!this.isPassing) this.spoiled(this.failure() ?? "broken");
     return true;
   }
 
+  private spoiled(sign: signs.Sign): void {
+    this.runner.sign(sign, this.world.now());
+    this.end("broken", false);
+  }
+
+  /** A head alone proves nothing: a failure may follow, or be in it. */
   private hear(): void {
     this.heardAt = this.world.now();
     this.runner.heard(this.heardAt);
+    this.runner.waitsNoMore(this);
+  }
+
+  private failure(): signs.Sign | null {
+    const status = this.head?.status ?? 0;
+    if (this.isHandedBack) return status === 421 || status === 400 ? null : "shed";
+    if (status < 500) return null;
+    return status === 504 ? "late" : "error";
+  }
+
+  /** Time to the first byte once, and between events once after some of them. */
+  private time(): void {
+    const status = this.head?.status ?? 0;
+    if (status < 200 || status >= 300) return;
+    const { runner, heardAt } = this;
+    this.pieces += 1;
+    if (this.pieces === 1) {
+      this.firstAt = heardAt;
+      runner.outcomes.took(this.work(), this.tokens, heardAt - this.startedAt, heardAt, runner.isLoaded());
+    } else if (this.what.isStream && this.pieces === GAP_PIECES + 1) {
+      runner.outcomes.took("gap", 0, (heardAt - this.firstAt) / GAP_PIECES, heardAt, runner.isLoaded());
+    }
   }
 
   onData(chunk: Buffer): boolean {
     if (this.isOver) return true;
     this.hear();
     if (this.isHandedBack) return true;
+    this.time();
     if (!this.isStreaming && this.what.isStream) {
       this.isStreaming = true;
       this.runner.streaming += 1;
@@ -132,13 +177,23 @@
   }
 
   onComplete(): void {
+    if (!this.isOver) this.judge();
     const isLeaving = this.head?.headers.get("connection")?.toLowerCase().includes("close") === true;
     this.end(this.isHandedBack ? "handed_back" : "complete", !isLeaving);
   }
 
+  private judge(): void {
+    const now = this.world.now();
+    const failure = this.failure();
+    if (failure) this.runner.sign(failure, now);
+    else if (!this.isHandedBack) this.runner.outcomes.succeed(now);
+  }
+
   onError(): void {
     if (this.isOver) return;
-    this.runner.suspect(this.world.now());
+    const isStale = this.isSent && !this.isFirst && this.head === null;
+    const broken = isStale ? "stale" : "broken";
+    this.runner.sign(this.isHandedBack ? (this.failure() ?? "stale") : this.isSent ? broken : "refused", this.world.now());
     // A denial whose head was read stands, whatever became of the rest.
     this.end(this.isHandedBack ? "handed_back" : this.isSent ? "broken" : "not_sent", false);
   }
@@ -152,6 +207,7 @@
     if (this.isOver) return;
     this.isOver = true;
     this.connecting?.stop();
+    this.runner.waitsNoMore(this);
     this.runner.inflight -= 1;
     if (this.isStreaming) this.runner.streaming -= 1;
     if (!isClean) this.abortSend?.();
--- /dev/null
+++ b/src/router/cohort.ts
@@ -0,0 +1,137 @@
+// The runners of one service in one cell, compared with each other: what most of them show is no fault of one
+// (design "status" 4, 5).
+import type * as outcomes from "./outcomes.js";
+
+/** At most this part of a cohort is ejected by outcomes, and never the last one. */
+const MOST_EJECTED = 1 / 3;
+/** Above this part the cause is taken to be elsewhere. */
+const BROAD = 1 / 3;
+const FIRST_STEP = 0.5;
+const LEAST_STEP = 0.05;
+const LEAST_SAMPLES = 8;
+export const HALF_LIFE_MS = 1500;
+
+export type Work = "reply" | "start" | "gap";
+
+/** A running median in the log domain: each sample moves it by one step, however far away it lies. */
+class Median {
+  private log = 0;
+  private step = FIRST_STEP;
+  private samples = 0;
+
+  take(ms: number): void {
+    const log = Math.log(Math.max(0.1, ms));
+    if (this.samples === 0) this.log = log;
+    else this.log += Math.sign(log - this.log) * this.step;
+    this.step = Math.max(LEAST_STEP, this.step * 0.9);
+    this.samples += 1;
+  }
+
+  get ms(): number | null {
+    return this.samples < LEAST_SAMPLES ? null : Math.exp(this.log);
+  }
+}
+
+export class Decaying {
+  private value = 0;
+  private at = 0;
+
+  constructor(private readonly halfLifeMs: number) {}
+
+  read(now: number): number {
+    if (this.value === 0 || now <= this.at) return this.value;
+    this.value *= 2 ** (-(now - this.at) / this.halfLifeMs);
+    this.at = now;
+    if (this.value < 0.001) this.value = 0;
+    return this.value;
+  }
+
+  add(more: number, now: number): void {
+    this.value = this.read(now) + more;
+    this.at = Math.max(this.at, now);
+  }
+}
+
+export class Cohort {
+  private readonly medians = new Map<string, Median>();
+  private readonly score = new Decaying(HALF_LIFE_MS);
+  private size = 0;
+  private ejected = 0;
+  private suspected = 0;
+
+  /** Alike work: its kind, and its size by powers of two. */
+  private medianOf(work: Work, tokens: number): Median {
+    const key = `${work}${tokens > 0 ? Math.ceil(Math.log2(tokens)) : 0}`;
+    let median = this.medians.get(key);
+    if (!median) {
+      median = new Median();
+      this.medians.set(key, median);
+    }
+    return median;
+  }
+
+  /** The median of alike work before this sample; null while little is known. */
+  take(work: Work, tokens: number, ms: number): number | null {
+    const median = this.medianOf(work, tokens);
+    const before = median.ms;
+    median.take(ms);
+    return before;
+  }
+
+  usualMs(work: Work, tokens: number): number | null {
+    return this.medianOf(work, tokens).ms;
+  }
+
+  join(state: outcomes.State): void {
+    this.size += 1;
+    this.count(state, 1);
+  }
+
+  leave(state: outcomes.State): void {
+    this.size -= 1;
+    this.count(state, -1);
+  }
+
+  moved(from: outcomes.State, to: outcomes.State): void {
+    this.count(from, -1);
+    this.count(to, 1);
+  }
+
+  private count(state: outcomes.State, by: number): void {
+    if (state === "ejected") this.ejected += by;
+    if (state === "suspected") this.suspected += by;
+  }
+
+  addScore(weight: number, now: number): void {
+    this.score.add(weight, now);
+  }
+
+  /** The mean score of the others. */
+  othersScore(own: number, now: number): number {
+    return this.size < 2 ? 0 : Math.max(0, this.score.read(now) - own) / (this.size - 1);
+  }
+
+  mayEject(): boolean {
+    if (this.size < 2) return false;
+    return this.ejected + 1 <= Math.max(1, Math.floor(this.size * MOST_EJECTED));
+  }
+
+  /** So many look bad that the cause is not in them. */
+  isBroad(): boolean {
+    return this.suspected + this.ejected > Math.max(1, this.size * BROAD);
+  }
+}
+
+export class Cohorts {
+  private readonly cohorts = new Map<string, Cohort>();
+
+  of(service: string, region: string): Cohort {
+    const key = `${service}|${region}`;
+    let cohort = this.cohorts.get(key);
+    if (!cohort) {
+      cohort = new Cohort();
+      this.cohorts.set(key, cohort);
+    }
+    return cohort;
+  }
+}
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -3,16 +3,20 @@
 import * as types from "../wire/types.js";
 import * as shares from "../shares/shares.js";
 import * as log from "../startup/log.js";
+import * as cohorts from "./cohort.js";
 import * as connections from "./connections.js";
+import * as outcomes from "./outcomes.js";
+import type * as signs from "./signs.js";
 
 export type Status = "ready" | "draining" | "gone";
 
 const SUSPECT_MS = 700;
-const MOST_SUSPECT_MS = 4000;
 const FULL_MS = 150;
 const QUIET_STREAM_MS = 400;
 const QUIET_START_MS = 1500;
 const GONE_KEPT_MS = 120_000;
+/** With so much of its batch taken a runner may be slow or deny without a fault. */
+const LOADED_SHARE = 0.75;
 
 export class Runner {
   status: Status = "ready";
@@ -26,14 +30,18 @@
   heardAt = 0;
   sentAt = 0;
   fullUntil = 0;
-  private toldAt = 0;
-  private suspectUntil = 0;
-  private suspicions = 0;
+  /** Until when it is taken for silent; whatever is heard of it ends that. */
+  private silentUntil = 0;
+  private unreportedAt = Infinity;
+  /** Sends without a first byte, and when each is overdue. */
+  private readonly waiting = new Map<object, number>();
+  readonly outcomes: outcomes.Outcomes;
   readonly connections: connections.Connections;
   /** A fixed place in the order of runners, the same at every router. */
   readonly mark: number;
 
   constructor(readonly instance: schema.Instance, readonly region: string) {
+    this.outcomes = new outcomes.Outcomes(instance.id);
     this.connections = new connections.Connections(instance.address, opened);
     this.mark = shares.hash(instance.id);
   }
@@ -47,19 +55,47 @@
     if (this.status === to || this.status === "gone") return;
     if (this.status === "draining" && to === "ready") return;
     this.status = to;
-    if (to !== "ready") this.connections.closeIdle();
+    if (to === "ready") return;
+    this.connections.closeIdle();
+    this.outcomes.leaveCohort();
   }
 
   usage(): number {
     return this.inflight + this.others;
   }
 
+  isLoaded(): boolean {
+    return this.usage() >= LOADED_SHARE * this.instance.capacity;
+  }
+
+  /** It fell silent with work from here. */
   suspect(now: number): void {
-    this.suspicions = Math.min(6, this.suspicions + 1);
-    this.suspectUntil = now + Math.min(MOST_SUSPECT_MS, SUSPECT_MS * this.suspicions);
+    this.sign("silent", now);
+    this.silentUntil = Math.max(this.silentUntil, now + SUSPECT_MS);
     log.count("runner.suspected");
   }
 
+  /** Packets may pass one way only: where reports are good, a silent way is a matter of this router alone. */
+  sign(sign: signs.Sign, now: number): void {
+    this.outcomes.sign(sign, now, this.isLoaded(), sign === "unreached" && this.isSpeaking);
+  }
+
+  waits(send: object, overdueAt: number): void {
+    this.waiting.set(send, overdueAt);
+  }
+
+  waitsNoMore(send: object): void {
+    this.waiting.delete(send);
+  }
+
+  private signOverdue(now: number): void {
+    for (const [send, overdueAt] of this.waiting) {
+      if (now < overdueAt) continue;
+      this.waiting.delete(send);
+      this.sign("overdue", now);
+    }
+  }
+
   /** It handed a request back: full for now, or another life has its address. */
   denied(now: number, isOther: boolean): void {
     if (isOther) this.move("gone");
@@ -68,8 +104,7 @@
 
   heard(now: number): void {
     this.heardAt = now;
-    this.suspicions = 0;
-    this.suspectUntil = 0;
+    this.silentUntil = 0;
   }
 
   /** Nothing came from it for so long, although it has work from here. */
@@ -77,23 +112,34 @@
     return this.inflight === 0 ? 0 : now - Math.max(this.heardAt, this.sentAt);
   }
 
+  isQuiet(now: number): boolean {
+    return now < this.silentUntil || this.quietMs(now) > (this.streaming > 0 ? QUIET_STREAM_MS : QUIET_START_MS);
+  }
+
+  takeSpeaking(isSpeaking: boolean, now: number): void {
+    if (this.isSpeaking && !isSpeaking) this.unreportedAt = now;
+    this.isSpeaking = isSpeaking;
+  }
+
+  /** A report that stays out is one sign: a reply that came well since then outweighs it. */
+  isUnproved(now: number): boolean {
+    return !this.isSpeaking && this.outcomes.succeededAt <= this.unreportedAt && now - this.heardAt > QUIET_STREAM_MS;
+  }
+
   isDoubtful(now: number): boolean {
-    if (now < this.suspectUntil) return true;
-    const quiet = this.quietMs(now);
-    if (quiet > (this.streaming > 0 ? QUIET_STREAM_MS : QUIET_START_MS)) return true;
-    return !this.isSpeaking && now - this.heardAt > QUIET_STREAM_MS;
+    return this.outcomes.state(now) === "ejected" || this.outcomes.isFailing(now) || this.isQuiet(now) || this.isUnproved(now);
   }
 
   /** Own evidence that others should hear of, once a while. */
   isNewDoubt(now: number): boolean {
-    if (this.streaming === 0 || this.quietMs(now) <= QUIET_STREAM_MS || now - this.toldAt < SUSPECT_MS / 2) return false;
-    this.toldAt = now;
-    return true;
+    this.signOverdue(now);
+    this.outcomes.state(now);
+    return this.outcomes.takeNews(now, this.streaming > 0 && this.quietMs(now) > QUIET_STREAM_MS);
   }
 
-  /** Another router's evidence counts unless this one hears the runner. */
+  /** What is out of reach from here counts as silent unless this router hears it. */
   doubt(now: number): void {
-    if (now - this.heardAt > QUIET_STREAM_MS) this.suspectUntil = Math.max(this.suspectUntil, now + SUSPECT_MS);
+    if (now - this.heardAt > QUIET_STREAM_MS) this.silentUntil = Math.max(this.silentUntil, now + SUSPECT_MS);
   }
 
   isCold(now: number): boolean {
@@ -108,6 +154,7 @@
 export class Fleet {
   private readonly runners = new Map<string, Runner>();
   private readonly gone = new Map<string, number>();
+  private readonly cohorts = new cohorts.Cohorts();
   private byService = new Map<string, Runner[]>();
   hasList = false;
 
@@ -150,6 +197,7 @@
     if (!runner) {
       runner = new Runner(instance, this.regionOf.get(instance.zone) ?? instance.zone);
       this.runners.set(instance.id, runner);
+      runner.outcomes.joinCohort(this.cohorts.of(instance.service, runner.region));
     }
     if (instance.coldMs > 0) runner.coldUntil = Math.max(runner.coldUntil, now + instance.coldMs);
     if (instance.leavesMs >= 0) runner.leavesAt = Math.min(runner.leavesAt, now + instance.leavesMs);
@@ -160,7 +208,7 @@
     for (const item of report.reports) {
       const runner = this.runners.get(item.id);
       if (!runner) continue;
-      runner.isSpeaking = item.isSpeaking;
+      runner.takeSpeaking(item.isSpeaking, this.world.now());
       if (!item.isSpeaking) continue;
       runner.others = Math.max(0, item.active + item.waiting - runner.inflight);
       runner.kvShare = item.kvCapacity > 0 ? item.kvUsed / item.kvCapacity : 0;
@@ -168,7 +216,7 @@
   }
 
   takeDoubt(ids: readonly string[]): void {
-    for (const id of ids) this.runners.get(id)?.doubt(this.world.now());
+    for (const id of ids) this.runners.get(id)?.outcomes.told(this.world.now());
   }
 
   doubtRegion(region: string): void {
--- /dev/null
+++ b/src/router/outcomes.ts
@@ -0,0 +1,240 @@
+// The status of a runner from what became of the requests sent to it, from here and elsewhere (design "status").
+import * as log from "../startup/log.js";
+import type * as types from "../wire/types.js";
+import * as cohorts from "./cohort.js";
+import * as rotations from "./rotation.js";
+import * as signs from "./signs.js";
+
+export type State = "good" | "suspected" | "ejected" | "probation";
+
+const MOVES = new Map<State, readonly State[]>([
+  ["good", ["suspected", "ejected"]],
+  ["suspected", ["good", "ejected"]],
+  ["ejected", ["probation"]],
+  ["probation", ["good", "ejected"]],
+]);
+
+const SUSPECT_SCORE = 0.5;
+const CLEAR_SCORE = 0.25;
+const EJECT_SCORE = 1.9;
+const AGAIN_SCORE = 0.9;
+const OTHERS_TIMES = 3;
+const RATE_HALF_LIFE_MS = 4000;
+const LEAST_BAD = 1.5;
+const BAD_RATE = 0.25;
+const FINE_RATE = 0.1;
+const FINE_SAMPLES = 3;
+const FIRST_EJECTION_MS = 1000;
+const MOST_EJECTION_MS = 8000;
+const EJECTIONS_HALF_LIFE_MS = 20_000;
+const PROBATION_STEP_MS = 500;
+const PROBATION_PERCENTS = [10, 25, 50, 75];
+/** From this step on probation takes what may not be repeated, too. */
+const ANY_PERCENT = 50;
+const DOUBT_MS = 700;
+const MOST_DOUBT_MS = 4000;
+const TOLD_WINDOW_MS = 900;
+/** A router tells one runner no more often: two tellings within the window are of two routers. */
+export const TELL_MS = 1000;
+const PENALTY_MS = 120;
+const MOST_PENALTY = 3;
+const ONCE_TIMES = 2;
+const SLOW_TIMES = 4;
+const SLOW_LEAST_MS = { reply: 250, start: 250, gap: 60 } as const;
+const OVERDUE_TIMES = 4;
+const OVERDUE_LEAST_MS = 1000;
+
+export class Outcomes {
+  private current: State = "good";
+  private since = 0;
+  private until = 0;
+  private readonly score = new cohorts.Decaying(cohorts.HALF_LIFE_MS);
+  private readonly own = new cohorts.Decaying(cohorts.HALF_LIFE_MS);
+  private readonly bad = new cohorts.Decaying(RATE_HALF_LIFE_MS);
+  private readonly all = new cohorts.Decaying(RATE_HALF_LIFE_MS);
+  private readonly slow = new cohorts.Decaying(RATE_HALF_LIFE_MS);
+  private readonly timed = new cohorts.Decaying(RATE_HALF_LIFE_MS);
+  private readonly ejections = new cohorts.Decaying(EJECTIONS_HALF_LIFE_MS);
+  private cohort = new cohorts.Cohort();
+  private streak = 0;
+  private failedUntil = 0;
+  private signAt = -Infinity;
+  private witnesses = 0;
+  private windowAt = -Infinity;
+  private toldAt = -Infinity;
+  private hasNews = false;
+  succeededAt = -Infinity;
+
+  constructor(private readonly id: types.RunnerId) {
+    this.cohort.join(this.current);
+  }
+
+  /** Compared with these from now on. */
+  joinCohort(cohort: cohorts.Cohort): void {
+    this.cohort.leave(this.current);
+    this.cohort = cohort;
+    cohort.join(this.current);
+  }
+
+  leaveCohort(): void {
+    this.joinCohort(new cohorts.Cohort());
+  }
+
+  /** The one place where the status changes. */
+  private move(to: State, now: number, why: string): void {
+    const from = this.current;
+    if (from === to || !MOVES.get(from)!.includes(to)) return;
+    this.cohort.moved(from, to);
+    this.current = to;
+    this.since = now;
+    if (to === "ejected") {
+      this.ejections.add(1, now);
+      this.until = now + Math.min(MOST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** (this.ejections.read(now) - 1));
+    }
+    log.count(`runner.${to}`);
+    if (to === "ejected" || (from === "probation" && to === "good")) log.state(`runner ${this.id}: ${from} -> ${to}, ${why}`);
+  }
+
+  /** Moves that time alone makes. */
+  state(now: number): State {
+    if (this.current === "good") return "good";
+    const score = this.score.read(now);
+    if (this.current === "suspected" && score < CLEAR_SCORE) this.move("good", now, "calm");
+    // What still goes wrong there with work sent before keeps it out a little longer.
+    if (this.current === "ejected" && now >= this.until && (score < AGAIN_SCORE || now >= this.until + MOST_EJECTION_MS)) this.move("probation", now, "time is up");
+    if (this.current === "probation" && this.step(now) >= PROBATION_PERCENTS.length) this.move("good", now, "probation is over");
+    return this.current;
+  }
+
+  private step(now: number): number {
+    return Math.floor((now - this.since) / PROBATION_STEP_MS);
+  }
+
+  /** A request that came back whole and well. */
+  succeed(now: number): void {
+    this.all.add(1, now);
+    this.streak = 0;
+    this.failedUntil = 0;
+    this.succeededAt = now;
+  }
+
+  /** One sign of this router's own. Local ones are not told: the way may be at fault, and the way is ours alone. */
+  sign(sign: signs.Sign, now: number, isLoaded: boolean, isLocal = false): void {
+    log.count(`runner.sign_${sign}`);
+    const weight = signs.LOADED_SIGNS.has(sign) && isLoaded ? 0 : signs.WEIGHTS.get(sign)!;
+    if (weight === 0) return;
+    // What breaks in one moment breaks of one cause.
+    if (now - this.signAt < 1) return;
+    this.signAt = now;
+    this.all.add(1, now);
+    this.bad.add(Math.min(1, weight), now);
+    this.own.add(weight, now);
+    if (!signs.LOADED_SIGNS.has(sign)) {
+      this.streak += 1;
+      this.failedUntil = now + Math.min(MOST_DOUBT_MS, DOUBT_MS * this.streak);
+    }
+    if (!isLocal) this.hasNews = true;
+    this.weigh(weight, now, `${sign}, ${this.rateText(now)}`);
+  }
+
+  /** A sign of another router. */
+  told(now: number): void {
+    if (now - this.windowAt >= TOLD_WINDOW_MS) {
+      this.windowAt = now;
+      this.witnesses = 0;
+    }
+    this.witnesses += 1;
+    this.weigh(1, now, "told by others");
+  }
+
+  private weigh(weight: number, now: number, why: string): void {
+    const state = this.state(now);
+    this.score.add(weight, now);
+    this.cohort.addScore(weight, now);
+    if (state === "ejected") return;
+    if (this.isOutlier(now, state)) {
+      if (this.cohort.mayEject()) {
+        this.move("ejected", now, why);
+        return;
+      }
+      log.count("runner.ejection_withheld");
+    }
+    if (state === "good" && this.score.read(now) >= SUSPECT_SCORE) this.move("suspected", now, why);
+  }
+
+  /** Never from one sign of one router alone, unless it stands on probation for earlier ones. */
+  private isOutlier(now: number, state: State): boolean {
+    const score = this.score.read(now);
+    if (score < OTHERS_TIMES * this.cohort.othersScore(score, now)) return false;
+    if (state === "probation") return score >= AGAIN_SCORE;
+    const all = this.all.read(now);
+    const bad = this.bad.read(now);
+    if (bad >= LEAST_BAD && bad >= all * BAD_RATE) return true;
+    if (score < EJECT_SCORE) return false;
+    if (all >= FINE_SAMPLES && bad < all * FINE_RATE) return false;
+    return this.own.read(now) >= SUSPECT_SCORE || this.witnesses >= 2;
+  }
+
+  /** Time to the first byte, or between events, against the median of the siblings at alike work. */
+  took(work: cohorts.Work, tokens: number, ms: number, now: number, isLoaded: boolean): void {
+    const usual = this.cohort.take(work, tokens, ms);
+    if (usual === null) return;
+    this.timed.add(1, now);
+    if (ms < usual * SLOW_TIMES || ms - usual < SLOW_LEAST_MS[work]) return;
+    this.slow.add(1, now);
+    this.sign("slow", now, isLoaded);
+  }
+
+  overdueMs(work: cohorts.Work, tokens: number): number {
+    return OVERDUE_LEAST_MS + OVERDUE_TIMES * (this.cohort.usualMs(work, tokens) ?? OVERDUE_LEAST_MS);
+  }
+
+  /** A fresh failure of this router's own, not followed by a success. */
+  isFailing(now: number): boolean {
+    return now < this.failedUntil;
+  }
+
+  /** May this request go there as though nothing were wrong? */
+  admits(now: number, isRepeatable: boolean, requestId: types.RequestId): boolean {
+    const state = this.state(now);
+    if (state === "ejected") return false;
+    if (state === "probation") {
+      const percent = PROBATION_PERCENTS[this.step(now)] ?? 100;
+      return (isRepeatable || percent >= ANY_PERCENT) && rotations.isWithin(percent, requestId);
+    }
+    return !this.isFailing(now) || (isRepeatable && this.streak <= 1);
+  }
+
+  /** What a choice pays for doubt; a request that may not be repeated pays more. */
+  penaltyMs(now: number, isRepeatable: boolean): number {
+    return Math.min(MOST_PENALTY, this.score.read(now)) * PENALTY_MS * (isRepeatable ? 1 : ONCE_TIMES);
+  }
+
+  /** Whether others should hear of it now, of failures or of silence; asked a few times a second. */
+  takeNews(now: number, isQuiet: boolean): boolean {
+    if ((!this.hasNews && !isQuiet) || now - this.toldAt < TELL_MS) return false;
+    this.hasNews = false;
+    // What most siblings show has its cause elsewhere, perhaps here.
+    if (this.cohort.isBroad()) return false;
+    this.toldAt = now;
+    return true;
+  }
+
+  rates(now: number): { failing: number; samples: number; slow: number; timed: number; score: number } {
+    const all = this.all.read(now);
+    const timed = this.timed.read(now);
+    return {
+      failing: rounded(all > 0 ? this.bad.read(now) / all : 0), samples: rounded(all),
+      slow: rounded(timed > 0 ? this.slow.read(now) / timed : 0), timed: rounded(timed), score: rounded(this.score.read(now)),
+    };
+  }
+
+  private rateText(now: number): string {
+    const { failing, samples, score } = this.rates(now);
+    return `failing ${failing} of ${samples}, score ${score}`;
+  }
+}
+
+function rounded(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -4,6 +4,7 @@
 import type * as fleets from "../fleet.js";
 import * as plans from "../plan.js";
 import type * as readings from "../readings.js";
+import * as standings from "../standing.js";
 
 const SLACK = 4;
 const OVER_MEAN = 1.5;
@@ -34,6 +35,8 @@
     const good: Weighed[] = [];
     const over: Weighed[] = [];
     const doubtful: Weighed[] = [];
+    const ejected: Weighed[] = [];
+    const { isRepeatable } = plan.entry;
     for (const [place, region] of plan.cells.entries()) {
       const cell = plan.candidates.filter(isHere);
       function isHere(runner: fleets.Runner): boolean {
@@ -41,12 +44,14 @@
       }
       const bound = boundOf(cell);
       for (const weighed of this.weigh(plan, cell, place)) {
-        if (weighed.runner.isDoubtful(plan.now)) doubtful.push(weighed);
+        const standing = standings.standingOf(weighed.runner, plan.now, isRepeatable, plan.requestId);
+        if (standing === "ejected") ejected.push(weighed);
+        else if (standing === "doubtful") doubtful.push(weighed);
         else if (isOver(weighed.runner, bound, plan.now)) over.push(weighed);
         else good.push(weighed);
       }
     }
-    plan.candidates = [...good.sort(byMs), ...over.sort(byMs), ...doubtful.sort(byMs)].map(runnerOf);
+    plan.candidates = [...good.sort(byMs), ...over.sort(byMs), ...doubtful.sort(byMs), ...ejected.sort(byMs)].map(runnerOf);
     return null;
   }
 
@@ -57,7 +62,7 @@
     const long = hasPrompt ? longRunners(cell) : null;
     return ranked.map(weighed);
     function weighed(runner: fleets.Runner, rank: number): Weighed {
-      let ms = place * NEXT_CELL_MS + (BATCH_MS * runner.usage()) / runner.instance.capacity;
+      let ms = standings.penaltyMs(runner, plan.now, plan.entry.isRepeatable) + place * NEXT_CELL_MS + (BATCH_MS * runner.usage()) / runner.instance.capacity;
       if (hasPrompt) {
         const unread = known.unread(runner.id, plan.parts, plan.keys);
         ms += known.backlogMs(runner.id, plan.now) + (READ_WEIGHT * unread) / known.rate + RANK_MS * Math.min(rank, MOST_RANK);
--- /dev/null
+++ b/src/router/signs.ts
@@ -0,0 +1,20 @@
+// What may be seen of a runner by one request, and what it weighs (design "status" 2).
+/** What may be seen of a request that went wrong; the weights are ours. */
+export type Sign =
+  | "error" // a failure of the runner's own
+  | "broken" // sent, and broken off or spoiled
+  | "refused" // no connection, told at once
+  | "unreached" // no connection, in silence
+  | "silent" // nothing more came
+  | "stale" // a kept connection that the runner closed meanwhile
+  | "overdue" // no first byte for far longer than alike work takes
+  | "late" // its own failure at the deadline
+  | "slow" // several times slower than its siblings at alike work
+  | "shed"; // handed back although it is not full
+
+export const WEIGHTS = new Map<Sign, number>([
+  ["error", 1], ["broken", 1], ["refused", 1], ["unreached", 2], ["silent", 1], ["stale", 0.5],
+  ["overdue", 0.8], ["late", 0.5], ["slow", 0.7], ["shed", 0.5],
+]);
+/** These say nothing of a runner that has much to do. */
+export const LOADED_SIGNS = new Set<Sign>(["overdue", "late", "slow", "shed"]);
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -98,7 +98,7 @@
     });
     this.move("sent");
     this.reading = { tokens: this.context.sending(this.request, choice.runner.id), since: this.context.world.now() };
-    this.attempt.start();
+    this.attempt.start(this.reading.tokens);
   }
 
   /** Nothing has run, and nothing will: only then may a promise be given. */
