--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -72,6 +72,7 @@
     this.runner.inflight += 1;
     this.heardAt = this.startedAt = this.world.now();
     this.tokens = tokens;
+    this.runner.outcomes.sent(this.startedAt);
     this.runner.waits(this, this.startedAt + this.runner.outcomes.overdueMs(this.work(), tokens));
     if (this.runner.inflight === 1) this.runner.sentAt = this.heardAt;
     const { method, path, headers, body } = this.what;
--- a/src/router/cohort.ts
+++ b/src/router/cohort.ts
@@ -52,13 +52,21 @@
   }
 }
 
+/** How many routers there are; as the shares were dealt. */
+export interface Scale {
+  routers: number;
+}
+
 export class Cohort {
   private readonly medians = new Map<string, Median>();
   private readonly score = new Decaying(HALF_LIFE_MS);
+  private readonly sent = new Decaying(HALF_LIFE_MS);
   private size = 0;
   private ejected = 0;
   private suspected = 0;
 
+  constructor(private readonly scale: Scale = { routers: 1 }) {}
+
   /** Alike work: its kind, and its size by powers of two. */
   private medianOf(work: Work, tokens: number): Median {
     const key = `${work}${tokens > 0 ? Math.ceil(Math.log2(tokens)) : 0}`;
@@ -106,6 +114,15 @@
     this.score.add(weight, now);
   }
 
+  countSend(now: number): void {
+    this.sent.add(1, now);
+  }
+
+  /** Sends of all routers to one of the runners within a half-life or so, as this router's own sends tell. */
+  meanSends(now: number): number {
+    return (this.sent.read(now) * this.scale.routers) / Math.max(1, this.size);
+  }
+
   /** The mean score of the others. */
   othersScore(own: number, now: number): number {
     return this.size < 2 ? 0 : Math.max(0, this.score.read(now) - own) / (this.size - 1);
@@ -122,14 +139,15 @@
   }
 }
 
-export class Cohorts {
+export class Cohorts implements Scale {
+  routers = 1;
   private readonly cohorts = new Map<string, Cohort>();
 
   of(service: string, region: string): Cohort {
     const key = `${service}|${region}`;
     let cohort = this.cohorts.get(key);
     if (!cohort) {
-      cohort = new Cohort();
+      cohort = new Cohort(this);
       this.cohorts.set(key, cohort);
     }
     return cohort;
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -154,7 +154,7 @@
 export class Fleet {
   private readonly runners = new Map<string, Runner>();
   private readonly gone = new Map<string, number>();
-  private readonly cohorts = new cohorts.Cohorts();
+  readonly cohorts = new cohorts.Cohorts();
   private byService = new Map<string, Runner[]>();
   hasList = false;
 
--- a/src/router/outcomes.ts
+++ b/src/router/outcomes.ts
@@ -17,6 +17,8 @@
 const SUSPECT_SCORE = 0.5;
 const CLEAR_SCORE = 0.25;
 const EJECT_SCORE = 1.9;
+/** Of the sends there by all routers. */
+const EJECT_SHARE = 0.15;
 const AGAIN_SCORE = 0.9;
 const OTHERS_TIMES = 3;
 const RATE_HALF_LIFE_MS = 4000;
@@ -110,6 +112,10 @@
     return Math.floor((now - this.since) / PROBATION_STEP_MS);
   }
 
+  sent(now: number): void {
+    this.cohort.countSend(now);
+  }
+
   /** A request that came back whole and well. */
   succeed(now: number): void {
     this.all.add(1, now);
@@ -130,7 +136,8 @@
     this.bad.add(Math.min(1, weight), now);
     this.own.add(weight, now);
     if (!signs.LOADED_SIGNS.has(sign)) {
-      this.streak += 1;
+      // A silent way holds each request up for long: no trials there while the doubt is fresh.
+      this.streak += sign === "unreached" ? 2 : 1;
       this.failedUntil = now + Math.min(MOST_DOUBT_MS, DOUBT_MS * this.streak);
     }
     if (!isLocal) this.hasNews = true;
@@ -170,7 +177,7 @@
     const all = this.all.read(now);
     const bad = this.bad.read(now);
     if (bad >= LEAST_BAD && bad >= all * BAD_RATE) return true;
-    if (score < EJECT_SCORE) return false;
+    if (score < Math.max(EJECT_SCORE, EJECT_SHARE * this.cohort.meanSends(now))) return false;
     if (all >= FINE_SAMPLES && bad < all * FINE_RATE) return false;
     return this.own.read(now) >= SUSPECT_SCORE || this.witnesses >= 2;
   }
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -97,6 +97,7 @@
     this.follower.elect();
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.index, dealer.beat.members);
+    this.fleet.cohorts.routers = this.share.routers;
     this.server.watch();
     const silent = this.fleet.newDoubts();
     if (silent.length > 0) this.follower.main?.link.tell(calls.signs, { isRelayed: false, silent, reader: "", unread: 0, keys: [] });
--- a/src/router/signs.ts
+++ b/src/router/signs.ts
@@ -13,7 +13,7 @@
   | "shed"; // handed back although it is not full
 
 export const WEIGHTS = new Map<Sign, number>([
-  ["error", 1], ["broken", 1], ["refused", 1], ["unreached", 2], ["silent", 1], ["stale", 0.5],
+  ["error", 1], ["broken", 1], ["refused", 1], ["unreached", 1], ["silent", 1], ["stale", 0.5],
   ["overdue", 0.8], ["late", 0.5], ["slow", 0.7], ["shed", 0.5],
 ]);
 /** These say nothing of a runner that has much to do. */
--- a/src/router/standing.ts
+++ b/src/router/standing.ts
@@ -8,7 +8,7 @@
 
 /** The part of repeatable requests that tries a runner whose report stays out. */
 const TRIAL_PERCENT = 10;
-const UNREPORTED_MS = 100;
+const UNREPORTED_MS = 60;
 
 /** Repeatable requests try what is in doubt: nothing is lost with them. */
 export function standingOf(runner: fleets.Runner, now: number, isRepeatable: boolean, requestId: types.RequestId): Standing {
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -140,6 +140,15 @@
   expect([got.status, JSON.parse(got.body)]).toEqual([200, { by: "i-2" }]);
 });
 
+test("a failure of the runner's own reaches the client unchanged where the request may not be repeated", async function failed() {
+  runners[0]!.mishaps.push("fail");
+  const got = await ask("/once/x");
+  expect([got.status, got.body, got.isComplete]).toEqual([500, "fail", true]);
+  expect(got.headers["x-cranewind-response-seal"]).toMatch(/^seal-i-1/);
+  expect(seenBy()).toHaveLength(1);
+  expect((await ask("/once/x")).headers["x-cranewind-response-seal"]).toMatch(/^seal-i-2/);
+});
+
 test("a resumable stream goes on at another runner from the last whole event, in the same reply", async function resume() {
   runners[0]!.mishaps.push("cut");
   const got = await ask("/stream/x", STREAM);
--- /dev/null
+++ b/tests/sim/runners.ts
@@ -0,0 +1,177 @@
+// Many routers before many runners in a planned world: the very fleets, policies and attempts, with runners
+// played by a function, and signs between the routers.
+import * as attempts from "../../src/router/attempt.js";
+import * as fleets from "../../src/router/fleet.js";
+import * as schema from "../../src/wire/schema.js";
+import * as types from "../../src/wire/types.js";
+import * as systems from "../../src/whatif/system.js";
+import * as worlds from "../../src/whatif/world.js";
+import * as check from "../../src/config/check.js";
+import * as routes from "../../src/config/routes.js";
+
+export type Answer = "fine" | "error" | "cut" | "refused" | "unreached" | "hang" | "shed" | "slow";
+export type Play = (runner: fleets.Runner, router: number, now: number, chance: number) => Answer;
+
+export interface Shape {
+  seed: number;
+  routers: number;
+  regions: number;
+  runnersEach: number;
+  perS: number;
+  play: Play;
+  /** What the report of a runner says; a report is read every 600 ms. */
+  isSpeaking?: (id: string, now: number) => boolean;
+}
+
+const PIECES = 8;
+const USUAL_MS = 60;
+const GAP_MS = 30;
+const TABLE = tableOf();
+
+function tableOf(): routes.RouteTable {
+  const config = check.check({
+    revision: 1, services: [{ name: "model", max_connections: 1_000_000 }],
+    routes: ["read_only", "mutating", "streaming"].map((type) => ({
+      name: type, hostname: "h", path_prefix: `/${type}/`, route_type: type, deadline_ms: 20_000, service: "model", max_attempts: 2, resumable: type === "streaming",
+    })),
+  });
+  if (config.isErr) throw config.error;
+  return new routes.RouteTable(config.value);
+}
+
+export interface Met {
+  at: number;
+  runner: string;
+  answer: Answer;
+  isRepeatable: boolean;
+}
+
+export class RunnersSim {
+  readonly world: worlds.PlannedWorld;
+  readonly routers: systems.ModelRouter[] = [];
+  readonly met: Met[] = [];
+  /** State changes of any runner as a router sees it: at, router, runner, to. */
+  readonly changes: [number, number, string, string][] = [];
+  private readonly last = new Map<string, string>();
+  private requests = 0;
+
+  constructor(private readonly shape: Shape) {
+    this.world = new worlds.PlannedWorld(shape.seed);
+    const regions = Array.from({ length: shape.regions }, (_item, index) => `r${index}`);
+    const list: schema.Instance[] = regions.flatMap((zone) => Array.from({ length: shape.runnersEach }, (_item, index) => ({
+      id: types.small<types.RunnerId>(`${zone}-${index}`), service: "model", address: "127.0.0.1:9", zone, capacity: 64, isDraining: false, coldMs: 0, leavesMs: -1,
+    })));
+    for (let index = 0; index < shape.routers; index += 1) {
+      const router = new systems.ModelRouter(regions[index % regions.length]!, this.world, regions, TABLE);
+      router.fleet.takeList(list);
+      router.share.deal(index, shape.routers);
+      router.fleet.cohorts.routers = shape.routers;
+      this.routers.push(router);
+      this.world.after(100 * this.world.random(), () => this.tell(index));
+    }
+    this.world.after(1, () => this.arrive());
+    this.world.after(1, () => this.report());
+  }
+
+  play(untilS: number): void {
+    this.world.play(untilS * 1000);
+  }
+
+  /** The part of the requests of a span that met a bad runner. */
+  badShare(fromS: number, untilS: number): number {
+    const met = this.met.filter((item) => item.at >= fromS * 1000 && item.at < untilS * 1000);
+    return met.filter((item) => item.answer !== "fine").length / met.length;
+  }
+
+  sentShare(fromS: number, untilS: number, isOf: (runner: string) => boolean): number {
+    const met = this.met.filter((item) => item.at >= fromS * 1000 && item.at < untilS * 1000);
+    return met.filter((item) => isOf(item.runner)).length / met.length;
+  }
+
+  states(isOf: (runner: string) => boolean): string[] {
+    const now = this.world.now();
+    return this.routers.flatMap((router) => [...router.fleet.all()].filter((runner) => isOf(runner.id)).map((runner) => runner.outcomes.state(now)));
+  }
+
+  private tell(from: number): void {
+    this.world.after(100, () => this.tell(from));
+    const router = this.routers[from]!;
+    const ids = router.fleet.newDoubts();
+    for (const runner of router.fleet.all()) this.note(from, runner);
+    if (ids.length === 0) return;
+    this.world.after(5 + 40 * this.world.random(), () => {
+      for (const other of this.routers) if (other !== router) other.fleet.takeDoubt(ids);
+    });
+  }
+
+  private note(router: number, runner: fleets.Runner): void {
+    const state = runner.outcomes.state(this.world.now());
+    const key = `${router}|${runner.id}`;
+    if ((this.last.get(key) ?? "good") === state) return;
+    this.last.set(key, state);
+    this.changes.push([this.world.now(), router, runner.id, state]);
+  }
+
+  private report(): void {
+    this.world.after(600, () => this.report());
+    const { isSpeaking } = this.shape;
+    const now = this.world.now();
+    for (const router of this.routers) {
+      const reports = [...router.fleet.all()].map((runner) => ({ id: runner.id, isSpeaking: isSpeaking?.(runner.id, now) ?? true, waiting: 0, active: 0, kvUsed: 0, kvCapacity: 1 }));
+      router.fleet.takeReport({ region: "", reports });
+    }
+  }
+
+  private arrive(): void {
+    this.world.after((-Math.log(1 - this.world.random()) * 1000) / this.shape.perS, () => this.arrive());
+    this.requests += 1;
+    const router = Math.floor(this.world.random() * this.routers.length);
+    const type = ["read_only", "mutating", "streaming"][Math.floor(this.world.random() * 3)]!;
+    this.send(router, type, `q${this.requests}`, new Set());
+  }
+
+  private send(from: number, type: string, id: string, tried: Set<string>): void {
+    const router = this.routers[from]!;
+    const entry = TABLE.find("h", `/${type}/`)!;
+    const request = systems.requestOf(entry, id, [{ id: `k${this.requests % 400}`, tokens: 200 }, { id, tokens: this.requests % 2 === 0 ? 50 : 2500 }], this.world.now() + 20_000);
+    router.chooser.countRequest("model");
+    const choice = router.chooser.choose(request, tried, 0);
+    if ("status" in choice) return;
+    const { runner } = choice;
+    const answer = this.shape.play(runner, from, this.world.now(), this.world.random());
+    this.met.push({ at: this.world.now(), runner: runner.id, answer, isRepeatable: entry.isRepeatable });
+    choice.connection.client.dispatch = (_options, handlers) => this.dispatch(answer, handlers as unknown as attempts.Attempt);
+    const isStream = type === "streaming";
+    const attempt = new attempts.Attempt(this.world, runner, choice.connection, {
+      onHead: (_attempt, head) => head.status < 500 || !entry.isRepeatable,
+      onPiece: () => true,
+      onEnd: (_attempt, ending) => {
+        tried.add(runner.id);
+        if ((ending === "not_sent" || ending === "handed_back" || (ending === "broken" && entry.isRepeatable)) && tried.size < 3) this.send(from, type, id, tried);
+      },
+    }, { method: "POST", path: "/", headers: [], body: null, requestId: types.small(id), isStream });
+    attempt.start(request.parts[1]!.tokens);
+    this.world.after(answer === "hang" ? 2000 : 20_000, () => attempt.cancel());
+  }
+
+  private dispatch(answer: Answer, handlers: attempts.Attempt): boolean {
+    const { world } = this;
+    if (answer === "refused") world.after(1, () => handlers.onError());
+    if (answer === "refused" || answer === "unreached") return true;
+    handlers.onConnect(() => undefined);
+    if (answer === "hang") return true;
+    const usual = USUAL_MS * (0.7 + 0.6 * world.random());
+    const status = answer === "error" ? 500 : answer === "shed" ? 503 : 200;
+    const raw = answer === "shed" ? [Buffer.from("X-Cranewind-Not-Executed"), Buffer.from("1")] : [];
+    if (status !== 200) {
+      world.after(3, () => (handlers.onHeaders(status, raw, () => undefined), handlers.onComplete()));
+      return true;
+    }
+    const times = answer === "slow" ? 8 : 1;
+    world.after(usual * times, () => handlers.onHeaders(200, raw, () => undefined));
+    for (let piece = 0; piece < PIECES; piece += 1) world.after((usual + piece * GAP_MS) * times, () => handlers.onData(Buffer.from("x")));
+    const endMs = (usual + PIECES * GAP_MS) * times;
+    world.after(endMs, () => (answer === "cut" ? handlers.onError() : handlers.onComplete()));
+    return true;
+  }
+}
