--- a/src/router/outcomes.ts
+++ b/src/router/outcomes.ts
@@ -27,11 +27,11 @@
 const FINE_RATE = 0.1;
 const FINE_SAMPLES = 3;
 const FIRST_EJECTION_MS = 1000;
-const MOST_EJECTION_MS = 8000;
+const MOST_EJECTION_MS = 6000;
 const EJECTIONS_HALF_LIFE_MS = 20_000;
-const PROBATION_STEP_MS = 500;
+const PROBATION_STEP_MS = 600;
 const PROBATION_PERCENTS = [10, 25, 50, 75];
-/** From this step on probation takes what may not be repeated, too. */
+/** From this step on probation takes what may not be repeated, too, if a trial of this router came back well. */
 const ANY_PERCENT = 50;
 const DOUBT_MS = 700;
 const MOST_DOUBT_MS = 4000;
@@ -44,7 +44,7 @@
 const SLOW_TIMES = 4;
 const SLOW_LEAST_MS = { reply: 250, start: 250, gap: 60 } as const;
 const OVERDUE_TIMES = 4;
-const OVERDUE_LEAST_MS = 1000;
+const OVERDUE_LEAST_MS = 700;
 
 export class Outcomes {
   private current: State = "good";
@@ -207,13 +207,15 @@
     if (state === "ejected") return false;
     if (state === "probation") {
       const percent = PROBATION_PERCENTS[this.step(now)] ?? 100;
-      return (isRepeatable || percent >= ANY_PERCENT) && rotations.isWithin(percent, requestId);
+      const isProved = percent >= ANY_PERCENT && this.succeededAt > this.since;
+      return (isRepeatable || isProved) && rotations.isWithin(percent, requestId);
     }
     return !this.isFailing(now) || (isRepeatable && this.streak <= 1);
   }
 
   /** What a choice pays for doubt; a request that may not be repeated pays more. */
   penaltyMs(now: number, isRepeatable: boolean): number {
+    if (this.state(now) === "good") return 0;
     return Math.min(MOST_PENALTY, this.score.read(now)) * PENALTY_MS * (isRepeatable ? 1 : ONCE_TIMES);
   }
 
--- a/tests/outcomes.test.ts
+++ b/tests/outcomes.test.ts
@@ -160,11 +160,13 @@
   for (const [index, length] of lengths.slice(1).entries()) expect(length).toBeGreaterThanOrEqual(lengths[index]!);
   expect(lengths[0]).toBeGreaterThanOrEqual(1000);
   expect(lengths[4]).toBeGreaterThan(4000);
-  expect(lengths[4]).toBeLessThanOrEqual(8100);
+  expect(lengths[4]).toBeLessThanOrEqual(6100);
   const admitted = (at: number, isRepeatable: boolean): number => Array.from({ length: 1000 }, (_item, id) => first!.admits(now + at, isRepeatable, types.small(`r${id}`))).filter(Boolean).length / 10;
-  expect([admitted(100, false), admitted(600, false)]).toEqual([0, 0]);
-  expect([100, 600, 1100, 1600, 2100].map((at) => admitted(at, true))).toEqual([10, 25, 50, 75, 100].map((percent) => expect.closeTo(percent, -1)));
-  expect(first!.state(now + 2100)).toBe("good");
+  expect([100, 700, 1300, 1900].map((at) => admitted(at, false))).toEqual([0, 0, 0, 0]);
+  first!.succeed(now + 50);
+  expect([100, 700, 1300, 1900].map((at) => admitted(at, false))).toEqual([0, 0, 50, 75].map((percent) => expect.closeTo(percent, -1)));
+  expect([100, 700, 1300, 1900, 2500].map((at) => admitted(at, true))).toEqual([10, 25, 50, 75, 100].map((percent) => expect.closeTo(percent, -1)));
+  expect(first!.state(now + 2500)).toBe("good");
 });
 
 test("an answer of the runner's own failure clears no suspicion, a whole success does", () => {
