--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -1,124 +1,34 @@
 // The runners as this router sees them: the pushed list and reports, and its own signs (design 7.4).
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
-import * as shares from "../shares/shares.js";
-import * as log from "../startup/log.js";
-import * as reports from "../usage/reported.js";
 import * as summaries from "../usage/summary.js";
+import * as cohorts from "./cohort.js";
 import * as connections from "./connections.js";
 import * as departures from "./gone.js";
 import * as idle from "./idle.js";
+import * as runners from "./runner.js";
 
-export type Status = "ready" | "draining" | "gone";
-
-const SUSPECT_MS = 700;
-const MOST_SUSPECT_MS = 4000;
-const FULL_MS = 150;
-const QUIET_STREAM_MS = 400;
-const QUIET_START_MS = 1500;
-
-export class Runner extends reports.Reported {
-  status: Status = "ready";
-  coldUntil = 0;
-  leavesAt = Infinity;
-  streaming = 0;
-  heardAt = 0;
-  sentAt = 0;
-  fullUntil = 0;
-  private toldAt = 0;
-  private suspectUntil = 0;
-  private suspicions = 0;
-  readonly connections: connections.Connections;
-  /** A fixed place in the order of runners, the same at every router. */
-  readonly mark: number;
-
-  constructor(readonly instance: schema.Instance, readonly region: string, limit: idle.IdleLimit) {
-    super();
-    this.connections = new connections.Connections(instance.address, opened, limit);
-    this.mark = shares.hash(instance.id);
-  }
-
-  get id(): types.RunnerId {
-    return this.instance.id;
-  }
-
-  /** The one place where a runner changes its state. */
-  move(to: Status): void {
-    if (this.status === to || this.status === "gone") return;
-    if (this.status === "draining" && to === "ready") return;
-    this.status = to;
-    if (to !== "ready") this.connections.closeIdle();
-  }
-
-  suspect(now: number): void {
-    this.suspicions = Math.min(6, this.suspicions + 1);
-    this.suspectUntil = now + Math.min(MOST_SUSPECT_MS, SUSPECT_MS * this.suspicions);
-    log.count("runner.suspected");
-  }
-
-  /** It handed a request back: full for now, or another life has its address. */
-  denied(now: number, isOther: boolean): void {
-    if (isOther) this.move("gone");
-    else this.fullUntil = now + FULL_MS;
-  }
-
-  heard(now: number): void {
-    this.heardAt = now;
-    this.suspicions = 0;
-    this.suspectUntil = 0;
-  }
-
-  /** Nothing came from it for so long, although it has work from here. */
-  quietMs(now: number): number {
-    return this.inflight === 0 ? 0 : now - Math.max(this.heardAt, this.sentAt);
-  }
-
-  isDoubtful(now: number): boolean {
-    if (now < this.suspectUntil) return true;
-    const quiet = this.quietMs(now);
-    if (quiet > (this.streaming > 0 ? QUIET_STREAM_MS : QUIET_START_MS)) return true;
-    return !this.isSpeaking && now - this.heardAt > QUIET_STREAM_MS;
-  }
-
-  /** Own evidence that others should hear of, once a while. */
-  isNewDoubt(now: number): boolean {
-    if (this.streaming === 0 || this.quietMs(now) <= QUIET_STREAM_MS || now - this.toldAt < SUSPECT_MS / 2) return false;
-    this.toldAt = now;
-    return true;
-  }
-
-  /** Another router's evidence counts unless this one hears the runner. */
-  doubt(now: number): void {
-    if (now - this.heardAt > QUIET_STREAM_MS) this.suspectUntil = Math.max(this.suspectUntil, now + SUSPECT_MS);
-  }
-
-  isCold(now: number): boolean {
-    return now < this.coldUntil;
-  }
-}
-
-function opened(): void {
-  log.count("runner.connections");
-}
+export { Runner, type Status } from "./runner.js";
 
 export class Fleet {
-  private readonly runners = new Map<string, Runner>();
+  private readonly runners = new Map<string, runners.Runner>();
   private readonly gone = new departures.GoneRunners();
-  private readonly byService = new Map<string, Runner[]>();
+  private readonly byService = new Map<string, runners.Runner[]>();
   readonly summaries = new summaries.Summaries();
   /** Grows with each runner that comes or goes. */
   listing = 0;
   private readonly limits: idle.IdleLimits;
+  readonly cohorts = new cohorts.Cohorts();
 
   constructor(private readonly world: types.World, private readonly regionOf: ReadonlyMap<string, string>) {
     this.limits = new idle.IdleLimits(world, connections.IDLE_MS);
   }
 
-  of(service: string): readonly Runner[] {
+  of(service: string): readonly runners.Runner[] {
     return this.byService.get(service) ?? [];
   }
 
-  all(): Iterable<Runner> {
+  all(): Iterable<runners.Runner> {
     return this.runners.values();
   }
 
@@ -163,7 +73,7 @@
     if (back.length > 0) this.takeChanges(back, []);
   }
 
-  private remove(id: string, services: Set<string>): Runner | null {
+  private remove(id: string, services: Set<string>): runners.Runner | null {
     const runner = this.runners.get(id);
     if (!runner) return null;
     this.runners.delete(id);
@@ -186,8 +96,9 @@
     let runner = this.runners.get(instance.id);
     const isNew = !runner;
     if (!runner) {
-      runner = new Runner(instance, this.regionOf.get(instance.zone) ?? instance.zone, this.limits.of(instance.service));
+      runner = new runners.Runner(instance, this.regionOf.get(instance.zone) ?? instance.zone, this.limits.of(instance.service));
       this.runners.set(instance.id, runner);
+      runner.outcomes.joinCohort(this.cohorts.of(instance.service, runner.region));
     }
     if (instance.coldMs > 0) runner.coldUntil = Math.max(runner.coldUntil, now + instance.coldMs);
     if (instance.leavesMs >= 0) runner.leavesAt = Math.min(runner.leavesAt, now + instance.leavesMs);
@@ -196,7 +107,7 @@
   }
 
   takeReport(report: schema.CellReport): void {
-    for (const item of report.reports) this.runners.get(item.id)?.takeReport(item);
+    for (const item of report.reports) this.runners.get(item.id)?.reported(item, this.world.now());
   }
 
   regionFor(id: types.RunnerId): string {
@@ -204,7 +115,7 @@
   }
 
   takeDoubt(ids: readonly string[]): void {
-    for (const id of ids) this.runners.get(id)?.doubt(this.world.now());
+    for (const id of ids) this.runners.get(id)?.outcomes.told(this.world.now());
   }
 
   doubtRegion(region: string): void {
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -125,6 +125,7 @@
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.members);
     this.borrower.turn();
+    this.fleet.cohorts.routers = this.share.routers;
     this.server.watch();
     this.fleet.sweep();
     this.teller.silence(this.fleet.newDoubts());
@@ -216,7 +217,10 @@
   private status(): unknown {
     const runners: unknown[] = [];
     for (const runner of this.fleet.all()) {
-      runners.push({ id: runner.id, service: runner.instance.service, zone: runner.instance.zone, status: runner.status, inflight: runner.inflight, usage: runner.usage() });
+      runners.push({
+        id: runner.id, service: runner.instance.service, zone: runner.instance.zone, status: runner.status, inflight: runner.inflight, usage: runner.usage(),
+        state: runner.outcomes.state(this.clock.now()), rates: runner.outcomes.rates(this.clock.now()),
+      });
     }
     return {
       node: this.describe(), following: this.follower.main?.node.name ?? null, routers: this.share.routers,
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -82,7 +82,7 @@
     this.attempt = new attempts.Attempt(this.context.world, choice.runner, choice.connection, this, requests.sendable(this.request, this.incoming, sending));
     this.move("sent");
     this.reading = { tokens: this.context.sending(this.request, choice.runner.id), since: this.context.world.now() };
-    this.attempt.start();
+    this.attempt.start(this.reading.tokens);
   }
 
   /** Nothing has run, and nothing will: only then may a promise be given. */
