--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -216,12 +216,7 @@
 
   private status(): unknown {
     const runners: unknown[] = [];
-    for (const runner of this.fleet.all()) {
-      runners.push({
-        id: runner.id, service: runner.instance.service, zone: runner.instance.zone, status: runner.status, inflight: runner.inflight, usage: runner.usage(),
-        state: runner.outcomes.state(this.clock.now()), rates: runner.outcomes.rates(this.clock.now()),
-      });
-    }
+    for (const runner of this.fleet.all()) runners.push(runner.account(this.clock.now()));
     return {
       node: this.describe(), following: this.follower.main?.node.name ?? null, routers: this.share.routers,
       sharesValid: this.share.isValid(), runners, counters: Object.fromEntries(log.counted()),
--- a/src/router/runner.ts
+++ b/src/router/runner.ts
@@ -138,6 +138,13 @@
   isCold(now: number): boolean {
     return now < this.coldUntil;
   }
+
+  /** For `status`: usage in requests, rates as parts of one. */
+  account(now: number): unknown {
+    const { id, status, inflight } = this;
+    const { service, zone } = this.instance;
+    return { id, service, zone, status, inflight, usage: this.usage(), state: this.outcomes.state(now), rates: this.outcomes.rates(now) };
+  }
 }
 
 function opened(): void {
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -11,6 +11,7 @@
 import * as shares from "../src/shares/shares.js";
 import * as standin from "../src/standin/runner.js";
 import * as types from "../src/wire/types.js";
+import * as raws from "./sim/raw.js";
 import * as sims from "./sim/world.js";
 
 function routeOf(name: string, type: string, more: object = {}): object {
@@ -78,18 +79,6 @@
   });
 }
 
-/** Sends bytes as they are; what came back until the connection ended. */
-function sendRaw(text: string): Promise<string> {
-  return new Promise(function send(resolve) {
-    const socket = net.connect(port, "127.0.0.1");
-    let got = "";
-    socket.on("data", (chunk) => (got += chunk.toString()));
-    socket.on("error", () => undefined);
-    socket.on("close", () => resolve(got));
-    socket.write(text);
-  });
-}
-
 const STREAM = { "X-Cranewind-Token-Usage": "10,4" };
 function pieces(from: number, to: number): string {
   let text = "";
@@ -235,13 +224,13 @@
   ["a body that never ends", "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Cranewind-Request-Id: s\r\nContent-Length: 10\r\n\r\nab"],
 ])("%s is ended with a 408 and reaches no runner", async function slow(_name, text) {
   server.limit({ header_timeout_ms: 150, idle_timeout_ms: 150 });
-  const reply = await sendRaw(text);
+  const reply = await raws.sendRaw(port, text);
   expect(reply).toMatch(/^HTTP\/1.1 408/);
   expect(seenBy()).toHaveLength(0);
 });
 
 test.each(RAW)("bad input: %s", async function raw(_name, text, expected) {
-  const reply = await sendRaw(text);
+  const reply = await raws.sendRaw(port, text);
   expect(reply).toMatch(expected);
   expect(seenBy()).toHaveLength(0);
 });
--- a/tests/sim/edge.ts
+++ b/tests/sim/edge.ts
@@ -1,5 +1,4 @@
 // A router with stand-in runners on loopback, for tests that speak to it in raw bytes.
-import * as net from "node:net";
 import * as check from "../../src/config/check.js";
 import * as routes from "../../src/config/routes.js";
 import * as choosers from "../../src/router/chooser.js";
@@ -10,6 +9,7 @@
 import * as shares from "../../src/shares/shares.js";
 import * as standin from "../../src/standin/runner.js";
 import * as types from "../../src/wire/types.js";
+import * as raws from "./raw.js";
 
 function routeOf(name: string, type: string): object {
   return { name, hostname: "h", path_prefix: `/${name}/`, route_type: type, deadline_ms: 1500, target_latency_ms: 300, target_gap_ms: 200, service: "s", max_attempts: 2 };
@@ -59,14 +59,6 @@
 
   /** Sends bytes as they are; what came back until the connection ended, or one whole reply of the router's own. */
   send(text: string): Promise<string> {
-    const { port } = this.server;
-    return new Promise(function start(resolve) {
-      const socket = net.connect(port, "127.0.0.1");
-      let got = "";
-      socket.on("data", (chunk: Buffer) => (got += chunk.toString("latin1")));
-      socket.on("error", () => undefined);
-      socket.on("close", () => resolve(got));
-      socket.write(Buffer.from(text, "latin1"));
-    });
+    return raws.sendRaw(this.server.port, text);
   }
 }
