--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -1,6 +1,7 @@
 // The router role put together: the only way to the runners, with no persistent state (design 7).
 import * as crypto from "node:crypto";
 import * as calls from "../wire/calls.js";
+import * as counts from "../wire/counts.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
@@ -8,6 +9,7 @@
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
 import * as parts from "../config/parts.js";
+import * as vitals from "../startup/vitals.js";
 import * as directory from "../control/directory.js";
 import * as cuts from "../feed/cuts.js";
 import * as dialers from "../feed/dialer.js";
@@ -35,6 +37,12 @@
 const LAST_MS = 400;
 const STEP_MS = 50;
 
+export interface Standing {
+  epoch: types.Epoch;
+  revision: number;
+  following: string | null;
+}
+
 export class RouterProgram implements followers.Taker, tellers.Hearer {
   private readonly life = crypto.randomBytes(6).toString("hex");
   private readonly handlers = new link.Handlers();
@@ -117,6 +125,7 @@
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.members);
     this.borrower.turn();
+    this.fleet.cohorts.routers = this.share.routers;
     this.server.watch();
     this.fleet.sweep();
     this.teller.silence(this.fleet.newDoubts());
@@ -207,15 +216,19 @@
 
   private status(): unknown {
     const runners: unknown[] = [];
-    for (const runner of this.fleet.all()) {
-      runners.push({ id: runner.id, service: runner.instance.service, zone: runner.instance.zone, status: runner.status, inflight: runner.inflight, usage: runner.usage() });
-    }
+    for (const runner of this.fleet.all()) runners.push(runner.account(this.clock.now()));
     return {
       node: this.describe(), following: this.follower.main?.node.name ?? null, routers: this.share.routers,
       sharesValid: this.share.isValid(), runners, counters: Object.fromEntries(log.counted()),
+      vitals: vitals.vitals(), links: Object.fromEntries(counts.linkCounts()),
     };
   }
 
+  /** What it goes by now, for watchers in the same process (docs/experiment.md). */
+  standing(): Standing {
+    return { epoch: this.epoch, revision: this.config.revision, following: this.follower.main?.node.name ?? null };
+  }
+
   /** Out of the directory first; then what is at work is finished within grace_s (design 7.11). */
   async stop(): Promise<void> {
     const startedAt = this.clock.now();
--- /dev/null
+++ b/src/router/runner.ts
@@ -0,0 +1,152 @@
+// One runner as this router sees it: what the list, the reports and this router's own sends say of it (design 7.4).
+import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import * as shares from "../shares/shares.js";
+import * as log from "../startup/log.js";
+import * as reports from "../usage/reported.js";
+import * as connections from "./connections.js";
+import * as idle from "./idle.js";
+import * as outcomes from "./outcomes.js";
+import type * as signs from "./signs.js";
+
+export type Status = "ready" | "draining" | "gone";
+
+const SUSPECT_MS = 700;
+const FULL_MS = 150;
+const QUIET_STREAM_MS = 400;
+const QUIET_START_MS = 1500;
+/** With so much of its batch taken a runner may be slow or deny without a fault. */
+const LOADED_SHARE = 0.75;
+
+export class Runner extends reports.Reported {
+  status: Status = "ready";
+  coldUntil = 0;
+  leavesAt = Infinity;
+  streaming = 0;
+  heardAt = 0;
+  sentAt = 0;
+  fullUntil = 0;
+  /** Until when it is taken for silent; whatever is heard of it ends that. */
+  private silentUntil = 0;
+  private unreportedAt = Infinity;
+  /** Sends without a first byte, and when each is overdue. */
+  private readonly awaited = new Map<object, number>();
+  readonly outcomes: outcomes.Outcomes;
+  readonly connections: connections.Connections;
+  /** A fixed place in the order of runners, the same at every router. */
+  readonly mark: number;
+
+  constructor(readonly instance: schema.Instance, readonly region: string, limit: idle.IdleLimit) {
+    super();
+    this.outcomes = new outcomes.Outcomes(instance.id);
+    this.connections = new connections.Connections(instance.address, opened, limit);
+    this.mark = shares.hash(instance.id);
+  }
+
+  get id(): types.RunnerId {
+    return this.instance.id;
+  }
+
+  /** The one place where a runner changes its state. */
+  move(to: Status): void {
+    if (this.status === to || this.status === "gone") return;
+    if (this.status === "draining" && to === "ready") return;
+    this.status = to;
+    if (to === "ready") return;
+    this.connections.closeIdle();
+    this.outcomes.leaveCohort();
+  }
+
+  isLoaded(): boolean {
+    return this.usage() >= LOADED_SHARE * this.instance.capacity;
+  }
+
+  /** It fell silent with work from here. */
+  suspect(now: number): void {
+    this.sign("silent", now);
+    this.silentUntil = Math.max(this.silentUntil, now + SUSPECT_MS);
+    log.count("runner.suspected");
+  }
+
+  /** Packets may pass one way only: where reports are good, a silent way is a matter of this router alone. */
+  sign(sign: signs.Sign, now: number): void {
+    this.outcomes.sign(sign, now, this.isLoaded(), sign === "unreached" && this.isSpeaking);
+  }
+
+  waits(send: object, overdueAt: number): void {
+    this.awaited.set(send, overdueAt);
+  }
+
+  waitsNoMore(send: object): void {
+    this.awaited.delete(send);
+  }
+
+  private signOverdue(now: number): void {
+    for (const [send, overdueAt] of this.awaited) {
+      if (now < overdueAt) continue;
+      this.awaited.delete(send);
+      this.sign("overdue", now);
+    }
+  }
+
+  /** It handed a request back: full for now, or another life has its address. */
+  denied(now: number, isOther: boolean): void {
+    if (isOther) this.move("gone");
+    else this.fullUntil = now + FULL_MS;
+  }
+
+  heard(now: number): void {
+    this.heardAt = now;
+    this.silentUntil = 0;
+  }
+
+  /** Nothing came from it for so long, although it has work from here. */
+  quietMs(now: number): number {
+    return this.inflight === 0 ? 0 : now - Math.max(this.heardAt, this.sentAt);
+  }
+
+  isQuiet(now: number): boolean {
+    return now < this.silentUntil || this.quietMs(now) > (this.streaming > 0 ? QUIET_STREAM_MS : QUIET_START_MS);
+  }
+
+  reported(report: schema.Report, now: number): void {
+    if (this.isSpeaking && !report.isSpeaking) this.unreportedAt = now;
+    this.takeReport(report);
+  }
+
+  /** A report that stays out is one sign: a reply that came well since then outweighs it. */
+  isUnproved(now: number): boolean {
+    return !this.isSpeaking && this.outcomes.succeededAt <= this.unreportedAt && now - this.heardAt > QUIET_STREAM_MS;
+  }
+
+  isDoubtful(now: number): boolean {
+    return this.outcomes.state(now) === "ejected" || this.outcomes.isFailing(now) || this.isQuiet(now) || this.isUnproved(now);
+  }
+
+  /** Own evidence that others should hear of, once a while. */
+  isNewDoubt(now: number): boolean {
+    this.signOverdue(now);
+    this.outcomes.state(now);
+    return this.outcomes.takeNews(now, this.streaming > 0 && this.quietMs(now) > QUIET_STREAM_MS);
+  }
+
+  /** What is out of reach from here counts as silent unless this router hears it. */
+  doubt(now: number): void {
+    if (now - this.heardAt > QUIET_STREAM_MS) this.silentUntil = Math.max(this.silentUntil, now + SUSPECT_MS);
+  }
+
+  isCold(now: number): boolean {
+    return now < this.coldUntil;
+  }
+
+  /** For `status`: usage in requests, rates as parts of one. */
+  account(now: number): unknown {
+    const { id, status, inflight } = this;
+    const { service, zone } = this.instance;
+    return { id, service, zone, status, inflight, usage: this.usage(), state: this.outcomes.state(now), rates: this.outcomes.rates(now) };
+  }
+}
+
+function opened(): void {
+  log.count("runner.connections");
+}
