Regions without a control node are dealt out over all by weight

Cause: they all fell to the first control node in name order: with 13 regions and 5 nodes up to nine regions at one, more than a core (docs/CAPACITY.md, extrapolated). Change: each region has an order of readers; its own nodes first, the rest by what they read already.

--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -11,6 +11,7 @@
 import type * as check from "../config/check.js";
 import type * as cores from "./core.js";
 import type * as sessions from "./sessions.js";
+import * as deal from "./deal.js";
 import * as lists from "./list.js";
 import * as orchestrators from "./orchestrator.js";
 import * as relays from "../signs/relay.js";
@@ -141,16 +142,18 @@
   }
 
   rank(region: string): number {
-    const all = this.controls();
-    const near = all.filter(isNear);
-    function isNear(item: { region: string }): boolean {
-      return item.region === region;
-    }
-    const far = all.filter(isFar);
-    function isFar(item: { region: string }): boolean {
-      return item.region !== region;
+    return this.rankWithin(deal.readersOf(region, this.controls(), this.weights()));
+  }
+
+  /** Runners that write reports, by region. */
+  private weights(): Map<string, number> {
+    const weights = new Map<string, number>();
+    for (const region of this.regionOf.values()) weights.set(region, 0);
+    for (const item of this.watcher.instances()) {
+      const region = this.regionOf.get(item.zone);
+      if (region !== undefined && this.engines.has(item.service)) weights.set(region, weights.get(region)! + 1);
     }
-    return this.rankWithin([...near, ...far]);
+    return weights;
   }
 
   reporting(region: string): schema.Instance[] {
