Admission: prediction, rooms, leases and denial at the door as the last policy

Cause: requests that no runner could finish in time were let in and lost in queues. Change: src/admission predicts each allowed runner and denies only when none has a free place and all miss the deadline.

--- /dev/null
+++ b/src/admission/admission.ts
@@ -0,0 +1,197 @@
+// Fleet-wide admission at one router: it judges a request against all allowed runners, and learns from what
+// became of those it let in (design/admission).
+import type * as fleets from "../router/fleet.js";
+import type * as plans from "../router/plan.js";
+import type * as readings from "../router/readings.js";
+import * as log from "../startup/log.js";
+import type * as schema from "../wire/schema.js";
+import type * as types from "../wire/types.js";
+import * as cells from "./cells.js";
+import * as paces from "./pace.js";
+import * as predictions from "./predict.js";
+import * as returns from "./returns.js";
+import * as rooms from "./room.js";
+import * as sizes from "./sizes.js";
+import * as slowness from "./slowness.js";
+import * as spreads from "./spread.js";
+import * as tickets from "./ticket.js";
+import * as usuals from "./usual.js";
+
+const MOST_SERVICES = 64;
+const MOST_ROUTES = 256;
+/** How much more time each denial before lends to whoever comes back. */
+const RETURN_BONUS = 0.5;
+const LAG_DECAY = 0.5;
+const LEAST_RETRY_S = 0.2;
+/** Clients honour up to this part of the time they have left. */
+const HONOURED = 1 / 3;
+const SPREAD_FROM = 0.6;
+
+export interface Needs {
+  readonly runners: () => Iterable<fleets.Runner>;
+  readonly known: readings.Readings;
+  readonly routers: () => number;
+}
+
+function newPace(): paces.Pace {
+  return new paces.Pace();
+}
+
+function newSizes(): sizes.Sizes {
+  return new sizes.Sizes();
+}
+
+function newUsual(): usuals.Usual {
+  return new usuals.Usual();
+}
+
+export class Admission implements tickets.Teacher {
+  isOn = true;
+  readonly cells = new cells.Cells();
+  readonly slowness = new slowness.Slowness();
+  readonly returns = new returns.Returns();
+  private readonly paces = new spreads.Bounded<string, paces.Pace>(MOST_SERVICES, newPace);
+  private readonly sizes = new spreads.Bounded<string, sizes.Sizes>(MOST_ROUTES, newSizes);
+  private readonly usuals = new spreads.Bounded<string, usuals.Usual>(MOST_ROUTES, newUsual);
+  private lagMs = 0;
+  private turnedAt = -1;
+
+  constructor(readonly world: types.World, private readonly needs: Needs) {}
+
+  takeReport(report: schema.CellReport): void {
+    this.cells.takeReport(report, this.needs.runners(), this.needs.routers());
+  }
+
+  forgetAllBut(standing: { has(id: string): boolean }): void {
+    this.slowness.forgetAllBut(standing);
+  }
+
+  /** Called every `everyMs`: what comes later than that is this router's own slowness. */
+  turn(everyMs: number): void {
+    const now = this.world.now();
+    if (this.turnedAt >= 0) this.lagged(Math.max(0, now - this.turnedAt - everyMs));
+    this.turnedAt = now;
+  }
+
+  lagged(ms: number): void {
+    this.lagMs = Math.max(ms, this.lagMs * LAG_DECAY);
+  }
+
+  paceOf(service: string): paces.Pace {
+    return this.paces.of(service);
+  }
+
+  usualOf(route: string): usuals.Usual {
+    return this.usuals.of(route);
+  }
+
+  needOf(plan: plans.Plan, runner: fleets.Runner): predictions.Need {
+    const { prompt, mostOut } = plan.asked;
+    return { unread: plan.parts.length > 0 ? this.needs.known.unread(runner.id, plan.parts, plan.keys) : 0, out: mostOut, tokens: prompt + mostOut };
+  }
+
+  predict(plan: plans.Plan, runner: fleets.Runner, slow: number): predictions.Prediction {
+    const pace = this.paceOf(plan.service);
+    const place = this.cells.placeOf(this.needs.known.backlogMs(runner.id, plan.now), runner);
+    return predictions.predict(place, this.needOf(plan, runner), {
+      rate: this.needs.known.rate, heldMs: pace.heldMs(plan.asked.mostOut > 0),
+      tokenMs: pace.tokenMs((place.used + 1) / Math.max(1, place.capacity)),
+      slowness: slow, fullMs: Math.max(0, runner.fullUntil - plan.now), lagMs: this.lagMs,
+    });
+  }
+
+  /**
+   * Null lets the request in; the first runner that serves it in time is put first. It is denied only when no
+   * allowed runner has a free place for it and each is predicted to miss the deadline.
+   */
+  judge(plan: plans.Plan): plans.Denial | null {
+    if (!this.isOn || plan.tried.size > 0) return null;
+    const sure = plan.candidates.filter(isSure);
+    function isSure(runner: fleets.Runner): boolean {
+      return !runner.isDoubtful(plan.now);
+    }
+    if (sure.length === 0) return null;
+    const left = this.leftFor(plan);
+    let leastMs = Infinity;
+    for (const runner of sure) {
+      const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now));
+      if (made.neverFits) continue;
+      leastMs = Math.min(leastMs, made.endMs);
+      if (made.endMs > left && !(made.hasPlace && this.cells.hasLease(runner))) continue;
+      putFirst(plan, runner);
+      return null;
+    }
+    // Every runner is too small for it: the chain goes on as before, and the runner itself says so.
+    if (leastMs === Infinity) return null;
+    return this.isHalfEmpty(sure, plan.now) ? null : this.deny(plan, leastMs);
+  }
+
+  /** The time it has, less what the prediction may be off, more for who came back or is of a size served less. */
+  private leftFor(plan: plans.Plan): number {
+    const { route } = plan.entry;
+    const times = this.returns.times(plan.returnKey, plan.now);
+    const rank = times > 0 ? 0 : (route.priority ?? 1);
+    const handicap = this.sizes.of(route.name).handicap(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
+    return ((plan.deadline - plan.now) / this.paceOf(plan.service).margin(rank)) * handicap * (1 + RETURN_BONUS * times);
+  }
+
+  /** A runner that handed back a moment ago is full whatever is known of it. */
+  private isHalfEmpty(runners: readonly fleets.Runner[], now: number): boolean {
+    const { cells: known } = this;
+    return rooms.isHalfEmpty(rooms.roomOf(runners.map(placed)));
+    function placed(runner: fleets.Runner): rooms.Place {
+      const place = known.placeOf(0, runner);
+      return runner.fullUntil > now ? { ...place, used: Math.max(place.used, place.capacity) } : place;
+    }
+  }
+
+  private deny(plan: plans.Plan, leastMs: number): plans.Denial {
+    const left = Math.max(0, plan.deadline - plan.now);
+    this.returns.note(plan.returnKey, plan.now);
+    this.sizes.of(plan.entry.route.name).note(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), false);
+    log.count("admission.denied");
+    log.count(`admission.denied_rank_${plan.entry.route.priority ?? 1}`);
+    // It fits once the excess has been worked off; chance keeps those denied together from returning together.
+    const waitMs = Math.min(left * HONOURED, Math.max(LEAST_RETRY_S * 1000, leastMs - left));
+    const spread = SPREAD_FROM + (1 - SPREAD_FROM) * this.world.random();
+    return { status: 503, cause: "the fleet has no room for this request in its time; come back as told", retryAfterS: (waitMs * spread) / 1000 };
+  }
+
+  /** It goes to this runner: its part of the room is spent, and its reply will teach. */
+  sent(plan: plans.Plan, runner: fleets.Runner): tickets.Ticket {
+    const need = this.needOf(plan, runner);
+    if (plan.tried.size === 0) {
+      log.count("admission.admitted");
+      this.returns.served(plan.returnKey);
+      this.sizes.of(plan.entry.route.name).note(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), true);
+    }
+    const tokens = need.unread + need.out;
+    const ticket = new tickets.Ticket(this, {
+      runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predict(plan, runner, 1),
+      predictedMs: this.predict(plan, runner, this.slowness.at(runner.id, plan.now)).endMs, fullness: runner.usage() / Math.max(1, runner.instance.capacity),
+    });
+    this.cells.spend(runner, tokens);
+    return ticket;
+  }
+
+  status(): unknown {
+    const services: unknown[] = [];
+    for (const [name, pace] of this.paces.entries()) {
+      const { error } = pace;
+      services.push({ name, errorP50: error.at(50, 1), errorP90: error.at(90, 1), errorP99: error.at(99, 1), heldMs: pace.heldMs(true), replies: error.count });
+    }
+    const kinds: unknown[] = [];
+    for (const [route, usual] of this.usuals.entries()) kinds.push({ route, service: usual.service, ...usual.told() });
+    return { isOn: this.isOn, lagMs: this.lagMs, returners: this.returns.size, cells: this.cells.status(), services, kinds };
+  }
+}
+
+/** The policy of the runner keeps its order, but for the one that serves in time. */
+function putFirst(plan: plans.Plan, runner: fleets.Runner): void {
+  if (plan.candidates[0] === runner) return;
+  plan.candidates = [runner, ...plan.candidates.filter(isOther)];
+  log.count("admission.moved");
+  function isOther(item: fleets.Runner): boolean {
+    return item !== runner;
+  }
+}
--- /dev/null
+++ b/src/admission/pace.ts
@@ -0,0 +1,65 @@
+// What the replies of one service teach: time per asked token by fullness of the batch, how long a place is
+// held, and how far predictions were off (design/admission 3). Nothing is known at first, which admits all.
+import * as spreads from "./spread.js";
+
+const STEPS = 5;
+const MIDDLE = 50;
+const LOWER = 25;
+const MICRO = 1000;
+const PERCENT = 100;
+/** An error below this is none; one above says that the model does not hold, not that all must be denied. */
+const LEAST_MARGIN = 1;
+const MOST_MARGIN = 2;
+const LEAST_RECORDS = 20;
+const MARGIN_AT = [75, 90, 95] as const;
+
+function stepOf(fullness: number): number {
+  return Math.min(STEPS - 1, Math.max(0, Math.floor(fullness * (STEPS - 1))));
+}
+
+export class Pace {
+  private readonly perToken: (spreads.Spread | null)[] = Array.from({ length: STEPS }, none);
+  private readonly held = new spreads.Spread(1);
+  /** Whole time seen / whole time predicted. */
+  readonly error = new spreads.Spread(PERCENT);
+
+  /** From the first event to the end, over the tokens asked for at most. */
+  learnTokens(fullness: number, out: number, ms: number): void {
+    if (out < 1) return;
+    const step = stepOf(fullness);
+    const spread = (this.perToken[step] ??= new spreads.Spread(MICRO));
+    spread.record(ms / out);
+  }
+
+  /** How long one place was taken. */
+  learnHeld(ms: number): void {
+    this.held.record(ms);
+  }
+
+  learnError(seenMs: number, predictedMs: number): void {
+    this.error.record(seenMs / Math.max(1, predictedMs));
+  }
+
+  /** Milliseconds per asked token; never less in a fuller batch. */
+  tokenMs(fullness: number): number {
+    let most = 0;
+    for (let step = stepOf(fullness); step >= 0; step -= 1) most = Math.max(most, this.perToken[step]?.at(MIDDLE, 0) ?? 0);
+    return most;
+  }
+
+  /** Milliseconds a place is taken: the middle for batches, the lower side where waiting cannot be told from work. */
+  heldMs(hasTokens: boolean): number {
+    return this.held.at(hasTokens ? MIDDLE : LOWER, 0);
+  }
+
+  /** What a prediction is multiplied by: the less urgent the rank, the surer it must be. */
+  margin(rank: number): number {
+    if (this.error.count < LEAST_RECORDS) return LEAST_MARGIN;
+    const percent = MARGIN_AT[Math.min(MARGIN_AT.length - 1, Math.max(0, Math.floor(rank)))]!;
+    return Math.min(MOST_MARGIN, Math.max(LEAST_MARGIN, this.error.at(percent, LEAST_MARGIN)));
+  }
+}
+
+function none(): null {
+  return null;
+}
--- /dev/null
+++ b/src/admission/room.ts
@@ -0,0 +1,77 @@
+// Room of cells and services in units of work, and the part of it that one router may spend until the next
+// report (design/admission 4). Pure functions: routers, the capacity command and the simulator use the same.
+
+export interface Place {
+  /** Requests run at once. */
+  capacity: number;
+  /** Running and waiting there. */
+  used: number;
+  waiting: number;
+  /** Tokens; a capacity of 0 is unknown. */
+  kvUsed: number;
+  kvCapacity: number;
+  /** Milliseconds of prompts still to be read. */
+  backlogMs: number;
+}
+
+export interface Room {
+  runners: number;
+  places: number;
+  freePlaces: number;
+  waiting: number;
+  tokens: number;
+  freeTokens: number;
+  /** Milliseconds of reading that fit into the next second. */
+  readMs: number;
+}
+
+const SECOND_MS = 1000;
+/** Under this share of places taken, with nobody waiting, nothing is denied. */
+export const HALF = 0.5;
+
+export function roomOf(places: Iterable<Place>): Room {
+  const room: Room = { runners: 0, places: 0, freePlaces: 0, waiting: 0, tokens: 0, freeTokens: 0, readMs: 0 };
+  for (const place of places) {
+    room.runners += 1;
+    room.places += place.capacity;
+    room.freePlaces += Math.max(0, place.capacity - place.used);
+    room.waiting += place.waiting;
+    room.tokens += place.kvCapacity;
+    room.freeTokens += Math.max(0, place.kvCapacity - place.kvUsed);
+    room.readMs += Math.max(0, SECOND_MS - place.backlogMs);
+  }
+  return room;
+}
+
+export function isHalfEmpty(room: Room): boolean {
+  return room.waiting === 0 && room.places - room.freePlaces < HALF * room.places;
+}
+
+/**
+ * A router's part of the free places: what it has at work over what all have, never under half of an even
+ * split, and never under one place.
+ */
+export function leaseOf(room: Room, own: number, all: number, routers: number): number {
+  if (room.freePlaces === 0) return 0;
+  const even = 1 / Math.max(1, routers);
+  const part = all > 0 ? Math.min(1, Math.max(own / all, even / 2)) : even;
+  return Math.max(1, Math.floor(room.freePlaces * part));
+}
+
+/** What one request of a kind takes: tokens of memory, milliseconds of reading, milliseconds of a place. */
+export interface Usual {
+  tokens: number;
+  readMs: number;
+  heldMs: number;
+}
+
+/** Requests a second of that kind which still fit, by whatever is short first. */
+export function requestsPerS(room: Room, usual: Usual): number {
+  const bounds: number[] = [];
+  if (usual.heldMs > 0) {
+    bounds.push((room.freePlaces * SECOND_MS) / usual.heldMs);
+    if (usual.tokens > 0 && room.tokens > 0) bounds.push((room.freeTokens * SECOND_MS) / (usual.tokens * usual.heldMs));
+  }
+  if (usual.readMs > 0) bounds.push(room.readMs / usual.readMs);
+  return bounds.length === 0 ? Infinity : Math.min(...bounds);
+}
--- /dev/null
+++ b/src/admission/ticket.ts
@@ -0,0 +1,76 @@
+// One admitted send: what was predicted for it, and what its reply teaches (design/admission 3).
+import type * as fleets from "../router/fleet.js";
+import type * as types from "../wire/types.js";
+import type * as cells from "./cells.js";
+import type * as paces from "./pace.js";
+import type * as predictions from "./predict.js";
+import type * as slowness from "./slowness.js";
+import type * as usuals from "./usual.js";
+
+export interface Sent {
+  readonly runner: fleets.Runner;
+  readonly need: predictions.Need;
+  readonly service: string;
+  readonly route: string;
+  readonly sentAt: number;
+  /** Predicted as if the runner were as quick as the others. */
+  readonly bare: predictions.Prediction;
+  /** Predicted whole time, slowness included. */
+  readonly predictedMs: number;
+  readonly fullness: number;
+}
+
+export interface Teacher {
+  readonly world: types.World;
+  readonly slowness: slowness.Slowness;
+  readonly cells: cells.Cells;
+  paceOf(service: string): paces.Pace;
+  usualOf(route: string): usuals.Usual;
+}
+
+export type Ending = "complete" | "stopped" | "not_run";
+
+export class Ticket implements slowness.Waiting {
+  private firstAt = 0;
+  private isOver = false;
+  readonly sentAt: number;
+  readonly predictedMs: number;
+
+  constructor(private readonly teacher: Teacher, private readonly sent: Sent) {
+    this.sentAt = sent.sentAt;
+    this.predictedMs = sent.bare.firstMs;
+    // Without a learned pace a plain request predicts nothing that its reply could be compared to.
+    if (this.isTelling()) teacher.slowness.sent(sent.runner.id, this);
+  }
+
+  private isTelling(): boolean {
+    return this.sent.need.out > 0 || this.sent.bare.firstMs > 0;
+  }
+
+  /** The first event is here, or the first bytes of a plain reply. */
+  first(): void {
+    if (this.firstAt > 0 || this.isOver) return;
+    this.firstAt = Math.max(this.teacher.world.now(), 1e-9);
+    this.teacher.slowness.replied(this.sent.runner.id, this, this.firstAt);
+  }
+
+  end(ending: Ending): void {
+    if (this.isOver) return;
+    if (ending === "complete") this.first();
+    this.isOver = true;
+    const { sent, teacher } = this;
+    teacher.cells.giveBack(sent.runner);
+    if (this.firstAt === 0) teacher.slowness.dropped(sent.runner.id, this);
+    if (ending === "not_run") return;
+    const now = teacher.world.now();
+    const pace = teacher.paceOf(sent.service);
+    // What was broken off took this long at least.
+    if (ending === "complete" || now - sent.sentAt > sent.predictedMs) pace.learnError(now - sent.sentAt, sent.predictedMs);
+    if (ending !== "complete" || this.firstAt === 0) return;
+    const streamedMs = now - this.firstAt;
+    if (sent.need.out > 0) pace.learnTokens(sent.fullness, sent.need.out, streamedMs);
+    const heldMs = sent.need.out > 0 ? streamedMs : now - sent.sentAt;
+    pace.learnHeld(heldMs);
+    teacher.usualOf(sent.route).learn(sent.service, sent.need, heldMs);
+  }
+}
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,6 +1,7 @@
 // One send to one runner. The point of no return is the send itself: only a reply that says so takes it
 // back (design 7.8).
 import type * as undici from "undici";
+import type * as tickets from "../admission/ticket.js";
 import * as http from "../wire/http.js";
 import * as names from "../wire/names.js";
 import * as types from "../wire/types.js";
@@ -35,6 +36,8 @@
   body: Buffer | null;
   requestId: types.RequestId;
   isStream: boolean;
+  /** What was predicted of it; its reply teaches (design/admission 3). */
+  ticket: tickets.Ticket;
 }
 
 export class Attempt {
@@ -120,6 +123,7 @@
     if (this.isOver) return true;
     this.hear();
     if (this.isHandedBack) return true;
+    this.what.ticket.first();
     if (!this.isStreaming && this.what.isStream) {
       this.isStreaming = true;
       this.runner.streaming += 1;
@@ -153,6 +157,7 @@
     this.isOver = true;
     this.connecting?.stop();
     this.runner.inflight -= 1;
+    this.what.ticket.end(ending === "complete" ? "complete" : ending === "broken" ? "stopped" : "not_run");
     if (this.isStreaming) this.runner.streaming -= 1;
     if (!isClean) this.abortSend?.();
     this.runner.connections.give(this.connection, isClean);
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -1,4 +1,7 @@
 // The fixed chain of policies and what it needs to send on: runner, connection, shares (design 7.2).
+import * as admissions from "../admission/admission.js";
+import * as returns from "../admission/returns.js";
+import type * as tickets from "../admission/ticket.js";
 import * as routes from "../config/routes.js";
 import * as log from "../startup/log.js";
 import * as shares from "../shares/shares.js";
@@ -6,6 +9,7 @@
 import type * as connections from "./connections.js";
 import type * as fleets from "./fleet.js";
 import * as plans from "./plan.js";
+import * as admitting from "./policies/admission.js";
 import * as cells from "./policies/cells.js";
 import * as homes from "./policies/homes.js";
 import * as runners from "./policies/runner.js";
@@ -16,6 +20,7 @@
 export interface Choice {
   runner: fleets.Runner;
   connection: connections.Connection;
+  ticket: tickets.Ticket;
 }
 
 const LEAST_CONNECTIONS = 2;
@@ -32,6 +37,7 @@
 export class Chooser {
   private readonly chain: plans.Policy[];
   table: routes.RouteTable | null = null;
+  readonly admission: admissions.Admission;
 
   constructor(
     private readonly world: types.World,
@@ -41,7 +47,13 @@
     ownRegion: string,
     readonly known: readings.Readings,
   ) {
-    this.chain = [new homes.HomesPolicy(fleet, rotation), new cells.CellPolicy(ownRegion), new runners.RunnerPolicy(known)];
+    this.admission = new admissions.Admission(world, { runners: fleet.all.bind(fleet), known, routers });
+    this.chain = [
+      new homes.HomesPolicy(fleet, rotation), new cells.CellPolicy(ownRegion), new runners.RunnerPolicy(known), new admitting.AdmissionPolicy(this.admission),
+    ];
+    function routers(): number {
+      return share.routers;
+    }
   }
 
   countRequest(service: string): void {
@@ -67,7 +79,8 @@
     for (const part of shared) sharedTokens += part.tokens;
     const plan: plans.Plan = {
       requestId: request.requestId, entry: request.entry, service: request.service, parts: request.parts, keys: request.keys, shared, sharedTokens, tried,
-      now: this.world.now(), cells: [], candidates: [],
+      now: this.world.now(), deadline: request.deadline, asked: request.asked,
+      returnKey: returns.keyOf(request.entry.route.name, request.keys, request.body), cells: [], candidates: [],
     };
     const denial = plans.runPolicies(this.chain, plan);
     if (denial) return denial;
@@ -95,7 +108,7 @@
       hasCold ||= isCold;
       if (isCold && !this.share.takeCold(runner.id, perS)) continue;
       const connection = runner.connections.take(most);
-      if (connection) return { runner, connection };
+      if (connection) return { runner, connection, ticket: this.admission.sent(plan, runner) };
     }
     log.count(hasCold ? "router.all_cold" : "router.all_busy");
     if (hasCold) return { status: 503, cause: "the runners are warming up", retryAfterS: bounded(this.share.coldWaitS(perS)) };
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -8,6 +8,12 @@
   tokens: number;
 }
 
+/** What X-Cranewind-Token-Usage tells: tokens of the prompt, and the most out; 0 where nothing was told. */
+export interface Asked {
+  prompt: number;
+  mostOut: number;
+}
+
 export interface Plan {
   readonly requestId: types.RequestId;
   readonly entry: routes.RouteEntry;
@@ -20,6 +26,10 @@
   readonly keys: readonly number[];
   readonly tried: ReadonlySet<string>;
   readonly now: number;
+  readonly deadline: number;
+  readonly asked: Asked;
+  /** The same for each try of one request; 0 where nothing tells it (design/admission 5). */
+  readonly returnKey: number;
   /** Regions in the order to be tried; filled by the homes and cell policies. */
   cells: string[];
   candidates: fleet.Runner[];
@@ -49,6 +59,18 @@
   return parts;
 }
 
+/** The two counts of the header; what cannot be read is 0, and the parts' own tokens stand in for the prompt. */
+export function readAsked(header: string | undefined, parts: readonly Part[]): Asked {
+  const [prompt, mostOut] = (header ?? "").split(",").map(Number);
+  let sum = 0;
+  for (const part of parts) sum += part.tokens;
+  return { prompt: positive(prompt) || sum, mostOut: positive(mostOut) };
+}
+
+function positive(value: number | undefined): number {
+  return value !== undefined && Number.isFinite(value) && value > 0 ? value : 0;
+}
+
 export function keyOf(parts: readonly Part[]): string {
   let key = "";
   for (const part of parts) key += `${part.id},`;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -53,6 +53,7 @@
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this);
     this.dial.know(settings.innerSeeds(startup));
+    this.chooser.admission.isOn = startup.admission === "on";
     const { fleet, known } = this;
     this.handlers.on(calls.signs, function signs(_from, told) {
       fleet.takeDoubt(told.silent);
@@ -93,6 +94,7 @@
   }
 
   private watch(): void {
+    this.chooser.admission.turn(WATCH_MS);
     this.dial.turn();
     this.follower.elect();
     const dealer = this.follower.main;
@@ -141,7 +143,9 @@
   takeList(instances: schema.Instance[]): void {
     const wasReady = this.isReady();
     this.fleet.takeList(instances);
-    this.known.forgetAllBut(new Set(instances.map(idOf)));
+    const standing = new Set<string>(instances.map(idOf));
+    this.known.forgetAllBut(standing);
+    this.chooser.admission.forgetAllBut(standing);
     if (this.turnedReady(wasReady)) this.beat();
   }
 
@@ -153,6 +157,7 @@
 
   takeReport(report: schema.CellReport): void {
     this.fleet.takeReport(report);
+    this.chooser.admission.takeReport(report);
   }
 
   /** Settings read again: seeds and bounds take effect; addresses of its own do not. */
@@ -160,6 +165,7 @@
     this.startup = startup;
     this.dial.know(settings.innerSeeds(startup));
     this.share.resettle(startup.bounds);
+    this.chooser.admission.isOn = startup.admission === "on";
     log.state("settings: read again");
   }
 
@@ -170,7 +176,7 @@
     }
     return {
       node: this.describe(), following: this.follower.main?.node.name ?? null, routers: this.share.routers,
-      sharesValid: this.share.isValid(), runners, counters: Object.fromEntries(log.counted()),
+      sharesValid: this.share.isValid(), admission: this.chooser.admission.status(), runners, counters: Object.fromEntries(log.counted()),
     };
   }
 
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -21,7 +21,7 @@
   service: string;
   parts: plans.Part[];
   keys: number[];
-  deadline: number;
+  deadline: number; asked: plans.Asked;
   body: Buffer | null;
 }
 
@@ -94,7 +94,7 @@
     const isStream = this.request.entry.route.route_type === "streaming";
     this.attempt = new attempts.Attempt(this.context.world, choice.runner, choice.connection, this, {
       method: method ?? "GET", path: url ?? "/", headers: headers.forRunner(rawHeaders, parsed.connection, sending),
-      body: this.request.body, requestId: this.request.requestId, isStream,
+      body: this.request.body, requestId: this.request.requestId, isStream, ticket: choice.ticket,
     });
     this.move("sent");
     this.reading = { tokens: this.context.sending(this.request, choice.runner.id), since: this.context.world.now() };
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -33,6 +33,7 @@
     disk_mb: superstruct.defaulted(nonNegative, 0),
   }),
   data_dir: superstruct.optional(text),
+  admission: superstruct.defaulted(superstruct.enums(["on", "off"]), "on"),
   heartbeat_ms: superstruct.defaulted(positive, 1000),
   bounds: superstruct.type({
     contact_ms: superstruct.defaulted(positive, 4000),
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -68,7 +68,7 @@
 }
 
 export function requestOf(entry: routes.RouteEntry, requestId: string, parts: plans.Part[], deadline: number): transactions.Request {
-  return { requestId: types.small(requestId), entry, service: "model", parts, keys: readings.chainKeys(parts), deadline, body: null };
+  return { requestId: types.small(requestId), entry, service: "model", parts, keys: readings.chainKeys(parts), deadline, asked: plans.readAsked(undefined, parts), body: null };
 }
 
 /** Notes a reading where it is sent from, and tells the other routers a moment later, as signs do. */
