--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -90,13 +90,13 @@
     return { unread: plan.parts.length > 0 ? this.needs.known.unread(runner.id, plan.parts, plan.keys) : 0, out: mostOut, tokens: prompt + mostOut };
   }
 
-  predict(plan: plans.Plan, runner: fleets.Runner, slow: number): predictions.Prediction {
+  predict(plan: plans.Plan, runner: fleets.Runner, slow: number, waitFactor: number): predictions.Prediction {
     const pace = this.paceOf(plan.service);
     const place = this.cells.placeOf(this.needs.known.backlogMs(runner.id, plan.now), runner);
     return predictions.predict(place, this.needOf(plan, runner), {
       rate: this.needs.known.rate, heldMs: pace.heldMs(plan.asked.mostOut > 0),
       tokenMs: pace.tokenMs((place.used + 1) / Math.max(1, place.capacity)),
-      slowness: slow, fullMs: Math.max(0, runner.fullUntil - plan.now), lagMs: this.lagMs,
+      waitFactor, slowness: slow, fullMs: Math.max(0, runner.fullUntil - plan.now), lagMs: this.lagMs,
     });
   }
 
@@ -112,9 +112,10 @@
     }
     if (sure.length === 0) return null;
     const left = this.leftFor(plan);
+    const margin = this.paceOf(plan.service).margin(this.rankOf(plan));
     let leastMs = Infinity;
     for (const runner of sure) {
-      const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now));
+      const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), margin);
       if (made.neverFits) continue;
       leastMs = Math.min(leastMs, made.endMs);
       if (made.endMs > left && !(made.hasPlace && this.cells.hasLease(runner))) continue;
@@ -126,13 +127,17 @@
     return this.isHalfEmpty(sure, plan.now) ? null : this.deny(plan, leastMs);
   }
 
-  /** The time it has, less what the prediction may be off, more for who came back or is of a size served less. */
+  /** Who came back is judged like the most urgent. */
+  private rankOf(plan: plans.Plan): number {
+    return this.returns.times(plan.returnKey, plan.now) > 0 ? 0 : (plan.entry.route.priority ?? 1);
+  }
+
+  /** The time it has, and more for who came back or is of a size served less. */
   private leftFor(plan: plans.Plan): number {
     const { route } = plan.entry;
     const times = this.returns.times(plan.returnKey, plan.now);
-    const rank = times > 0 ? 0 : (route.priority ?? 1);
     const handicap = this.sizes.of(route.name).handicap(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
-    return ((plan.deadline - plan.now) / this.paceOf(plan.service).margin(rank)) * handicap * (1 + RETURN_BONUS * times);
+    return (plan.deadline - plan.now) * handicap * (1 + RETURN_BONUS * times);
   }
 
   /** A runner that handed back a moment ago is full whatever is known of it. */
@@ -140,7 +145,7 @@
     const { cells: known } = this;
     return rooms.isHalfEmpty(rooms.roomOf(runners.map(placed)));
     function placed(runner: fleets.Runner): rooms.Place {
-      const place = known.placeOf(0, runner);
+      const place = known.reportedPlace(0, runner);
       return runner.fullUntil > now ? { ...place, used: Math.max(place.used, place.capacity) } : place;
     }
   }
@@ -166,9 +171,12 @@
       this.sizes.of(plan.entry.route.name).note(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), true);
     }
     const tokens = need.unread + need.out;
+    const rank = plan.entry.route.priority ?? 1;
+    const waitFactor = this.paceOf(plan.service).usualWait(rank);
     const ticket = new tickets.Ticket(this, {
-      runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predict(plan, runner, 1),
-      predictedMs: this.predict(plan, runner, this.slowness.at(runner.id, plan.now)).endMs, fullness: runner.usage() / Math.max(1, runner.instance.capacity),
+      runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predict(plan, runner, 1, waitFactor), waitFactor,
+      fullness: runner.usage() / Math.max(1, runner.instance.capacity),
+      rank,
     });
     this.cells.spend(runner, tokens);
     return ticket;
@@ -177,8 +185,12 @@
   status(): unknown {
     const services: unknown[] = [];
     for (const [name, pace] of this.paces.entries()) {
-      const { error } = pace;
-      services.push({ name, errorP50: error.at(50, 1), errorP90: error.at(90, 1), errorP99: error.at(99, 1), heldMs: pace.heldMs(true), replies: error.count });
+      const errors = [0, 1, 2].map(told);
+      function told(rank: number): unknown {
+        const error = pace.errorOf(rank);
+        return { rank, replies: error.count, p50: error.at(50, 1), p90: error.at(90, 1), p99: error.at(99, 1), margin: pace.margin(rank) };
+      }
+      services.push({ name, heldMs: pace.heldMs(true), errors });
     }
     const kinds: unknown[] = [];
     for (const [route, usual] of this.usuals.entries()) kinds.push({ route, service: usual.service, ...usual.told() });
--- a/src/admission/cells.ts
+++ b/src/admission/cells.ts
@@ -15,6 +15,8 @@
   room: rooms.Room;
   places: number;
   spent: number;
+  /** What the others send for each send from here, a runner. */
+  othersPer: number;
 }
 
 function keyOf(runner: fleets.Runner): string {
@@ -55,11 +57,20 @@
       own += runner.inflight;
       all += runner.usage();
     }
-    const room = rooms.roomOf(cell.map(this.placeOf.bind(this, 0)));
-    return { room, places: rooms.leaseOf(room, own, all, routers), spent: 0 };
+    const room = rooms.roomOf(cell.map(this.reportedPlace.bind(this, 0)));
+    const part = rooms.partOf(own, all, routers);
+    return { room, places: rooms.leaseOf(room, part), spent: 0, othersPer: (1 / part - 1) / cell.length };
   }
 
+  /** With what the other routers are expected to have sent there since, going by this one's own sends. */
   placeOf(backlogMs: number, runner: fleets.Runner): rooms.Place {
+    const place = this.reportedPlace(backlogMs, runner);
+    const lease = this.leases.get(keyOf(runner));
+    if (lease) place.used += Math.min(place.capacity, lease.spent * lease.othersPer);
+    return place;
+  }
+
+  reportedPlace(backlogMs: number, runner: fleets.Runner): rooms.Place {
     const told = this.reported.get(runner.id);
     return {
       capacity: runner.instance.capacity, used: runner.usage(), waiting: told?.waiting ?? 0,
--- a/src/admission/pace.ts
+++ b/src/admission/pace.ts
@@ -7,9 +7,12 @@
 const LOWER = 25;
 const MICRO = 1000;
 const PERCENT = 100;
-/** An error below this is none; one above says that the model does not hold, not that all must be denied. */
-const LEAST_MARGIN = 1;
-const MOST_MARGIN = 2;
+/** Beyond these an error says that the model does not hold, not that all must be denied or let in. */
+const NO_MARGIN = 1;
+const LEAST_MARGIN = 0.25;
+const MOST_MARGIN = 6;
+/** Shorter waits teach nothing of waits. */
+const LEAST_WAIT_MS = 50;
 const LEAST_RECORDS = 20;
 const MARGIN_AT = [75, 90, 95] as const;
 
@@ -20,8 +23,8 @@
 export class Pace {
   private readonly perToken: (spreads.Spread | null)[] = Array.from({ length: STEPS }, none);
   private readonly held = new spreads.Spread(1);
-  /** Whole time seen / whole time predicted. */
-  readonly error = new spreads.Spread(PERCENT);
+  /** Wait seen / wait predicted, by rank: runners let the more urgent in first. */
+  private readonly errors = MARGIN_AT.map(newSpread);
 
   /** From the first event to the end, over the tokens asked for at most. */
   learnTokens(fullness: number, out: number, ms: number): void {
@@ -36,8 +39,12 @@
     this.held.record(ms);
   }
 
-  learnError(seenMs: number, predictedMs: number): void {
-    this.error.record(seenMs / Math.max(1, predictedMs));
+  learnWait(rank: number, seenMs: number, predictedMs: number): void {
+    if (predictedMs >= LEAST_WAIT_MS) this.errorOf(rank).record(Math.max(0, seenMs) / predictedMs);
+  }
+
+  errorOf(rank: number): spreads.Spread {
+    return this.errors[classOf(rank)]!;
   }
 
   /** Milliseconds per asked token; never less in a fuller batch. */
@@ -52,14 +59,32 @@
     return this.held.at(hasTokens ? MIDDLE : LOWER, 0);
   }
 
-  /** What a prediction is multiplied by: the less urgent the rank, the surer it must be. */
+  /** What a wait usually takes of what was predicted. */
+  usualWait(rank: number): number {
+    return this.factor(rank, MIDDLE);
+  }
+
+  /** What a wait is multiplied by to be judged: the less urgent the rank, the surer it must be. */
   margin(rank: number): number {
-    if (this.error.count < LEAST_RECORDS) return LEAST_MARGIN;
-    const percent = MARGIN_AT[Math.min(MARGIN_AT.length - 1, Math.max(0, Math.floor(rank)))]!;
-    return Math.min(MOST_MARGIN, Math.max(LEAST_MARGIN, this.error.at(percent, LEAST_MARGIN)));
+    return this.factor(rank, MARGIN_AT[classOf(rank)]!);
+  }
+
+  private factor(rank: number, percent: number): number {
+    const error = this.errorOf(rank);
+    if (error.count < LEAST_RECORDS) return NO_MARGIN;
+    return Math.min(MOST_MARGIN, Math.max(LEAST_MARGIN, error.at(percent, NO_MARGIN)));
   }
 }
 
+/** Ranks from 2 on are one class. */
+function classOf(rank: number): number {
+  return Math.min(MARGIN_AT.length - 1, Math.max(0, Math.floor(rank)));
+}
+
+function newSpread(): spreads.Spread {
+  return new spreads.Spread(PERCENT);
+}
+
 function none(): null {
   return null;
 }
--- a/src/admission/predict.ts
+++ b/src/admission/predict.ts
@@ -15,6 +15,8 @@
   /** Milliseconds a place is held, and per token at the fullness of the batch. */
   heldMs: number;
   tokenMs: number;
+  /** What a wait is multiplied by: the less urgent are overtaken while they wait. */
+  waitFactor: number;
   /** Seen over predicted at this runner. */
   slowness: number;
   /** It handed a request back a moment ago: so long it counts as full. */
@@ -24,6 +26,8 @@
 }
 
 export interface Prediction {
+  /** For a place or memory, before any factor. */
+  waitMs: number;
   firstMs: number;
   endMs: number;
   /** A place and its memory are free, and nobody waits. */
@@ -47,12 +51,12 @@
 export function predict(place: rooms.Place, need: Need, known: Known): Prediction {
   const memory = memoryMs(place, need, known);
   const waitMs = Math.max(placeMs(place, known), memory, known.fullMs);
-  const readMs = Math.max(waitMs, place.backlogMs) + need.unread / known.rate;
+  const readMs = Math.max(waitMs * known.waitFactor, place.backlogMs) + need.unread / known.rate;
   // A plain request is answered when its work is done; a stream speaks before that.
   const workMs = need.out > 0 ? need.out * known.tokenMs : known.heldMs;
   const firstMs = known.lagMs + known.slowness * (readMs + (need.out > 0 ? known.tokenMs : workMs));
   const endMs = need.out > 0 ? firstMs + known.slowness * workMs : firstMs;
   const isMemoryFree = place.kvCapacity === 0 || need.unread + need.out <= place.kvCapacity - place.kvUsed;
   const hasPlace = place.used < place.capacity && place.waiting === 0 && isMemoryFree && known.fullMs === 0;
-  return { firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
+  return { waitMs, firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
 }
--- a/src/admission/room.ts
+++ b/src/admission/room.ts
@@ -48,14 +48,16 @@
 }
 
 /**
- * A router's part of the free places: what it has at work over what all have, never under half of an even
- * split, and never under one place.
+ * A router's part of its cell: what it has at work over what all have, never under half of an even split.
  */
-export function leaseOf(room: Room, own: number, all: number, routers: number): number {
-  if (room.freePlaces === 0) return 0;
+export function partOf(own: number, all: number, routers: number): number {
   const even = 1 / Math.max(1, routers);
-  const part = all > 0 ? Math.min(1, Math.max(own / all, even / 2)) : even;
-  return Math.max(1, Math.floor(room.freePlaces * part));
+  return all > 0 ? Math.min(1, Math.max(own / all, even / 2)) : even;
+}
+
+/** The free places that are this router's to spend: one at least. */
+export function leaseOf(room: Room, part: number): number {
+  return room.freePlaces === 0 ? 0 : Math.max(1, Math.floor(room.freePlaces * part));
 }
 
 /** What one request of a kind takes: tokens of memory, milliseconds of reading, milliseconds of a place. */
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -15,9 +15,9 @@
   readonly sentAt: number;
   /** Predicted as if the runner were as quick as the others. */
   readonly bare: predictions.Prediction;
-  /** Predicted whole time, slowness included. */
-  readonly predictedMs: number;
+  readonly waitFactor: number;
   readonly fullness: number;
+  readonly rank: number;
 }
 
 export interface Teacher {
@@ -52,6 +52,13 @@
     if (this.firstAt > 0 || this.isOver) return;
     this.firstAt = Math.max(this.teacher.world.now(), 1e-9);
     this.teacher.slowness.replied(this.sent.runner.id, this, this.firstAt);
+    this.learnWait(this.firstAt);
+  }
+
+  private learnWait(now: number): void {
+    const { bare, rank, service, sentAt } = this.sent;
+    const pace = this.teacher.paceOf(service);
+    pace.learnWait(rank, now - sentAt - (bare.firstMs - bare.waitMs * this.sent.waitFactor), bare.waitMs);
   }
 
   end(ending: Ending): void {
@@ -64,12 +71,13 @@
     if (ending === "not_run") return;
     const now = teacher.world.now();
     const pace = teacher.paceOf(sent.service);
-    // What was broken off took this long at least.
-    if (ending === "complete" || now - sent.sentAt > sent.predictedMs) pace.learnError(now - sent.sentAt, sent.predictedMs);
+    // What ended without a first event waited this long at least.
+    if (this.firstAt === 0 && now - sent.sentAt > sent.bare.firstMs) this.learnWait(now);
     if (ending !== "complete" || this.firstAt === 0) return;
     const streamedMs = now - this.firstAt;
     if (sent.need.out > 0) pace.learnTokens(sent.fullness, sent.need.out, streamedMs);
-    const heldMs = sent.need.out > 0 ? streamedMs : now - sent.sentAt;
+    // From the send on only where a place was free: else the wait for it would count as work.
+    const heldMs = sent.need.out > 0 && !sent.bare.hasPlace ? streamedMs : now - sent.sentAt;
     pace.learnHeld(heldMs);
     teacher.usualOf(sent.route).learn(sent.service, sent.need, heldMs);
   }
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -5,6 +5,7 @@
 import * as settings from "../startup/settings.js";
 import * as registers from "../register/value.js";
 import * as types from "../wire/types.js";
+import * as outcomes from "../whatif/outcome.js";
 import * as play from "../whatif/play.js";
 import * as scenarios from "../whatif/scenario.js";
 import * as table from "../whatif/table.js";
@@ -59,6 +60,12 @@
   if (bytes instanceof Error) return told(output, bytes);
   const scenario = scenarios.parse(bytes);
   if (scenario.isErr) return told(output, scenario.error);
+  if (scenario.value.surges.length > 0) {
+    const made = outcomes.rows(scenario.value);
+    if (isJson) output.line(JSON.stringify(made, null, 2));
+    else for (const line of outcomes.lines(made)) output.line(line);
+    return EXIT.ok;
+  }
   const rows = table.rows(new play.Day(scenario.value).play());
   if (isJson) output.line(JSON.stringify(rows, null, 2));
   else for (const line of table.lines(rows)) output.line(line);
--- /dev/null
+++ b/src/whatif/batch.ts
@@ -0,0 +1,107 @@
+// A runner under more than it can take (design/admission 7): batch places, a bounded queue by priority, memory
+// for tokens, prompts read one after the other, and work that stops at its deadline.
+import type * as plans from "../router/plan.js";
+import * as readings from "../router/readings.js";
+import type * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import type * as scenarios from "./scenario.js";
+
+export interface Job {
+  readonly parts: readonly plans.Part[];
+  readonly events: number;
+  readonly priority: number;
+  readonly deadline: number;
+  first(): void;
+  /** False: the deadline passed before its last event. */
+  ended(isWhole: boolean): void;
+}
+
+interface Queued {
+  job: Job;
+  order: number;
+}
+
+/** A queue as long as the batch, if the scenario tells none. */
+const QUEUE_PART = 1;
+
+export class BatchRunner {
+  private readonly kept = new readings.Readings();
+  private readonly queue: Queued[] = [];
+  private readingUntil = 0;
+  private order = 0;
+  private active = 0;
+  private kvUsed = 0;
+  /** Above 1: everything takes so much longer. */
+  slow = 1;
+
+  constructor(readonly id: string, readonly region: string, private readonly figures: scenarios.Scenario["runner"], private readonly world: types.World) {}
+
+  private tokensOf(job: Job): number {
+    let sum = job.events;
+    for (const part of job.parts) sum += part.tokens;
+    return sum;
+  }
+
+  freePlaces(): number {
+    return this.queue.length > 0 ? 0 : Math.max(0, this.figures.capacity - this.active);
+  }
+
+  /** False: handed back, and not run. */
+  submit(job: Job): boolean {
+    const { capacity, kv_tokens: memory } = this.figures;
+    if (memory > 0 && this.tokensOf(job) > memory) return false;
+    if (this.queue.length >= (this.figures.queue ?? capacity * QUEUE_PART) && !this.fits(job)) return false;
+    this.order += 1;
+    this.queue.push({ job, order: this.order });
+    this.queue.sort(byUrgency);
+    this.pump();
+    return true;
+  }
+
+  private fits(job: Job): boolean {
+    const { capacity, kv_tokens: memory } = this.figures;
+    return this.active < capacity && (memory === 0 || this.kvUsed + this.tokensOf(job) <= memory);
+  }
+
+  private pump(): void {
+    for (let next = this.queue[0]; next && (this.fits(next.job) || next.job.deadline <= this.world.now()); next = this.queue[0]) {
+      this.queue.shift();
+      if (next.job.deadline <= this.world.now()) next.job.ended(false);
+      else this.run(next.job);
+    }
+  }
+
+  private run(job: Job): void {
+    const now = this.world.now();
+    const keys = readings.chainKeys(job.parts);
+    const unread = this.kept.unread(this.id, job.parts, keys);
+    this.kept.note(this.id, unread, keys, now);
+    this.active += 1;
+    const tokens = this.tokensOf(job);
+    this.kvUsed += tokens;
+    this.readingUntil = Math.max(now, this.readingUntil) + (unread * this.slow) / this.figures.tokens_per_ms;
+    const eventMs = this.slow * this.figures.event_ms * (1 + this.active / this.figures.capacity);
+    const firstAt = this.readingUntil + eventMs;
+    const endAt = firstAt + (job.events - 1) * eventMs;
+    const isWhole = endAt <= job.deadline;
+    if (firstAt <= job.deadline) this.world.after(firstAt - now, job.first.bind(job));
+    this.world.after(Math.min(endAt, job.deadline) - now, ended.bind(this));
+    function ended(this: BatchRunner): void {
+      this.active -= 1;
+      this.kvUsed -= tokens;
+      job.ended(isWhole);
+      this.pump();
+    }
+  }
+
+  report(): schema.Report {
+    return {
+      id: types.small(this.id), isSpeaking: true, waiting: this.queue.length, active: this.active,
+      kvUsed: this.kvUsed, kvCapacity: this.figures.kv_tokens,
+    };
+  }
+}
+
+function byUrgency(left: Queued, right: Queued): number {
+  return left.job.priority - right.job.priority || left.order - right.order;
+}
--- /dev/null
+++ b/src/whatif/outcome.ts
@@ -0,0 +1,124 @@
+// An overload day counted a kind at a time, with and without admission (design/admission 7).
+import type * as clients from "./client.js";
+import * as overload from "./overload.js";
+import type * as scenarios from "./scenario.js";
+
+export interface Row {
+  kind: string;
+  admission: "on" | "off";
+  asked: number;
+  admitted: number;
+  in_aim: number;
+  late: number;
+  /** Admitted, and not done by the deadline. */
+  too_late: number;
+  /** Neither a reply nor a refusal. */
+  lost: number;
+  refused: number;
+  refusals: number;
+  refusal_p50_ms: number;
+  refusal_p99_ms: number;
+  refusal_worst_ms: number;
+  /** Mean part of places free when a request was refused. */
+  unused: number;
+  worth: number;
+  /** Served part of the largest tenth, of the fifth below it, and of all. */
+  largest: number;
+  large: number;
+  served: number;
+}
+
+const TENTH = 0.1;
+const THREE_TENTHS = 0.3;
+
+function at(sorted: readonly number[], share: number): number {
+  return Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0);
+}
+
+function byNumber(left: number, right: number): number {
+  return left - right;
+}
+
+function bySize(left: clients.Asked, right: clients.Asked): number {
+  return right.size - left.size;
+}
+
+function isServed(item: clients.Asked): boolean {
+  return item.outcome === "in_aim" || item.outcome === "late";
+}
+
+function shareServed(items: readonly clients.Asked[]): number {
+  return items.length === 0 ? 1 : Math.round((1000 * items.filter(isServed).length) / items.length) / 1000;
+}
+
+function mean(values: readonly number[]): number {
+  let sum = 0;
+  for (const value of values) sum += value;
+  return values.length === 0 ? 0 : Math.round((1000 * sum) / values.length) / 1000;
+}
+
+function worthOf(item: clients.Asked): number {
+  return item.worth;
+}
+
+export function rowOf(kind: string, isOn: boolean, items: readonly clients.Asked[]): Row {
+  const times = items.flatMap(refusedOf).sort(byNumber);
+  const sorted = [...items].sort(bySize);
+  const tenth = Math.round(items.length * TENTH);
+  const three = Math.round(items.length * THREE_TENTHS);
+  const counts = new Map<string, number>();
+  let admitted = 0;
+  for (const item of items) {
+    counts.set(item.outcome, (counts.get(item.outcome) ?? 0) + 1);
+    if (item.admitted > 0) admitted += 1;
+  }
+  return {
+    kind, admission: isOn ? "on" : "off", asked: items.length, admitted,
+    in_aim: counts.get("in_aim") ?? 0, late: counts.get("late") ?? 0, too_late: counts.get("too_late") ?? 0, lost: counts.get("open") ?? 0,
+    refused: counts.get("refused") ?? 0, refusals: times.length,
+    refusal_p50_ms: at(times, 0.5), refusal_p99_ms: at(times, 0.99), refusal_worst_ms: Math.round(times[times.length - 1] ?? 0),
+    unused: mean(items.flatMap(unusedOf)), worth: mean(items.map(worthOf)),
+    largest: shareServed(sorted.slice(0, tenth)), large: shareServed(sorted.slice(tenth, three)), served: shareServed(items),
+  };
+}
+
+function refusedOf(item: clients.Asked): number[] {
+  return item.refusedMs;
+}
+
+function unusedOf(item: clients.Asked): number[] {
+  return item.unused;
+}
+
+/** The same day with and without admission. */
+export function rows(scenario: scenarios.Scenario): Row[] {
+  const made: Row[] = [];
+  for (const isOn of [false, true]) {
+    const asked = new overload.OverloadDay(scenario, isOn).play();
+    for (const kind of scenario.kinds) made.push(rowOf(kind.name, isOn, asked.filter(isOf.bind(null, kind.name))));
+  }
+  return made;
+}
+
+function isOf(kind: string, item: clients.Asked): boolean {
+  return item.kind === kind;
+}
+
+const COLUMNS: readonly (keyof Row)[] = [
+  "asked", "admitted", "in_aim", "late", "too_late", "lost", "refused", "refusals", "refusal_p50_ms", "refusal_p99_ms", "refusal_worst_ms", "unused", "worth", "largest", "large", "served",
+];
+
+export function lines(made: readonly Row[]): string[] {
+  const head = `${"kind".padEnd(16)}${"admission".padEnd(10)}${COLUMNS.map(padded).join("")}`;
+  return [head, ...made.map(lineOf)];
+}
+
+function padded(column: string): string {
+  return column.padStart(column.length + 2);
+}
+
+function lineOf(row: Row): string {
+  let line = row.kind.padEnd(16) + row.admission.padEnd(10);
+  for (const column of COLUMNS) line += String(row[column]).padStart(column.length + 2);
+  return line;
+}
--- /dev/null
+++ b/src/whatif/overload.ts
@@ -0,0 +1,167 @@
+// Plays a day that asks for more than the fleet can take, through the router's own policies and its admission
+// (design/admission 7): clients with deadlines that return as told, surges, slowed runners and routers.
+import * as plans from "../router/plan.js";
+import * as batches from "./batch.js";
+import * as clients from "./client.js";
+import type * as scenarios from "./scenario.js";
+import * as systems from "./system.js";
+import * as worlds from "./world.js";
+
+const REPORT_MS = 600;
+const DEAL_MS = 500;
+const TURN_MS = 100;
+const LONGEST_SIZE = 3;
+
+export class OverloadDay implements clients.Day {
+  readonly asked: clients.Asked[] = [];
+  readonly world: worlds.PlannedWorld;
+  readonly runners = new Map<string, batches.BatchRunner>();
+  readonly routers: systems.ModelRouter[] = [];
+  private readonly lags = new Map<systems.ModelRouter, number>();
+  private lives = 0;
+  /** Chance of its own, so that the same clients come whatever the routers do. */
+  private readonly chance: worlds.PlannedWorld;
+
+  constructor(private readonly scenario: scenarios.Scenario, isOn: boolean) {
+    this.world = new worlds.PlannedWorld(scenario.seed);
+    this.chance = new worlds.PlannedWorld(scenario.seed + 1);
+    const table = systems.tableOf(scenario);
+    const regions = scenario.regions.map(nameOf);
+    for (const region of scenario.regions) {
+      for (let count = 0; count < region.runners; count += 1) {
+        this.lives += 1;
+        const runner = new batches.BatchRunner(`${region.name}-${this.lives}`, region.name, scenario.runner, this.world);
+        this.runners.set(runner.id, runner);
+      }
+      for (let count = 0; count < region.routers; count += 1) this.addRouter(new systems.ModelRouter(region.name, this.world, regions, table), isOn);
+    }
+  }
+
+  private addRouter(router: systems.ModelRouter, isOn: boolean): void {
+    router.chooser.admission.isOn = isOn;
+    this.routers.push(router);
+  }
+
+  play(): clients.Asked[] {
+    const list = systems.instancesOf([...this.runners.values()].map(standing), this.scenario.runner.capacity, new Map());
+    for (const router of this.routers) router.fleet.takeList(list);
+    this.deal();
+    this.report();
+    this.turn();
+    for (const fault of this.scenario.faults) this.world.after(fault.at_s * 1000, this.strike.bind(this, fault));
+    for (const kind of this.scenario.kinds) this.world.after(this.gap(kind), this.arrive.bind(this, kind));
+    this.world.play(this.scenario.length_s * 1000);
+    // What is at work at the end is played to its end; nobody new arrives.
+    this.world.play(this.scenario.length_s * 2000 + 60_000);
+    return this.asked;
+  }
+
+  private isOver(): boolean {
+    return this.world.now() >= this.scenario.length_s * 1000;
+  }
+
+  private deal(): void {
+    for (const [index, router] of this.routers.entries()) router.share.deal(index, this.routers.length);
+    this.world.after(DEAL_MS, this.deal.bind(this));
+  }
+
+  private report(): void {
+    for (const region of this.scenario.regions) {
+      const reports = [...this.runners.values()].filter(isHere).map(reportOf);
+      function isHere(runner: batches.BatchRunner): boolean {
+        return runner.region === region.name;
+      }
+      for (const router of this.routers) {
+        router.fleet.takeReport({ region: region.name, reports });
+        router.chooser.admission.takeReport({ region: region.name, reports });
+      }
+    }
+    this.world.after(REPORT_MS, this.report.bind(this));
+  }
+
+  private turn(): void {
+    for (const [router, ms] of this.lags) router.chooser.admission.lagged(ms);
+    this.world.after(TURN_MS, this.turn.bind(this));
+  }
+
+  private strike(fault: scenarios.Fault): void {
+    const end = fault.for_s * 1000;
+    const { lags } = this;
+    if (fault.kind === "slow_router") {
+      const router = this.routers.find(isThere);
+      if (!router) return;
+      lags.set(router, fault.factor * TURN_MS);
+      this.world.after(end, quick);
+      function quick(): void {
+        lags.delete(router!);
+      }
+    }
+    if (fault.kind !== "slow_runner") return;
+    const runner = [...this.runners.values()].find(isThere);
+    if (!runner) return;
+    runner.slow = fault.factor;
+    this.world.after(end, healed);
+    function isThere(item: { region: string }): boolean {
+      return item.region === fault.region;
+    }
+    function healed(): void {
+      runner!.slow = 1;
+    }
+  }
+
+  private surge(kind: scenarios.Kind): number {
+    const at = this.world.now() / 1000;
+    let factor = 1;
+    for (const surge of this.scenario.surges) {
+      if (surge.kind === kind.name && at >= surge.at_s && at < surge.at_s + surge.for_s) factor *= surge.factor;
+    }
+    return factor;
+  }
+
+  private gap(kind: scenarios.Kind): number {
+    return (-Math.log(1 - this.chance.random()) * 1000) / (kind.turns_per_s * this.surge(kind));
+  }
+
+  private arrive(kind: scenarios.Kind): void {
+    if (this.isOver()) return;
+    this.world.after(this.gap(kind), this.arrive.bind(this, kind));
+    const session = `${kind.name}-${Math.floor(this.chance.random() * kind.sessions)}`;
+    const size = Math.min(LONGEST_SIZE, 0.5 - 0.5 * Math.log(1 - this.chance.random()));
+    const parts: plans.Part[] = [
+      { id: `c-${kind.name}`, tokens: kind.common_tokens }, { id: `s-${session}`, tokens: kind.session_tokens },
+      { id: `t-${this.asked.length}`, tokens: Math.max(1, Math.round(kind.turn_tokens * size)) },
+    ];
+    const events = Math.max(1, Math.round(kind.events * size));
+    const asked: clients.Asked = {
+      kind: kind.name, at: this.world.now(), size, outcome: "open", tries: 0, refusedMs: [], retryAfterS: [], unused: [], admitted: 0, worth: 0, session,
+    };
+    this.asked.push(asked);
+    new clients.Try(this, this.scenario, kind, parts, events, asked).start();
+  }
+
+  pickRouter(): systems.ModelRouter {
+    return this.routers[Math.floor(this.world.random() * this.routers.length)]!;
+  }
+
+  lagOf(router: systems.ModelRouter): number {
+    return this.lags.get(router) ?? 0;
+  }
+
+  unused(): number {
+    let free = 0;
+    for (const runner of this.runners.values()) free += runner.freePlaces();
+    return free / (this.runners.size * this.scenario.runner.capacity);
+  }
+}
+
+function standing(runner: batches.BatchRunner): systems.Standing {
+  return { id: runner.id, region: runner.region, isUp: true };
+}
+
+function reportOf(runner: batches.BatchRunner): ReturnType<batches.BatchRunner["report"]> {
+  return runner.report();
+}
+
+function nameOf(item: { name: string }): string {
+  return item.name;
+}
--- a/src/whatif/scenario.ts
+++ b/src/whatif/scenario.ts
@@ -20,23 +20,34 @@
   turn_tokens: above,
   events: count,
   homes: superstruct.defaulted(superstruct.array(name), []),
+  deadline_ms: superstruct.defaulted(above, 60_000),
+  aim_ms: superstruct.defaulted(above, 1000),
+  priority: superstruct.defaulted(superstruct.min(superstruct.integer(), 0), 1),
 });
 
 const fault = superstruct.object({
   at_s: seconds,
   for_s: above,
-  kind: superstruct.enums(["drain", "lose_runner", "lose_region"]),
+  kind: superstruct.enums(["drain", "lose_runner", "lose_region", "slow_runner", "slow_router"]),
   region: name,
+  factor: superstruct.defaulted(above, 4),
 });
 
+/** More of one kind for a while: a scenario with surges is played as an overload day. */
+const surge = superstruct.object({ at_s: seconds, for_s: above, kind: name, factor: above });
+
 const scenario = superstruct.object({
   length_s: above,
   seed: superstruct.defaulted(superstruct.integer(), 1),
   trip_ms: superstruct.defaulted(seconds, 40),
-  runner: superstruct.object({ capacity: count, tokens_per_ms: above, event_ms: above, warmup_s: superstruct.defaulted(seconds, 0), warmup_per_s: superstruct.defaulted(seconds, 0) }),
+  runner: superstruct.object({
+    capacity: count, tokens_per_ms: above, event_ms: above, warmup_s: superstruct.defaulted(seconds, 0), warmup_per_s: superstruct.defaulted(seconds, 0),
+    kv_tokens: superstruct.defaulted(seconds, 0), queue: superstruct.optional(count),
+  }),
   regions: superstruct.nonempty(superstruct.array(region)),
   kinds: superstruct.nonempty(superstruct.array(kind)),
   faults: superstruct.defaulted(superstruct.array(fault), []),
+  surges: superstruct.defaulted(superstruct.array(surge), []),
 });
 
 export type Scenario = superstruct.Infer<typeof scenario>;
@@ -52,6 +63,15 @@
   for (const item of made.faults) {
     if (!known.has(item.region)) return check.invalid("faults.region", `unknown region ${item.region}`, "name one of regions");
   }
+  const kinds = new Set(made.kinds.map(nameOf));
+  for (const item of made.surges) {
+    if (!kinds.has(item.kind)) return check.invalid("surges.kind", `unknown kind ${item.kind}`, "name one of kinds");
+  }
+  if (made.surges.length > 0) {
+    for (const item of made.faults) {
+      if (!item.kind.startsWith("slow_")) return check.invalid("faults.kind", `${item.kind} is not played in a day with surges`, "use slow_runner or slow_router, or leave out surges");
+    }
+  }
   for (const item of made.kinds) {
     for (const home of item.homes) if (!known.has(home)) return check.invalid(`kinds[${item.name}].homes`, `unknown region ${home}`, "name one of regions");
   }
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -10,7 +10,6 @@
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import type * as transactions from "../router/transaction.js";
-import type * as models from "./runner.js";
 import type * as scenarios from "./scenario.js";
 import * as worlds from "./world.js";
 
@@ -50,12 +49,18 @@
 
 function routeOf(kind: scenarios.Kind): unknown {
   return {
-    name: kind.name, hostname: "whatif", path_prefix: `/${kind.name}/`, route_type: "streaming", deadline_ms: 60_000,
+    name: kind.name, hostname: "whatif", path_prefix: `/${kind.name}/`, route_type: "streaming", deadline_ms: kind.deadline_ms, target_latency_ms: kind.aim_ms, priority: kind.priority,
     service: "model", max_attempts: 2, session_affinity: true, resumable: true, allowed_regions: kind.homes,
   };
 }
 
-export function instancesOf(runners: Iterable<models.ModelRunner>, capacity: number, coldMs: ReadonlyMap<string, number>): schema.Instance[] {
+export interface Standing {
+  readonly id: string;
+  readonly region: string;
+  readonly isUp: boolean;
+}
+
+export function instancesOf(runners: Iterable<Standing>, capacity: number, coldMs: ReadonlyMap<string, number>): schema.Instance[] {
   const made: schema.Instance[] = [];
   for (const runner of runners) {
     if (!runner.isUp) continue;
@@ -67,15 +72,17 @@
   return made;
 }
 
-export function requestOf(entry: routes.RouteEntry, requestId: string, parts: plans.Part[], deadline: number): transactions.Request {
-  return { requestId: types.small(requestId), entry, service: "model", parts, keys: readings.chainKeys(parts), deadline, asked: plans.readAsked(undefined, parts), body: null };
+export function requestOf(entry: routes.RouteEntry, requestId: string, parts: plans.Part[], deadline: number, mostOut = 0): transactions.Request {
+  const asked = { ...plans.readAsked(undefined, parts), mostOut };
+  return { requestId: types.small(requestId), entry, service: "model", parts, keys: readings.chainKeys(parts), deadline, asked, body: null };
 }
 
 /** Notes a reading where it is sent from, and tells the other routers a moment later, as signs do. */
-export function tellReading(world: worlds.PlannedWorld, routers: readonly ModelRouter[], from: ModelRouter, runner: string, request: transactions.Request): void {
+export function tellReading(world: types.World, routers: readonly ModelRouter[], from: ModelRouter, runner: string, request: transactions.Request): number {
   const unread = Math.round(from.known.unread(runner, request.parts, request.keys));
   from.known.note(runner, unread, request.keys, world.now());
   world.after(SIGN_MS, tell);
+  return unread;
   function tell(): void {
     for (const router of routers) if (router !== from) router.known.note(runner, unread, request.keys, world.now());
   }
