--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -19,8 +19,8 @@
 
 const MOST_SERVICES = 64;
 const MOST_ROUTES = 256;
-/** How much more time each denial before lends to whoever comes back. */
-const RETURN_BONUS = 0.5;
+/** The part of its time into which a newcomer of rank 0, 1, 2 and on has to fit when no place is free (ours). */
+const PARTS = [1, 0.75, 0.5] as const;
 const LAG_DECAY = 0.5;
 const LEAST_RETRY_S = 0.2;
 /** Clients honour up to this part of the time they have left. */
@@ -111,8 +111,8 @@
       return !runner.isDoubtful(plan.now);
     }
     if (sure.length === 0) return null;
-    const left = this.leftFor(plan);
-    const margin = this.paceOf(plan.service).margin(this.rankOf(plan));
+    const left = this.timeFor(plan);
+    const margin = this.paceOf(plan.service).margin(plan.entry.route.priority ?? 1);
     let leastMs = Infinity;
     for (const runner of sure) {
       const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), margin);
@@ -127,17 +127,16 @@
     return this.isHalfEmpty(sure, plan.now) ? null : this.deny(plan, leastMs);
   }
 
-  /** Who came back is judged like the most urgent. */
-  private rankOf(plan: plans.Plan): number {
-    return this.returns.times(plan.returnKey, plan.now) > 0 ? 0 : (plan.entry.route.priority ?? 1);
-  }
-
-  /** The time it has, and more for who came back or is of a size served less. */
-  private leftFor(plan: plans.Plan): number {
+  /**
+   * The time that counts. Under shortage a newcomer of a lesser rank has to fit into a part of its time, so that
+   * who came back, and sizes served less often, still find room within what is left to them.
+   */
+  private timeFor(plan: plans.Plan): number {
+    const left = plan.deadline - plan.now;
     const { route } = plan.entry;
-    const times = this.returns.times(plan.returnKey, plan.now);
-    const handicap = this.sizes.of(route.name).handicap(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
-    return (plan.deadline - plan.now) * handicap * (1 + RETURN_BONUS * times);
+    const isReturning = this.returns.times(plan.returnKey, plan.now) > 0;
+    const isHeldBack = this.sizes.of(route.name).isHeldBack(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
+    return isReturning || isHeldBack ? left : left * PARTS[Math.min(PARTS.length - 1, route.priority ?? 1)]!;
   }
 
   /** A runner that handed back a moment ago is full whatever is known of it. */
--- a/src/admission/predict.ts
+++ b/src/admission/predict.ts
@@ -35,6 +35,9 @@
   neverFits: boolean;
 }
 
+/** A first event that came a little late says nothing of the events after it (ours). */
+const CLEARLY_SLOW = 1.5;
+
 /** Until one of the places ahead is given back. */
 function placeMs(place: rooms.Place, known: Known): number {
   const ahead = Math.max(0, place.used + 1 - place.capacity);
@@ -55,7 +58,7 @@
   // A plain request is answered when its work is done; a stream speaks before that.
   const workMs = need.out > 0 ? need.out * known.tokenMs : known.heldMs;
   const firstMs = known.lagMs + known.slowness * (readMs + (need.out > 0 ? known.tokenMs : workMs));
-  const endMs = need.out > 0 ? firstMs + known.slowness * workMs : firstMs;
+  const endMs = need.out > 0 ? firstMs + (known.slowness >= CLEARLY_SLOW ? known.slowness : 1) * workMs : firstMs;
   const isMemoryFree = place.kvCapacity === 0 || need.unread + need.out <= place.kvCapacity - place.kvUsed;
   const hasPlace = place.used < place.capacity && place.waiting === 0 && isMemoryFree && known.fullMs === 0;
   return { waitMs, firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
--- a/src/admission/sizes.ts
+++ b/src/admission/sizes.ts
@@ -1,5 +1,5 @@
 // Large requests are served as often as the rest of their kind (design/admission 5): the largest tenth and the
-// fifth below it get a better chance as far as they were admitted less often.
+// fifth below it get a better chance once they were admitted less often.
 import * as spreads from "./spread.js";
 
 const TENTH = 90;
@@ -7,7 +7,7 @@
 const OUT_WEIGHT = 10;
 const DECAY = 0.995;
 const LEAST_ASKED = 10;
-const MOST_HANDICAP = 2;
+const HELD_BACK = 0.9;
 
 interface Count {
   asked: number;
@@ -35,13 +35,11 @@
     return size > this.spread.at(FIFTH, 0) ? 1 : 2;
   }
 
-  /** From 1 on: by how much the class was admitted less often than the whole. */
-  handicap(size: number): number {
+  /** Its class was admitted clearly less often than the whole. */
+  isHeldBack(size: number): boolean {
     const mine = this.classes[this.classOf(size)]!;
-    if (mine.asked < 1 || this.whole.admitted <= 0) return 1;
-    const whole = this.whole.admitted / this.whole.asked;
-    const share = mine.admitted / mine.asked;
-    return share <= 0 ? MOST_HANDICAP : Math.min(MOST_HANDICAP, Math.max(1, whole / share));
+    if (mine.asked < 1 || this.whole.asked < 1) return false;
+    return mine.admitted / mine.asked < HELD_BACK * (this.whole.admitted / this.whole.asked);
   }
 
   note(size: number, isAdmitted: boolean): void {
