--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -90,13 +90,13 @@
     return { unread: plan.parts.length > 0 ? this.needs.known.unread(runner.id, plan.parts, plan.keys) : 0, out: mostOut, tokens: prompt + mostOut };
   }
 
-  predict(plan: plans.Plan, runner: fleets.Runner, slow: number, waitFactor: number): predictions.Prediction {
+  predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slow, waitFactor: number): predictions.Prediction {
     const pace = this.paceOf(plan.service);
     const place = this.cells.placeOf(this.needs.known.backlogMs(runner.id, plan.now), runner);
     return predictions.predict(place, this.needOf(plan, runner), {
       rate: this.needs.known.rate, heldMs: pace.heldMs(plan.asked.mostOut > 0),
       tokenMs: pace.tokenMs((place.used + 1) / Math.max(1, place.capacity)),
-      waitFactor, slowness: slow, fullMs: Math.max(0, runner.fullUntil - plan.now), lagMs: this.lagMs,
+      waitFactor, slow, fullMs: Math.max(0, runner.fullUntil - plan.now), lagMs: this.lagMs,
     });
   }
 
@@ -171,9 +171,11 @@
     }
     const tokens = need.unread + need.out;
     const rank = plan.entry.route.priority ?? 1;
-    const waitFactor = this.paceOf(plan.service).usualWait(rank);
+    const pace = this.paceOf(plan.service);
+    const waitFactor = pace.usualWait(rank);
     const ticket = new tickets.Ticket(this, {
-      runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predict(plan, runner, 1, waitFactor), waitFactor,
+      runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predict(plan, runner, slowness.NONE, waitFactor), waitFactor,
+      sureMs: this.predict(plan, runner, slowness.NONE, Math.max(waitFactor, pace.margin(rank))).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
       rank,
     });
--- a/src/admission/predict.ts
+++ b/src/admission/predict.ts
@@ -1,5 +1,6 @@
 // When one request would be done at one runner (design/admission 2). Pure; each step errs to the early side.
 import type * as rooms from "./room.js";
+import type * as slowness from "./slowness.js";
 
 export interface Need {
   /** Tokens to be read there, and the most to come out. */
@@ -18,7 +19,7 @@
   /** What a wait is multiplied by: the less urgent are overtaken while they wait. */
   waitFactor: number;
   /** Seen over predicted at this runner. */
-  slowness: number;
+  slow: slowness.Slow;
   /** It handed a request back a moment ago: so long it counts as full. */
   fullMs: number;
   /** How late this router's own loop runs. */
@@ -35,9 +36,6 @@
   neverFits: boolean;
 }
 
-/** A first event that came a little late says nothing of the events after it (ours). */
-const CLEARLY_SLOW = 1.5;
-
 /** Until one of the places ahead is given back. */
 function placeMs(place: rooms.Place, known: Known): number {
   const ahead = Math.max(0, place.used + 1 - place.capacity);
@@ -57,8 +55,8 @@
   const readMs = Math.max(waitMs * known.waitFactor, place.backlogMs) + need.unread / known.rate;
   // A plain request is answered when its work is done; a stream speaks before that.
   const workMs = need.out > 0 ? need.out * known.tokenMs : known.heldMs;
-  const firstMs = known.lagMs + known.slowness * (readMs + (need.out > 0 ? known.tokenMs : workMs));
-  const endMs = need.out > 0 ? firstMs + (known.slowness >= CLEARLY_SLOW ? known.slowness : 1) * workMs : firstMs;
+  const firstMs = known.lagMs + known.slow.first * (readMs + (need.out > 0 ? known.tokenMs : workMs));
+  const endMs = need.out > 0 ? firstMs + known.slow.stream * workMs : firstMs;
   const isMemoryFree = place.kvCapacity === 0 || need.unread + need.out <= place.kvCapacity - place.kvUsed;
   const hasPlace = place.used < place.capacity && place.waiting === 0 && isMemoryFree && known.fullMs === 0;
   return { waitMs, firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
--- a/src/admission/slowness.ts
+++ b/src/admission/slowness.ts
@@ -13,8 +13,24 @@
   readonly predictedMs: number;
 }
 
+/** Seen over predicted: until the first event, and from there to the end. */
+export interface Slow {
+  readonly first: number;
+  readonly stream: number;
+}
+
+export const NONE: Slow = { first: 1, stream: 1 };
+/** A first event that came a little late says nothing of the events after it (ours). */
+const CLEARLY_SLOW = 2;
+
+/** Up at once, down slowly, and never quicker than predicted. */
+function moved(factor: number, seen: number): number {
+  return Math.max(1, factor + (seen > factor ? UP : DOWN) * (seen - factor));
+}
+
 class Watched {
-  factor = 1;
+  first = 1;
+  stream = 1;
   readonly waiting = new Set<Waiting>();
 }
 
@@ -46,9 +62,7 @@
   replied(runner: types.RunnerId, what: Waiting, now: number): void {
     const watched = this.of(runner);
     if (!watched.waiting.delete(what)) return;
-    const seen = ratio(now - what.sentAt, what.predictedMs);
-    watched.factor += (seen > watched.factor ? UP : DOWN) * (seen - watched.factor);
-    watched.factor = Math.max(1, watched.factor);
+    watched.first = moved(watched.first, ratio(now - what.sentAt, what.predictedMs));
   }
 
   /** Ended without a reply: it says nothing of its pace. */
@@ -56,10 +70,20 @@
     this.of(runner).waiting.delete(what);
   }
 
-  at(runner: types.RunnerId, now: number): number {
+  /** A whole stream is here; the pace was predicted by the fullness of its batch. */
+  streamed(runner: types.RunnerId, seenMs: number, predictedMs: number): void {
+    const watched = this.of(runner);
+    if (predictedMs > 0) watched.stream = moved(watched.stream, ratio(seenMs, predictedMs));
+  }
+
+  at(runner: types.RunnerId, now: number): Slow {
     const watched = this.runners.get(runner);
-    if (!watched) return 1;
-    for (const oldest of watched.waiting) return Math.max(watched.factor, ratio(now - oldest.sentAt, oldest.predictedMs));
-    return watched.factor;
+    if (!watched) return NONE;
+    let { first } = watched;
+    for (const oldest of watched.waiting) {
+      first = Math.max(first, ratio(now - oldest.sentAt, oldest.predictedMs));
+      break;
+    }
+    return { first, stream: first >= CLEARLY_SLOW ? Math.max(first, watched.stream) : watched.stream };
   }
 }
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -16,6 +16,8 @@
   /** Predicted as if the runner were as quick as the others. */
   readonly bare: predictions.Prediction;
   readonly waitFactor: number;
+  /** Its first event, were the runner as quick as the others and the wait a long one. */
+  readonly sureMs: number;
   readonly fullness: number;
   readonly rank: number;
 }
@@ -38,7 +40,7 @@
 
   constructor(private readonly teacher: Teacher, private readonly sent: Sent) {
     this.sentAt = sent.sentAt;
-    this.predictedMs = sent.bare.firstMs;
+    this.predictedMs = sent.sureMs;
     // Without a learned pace a plain request predicts nothing that its reply could be compared to.
     if (this.isTelling()) teacher.slowness.sent(sent.runner.id, this);
   }
@@ -75,6 +77,7 @@
     if (this.firstAt === 0 && now - sent.sentAt > sent.bare.firstMs) this.learnWait(now);
     if (ending !== "complete" || this.firstAt === 0) return;
     const streamedMs = now - this.firstAt;
+    if (sent.need.out > 0) teacher.slowness.streamed(sent.runner.id, streamedMs, sent.need.out * pace.tokenMs(sent.fullness));
     if (sent.need.out > 0) pace.learnTokens(sent.fullness, sent.need.out, streamedMs);
     // From the send on only where a place was free: else the wait for it would count as work.
     const heldMs = sent.need.out > 0 && !sent.bare.hasPlace ? streamedMs : now - sent.sentAt;
