--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -114,14 +114,20 @@
     const left = this.timeFor(plan);
     const margin = this.paceOf(plan.service).margin(plan.entry.route.priority ?? 1);
     let leastMs = Infinity;
+    let free: fleets.Runner | null = null;
     for (const runner of sure) {
       const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), margin);
       if (made.neverFits) continue;
       leastMs = Math.min(leastMs, made.endMs);
-      if (made.endMs > left && !(made.hasPlace && this.cells.hasLease(runner))) continue;
-      putFirst(plan, runner);
-      return null;
+      if (made.endMs <= left) {
+        putFirst(plan, runner);
+        return null;
+      }
+      if (made.hasPlace && this.cells.hasLease(runner)) free ??= runner;
     }
+    // Nothing is denied while a place is free, however late it looks.
+    if (free) putFirst(plan, free);
+    if (free) return null;
     // Every runner is too small for it: the chain goes on as before, and the runner itself says so.
     if (leastMs === Infinity) return null;
     return this.isHalfEmpty(sure, plan.now) ? null : this.deny(plan, leastMs);
@@ -136,7 +142,8 @@
     const { route } = plan.entry;
     const isReturning = this.returns.times(plan.returnKey, plan.now) > 0;
     const isHeldBack = this.sizes.of(route.name).isHeldBack(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
-    return isReturning || isHeldBack ? left : left * PARTS[Math.min(PARTS.length - 1, route.priority ?? 1)]!;
+    const part = PARTS[Math.min(PARTS.length - 1, route.priority ?? 1)]!;
+    return left * (isReturning || isHeldBack ? Math.sqrt(part) : part);
   }
 
   /** A runner that handed back a moment ago is full whatever is known of it. */
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -75,9 +75,12 @@
     const pace = teacher.paceOf(sent.service);
     // What ended without a first event waited this long at least.
     if (this.firstAt === 0 && now - sent.sentAt > sent.bare.firstMs) this.learnWait(now);
-    if (ending !== "complete" || this.firstAt === 0) return;
+    if (this.firstAt === 0) return;
     const streamedMs = now - this.firstAt;
-    if (sent.need.out > 0) teacher.slowness.streamed(sent.runner.id, streamedMs, sent.need.out * pace.tokenMs(sent.fullness));
+    const paceMs = sent.need.out * pace.tokenMs(sent.fullness);
+    // A stream cut at its deadline took so long at least.
+    if (ending === "complete" || streamedMs > paceMs) teacher.slowness.streamed(sent.runner.id, streamedMs, paceMs);
+    if (ending !== "complete") return;
     if (sent.need.out > 0) pace.learnTokens(sent.fullness, sent.need.out, streamedMs);
     // From the send on only where a place was free: else the wait for it would count as work.
     const heldMs = sent.need.out > 0 && !sent.bare.hasPlace ? streamedMs : now - sent.sentAt;
