--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -19,7 +19,7 @@
 
 const MOST_SERVICES = 64;
 const MOST_ROUTES = 256;
-/** The part of its time into which a newcomer of rank 0, 1, 2 and on has to fit when no place is free (ours). */
+/** The part of its spare time that a newcomer of rank 0, 1, 2 and on may wait (ours). */
 const PARTS = [1, 0.75, 0.5] as const;
 const LAG_DECAY = 0.5;
 const LEAST_RETRY_S = 0.2;
@@ -111,7 +111,8 @@
       return !runner.isDoubtful(plan.now);
     }
     if (sure.length === 0) return null;
-    const left = this.timeFor(plan);
+    const left = plan.deadline - plan.now;
+    const part = this.partFor(plan);
     const margin = this.paceOf(plan.service).margin(plan.entry.route.priority ?? 1);
     let leastMs = Infinity;
     let free: fleets.Runner | null = null;
@@ -119,7 +120,7 @@
       const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), margin);
       if (made.neverFits) continue;
       leastMs = Math.min(leastMs, made.endMs);
-      if (made.endMs <= left) {
+      if (made.endMs + made.delayMs * (1 / part - 1) <= left) {
         putFirst(plan, runner);
         return null;
       }
@@ -134,16 +135,15 @@
   }
 
   /**
-   * The time that counts. Under shortage a newcomer of a lesser rank has to fit into a part of its time, so that
-   * who came back, and sizes served less often, still find room within what is left to them.
+   * The part of its spare time that a request may wait. The lesser ranks may wait less, so that the queue stays
+   * short enough for who came back, and for sizes served less often, with what time is left to them.
    */
-  private timeFor(plan: plans.Plan): number {
-    const left = plan.deadline - plan.now;
+  private partFor(plan: plans.Plan): number {
     const { route } = plan.entry;
     const isReturning = this.returns.times(plan.returnKey, plan.now) > 0;
     const isHeldBack = this.sizes.of(route.name).isHeldBack(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
     const part = PARTS[Math.min(PARTS.length - 1, route.priority ?? 1)]!;
-    return left * (isReturning || isHeldBack ? Math.sqrt(part) : part);
+    return isReturning || isHeldBack ? Math.sqrt(part) : part;
   }
 
   /** A runner that handed back a moment ago is full whatever is known of it. */
--- a/src/admission/predict.ts
+++ b/src/admission/predict.ts
@@ -29,6 +29,8 @@
 export interface Prediction {
   /** For a place or memory, before any factor. */
   waitMs: number;
+  /** The same as it was judged: by the wait's factor and the runner's slowness. */
+  delayMs: number;
   firstMs: number;
   endMs: number;
   /** A place and its memory are free, and nobody waits. */
@@ -59,5 +61,5 @@
   const endMs = need.out > 0 ? firstMs + known.slow.stream * workMs : firstMs;
   const isMemoryFree = place.kvCapacity === 0 || need.unread + need.out <= place.kvCapacity - place.kvUsed;
   const hasPlace = place.used < place.capacity && place.waiting === 0 && isMemoryFree && known.fullMs === 0;
-  return { waitMs, firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
+  return { waitMs, delayMs: known.slow.first * waitMs * known.waitFactor, firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
 }
