--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -49,7 +49,7 @@
 
 export class Admission implements tickets.Teacher {
   isOn = true;
-  readonly cells = new cells.Cells();
+  readonly cells: cells.Cells;
   readonly slowness = new slowness.Slowness();
   readonly returns = new returns.Returns();
   private readonly paces = new spreads.Bounded<string, paces.Pace>(MOST_SERVICES, newPace);
@@ -58,7 +58,9 @@
   private lagMs = 0;
   private turnedAt = -1;
 
-  constructor(readonly world: types.World, private readonly needs: Needs) {}
+  constructor(readonly world: types.World, private readonly needs: Needs) {
+    this.cells = new cells.Cells(world);
+  }
 
   takeReport(report: schema.CellReport): void {
     this.cells.takeReport(report, this.needs.runners(), this.needs.routers());
@@ -66,6 +68,7 @@
 
   forgetAllBut(standing: { has(id: string): boolean }): void {
     this.slowness.forgetAllBut(standing);
+    this.cells.forgetAllBut(standing);
   }
 
   /** Called every `everyMs`: what comes later than that is this router's own slowness. */
--- a/src/admission/cells.ts
+++ b/src/admission/cells.ts
@@ -1,9 +1,14 @@
 // The runners' reports as rooms of cells, and what this router spent of its parts since (design/admission 4).
 import type * as fleets from "../router/fleet.js";
 import type * as schema from "../wire/schema.js";
+import type * as types from "../wire/types.js";
 import * as rooms from "./room.js";
 
+/** What was reported longer ago says nothing any more (ours). */
+const STALE_MS = 3000;
+
 export interface Reported {
+  at: number;
   waiting: number;
   kvUsed: number;
   kvCapacity: number;
@@ -12,6 +17,7 @@
 }
 
 interface Lease {
+  at: number;
   room: rooms.Room;
   places: number;
   spent: number;
@@ -27,26 +33,36 @@
   private readonly reported = new Map<string, Reported>();
   private readonly leases = new Map<string, Lease>();
 
-  of(runner: fleets.Runner): Reported | undefined {
-    return this.reported.get(runner.id);
+  constructor(private readonly world: types.World) {}
+
+  private isFresh(item: { at: number }): boolean {
+    return this.world.now() - item.at <= STALE_MS;
+  }
+
+  private leaseFor(runner: fleets.Runner): Lease | undefined {
+    const lease = this.leases.get(keyOf(runner));
+    return lease && this.isFresh(lease) ? lease : undefined;
+  }
+
+  forgetAllBut(standing: { has(id: string): boolean }): void {
+    for (const id of this.reported.keys()) if (!standing.has(id)) this.reported.delete(id);
+    for (const [key, lease] of this.leases) if (!this.isFresh(lease)) this.leases.delete(key);
   }
 
   /** Taken after the fleet has taken the same report. */
   takeReport(report: schema.CellReport, runners: Iterable<fleets.Runner>, routers: number): void {
+    const at = this.world.now();
     for (const item of report.reports) {
-      if (item.isSpeaking) this.reported.set(item.id, { waiting: item.waiting, kvUsed: item.kvUsed, kvCapacity: item.kvCapacity, sentTokens: 0 });
+      if (item.isSpeaking) this.reported.set(item.id, { at, waiting: item.waiting, kvUsed: item.kvUsed, kvCapacity: item.kvCapacity, sentTokens: 0 });
     }
     const cells = new Map<string, fleets.Runner[]>();
-    const standing = new Set<string>();
     for (const runner of runners) {
-      standing.add(runner.id);
       if (runner.region !== report.region || !this.reported.has(runner.id)) continue;
       const key = keyOf(runner);
       const cell = cells.get(key) ?? [];
       cell.push(runner);
       cells.set(key, cell);
     }
-    for (const id of this.reported.keys()) if (!standing.has(id)) this.reported.delete(id);
     for (const [key, cell] of cells) this.leases.set(key, this.leaseOf(cell, routers));
   }
 
@@ -59,40 +75,42 @@
     }
     const room = rooms.roomOf(cell.map(this.reportedPlace.bind(this, 0)));
     const part = rooms.partOf(own, all, routers);
-    return { room, places: rooms.leaseOf(room, part), spent: 0, othersPer: (1 / part - 1) / cell.length };
+    return { at: this.world.now(), room, places: rooms.leaseOf(room, part), spent: 0, othersPer: (1 / part - 1) / cell.length };
   }
 
   /** With what the other routers are expected to have sent there since, going by this one's own sends. */
   placeOf(backlogMs: number, runner: fleets.Runner): rooms.Place {
     const place = this.reportedPlace(backlogMs, runner);
-    const lease = this.leases.get(keyOf(runner));
+    const lease = this.leaseFor(runner);
     if (lease) place.used += Math.min(place.capacity, lease.spent * lease.othersPer);
     return place;
   }
 
   reportedPlace(backlogMs: number, runner: fleets.Runner): rooms.Place {
-    const told = this.reported.get(runner.id);
+    const known = this.reported.get(runner.id);
+    const told = known && this.isFresh(known) ? known : undefined;
     return {
-      capacity: runner.instance.capacity, used: runner.usage(), waiting: told?.waiting ?? 0,
+      // What others had there by a report that is stale is not known now.
+      capacity: runner.instance.capacity, used: known && !told ? runner.inflight : runner.usage(), waiting: told?.waiting ?? 0,
       kvUsed: (told?.kvUsed ?? 0) + (told?.sentTokens ?? 0), kvCapacity: told?.kvCapacity ?? 0, backlogMs,
     };
   }
 
   /** A cell that does not report has no lease, and no bound by one. */
   hasLease(runner: fleets.Runner): boolean {
-    const lease = this.leases.get(keyOf(runner));
+    const lease = this.leaseFor(runner);
     return lease === undefined || lease.spent < lease.places;
   }
 
   spend(runner: fleets.Runner, tokens: number): void {
-    const lease = this.leases.get(keyOf(runner));
+    const lease = this.leaseFor(runner);
     if (lease) lease.spent += 1;
     const told = this.reported.get(runner.id);
     if (told) told.sentTokens += tokens;
   }
 
   giveBack(runner: fleets.Runner): void {
-    const lease = this.leases.get(keyOf(runner));
+    const lease = this.leaseFor(runner);
     if (lease) lease.spent = Math.max(0, lease.spent - 1);
   }
 
--- a/tests/admission.test.ts
+++ b/tests/admission.test.ts
@@ -158,6 +158,14 @@
   expect(new paces.Pace().heldMs(true)).toBe(0);
 });
 
+test("reports that stopped deny nobody", async function stale() {
+  const { clock, admission, plan, report } = door();
+  report([4, 4], 20);
+  expect(admission.judge(plan(2))).toMatchObject({ status: 503 });
+  await clock.play(3100);
+  expect(admission.judge(plan(2))).toBeNull();
+});
+
 test("a returning request is let in where a newcomer of its rank is not; only once", () => {
   const { admission, plan, report } = door();
   report([4, 4], 2);
--- a/tests/cli.test.ts
+++ b/tests/cli.test.ts
@@ -23,6 +23,8 @@
   [["check", "config", "package.json"], 1, /revision.*docs\/configuration.md/],
   [["check", "settings", "package.json"], 78, /key=value.*a\.b=value/],
   [["describe", "--control", "127.0.0.1:1"], 3, /does not reply; check that a node runs there/],
+  [["capacity", "--control", "127.0.0.1:1"], 3, /does not reply; check that a node runs there/],
+  [["capacity", "--control", ""], 2, /no address was given; name one/],
   [["status", "--control", ""], 2, /no address was given; name one/],
   [["whatif", "package.json"], 1, /length_s.*docs\/whatif.md/],
   [["ask", "--router", "127.0.0.1:1", "--host", "h", "--path", "/"], 3, /does not reply.*check that a router runs there/],
