--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -190,7 +190,7 @@
       runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predict(plan, runner, slowness.NONE, waitFactor), waitFactor,
       sureMs: this.predict(plan, runner, slowness.NONE, Math.max(waitFactor, pace.margin(rank))).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
-      rank,
+      rank, deadline: plan.deadline,
     });
     this.cells.spend(runner, tokens);
     return ticket;
--- a/src/admission/pace.ts
+++ b/src/admission/pace.ts
@@ -14,6 +14,10 @@
 /** Shorter waits teach nothing of waits. */
 const LEAST_WAIT_MS = 50;
 const LEAST_RECORDS = 20;
+/** One too late weighs as much as so many in time: caution settles where one in a hundred is too late (ours). */
+const MORE_CAUTION = 1.1;
+const LESS_CAUTION = 0.999;
+const MOST_CAUTION = 4;
 const MARGIN_AT = [75, 90, 95] as const;
 
 function stepOf(fullness: number): number {
@@ -26,6 +30,14 @@
   /** Wait seen / wait predicted, by rank: runners let the more urgent in first. */
   private readonly errors = MARGIN_AT.map(newSpread);
 
+  private readonly caution = MARGIN_AT.map(one);
+
+  /** Whether one that had to wait was done by its deadline. */
+  learnOutcome(rank: number, isInTime: boolean): void {
+    const at = classOf(rank);
+    this.caution[at] = Math.min(MOST_CAUTION, Math.max(1, this.caution[at]! * (isInTime ? LESS_CAUTION : MORE_CAUTION)));
+  }
+
   /** From the first event to the end, over the tokens asked for at most. */
   learnTokens(fullness: number, out: number, ms: number): void {
     if (out < 1) return;
@@ -66,7 +78,7 @@
 
   /** What a wait is multiplied by to be judged: the less urgent the rank, the surer it must be. */
   margin(rank: number): number {
-    return this.factor(rank, MARGIN_AT[classOf(rank)]!);
+    return this.caution[classOf(rank)]! * this.factor(rank, MARGIN_AT[classOf(rank)]!);
   }
 
   private factor(rank: number, percent: number): number {
@@ -85,6 +97,10 @@
   return new spreads.Spread(PERCENT);
 }
 
+function one(): number {
+  return 1;
+}
+
 function none(): null {
   return null;
 }
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -20,6 +20,7 @@
   readonly sureMs: number;
   readonly fullness: number;
   readonly rank: number;
+  readonly deadline: number;
 }
 
 export interface Teacher {
@@ -73,6 +74,8 @@
     if (ending === "not_run") return;
     const now = teacher.world.now();
     const pace = teacher.paceOf(sent.service);
+    const isTooLate = ending === "stopped" && now >= sent.deadline;
+    if (isTooLate || (ending === "complete" && sent.bare.waitMs > 0)) pace.learnOutcome(sent.rank, !isTooLate);
     // What ended without a first event waited this long at least.
     if (this.firstAt === 0 && now - sent.sentAt > sent.bare.firstMs) this.learnWait(now);
     if (this.firstAt === 0) return;
