--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -119,7 +119,7 @@
     if (sure.length === 0) return null;
     const left = plan.deadline - plan.now;
     const part = this.partFor(plan);
-    const margin = this.paceOf(plan.service).margin(plan.entry.route.priority ?? 1);
+    const margin = this.paceOf(plan.service).margin(plan.entry.route.priority ?? 1, plan.now);
     let leastMs = Infinity;
     let free: fleets.Runner | null = null;
     for (const runner of sure) {
@@ -188,7 +188,7 @@
     const waitFactor = pace.usualWait(rank);
     const ticket = new tickets.Ticket(this, {
       runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predict(plan, runner, slowness.NONE, waitFactor), waitFactor,
-      sureMs: this.predict(plan, runner, slowness.NONE, Math.max(waitFactor, pace.margin(rank))).firstMs,
+      sureMs: this.predict(plan, runner, slowness.NONE, Math.max(waitFactor, pace.margin(rank, plan.now))).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
       rank, deadline: plan.deadline,
     });
@@ -197,12 +197,13 @@
   }
 
   status(): unknown {
+    const now = this.world.now();
     const services: unknown[] = [];
     for (const [name, pace] of this.paces.entries()) {
       const errors = [0, 1, 2].map(told);
       function told(rank: number): unknown {
         const error = pace.errorOf(rank);
-        return { rank, replies: error.count, p50: error.at(50, 1), p90: error.at(90, 1), p99: error.at(99, 1), margin: pace.margin(rank) };
+        return { rank, replies: error.count, p50: error.at(50, 1), p90: error.at(90, 1), p99: error.at(99, 1), margin: pace.margin(rank, now) };
       }
       services.push({ name, heldMs: pace.heldMs(true), errors });
     }
--- a/src/admission/pace.ts
+++ b/src/admission/pace.ts
@@ -9,10 +9,14 @@
 const PERCENT = 100;
 /** Beyond these an error says that the model does not hold, not that all must be denied or let in. */
 const NO_MARGIN = 1;
+/** Before anything waited, by rank: the less urgent will be overtaken (ours). */
+const FIRST_MARGIN = [1, 1.5, 3] as const;
 const LEAST_MARGIN = 0.05;
 const MOST_MARGIN = 20;
 /** Shorter waits teach nothing of waits. */
-const LEAST_WAIT_MS = 50;
+export const LEAST_WAIT_MS = 50;
+/** So many waiting requests have to be overdue together (ours). */
+const WITNESSES = 3;
 const LEAST_RECORDS = 20;
 /** One too late weighs as much as so many in time: caution settles where one in a hundred is too late (ours). */
 const MORE_CAUTION = 1.1;
@@ -24,6 +28,12 @@
   return Math.min(STEPS - 1, Math.max(0, Math.floor(fullness * (STEPS - 1))));
 }
 
+export interface Open {
+  /** When it would have begun to be worked on, had it not waited. */
+  readonly since: number;
+  readonly waitMs: number;
+}
+
 export class Pace {
   private readonly perToken: (spreads.Spread | null)[] = Array.from({ length: STEPS }, none);
   private readonly held = new spreads.Spread(1);
@@ -32,6 +42,25 @@
 
   private readonly caution = MARGIN_AT.map(one);
 
+  /** Those that still wait, by rank, the longest waiting first. */
+  readonly open = MARGIN_AT.map(newSet);
+
+  openOf(rank: number): Set<Open> {
+    return this.open[classOf(rank)]!;
+  }
+
+  /** What the longest waiting have waited already, over what was predicted: all of them, so that one silent runner is no proof. */
+  private overdue(rank: number, now: number): number {
+    let least = Infinity;
+    let seen = 0;
+    for (const { since, waitMs } of this.openOf(rank)) {
+      least = Math.min(least, (now - since) / waitMs);
+      seen += 1;
+      if (seen === WITNESSES) return Math.min(MOST_MARGIN, least);
+    }
+    return 0;
+  }
+
   /** Whether one that had to wait was done by its deadline. */
   learnOutcome(rank: number, isInTime: boolean): void {
     const at = classOf(rank);
@@ -73,17 +102,18 @@
 
   /** What a wait usually takes of what was predicted. */
   usualWait(rank: number): number {
-    return this.factor(rank, MIDDLE);
+    return this.factor(rank, MIDDLE, NO_MARGIN);
   }
 
   /** What a wait is multiplied by to be judged: the less urgent the rank, the surer it must be. */
-  margin(rank: number): number {
-    return this.caution[classOf(rank)]! * this.factor(rank, MARGIN_AT[classOf(rank)]!);
+  margin(rank: number, now: number): number {
+    const learned = this.caution[classOf(rank)]! * this.factor(rank, MARGIN_AT[classOf(rank)]!, FIRST_MARGIN[classOf(rank)]!);
+    return Math.max(learned, this.overdue(rank, now));
   }
 
-  private factor(rank: number, percent: number): number {
+  private factor(rank: number, percent: number, first: number): number {
     const error = this.errorOf(rank);
-    if (error.count < LEAST_RECORDS) return NO_MARGIN;
+    if (error.count < LEAST_RECORDS) return first;
     return Math.min(MOST_MARGIN, Math.max(LEAST_MARGIN, error.at(percent, NO_MARGIN)));
   }
 }
@@ -97,6 +127,10 @@
   return new spreads.Spread(PERCENT);
 }
 
+function newSet(): Set<Open> {
+  return new Set();
+}
+
 function one(): number {
   return 1;
 }
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -2,7 +2,7 @@
 import type * as fleets from "../router/fleet.js";
 import type * as types from "../wire/types.js";
 import type * as cells from "./cells.js";
-import type * as paces from "./pace.js";
+import * as paces from "./pace.js";
 import type * as predictions from "./predict.js";
 import type * as slowness from "./slowness.js";
 import type * as usuals from "./usual.js";
@@ -38,11 +38,15 @@
   private isOver = false;
   readonly sentAt: number;
   readonly predictedMs: number;
+  private readonly open: paces.Open;
 
   constructor(private readonly teacher: Teacher, private readonly sent: Sent) {
     this.sentAt = sent.sentAt;
     this.predictedMs = sent.sureMs;
     // Without a learned pace a plain request predicts nothing that its reply could be compared to.
+    const { bare } = sent;
+    this.open = { since: sent.sentAt + bare.firstMs - bare.waitMs * sent.waitFactor, waitMs: bare.waitMs };
+    if (bare.waitMs >= paces.LEAST_WAIT_MS) teacher.paceOf(sent.service).openOf(sent.rank).add(this.open);
     if (this.isTelling()) teacher.slowness.sent(sent.runner.id, this);
   }
 
@@ -54,14 +58,14 @@
   first(): void {
     if (this.firstAt > 0 || this.isOver) return;
     this.firstAt = Math.max(this.teacher.world.now(), 1e-9);
+    this.teacher.paceOf(this.sent.service).openOf(this.sent.rank).delete(this.open);
     this.teacher.slowness.replied(this.sent.runner.id, this, this.firstAt);
     this.learnWait(this.firstAt);
   }
 
   private learnWait(now: number): void {
-    const { bare, rank, service, sentAt } = this.sent;
-    const pace = this.teacher.paceOf(service);
-    pace.learnWait(rank, now - sentAt - (bare.firstMs - bare.waitMs * this.sent.waitFactor), bare.waitMs);
+    const pace = this.teacher.paceOf(this.sent.service);
+    pace.learnWait(this.sent.rank, now - this.open.since, this.open.waitMs);
   }
 
   end(ending: Ending): void {
@@ -70,6 +74,7 @@
     this.isOver = true;
     const { sent, teacher } = this;
     teacher.cells.giveBack(sent.runner);
+    teacher.paceOf(sent.service).openOf(sent.rank).delete(this.open);
     if (this.firstAt === 0) teacher.slowness.dropped(sent.runner.id, this);
     if (ending === "not_run") return;
     const now = teacher.world.now();
