Admission: milder first margins, shorter waits for lesser ranks

Cause: a last-rank request was denied with nobody waiting; the first seconds of a surge let in what was overtaken later.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -20,7 +20,7 @@
 const MOST_SERVICES = 64;
 const MOST_ROUTES = 256;
 /** The part of its spare time that a newcomer of rank 0, 1, 2 and on may wait (ours). */
-const PARTS = [1, 0.75, 0.5] as const;
+const PARTS = [1, 0.5, 0.35] as const;
 /** A place is of no use to what would take so many times what it has left (ours). */
 const HOPELESS = 1.2;
 const LAG_DECAY = 0.5;
--- a/src/admission/pace.ts
+++ b/src/admission/pace.ts
@@ -10,7 +10,7 @@
 /** Beyond these an error says that the model does not hold, not that all must be denied or let in. */
 const NO_MARGIN = 1;
 /** Before anything waited, by rank: the less urgent will be overtaken (ours). */
-const FIRST_MARGIN = [1, 1.5, 3] as const;
+const FIRST_MARGIN = [1, 1.25, 1.5] as const;
 const LEAST_MARGIN = 0.05;
 const MOST_MARGIN = 20;
 /** Shorter waits teach nothing of waits. */
