--- /dev/null
+++ b/src/router/account.ts
@@ -0,0 +1,27 @@
+// A router's account of itself for `status` (design 9.1): counters first.
+import * as log from "../startup/log.js";
+import * as vitals from "../startup/vitals.js";
+import * as counts from "../wire/counts.js";
+import type * as schema from "../wire/schema.js";
+import type * as shares from "../shares/shares.js";
+import type * as choosers from "./chooser.js";
+import type * as fleets from "./fleet.js";
+
+export interface Accountable {
+  node: schema.NodeInfo;
+  following: string | null;
+  share: shares.Shares;
+  chooser: choosers.Chooser;
+  fleet: fleets.Fleet;
+  now: number;
+}
+
+export function account(of: Accountable): unknown {
+  const runners: unknown[] = [];
+  for (const runner of of.fleet.all()) runners.push(runner.account(of.now));
+  return {
+    node: of.node, following: of.following, routers: of.share.routers, sharesValid: of.share.isValid(),
+    admission: of.chooser.admission.status(), runners, counters: Object.fromEntries(log.counted()),
+    vitals: vitals.vitals(), links: Object.fromEntries(counts.linkCounts()),
+  };
+}
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,6 +1,7 @@
 // One send to one runner. The point of no return is the send itself: only a reply that says so takes it
 // back (design 7.8).
 import type * as undici from "undici";
+import type * as tickets from "../admission/ticket.js";
 import * as http from "../wire/http.js";
 import * as names from "../wire/names.js";
 import * as types from "../wire/types.js";
@@ -39,6 +40,8 @@
   body: Buffer | null;
   requestId: types.RequestId;
   isStream: boolean;
+  /** What was predicted of it; its reply teaches (design/admission 3). */
+  ticket: tickets.Ticket;
 }
 
 export class Attempt {
@@ -167,6 +170,7 @@
     this.hear();
     if (this.isHandedBack) return true;
     this.time();
+    this.what.ticket.first();
     if (!this.isStreaming && this.what.isStream) {
       this.isStreaming = true;
       this.runner.streaming += 1;
@@ -212,6 +216,7 @@
     this.connecting?.stop();
     this.runner.waitsNoMore(this);
     this.runner.inflight -= 1;
+    this.what.ticket.end(ending === "complete" ? "complete" : ending === "broken" ? "stopped" : "not_run");
     if (this.isStreaming) this.runner.streaming -= 1;
     if (!isClean) this.abortSend?.();
     this.runner.connections.give(this.connection, isClean, this.head?.headers.get("keep-alive"));
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -110,6 +110,16 @@
     for (const item of report.reports) this.runners.get(item.id)?.reported(item, this.world.now());
   }
 
+  /** What was told last of each runner of a region that reports and speaks. */
+  reportsOf(region: string): schema.Report[] {
+    const reports: schema.Report[] = [];
+    for (const runner of this.runners.values()) {
+      const { id, isSpeaking, waiting, active, kvUsed, kvCapacity } = runner;
+      if (runner.region === region && isSpeaking && kvCapacity > 0) reports.push({ id, isSpeaking, waiting, active, kvUsed, kvCapacity });
+    }
+    return reports;
+  }
+
   regionFor(id: types.RunnerId): string {
     return this.runners.get(id)?.region ?? "";
   }
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -1,5 +1,6 @@
 // A request as the router holds it, and what its transaction needs from around it (design 7.1).
 import type * as nodeHttp from "node:http";
+import type * as tickets from "../admission/ticket.js";
 import type * as routes from "../config/routes.js";
 import type * as types from "../wire/types.js";
 import type * as attempts from "./attempt.js";
@@ -15,6 +16,7 @@
   parts: plans.Part[];
   keys: number[];
   deadline: number;
+  asked: plans.Asked;
   body: Buffer | null;
 }
 
@@ -28,10 +30,10 @@
 }
 
 /** The request as a runner gets it: method, path and body unchanged, headers by the rules (design 7.7). */
-export function sendable(request: Request, incoming: nodeHttp.IncomingMessage, sending: headers.Sending): attempts.Sendable {
+export function sendable(request: Request, incoming: nodeHttp.IncomingMessage, sending: headers.Sending, ticket: tickets.Ticket): attempts.Sendable {
   const { method, url, rawHeaders, headers: parsed } = incoming;
   return {
     method: method ?? "GET", path: url ?? "/", headers: headers.forRunner(rawHeaders, parsed.connection, sending),
-    body: request.body, requestId: request.requestId, isStream: request.entry.route.route_type === "streaming",
+    body: request.body, requestId: request.requestId, isStream: request.entry.route.route_type === "streaming", ticket,
   };
 }
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -30,7 +30,12 @@
   private ids = new Map<string, types.RunnerId>();
   private readonly followed = new Map<string, Followed>();
 
-  constructor(private readonly world: types.World, private readonly fleet: fleets.Fleet, ownRegion: string) {
+  constructor(
+    private readonly world: types.World,
+    private readonly fleet: fleets.Fleet,
+    ownRegion: string,
+    private readonly onPeriod: (region: string) => void,
+  ) {
     this.interest = new interests.Interest(world, ownRegion);
   }
 
@@ -93,6 +98,7 @@
         followed.movedAt = now;
         if (followed.isStale) this.takeItems(region, mirror.bodies(topic));
         for (const runner of this.in(region)) runner.rebase();
+        this.onPeriod(region);
       }
       this.mark(region, followed, now - followed.movedAt > summaries.STALE_MS);
       if (followed.isStale) for (const runner of this.in(region)) runner.fade(FADE);
--- a/tests/sim/usage.ts
+++ b/tests/sim/usage.ts
@@ -81,7 +81,7 @@
 
   constructor(system: System, region: string) {
     this.fleet = new fleets.Fleet(system.clock, new Map(system.regions.map(({ name }) => [name, name])));
-    this.reader = new readers.Reader(system.clock, this.fleet, region);
+    this.reader = new readers.Reader(system.clock, this.fleet, region, () => undefined);
     this.fleet.takeList(system.instances());
     this.made = new links.SimRouter(system.clock, region);
     this.made.topics = this.reader.topics();
