--- a/src/config/parts.ts
+++ b/src/config/parts.ts
@@ -1,4 +1,4 @@
-// The register's value in parts, as it is pushed to routers (docs/design/parts.md 4): an item for each route, service
+// The register's value in parts, as it is pushed to routers (design/parts 4): an item for each route, service
 // and other field, so that one changed route costs one item on the way and one parse at a router.
 import * as registers from "../register/value.js";
 import type * as mirrors from "../feed/mirror.js";
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -21,7 +21,7 @@
   return { status: 200, json: { addresses, ttl_s: Math.min(TTL_S, view.ttlMostS) } };
 }
 
-/** Routers that are surely alive go before those that are only believed to be (design members 5). */
+/** Routers that are surely alive go before those that are only believed to be (design/members 5). */
 export function nearest(routers: readonly doubts.Seen[], region: string, zone: string): schema.NodeInfo[] {
   const ready = routers.filter(isReady);
   // A known router that is not ready beats an empty reply.
--- a/src/control/doubt.ts
+++ b/src/control/doubt.ts
@@ -1,4 +1,4 @@
-// A view that shrinks by much at once is doubted before it is believed (design members 5).
+// A view that shrinks by much at once is doubted before it is believed (design/members 5).
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
--- a/src/control/list.ts
+++ b/src/control/list.ts
@@ -1,4 +1,4 @@
-// The platform's list as control nodes hold and tell it: an item for each instance (docs/design/parts.md 6).
+// The platform's list as control nodes hold and tell it: an item for each instance (design/parts 6).
 import * as feeds from "../feed/feed.js";
 import * as keyed from "../feed/keyed.js";
 import * as schema from "../wire/schema.js";
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -1,5 +1,5 @@
 // A control node's roster and its differences: siblings hear what changed, and a gap asks for the whole
-// (design members 1).
+// (design/members 1).
 import * as schema from "../wire/schema.js";
 import * as shares from "../shares/shares.js";
 
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -1,5 +1,5 @@
 // A node is a member while its session with a control node stands; siblings tell theirs, by differences
-// (design 4.1, design members 1).
+// (design 4.1, design/members 1).
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
@@ -96,7 +96,7 @@
     this.places.delete(from);
   }
 
-  /** With each beat, to each sibling: what changed since it was told last (design members 1). */
+  /** With each beat, to each sibling: what changed since it was told last (design/members 1). */
   tellSiblings(self: schema.NodeInfo, siblings: Iterable<link.Link>, controls: schema.ControlInfo[]): void {
     const nodes = [self];
     for (const session of this.own.values()) if (session.node.role === "router") nodes.push(this.seen(session));
@@ -157,7 +157,7 @@
     return [...all.values()].sort(byName);
   }
 
-  /** The routers as believed (design members 5), by name; made anew when something changed or 100 ms passed. */
+  /** The routers as believed (design/members 5), by name; made anew when something changed or 100 ms passed. */
   routers(): doubts.Seen[] {
     const now = this.world.now();
     if (this.viewAt >= 0 && now - this.viewAt < VIEW_MS) return this.view;
@@ -175,7 +175,7 @@
     return session.link.silentMs() > MISSED_MS ? { ...session.node, isReady: false } : session.node;
   }
 
-  /** A beat to each own member, with its place among the routers: the base of its shares (design 8.1). */
+  /** A beat to each own member, with the number of routers: connections and rooms are split by it (design 7.6). */
   tellBeats(base: Omit<schema.Beat, "index" | "members">): void {
     const routers = this.members("router");
     const places = new Map<string, number>();
--- a/src/control/watcher.ts
+++ b/src/control/watcher.ts
@@ -94,7 +94,7 @@
     for (const control of this.dial.controls.values()) void this.tell(control, told);
   }
 
-  /** What changed, also when that is nothing: siblings hear that the list is read (docs/design/parts.md 6). */
+  /** What changed, also when that is nothing: siblings hear that the list is read (design/parts 6). */
   private async tell(control: dialer.Control, told: schema.Change): Promise<void> {
     const reply = await control.link.call(calls.instances, told, CALL_MS);
     if (!reply || reply.digest === told.digest) return;
--- a/src/experiment/changes.ts
+++ b/src/experiment/changes.ts
@@ -1,4 +1,4 @@
-// The operator of an experiment: one change after the other, each on top of the one before (design 13.3).
+// The operator of an experiment: one change after the other, each on top of the one before (design/experiment 3).
 import * as client from "../cli/client.js";
 import * as errors from "../startup/errors.js";
 import * as types from "../wire/types.js";
--- a/src/experiment/clock.ts
+++ b/src/experiment/clock.ts
@@ -1,5 +1,5 @@
 // The machine's steady clock, the same in all of its processes, for measuring between them alone; and a world
-// whose chance comes from a seed (design 13.3).
+// whose chance comes from a seed (design/experiment 3).
 import * as world from "../wire/world.js";
 
 const NANOSECONDS = 1_000_000n;
--- a/src/experiment/command.ts
+++ b/src/experiment/command.ts
@@ -1,4 +1,4 @@
-// The commands `experiment` and `experiment sweep` (design 13.1).
+// The commands `experiment` and `experiment sweep` (design/experiment 1).
 import * as fs from "node:fs";
 import * as commander from "commander";
 import * as commands from "../cli/commands.js";
--- a/src/experiment/crew.ts
+++ b/src/experiment/crew.ts
@@ -1,4 +1,4 @@
-// The processes of an experiment: each is started here, known by its handle, and ended by it (design 13.2).
+// The processes of an experiment: each is started here, known by its handle, and ended by it (design/experiment 2).
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as path from "node:path";
--- a/src/experiment/hosts.ts
+++ b/src/experiment/hosts.ts
@@ -1,5 +1,5 @@
 // What a run asks of the processes that hold hollow nodes, whether they are processes of their own or, in
-// tests, this one (design 13.2).
+// tests, this one (design/experiment 2).
 import type * as platforms from "../standin/platform.js";
 import type * as types from "../wire/types.js";
 import * as routers from "./routers.js";
--- a/src/experiment/layout.ts
+++ b/src/experiment/layout.ts
@@ -1,4 +1,4 @@
-// Where the nodes of an experiment stand on loopback, their settings, and the configuration (design 13.2).
+// Where the nodes of an experiment stand on loopback, their settings, and the configuration (design/experiment 2).
 import * as path from "node:path";
 import type * as platforms from "../standin/platform.js";
 import * as shares from "../shares/shares.js";
--- a/src/experiment/losses.ts
+++ b/src/experiment/losses.ts
@@ -1,5 +1,5 @@
 // A control node is lost: how long until all routers that followed it follow another, and how many dial at
-// once meanwhile and at its return (design 13.3).
+// once meanwhile and at its return (design/experiment 3).
 import * as routers from "./routers.js";
 import * as rows from "./rows.js";
 
--- a/src/experiment/options.ts
+++ b/src/experiment/options.ts
@@ -1,4 +1,4 @@
-// What an experiment is asked for, checked before anything starts (design 13.1).
+// What an experiment is asked for, checked before anything starts (design/experiment 1).
 import * as os from "node:os";
 import * as result from "true-myth/result";
 import * as superstruct from "superstruct";
--- a/src/experiment/panels.ts
+++ b/src/experiment/panels.ts
@@ -1,4 +1,4 @@
-// What a sweep's sheet shows (design 13.4).
+// What a sweep's sheet shows (design/experiment 4).
 import type * as plot from "./plot.js";
 import * as rows from "./rows.js";
 
--- a/src/experiment/plot.ts
+++ b/src/experiment/plot.ts
@@ -1,4 +1,4 @@
-// Plots of a sweep as SVG. The library is a development dependency, loaded when a plot is asked for (design 13.4).
+// Plots of a sweep as SVG. The library is a development dependency, loaded when a plot is asked for (design/experiment 4).
 import type * as vega from "vega";
 import type * as vegaLite from "vega-lite";
 import * as errors from "../startup/errors.js";
--- a/src/experiment/routers.ts
+++ b/src/experiment/routers.ts
@@ -1,4 +1,4 @@
-// Hollow routers: whole router programs without clients, many in one process (design 13.2).
+// Hollow routers: whole router programs without clients, many in one process (design/experiment 2).
 import * as router from "../router/program.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
--- a/src/experiment/rows.ts
+++ b/src/experiment/rows.ts
@@ -1,4 +1,4 @@
-// The measured rows, their files, and the slopes fitted to them (design 13.3).
+// The measured rows, their files, and the slopes fitted to them (design/experiment 3).
 import * as csv from "csv-stringify/sync";
 import * as statistics from "simple-statistics";
 import type * as experiment from "./options.js";
--- a/src/experiment/run.ts
+++ b/src/experiment/run.ts
@@ -1,5 +1,5 @@
 // One run: the nodes come up, settle, are measured over a window of changes, and may lose a control node
-// (design 13.2, 13.3). It is bounded by time and ends what it started.
+// (design/experiment 2, 3). It is bounded by time and ends what it started.
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as client from "../cli/client.js";
--- a/src/experiment/runners.ts
+++ b/src/experiment/runners.ts
@@ -1,5 +1,5 @@
 // Hollow runners: reports and health answers without work, all behind one process, and the platform that lists
-// them. Each report differs from the one before, as those of busy runners do (design 13.2).
+// them. Each report differs from the one before, as those of busy runners do (design/experiment 2).
 import * as nodeHttp from "node:http";
 import * as net from "node:net";
 import * as platforms from "../standin/platform.js";
--- a/src/experiment/sweep.ts
+++ b/src/experiment/sweep.ts
@@ -1,4 +1,4 @@
-// Runs one after the other over the places of a plan (design 13.4).
+// Runs one after the other over the places of a plan (design/experiment 4).
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
--- a/src/experiment/window.ts
+++ b/src/experiment/window.ts
@@ -1,4 +1,4 @@
-// Two readings of a process and the row that lies between them (design 13.3).
+// Two readings of a process and the row that lies between them (design/experiment 3).
 import type * as vitals from "../startup/vitals.js";
 import type * as counts from "../wire/counts.js";
 import type * as rows from "./rows.js";
--- a/src/experiment/worker.ts
+++ b/src/experiment/worker.ts
@@ -1,5 +1,5 @@
 // A process that holds hollow nodes: orders come by the channel from the process that started it, and it ends
-// with that (design 13.2).
+// with that (design/experiment 2).
 import * as clock from "./clock.js";
 import * as hosts from "./hosts.js";
 
--- a/src/feed/cuts.ts
+++ b/src/feed/cuts.ts
@@ -1,4 +1,4 @@
-// Which regions are cut off from a router that holds sessions with a few control nodes alone (design members 4).
+// Which regions are cut off from a router that holds sessions with a few control nodes alone (design/members 4).
 import * as link from "../wire/link.js";
 import * as types from "../wire/types.js";
 import type * as dialers from "./dialer.js";
--- a/src/feed/digest.ts
+++ b/src/feed/digest.ts
@@ -1,4 +1,4 @@
-// A hash of key and body in two lanes of 32 bits (docs/design/parts.md 2): it proves that two sides hold the same,
+// A hash of key and body in two lanes of 32 bits (design/parts 2): it proves that two sides hold the same,
 // against lost and mixed-up changes, not against malice.
 
 const FIRST_LANE = 0x9e3779b1;
--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -1,4 +1,4 @@
-// The keyed feed, publisher's side (design 6.4, docs/design/parts.md 1). The state is divided into topics, a topic
+// The keyed feed, publisher's side (design 6.4, design/parts 1). The state is divided into topics, a topic
 // holds items (key -> body), and each follower gets the items of the topics that it follows, as they change.
 //
 //   publish(topic, items, stamp)   the whole topic; only what differs gets a new number and travels
--- a/src/feed/few.ts
+++ b/src/feed/few.ts
@@ -1,4 +1,4 @@
-// Which few control nodes a router holds sessions with, and when it dials or releases one (design members 2, 3).
+// Which few control nodes a router holds sessions with, and when it dials or releases one (design/members 2, 3).
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import * as shares from "../shares/shares.js";
@@ -35,7 +35,7 @@
   region: string;
 }
 
-/** Weighted rendezvous: the place with the highest score; each gets its part by weight (design members 2). */
+/** Weighted rendezvous: the place with the highest score; each gets its part by weight (design/members 2). */
 function scoreOf(self: Self, place: Place, weight: number): number {
   const part = (shares.hash(`${self.name}\n${place.address}`) + 0.5) / 2 ** 32;
   return -weight / Math.log(part);
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -1,4 +1,4 @@
-// The router's side of the feed (design 6.4, docs/design/parts.md 3): one control node followed for the items of all
+// The router's side of the feed (design 6.4, design/parts 3): one control node followed for the items of all
 // wanted topics, the others for notices of the register alone. A notice of more than the main one brings in time is
 // asked for where it came from; never backwards.
 import * as calls from "../wire/calls.js";
--- a/src/feed/keyed.ts
+++ b/src/feed/keyed.ts
@@ -1,4 +1,4 @@
-// Keyed items of one topic with a digest that costs only what changes (docs/design/parts.md 2).
+// Keyed items of one topic with a digest that costs only what changes (design/parts 2).
 import * as zlib from "node:zlib";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
--- a/src/feed/mirror.ts
+++ b/src/feed/mirror.ts
@@ -1,4 +1,4 @@
-// The keyed feed, follower's side (docs/design/parts.md 1.4): what is held of each topic. A change becomes visible
+// The keyed feed, follower's side (design/parts 1.4): what is held of each topic. A change becomes visible
 // whole or not at all, after its digest has proved it, whichever source it comes from.
 //
 //   take(change) -> applied (what changed and what is gone, also for a view), known, stale, gap, mismatch
--- a/src/router/cohort.ts
+++ b/src/router/cohort.ts
@@ -1,5 +1,5 @@
 // The runners of one service in one cell, compared with each other: what most of them show is no fault of one
-// (design "status" 4, 5).
+// (design/status 4, 5).
 import type * as outcomes from "./outcomes.js";
 
 /** At most this part of a cohort is ejected by outcomes, and never the last one. */
--- a/src/router/idle.ts
+++ b/src/router/idle.ts
@@ -1,4 +1,4 @@
-// How long a kept connection may have been idle (design 7.13): what runners tell, and what is learned a service
+// How long a kept connection may have been idle (design/edge 7.13): what runners tell, and what is learned a service
 // from connections that were forgotten sooner.
 import * as log from "../startup/log.js";
 import type * as types from "../wire/types.js";
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -175,7 +175,7 @@
     if (feeds.isListTopic(topic)) this.fleet.forget(keys);
   }
 
-  /** An epoch is taken whole, between two requests (docs/design/parts.md 4). */
+  /** An epoch is taken whole, between two requests (design/parts 4). */
   private takeRegister(applied: mirrors.Applied): void {
     const wasReady = this.isReady();
     const { config } = this;
--- a/src/router/proper.ts
+++ b/src/router/proper.ts
@@ -1,4 +1,4 @@
-// What is no proper request, beyond what the parser denies, is told before its body is read (design 7.12).
+// What is no proper request, beyond what the parser denies, is told before its body is read (design/edge 7.12).
 import type * as nodeHttp from "node:http";
 import type * as net from "node:net";
 import * as log from "../startup/log.js";
--- a/src/router/signs.ts
+++ b/src/router/signs.ts
@@ -1,4 +1,4 @@
-// What may be seen of a runner by one request, and what it weighs (design "status" 2).
+// What may be seen of a runner by one request, and what it weighs (design/status 2).
 /** What may be seen of a request that went wrong; the weights are ours. */
 export type Sign =
   | "error" // a failure of the runner's own
--- a/src/router/standing.ts
+++ b/src/router/standing.ts
@@ -1,4 +1,4 @@
-// Where a runner stands for one request, from all signs of it together (design "status" 6).
+// Where a runner stands for one request, from all signs of it together (design/status 3, 6).
 import type * as types from "../wire/types.js";
 import type * as fleets from "./fleet.js";
 import * as rotations from "./rotation.js";
--- a/src/router/topics.ts
+++ b/src/router/topics.ts
@@ -1,4 +1,4 @@
-// Which lists this router follows (docs/design/parts.md 3): all that its settings and routes may need.
+// Which lists this router follows (design/parts 3): all that its settings and routes may need.
 import * as feeds from "../feed/feed.js";
 
 /** Regions whose runners this router may need; all that the settings know, until a narrower choice is proved right. */
--- a/src/shares/shares.ts
+++ b/src/shares/shares.ts
@@ -1,4 +1,4 @@
-// A router's side of the bounds of the whole system (design/shares): its own ratio of further tries is earned
+// A router's side of the bounds of the whole system (design/shares 3.6, 4): its own ratio of further tries is earned
 // by its own requests, all else is leased from owners. A process that is new or cut off has no leases.
 import * as leaseSchema from "../wire/lease-schema.js";
 import * as types from "../wire/types.js";
--- a/src/whatif/owner.ts
+++ b/src/whatif/owner.ts
@@ -1,4 +1,4 @@
-// One owner of all bounds for the routers of a simulated day (design/shares, design 11.2).
+// One owner of all bounds for the routers of a simulated day (design/shares 3, design 11.2).
 import * as registers from "../register/value.js";
 import * as leaseSchema from "../wire/lease-schema.js";
 import * as types from "../wire/types.js";
--- a/src/wire/release.ts
+++ b/src/wire/release.ts
@@ -1,4 +1,4 @@
-// The first bytes of a link tell the release of its frames' layout (design 3.4). Their own layout never changes:
+// The first bytes of a link tell the release of its frames' layout (design/edge 3.4). Their own layout never changes:
 // four bytes of magic, then the release as u32, big-endian.
 import type * as net from "node:net";
 import * as errors from "../startup/errors.js";
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -3,7 +3,7 @@
 import type * as types from "./types.js";
 import * as avscTypes from "avsc/lib/types.js"; // its types alone: containers and services would only slow a start
 
-/** The release of the frames' layout. Add one with any change to a message or its code (design 3.4). */
+/** The release of the frames' layout. Add one with any change to a message or its code (design/edge 3.4). */
 export const RELEASE = 1;
 
 export function record<T>(name: string, fields: { name: string; type: unknown; default?: unknown }[]): Schema<T> {
@@ -106,7 +106,7 @@
   { name: "node", type: nodeType }, { name: "controls", type: controlsType }, { name: "place", type: "string" },
 ]);
 
-/** silentRegions: of these the teller hears no control node now (design members 4). */
+/** silentRegions: of these the teller hears no control node now (design/members 4). */
 export interface Beat { isReady: boolean; epoch: types.Epoch; isSettled: boolean; index: number; members: number; silentRegions: string[] }
 export const beat = record<Beat>("Beat", [
   { name: "isReady", type: "boolean" }, { name: "epoch", type: "long" }, { name: "isSettled", type: "boolean" },
@@ -151,7 +151,7 @@
 export interface Chosen { value: Value | null }
 export const chosen = record<Chosen>("Chosen", [{ name: "value", type: ["null", valueType] }]);
 
-/** mode: items, notices, once or none (docs/design/parts.md 1.3). */
+/** mode: items, notices, once or none (design/parts 1.3). */
 export interface Wanted { topic: string; mode: string; from: number; digest: types.Digest }
 export interface Follow { place: string; topics: Wanted[] }
 export const follow = record<Follow>("Follow", [
--- a/src/wire/types.ts
+++ b/src/wire/types.ts
@@ -6,7 +6,7 @@
 export type SteadyMs = Small<number, "SteadyMs">;
 export type RunnerId = Small<string, "RunnerId">;
 export type RequestId = Small<string, "RequestId">;
-/** Of all items of a topic, whatever their order (docs/design/parts.md 2). */
+/** Of all items of a topic, whatever their order (design/parts 2). */
 export type Digest = Small<string, "Digest">;
 /** Of an item or topic: an epoch or a time of reading, as its source says. */
 export type Stamp = Small<number, "Stamp">;
--- a/tests/config-parts.test.ts
+++ b/tests/config-parts.test.ts
@@ -1,4 +1,4 @@
-// The configuration in parts: one changed route is one item on the way and one parse (docs/design/parts.md 4).
+// The configuration in parts: one changed route is one item on the way and one parse (design/parts 4).
 import * as check from "../src/config/check.js";
 import * as parts from "../src/config/parts.js";
 import * as routes from "../src/config/routes.js";
--- a/tests/counts.test.ts
+++ b/tests/counts.test.ts
@@ -1,4 +1,4 @@
-// The counters of links by kind of frame (design 9.1, 13.3).
+// The counters of links by kind of frame (design 9.1, design/experiment 3).
 import * as net from "node:net";
 import * as calls from "../src/wire/calls.js";
 import * as counts from "../src/wire/counts.js";
--- a/tests/edge.test.ts
+++ b/tests/edge.test.ts
@@ -1,4 +1,4 @@
-// The table of conformance at the edge: raw bytes in, what a client is told, what reaches a runner (design 7.12).
+// The table of conformance at the edge: raw bytes in, what a client is told, what reaches a runner (design/edge 7.12).
 import * as world from "../src/wire/world.js";
 import * as edges from "./sim/edge.js";
 
--- a/tests/experiment.test.ts
+++ b/tests/experiment.test.ts
@@ -1,4 +1,4 @@
-// The experiment tool: what it refuses, what it writes, and a small run that ends by itself (design 13).
+// The experiment tool: what it refuses, what it writes, and a small run that ends by itself (design/experiment).
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -1,4 +1,4 @@
-// Routers and five control nodes over simulated links: who is held, lost, replaced, told (design members).
+// Routers and five control nodes over simulated links: who is held, lost, replaced, told (design/members).
 import * as schema from "../src/wire/schema.js";
 import * as types from "../src/wire/types.js";
 import * as fleets from "./sim/fleet.js";
--- a/tests/idle.test.ts
+++ b/tests/idle.test.ts
@@ -1,4 +1,4 @@
-// Kept connections and their idle times (design 7.13): told, learned, forgotten; time is simulated.
+// Kept connections and their idle times (design/edge 7.13): told, learned, forgotten; time is simulated.
 import * as connections from "../src/router/connections.js";
 import * as idle from "../src/router/idle.js";
 import * as edges from "./sim/edge.js";
--- a/tests/members.test.ts
+++ b/tests/members.test.ts
@@ -1,4 +1,4 @@
-// Rosters told by differences, the few control nodes of a router, cut regions, doubted views (design members).
+// Rosters told by differences, the few control nodes of a router, cut regions, doubted views (design/members).
 import * as doubts from "../src/control/doubt.js";
 import * as directory from "../src/control/directory.js";
 import * as rosters from "../src/control/roster.js";
--- a/tests/outcomes.test.ts
+++ b/tests/outcomes.test.ts
@@ -1,4 +1,4 @@
-// Status of runners from outcomes (design "status"): seeded plays of grey, lying, flapping and half reachable runners.
+// Status of runners from outcomes (design/status): seeded plays of grey, lying, flapping and half reachable runners.
 import * as cohorts from "../src/router/cohort.js";
 import * as outcomes from "../src/router/outcomes.js";
 import * as signs from "../src/router/signs.js";
--- a/tests/parts-fuzz.test.ts
+++ b/tests/parts-fuzz.test.ts
@@ -1,5 +1,5 @@
 // Random changes, lost frames, garbled digests, cut links, moves between control nodes and their restarts: a router
-// always holds what some control node had at that epoch, never goes back, and ends at the newest (docs/design/parts.md 5).
+// always holds what some control node had at that epoch, never goes back, and ends at the newest (design/parts 1, 4).
 import * as feeds from "../src/feed/feed.js";
 import * as links from "./sim/links.js";
 import * as sim from "./sim/world.js";
--- a/tests/parts.test.ts
+++ b/tests/parts.test.ts
@@ -1,4 +1,4 @@
-// The keyed feed: only what changes travels, nothing unproved is seen, nothing goes back (docs/design/parts.md 1-3).
+// The keyed feed: only what changes travels, nothing unproved is seen, nothing goes back (design/parts 1-3).
 import * as feeds from "../src/feed/feed.js";
 import * as keyed from "../src/feed/keyed.js";
 import * as mirrors from "../src/feed/mirror.js";
--- a/tests/release.test.ts
+++ b/tests/release.test.ts
@@ -1,4 +1,4 @@
-// Links between builds of different releases (design 3.4): told apart, denied with the reason, counted.
+// Links between builds of different releases (design/edge 3.4): told apart, denied with the reason, counted.
 import * as crypto from "node:crypto";
 import * as net from "node:net";
 import * as log from "../src/startup/log.js";
