--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -1,7 +1,6 @@
 // The router role put together: the only way to the runners, with no persistent state (design 7).
 import * as crypto from "node:crypto";
 import * as calls from "../wire/calls.js";
-import * as counts from "../wire/counts.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
@@ -9,7 +8,6 @@
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
 import * as parts from "../config/parts.js";
-import * as vitals from "../startup/vitals.js";
 import * as directory from "../control/directory.js";
 import * as cuts from "../feed/cuts.js";
 import * as dialers from "../feed/dialer.js";
@@ -21,6 +19,7 @@
 import * as tellers from "../signs/teller.js";
 import * as supervisor from "../supervisor/tree.js";
 import * as usages from "../usage/reader.js";
+import * as accounts from "./account.js";
 import * as choosers from "./chooser.js";
 import * as fleets from "./fleet.js";
 import * as leases from "./leases.js";
@@ -73,13 +72,14 @@
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this.topics.bind(this), this);
     this.borrower = new leases.Borrower(clock, this.life, this.dial, this.share);
     this.dial.know(settings.innerSeeds(startup));
-    this.usage = new usages.Reader(clock, this.fleet, startup.region);
+    this.usage = new usages.Reader(clock, this.fleet, startup.region, this.reported.bind(this));
     this.teller = new tellers.Teller(clock, this.usage.marks, this, this.tellSigns.bind(this));
     const { teller, dial } = this;
     this.handlers.on(calls.controls, function learn(_from, told) {
       dial.learn(told.controls);
       return null;
     });
+    this.chooser.admission.isOn = startup.admission === "on";
     this.handlers.on(calls.signs, function signs(_from, told) {
       teller.hear(told);
       return null;
@@ -118,6 +118,7 @@
   }
 
   private watch(): void {
+    this.chooser.admission.turn(WATCH_MS);
     this.dial.turn();
     this.follower.elect();
     this.follower.narrow();
@@ -174,7 +175,7 @@
     if (feeds.isListTopic(topic)) this.fleet.forget(keys);
   }
 
-  /** An epoch is taken whole, between two requests (docs/design/parts.md 4). */
+  /** An epoch is taken whole, between two requests (design/parts 4). */
   private takeRegister(applied: mirrors.Applied): void {
     const wasReady = this.isReady();
     const { config } = this;
@@ -194,7 +195,10 @@
     const changed: schema.Instance[] = [];
     for (const body of applied.changed.values()) changed.push(schema.listed.fromBuffer(body).instance);
     this.fleet.takeChanges(changed, applied.gone);
-    if (applied.gone.length > 0) this.known.forgetAllBut(this.fleet);
+    if (applied.gone.length > 0) {
+      this.known.forgetAllBut(this.fleet);
+      this.chooser.admission.forgetAllBut(this.fleet);
+    }
     // The first lists of all regions count together; later a region may come in while this router serves.
     this.hasLists ||= this.follower.hasAll(feeds.isListTopic);
     if (this.turnedReady(wasReady)) this.beat();
@@ -206,22 +210,22 @@
     return true;
   }
 
+  /** A period of a region's reports is whole. */
+  private reported(region: string): void {
+    this.chooser.admission.takeReport({ region, reports: this.fleet.reportsOf(region) });
+  }
+
   /** Settings read again: seeds and bounds take effect; addresses of its own do not. */
   resettle(startup: settings.Settings): void {
     this.startup = startup;
     this.dial.know(settings.innerSeeds(startup));
     this.share.resettle(startup.bounds);
+    this.chooser.admission.isOn = startup.admission === "on";
     log.state("settings: read again");
   }
 
   private status(): unknown {
-    const runners: unknown[] = [];
-    for (const runner of this.fleet.all()) runners.push(runner.account(this.clock.now()));
-    return {
-      node: this.describe(), following: this.follower.main?.node.name ?? null, routers: this.share.routers,
-      sharesValid: this.share.isValid(), runners, counters: Object.fromEntries(log.counted()),
-      vitals: vitals.vitals(), links: Object.fromEntries(counts.linkCounts()),
-    };
+    return accounts.account({ node: this.describe(), following: this.standing().following, share: this.share, chooser: this.chooser, fleet: this.fleet, now: this.clock.now() });
   }
 
   /** What it goes by now, for watchers in the same process (docs/experiment.md). */
--- a/tests/sim/runners.ts
+++ b/tests/sim/runners.ts
@@ -149,7 +149,7 @@
         tried.add(runner.id);
         if ((ending === "not_sent" || ending === "handed_back" || (ending === "broken" && entry.isRepeatable)) && tried.size < 3) this.send(from, type, id, tried);
       },
-    }, { method: "POST", path: "/", headers: [], body: null, requestId: types.small(id), isStream });
+    }, { method: "POST", path: "/", headers: [], body: null, requestId: types.small(id), isStream, ticket: choice.ticket });
     attempt.start(request.parts[1]!.tokens);
     this.world.after(answer === "hang" ? 2000 : 20_000, () => attempt.cancel());
   }
