Readings ahead explain a pause: no sign of a fault from them; one silence is one sign

Each further look at a silent request also counted anew. Change: a runner is loaded also while readings known to be ahead last, and silence of a loaded one is no sign; a request counts its runner's silence once.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -159,9 +159,9 @@
     this.pieces += 1;
     if (this.pieces === 1) {
       this.firstAt = heardAt;
-      runner.outcomes.took(this.work(), this.tokens, heardAt - this.startedAt, heardAt, runner.isLoaded());
+      runner.outcomes.took(this.work(), this.tokens, heardAt - this.startedAt, heardAt, runner.isLoaded(heardAt));
     } else if (this.what.isStream && this.pieces === GAP_PIECES + 1) {
-      runner.outcomes.took("gap", 0, (heardAt - this.firstAt) / GAP_PIECES, heardAt, runner.isLoaded());
+      runner.outcomes.took("gap", 0, (heardAt - this.firstAt) / GAP_PIECES, heardAt, runner.isLoaded(heardAt));
     }
   }
 
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -124,6 +124,11 @@
     return this.runners.get(id)?.region ?? "";
   }
 
+  /** A long reading was sent to a runner; milliseconds. */
+  reads(id: types.RunnerId, ms: number): void {
+    this.runners.get(id)?.reads(ms, this.world.now());
+  }
+
   takeDoubt(ids: readonly string[]): void {
     for (const id of ids) this.runners.get(id)?.outcomes.told(this.world.now());
   }
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -139,7 +139,7 @@
     if (request.parts.length === 0) return 0;
     const unread = Math.round(this.known.unread(runner, request.parts, request.keys));
     const kept = this.known.keptParts(runner, request.keys);
-    this.known.note(runner, unread, request.keys, this.clock.now());
+    this.read(runner, unread, request.keys);
     if (unread >= TOLD_TOKENS) this.teller.reading(runner, unread, request.keys.slice(kept));
     return unread;
   }
@@ -154,6 +154,7 @@
 
   read(runner: types.RunnerId, unread: number, keys: readonly number[]): void {
     this.known.note(runner, unread, keys, this.clock.now());
+    this.fleet.reads(runner, unread / this.known.rate);
   }
 
   /** The runners of a region that is cut off from here are doubted. */
--- a/src/router/runner.ts
+++ b/src/router/runner.ts
@@ -17,6 +17,8 @@
 const QUIET_START_MS = 1500;
 /** With so much of its batch taken a runner may be slow or deny without a fault. */
 const LOADED_SHARE = 0.75;
+/** Streams there come late for a while after a reading, too (*ours*). */
+const READING_SLACK_MS = 200;
 
 export class Runner extends reports.Reported {
   status: Status = "ready";
@@ -26,6 +28,7 @@
   heardAt = 0;
   sentAt = 0;
   fullUntil = 0;
+  private readingUntil = -Infinity;
   /** Until when it is taken for silent; whatever is heard of it ends that. */
   private silentUntil = 0;
   private unreportedAt = Infinity;
@@ -57,8 +60,14 @@
     this.outcomes.leaveCohort();
   }
 
-  isLoaded(): boolean {
-    return this.usage() >= LOADED_SHARE * this.instance.capacity;
+  /** Readings that are known to be ahead there explain a pause; so does a batch that is nearly full. */
+  isLoaded(now: number): boolean {
+    return this.usage() >= LOADED_SHARE * this.instance.capacity || now < this.readingUntil + READING_SLACK_MS;
+  }
+
+  /** A reading is sent there, from here or elsewhere, that takes so long. */
+  reads(ms: number, now: number): void {
+    this.readingUntil = Math.max(now, this.readingUntil) + ms;
   }
 
   /** It fell silent with work from here. */
@@ -70,7 +79,7 @@
 
   /** Packets may pass one way only: where reports are good, a silent way is a matter of this router alone. */
   sign(sign: signs.Sign, now: number): void {
-    this.outcomes.sign(sign, now, this.isLoaded(), sign === "unreached" && this.isSpeaking);
+    this.outcomes.sign(sign, now, this.isLoaded(now), sign === "unreached" && this.isSpeaking);
   }
 
   waits(send: object, overdueAt: number): void {
@@ -127,7 +136,7 @@
   isNewDoubt(now: number): boolean {
     this.signOverdue(now);
     this.outcomes.state(now);
-    return this.outcomes.takeNews(now, this.streaming > 0 && this.quietMs(now) > QUIET_STREAM_MS);
+    return this.outcomes.takeNews(now, this.streaming > 0 && !this.isLoaded(now) && this.quietMs(now) > QUIET_STREAM_MS);
   }
 
   /** What is out of reach from here counts as silent unless this router hears it. */
--- a/src/router/signs.ts
+++ b/src/router/signs.ts
@@ -17,4 +17,4 @@
   ["overdue", 0.8], ["late", 0.5], ["slow", 0.7], ["shed", 0.5],
 ]);
 /** These say nothing of a runner that has much to do. */
-export const LOADED_SIGNS = new Set<Sign>(["overdue", "late", "slow", "shed"]);
+export const LOADED_SIGNS = new Set<Sign>(["silent", "overdue", "late", "slow", "shed"]);
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -211,13 +211,14 @@
     if (!attempt || !attempt.isSent || attempt.isOver || now < this.nextLookAt || !this.canGoOn()) return;
     const quiet = now - attempt.heardAt;
     if (quiet < context.chooser.patienceMs(this.request.entry, this.state === "passing", attempt.runner, now)) return;
-    attempt.runner.suspect(now);
+    if (this.nextLookAt === 0) attempt.runner.suspect(now);
+    this.nextLookAt = now + LOOK_MS;
     const choice = context.chooser.choose(this.request, this.tried, this.sends);
     if ("status" in choice) {
       log.count("router.stayed");
-      this.nextLookAt = now + LOOK_MS;
       return;
     }
+    this.nextLookAt = 0;
     log.count("router.left_silent");
     this.attempt = null;
     attempt.cancel();
