Experiment: regions used by hollow routers, and the time of one choice

Cause: hollow routers send nothing, so they followed only their own region's details (design/usage 4.1), and the chain's cost by the size of a service wasn't measured.

--- a/src/experiment/command.ts
+++ b/src/experiment/command.ts
@@ -1,20 +1,28 @@
 // The commands `experiment` and `experiment sweep` (design 13.1).
 import * as fs from "node:fs";
+import * as path from "node:path";
 import * as commander from "commander";
 import * as commands from "../cli/commands.js";
 import * as check from "../config/check.js";
 import * as errors from "../startup/errors.js";
 import type * as types from "../wire/types.js";
+import * as chains from "./chain.js";
+import * as clock from "./clock.js";
 import * as experiment from "./options.js";
+import * as rows from "./rows.js";
 import * as sweeps from "./sweep.js";
 import * as worker from "./worker.js";
 
 const ABOUT: ReadonlyMap<experiment.CountField, string> = new Map([
   ["routers", "hollow routers"], ["runners", "hollow runners"], ["routes", "routes of the configuration"], ["tenants", "tenants of the configuration"],
-  ["controls", "control nodes"], ["workers", "processes that hold the routers, 0: as many as needed"], ["changesPerS", "configuration changes a second"],
+  ["controls", "control nodes"], ["regionsUsed", "regions whose runners a hollow router uses, its own among them"],
+  ["workers", "processes that hold the routers, 0: as many as needed"], ["changesPerS", "configuration changes a second"],
   ["listChangesPerS", "changes a second in the platform's list"], ["seconds", "length of the measured window"], ["seed", "seed of chance"],
 ]);
 
+const LEAST_TIMES = 10;
+const MOST_TIMES = 100_000;
+
 interface Raw {
   [name: string]: unknown;
 }
@@ -67,6 +75,18 @@
   return play(world, output, places.value, raw);
 }
 
+function runChain(output: commands.Output, raw: Raw): number {
+  const times = Number(raw["times"]);
+  if (!Number.isInteger(times) || times < LEAST_TIMES || times > MOST_TIMES) {
+    return denied(output, errors.fail("usage", `times ${String(raw["times"])} is out of range`, `give ${LEAST_TIMES} to ${MOST_TIMES}`));
+  }
+  const out = String(raw["out"]);
+  fs.mkdirSync(out, { recursive: true });
+  fs.writeFileSync(path.join(out, "chain.csv"), rows.text(chains.table(new clock.SeededWorld(1), times)));
+  output.line(`written to ${out}`);
+  return commands.EXIT.ok;
+}
+
 export function add(program: commander.Command, world: types.World, output: commands.Output): void {
   const command = program.command("experiment").description("measure control by real control nodes, hollow routers and hollow runners on loopback");
   const one = command.command("run", { isDefault: true }).description("one run").requiredOption("--out <folder>", "where the tables go")
@@ -80,6 +100,11 @@
     .action(async function sweep(raw: Raw) {
       process.exitCode = await runSweep(world, output, raw);
     });
+  command.command("chain").description("the time of one choice at a router, by the runners of a service").requiredOption("--out <folder>", "where the table goes")
+    .option("--times <count>", "choices timed at each place", "1000")
+    .action(function chain(raw: Raw) {
+      process.exitCode = runChain(output, raw);
+    });
   command.command("worker <seed>", { hidden: true }).action(function hold(seed: string) {
     worker.run(Number(seed));
   });
--- a/src/experiment/hosts.ts
+++ b/src/experiment/hosts.ts
@@ -6,7 +6,7 @@
 import * as runners from "./runners.js";
 
 export type Order =
-  | { kind: "routers"; settings: string[] }
+  | { kind: "routers"; routers: routers.Wanted[] }
   | { kind: "runners"; platform: string; instances: platforms.Listed[]; listChangesPerS: number }
   | { kind: "guard"; pids: number[] }
   | { kind: "census" }
@@ -45,7 +45,7 @@
     if (order.kind === "guard") this.guarded = order.pids;
     else if (order.kind === "routers") {
       this.routers = new routers.RouterGroup(this.world);
-      await this.routers.start(order.settings);
+      await this.routers.start(order.routers);
     } else {
       this.runners = new runners.RunnerGroup(this.world);
       await this.runners.start(order.platform, order.instances, order.listChangesPerS);
--- a/src/experiment/layout.ts
+++ b/src/experiment/layout.ts
@@ -2,9 +2,9 @@
 import * as path from "node:path";
 import type * as platforms from "../standin/platform.js";
 import * as shares from "../shares/shares.js";
-import type * as experiment from "./options.js";
+import * as experiment from "./options.js";
 
-const REGIONS = 3;
+const { REGIONS } = experiment;
 const ZONES_EACH = 2;
 const SERVICES = 12;
 const CONTROL_PORT = 9101;
@@ -88,6 +88,13 @@
     ].join("\n");
   }
 
+  /** The regions whose runners a hollow router uses: its own, and the next ones. */
+  usedRegions(index: number): string[] {
+    const used: string[] = [];
+    for (let step = 0; step < this.options.regionsUsed; step += 1) used.push(regionOf(index + step));
+    return used;
+  }
+
   instances(): platforms.Listed[] {
     const listed: platforms.Listed[] = [];
     for (let index = 0; index < this.options.runners; index += 1) {
--- a/src/experiment/options.ts
+++ b/src/experiment/options.ts
@@ -6,7 +6,7 @@
 
 const whole = superstruct.integer();
 const shape = superstruct.object({
-  routers: whole, runners: whole, routes: whole, tenants: whole, controls: whole, workers: whole,
+  routers: whole, runners: whole, routes: whole, tenants: whole, controls: whole, regionsUsed: whole, workers: whole,
   changesPerS: superstruct.number(), listChangesPerS: superstruct.number(), seconds: superstruct.number(),
   seed: whole, loseControl: superstruct.boolean(),
 });
@@ -19,16 +19,19 @@
   most: number;
 }
 
+/** The regions of every experiment. */
+export const REGIONS = 3;
+
 /** Least and most of each figure; workers 0 means as many as the routers need. */
 export const RANGES: ReadonlyMap<CountField, Range> = new Map([
   ["routers", { least: 1, most: 5000 }], ["runners", { least: 1, most: 10_000 }], ["routes", { least: 1, most: 20_000 }],
-  ["tenants", { least: 1, most: 20_000 }], ["controls", { least: 1, most: 16 }], ["workers", { least: 0, most: 400 }],
+  ["tenants", { least: 1, most: 20_000 }], ["controls", { least: 1, most: 16 }], ["regionsUsed", { least: 1, most: REGIONS }], ["workers", { least: 0, most: 400 }],
   ["changesPerS", { least: 0, most: 50 }], ["listChangesPerS", { least: 0, most: 10 }], ["seconds", { least: 1, most: 120 }],
   ["seed", { least: 0, most: 0x7fffffff }],
 ]);
 
 export const DEFAULTS: Options = {
-  routers: 15, runners: 50, routes: 50, tenants: 20, controls: 5, workers: 0, changesPerS: 1, listChangesPerS: 0, seconds: 6, seed: 1, loseControl: false,
+  routers: 15, runners: 50, routes: 50, tenants: 20, controls: 5, regionsUsed: REGIONS, workers: 0, changesPerS: 1, listChangesPerS: 0, seconds: 6, seed: 1, loseControl: false,
 };
 
 const ROUTERS_EACH = 120;
--- a/src/experiment/routers.ts
+++ b/src/experiment/routers.ts
@@ -9,6 +9,8 @@
 import * as clock from "./clock.js";
 
 const LOOK_MS = 5;
+/** Well within the time for which a region counts as used (design/usage 4.1). */
+const USE_MS = 3000;
 export const DIALS_MS = 50;
 
 /** A router took a revision, or began to follow another control node. Times are of the machine's clock. */
@@ -41,8 +43,15 @@
   dials: [number, number][];
 }
 
+/** A router to start: its settings file, and the regions that it acts as if it sent requests to. */
+export interface Wanted {
+  settings: string;
+  regions: string[];
+}
+
 interface Hollow {
   program: router.RouterProgram;
+  regions: string[];
   seen: router.Standing;
 }
 
@@ -52,19 +61,23 @@
   private moved: Moved[] = [];
   private dials = new Map<number, number>();
   private dialed = 0;
-  private tick: types.Tick | null = null;
+  private readonly ticks: types.Tick[] = [];
 
   constructor(private readonly world: types.World) {}
 
-  async start(texts: readonly string[]): Promise<void> {
-    for (const text of texts) {
-      const startup = settings.parse(text);
+  async start(all: readonly Wanted[]): Promise<void> {
+    for (const wanted of all) {
+      const startup = settings.parse(wanted.settings);
       if (startup.isErr) throw startup.error;
       const program = new router.RouterProgram(this.world, startup.value);
-      this.hollows.push({ program, seen: program.standing() });
+      this.hollows.push({ program, regions: wanted.regions, seen: program.standing() });
       await program.root.start();
     }
-    this.tick = world.every(this.world, LOOK_MS, this.look.bind(this));
+    this.ticks.push(world.every(this.world, LOOK_MS, this.look.bind(this)), world.every(this.world, USE_MS, this.use.bind(this)));
+  }
+
+  private use(): void {
+    for (const { program, regions } of this.hollows) for (const region of regions) program.usage.sent(region);
   }
 
   private look(): void {
@@ -103,7 +116,7 @@
   }
 
   async stop(): Promise<void> {
-    this.tick?.stop();
+    for (const tick of this.ticks) tick.stop();
     await Promise.all(this.hollows.map(stopOne));
   }
 }
--- a/src/experiment/rows.ts
+++ b/src/experiment/rows.ts
@@ -13,6 +13,7 @@
   controls: number;
   changesPerS: number;
   listChangesPerS: number;
+  regionsUsed: number;
   seed: number;
 }
 
@@ -90,8 +91,8 @@
 }
 
 export function pointOf(sweep: string, options: experiment.Options): Point {
-  const { routers, runners, routes, tenants, controls, changesPerS, listChangesPerS, seed } = options;
-  return { sweep, routers, runners, routes, tenants, controls, changesPerS, listChangesPerS, seed };
+  const { routers, runners, routes, tenants, controls, changesPerS, listChangesPerS, regionsUsed, seed } = options;
+  return { sweep, routers, runners, routes, tenants, controls, changesPerS, listChangesPerS, regionsUsed, seed };
 }
 
 const DIGITS = 6;
--- a/src/experiment/run.ts
+++ b/src/experiment/run.ts
@@ -85,11 +85,11 @@
     await this.until("the control nodes reach a majority", SETTLE_WITHIN_MS, this.isSettled.bind(this));
     const workers = experiment.workersOf(options);
     for (let worker = 0; worker < workers; worker += 1) {
-      const texts: string[] = [];
-      for (let index = worker; index < options.routers; index += workers) texts.push(layout.routerSettings(index));
+      const wanted: routers.Wanted[] = [];
+      for (let index = worker; index < options.routers; index += workers) wanted.push({ settings: layout.routerSettings(index), regions: layout.usedRegions(index) });
       const host = await crew.host(`routers-${1 + worker}`);
-      await host.ask({ kind: "routers", settings: texts });
-      this.routerHosts.push({ host, count: texts.length });
+      await host.ask({ kind: "routers", routers: wanted });
+      this.routerHosts.push({ host, count: wanted.length });
     }
   }
 
--- a/src/experiment/sweep.ts
+++ b/src/experiment/sweep.ts
@@ -13,7 +13,7 @@
 import * as rows from "./rows.js";
 import * as runs from "./run.js";
 
-const SWEPT = ["routers", "runners", "routes", "tenants", "controls", "changesPerS", "listChangesPerS"] as const;
+const SWEPT = ["routers", "runners", "routes", "tenants", "controls", "changesPerS", "listChangesPerS", "regionsUsed"] as const;
 const extra = superstruct.record(superstruct.string(), superstruct.union([superstruct.number(), superstruct.boolean()]));
 const shape = superstruct.object({
   base: extra,
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -53,7 +53,7 @@
   private readonly config = new parts.ConfigParts();
   private readonly borrower: leases.Borrower;
   private readonly known = new readings.Readings();
-  private readonly usage: usages.Reader;
+  readonly usage: usages.Reader;
   private readonly teller: tellers.Teller;
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
--- a/tests/experiment.test.ts
+++ b/tests/experiment.test.ts
@@ -3,8 +3,10 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as control from "../src/control/program.js";
+import * as chains from "../src/experiment/chain.js";
 import * as clock from "../src/experiment/clock.js";
 import * as hosts from "../src/experiment/hosts.js";
+import * as layouts from "../src/experiment/layout.js";
 import * as losses from "../src/experiment/losses.js";
 import * as experiment from "../src/experiment/options.js";
 import * as panels from "../src/experiment/panels.js";
@@ -14,6 +16,7 @@
 import * as sweeps from "../src/experiment/sweep.js";
 import * as settings from "../src/startup/settings.js";
 import * as vitals from "../src/startup/vitals.js";
+import * as usages from "../src/usage/reader.js";
 import * as counts from "../src/wire/counts.js";
 import * as cli from "./sim/cli.js";
 
@@ -29,6 +32,7 @@
   [{ runners: 10_001 }, /^runners 10001 is out of range; give 1 to 10000$/],
   [{ routes: -1 }, /^routes -1 is out of range/],
   [{ controls: 17 }, /^controls 17 is out of range; give 1 to 16$/],
+  [{ regionsUsed: 4 }, /^regionsUsed 4 is out of range; give 1 to 3$/],
   [{ changesPerS: -1 }, /^changesPerS -1 is out of range; give 0 to 50$/],
   [{ changesPerS: Number.NaN }, /^experiment field changesPerS: /],
   [{ seconds: 0.5 }, /^seconds 0.5 is out of range; give 1 to 120$/],
@@ -49,6 +53,7 @@
   [["--out", "x", "--routers", ""], /routers.*docs\/experiment.md/],
   [["--out", "x", "--seconds", "0"], /seconds 0 is out of range; give 1 to 120/],
   [["--out", "x", "--routers", "5000", "--workers", "400"], /would start 40\d processes, the bound is 300; give fewer/],
+  [["chain", "--out", "x", "--times", "many"], /times many is out of range; give 10 to 100000/],
   [["sweep", "--out", "x"], /--plan.*run cranewind --help/],
   [["sweep", "--plan", "no-such-file", "--out", "x"], /cannot read no-such-file.*name a readable plan/],
   [["sweep", "--plan", "package.json", "--out", "x"], /plan field .*docs\/experiment.md/],
@@ -102,7 +107,7 @@
   const lines = rows.text([nodeRow(), nodeRow()]).trimEnd().split("\n");
   expect(lines).toHaveLength(3);
   expect(lines[0]).toMatch(/^sweep,routers,runners,routes,tenants,controls,.*,cpuPercent,.*,reportsReadPerS$/);
-  expect(lines[1]).toMatch(/^s,15,50,50,20,5,1,0,1,control,control-1,1,2,1.23457,.*,$/);
+  expect(lines[1]).toMatch(/^s,15,50,50,20,5,1,0,3,1,control,control-1,1,2,1.23457,.*,$/);
   expect(rows.text([])).toBe("");
 });
 
@@ -154,13 +159,29 @@
   }
 }
 
+test("a hollow router uses its own region, and the next ones as asked for", () => {
+  const used = [1, 2, 3].map((regionsUsed) => new layouts.Layout(options({ regionsUsed }), 60, "").usedRegions(2));
+  expect(used).toEqual([["region-3"], ["region-3", "region-1"], ["region-3", "region-1", "region-2"]]);
+});
+
+test.each(["none", "shared"] as const)("a choice is timed policy by policy, prompt: %s", (prompt) => {
+  const row = chains.measure(new clock.SeededWorld(1), { regions: 2, runnersEach: 3 }, prompt, 10);
+  expect(row).toMatchObject({ regions: 2, runnersEach: 3, prompt, times: 10 });
+  for (const us of [row.homesUs, row.cellsUs, row.runnerUs, row.admissionUs]) expect(us).toBeGreaterThan(0);
+  expect(row.p50Us).toBeGreaterThanOrEqual(Math.max(row.homesUs, row.cellsUs, row.runnerUs, row.admissionUs));
+  expect(row.p99Us).toBeGreaterThanOrEqual(row.p50Us);
+  expect(row.processorUs).toBeGreaterThan(0);
+});
+
 test("a small run measures all there is and ends by itself", async () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-hollow-"));
   const crew = new LocalCrew();
   const small = options({ routers: 2, runners: 4, routes: 3, tenants: 2, controls: 1, changesPerS: 3, seconds: 1, loseControl: true });
   const steps: string[] = [];
+  const used = jest.spyOn(usages.Reader.prototype, "sent");
   const outcome = await new runs.Run(crew.world, crew, small, folder, (step) => steps.push(step), "small").play();
   fs.rmSync(folder, { recursive: true });
+  expect(new Set(used.mock.calls.map(([region]) => region))).toEqual(new Set(["region-1", "region-2", "region-3"]));
   expect(steps).toEqual(["starting", "settling", "measuring"]);
   expect(crew.ends).toEqual([]);
   expect(outcome.nodes.map((row) => [row.role, row.node, row.sharedBy])).toEqual([["control", "control-1", 1], ["router", "routers-1", 2]]);
