--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -30,7 +30,8 @@
 const SPREAD_FROM = 0.6;
 
 export interface Needs {
-  readonly runners: () => Iterable<fleets.Runner>;
+  /** Of a region. */
+  readonly runners: (region: string) => Iterable<fleets.Runner>;
   readonly known: readings.Readings;
   readonly routers: () => number;
 }
@@ -63,7 +64,7 @@
   }
 
   takeReport(report: schema.CellReport): void {
-    this.cells.takeReport(report, this.needs.runners(), this.needs.routers());
+    this.cells.takeReport(report, this.needs.runners(report.region), this.needs.routers());
   }
 
   forgetAllBut(standing: { has(id: string): boolean }): void {
--- a/src/experiment/chain.ts
+++ b/src/experiment/chain.ts
@@ -73,7 +73,7 @@
     for (let region = 0; region < size.regions; region += 1) regions.push(`region-${region}`);
     for (const region of regions) for (let index = 0; index < size.runnersEach; index += 1) listed.push(instanceOf(region, index));
     this.fleet.takeList(listed);
-    const admission = new admissions.Admission(world, { runners: this.fleet.all.bind(this.fleet), known: this.known, routers: one });
+    const admission = new admissions.Admission(world, { runners: this.fleet.in.bind(this.fleet), known: this.known, routers: one });
     this.policies = [
       new homes.HomesPolicy(this.fleet, new rotations.Rotation(world)), new cells.CellPolicy(regions[0]!, this.fleet.summaries),
       new runners.RunnerPolicy(this.known), new admitting.AdmissionPolicy(admission),
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -47,7 +47,7 @@
     ownRegion: string,
     readonly known: readings.Readings,
   ) {
-    this.admission = new admissions.Admission(world, { runners: fleet.all.bind(fleet), known, routers });
+    this.admission = new admissions.Admission(world, { runners: fleet.in.bind(fleet), known, routers });
     this.chain = [
       new homes.HomesPolicy(fleet, rotation), new cells.CellPolicy(ownRegion, fleet.summaries), new runners.RunnerPolicy(known), new admitting.AdmissionPolicy(this.admission),
     ];
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -14,6 +14,7 @@
   private readonly runners = new Map<string, runners.Runner>();
   private readonly gone = new departures.GoneRunners();
   private readonly byService = new Map<string, runners.Runner[]>();
+  private readonly byRegion = new Map<string, Set<runners.Runner>>();
   readonly summaries = new summaries.Summaries();
   /** Grows with each runner that comes or goes. */
   listing = 0;
@@ -32,6 +33,10 @@
     return this.runners.values();
   }
 
+  in(region: string): Iterable<runners.Runner> {
+    return this.byRegion.get(region) ?? [];
+  }
+
   has(id: string): boolean {
     return this.runners.has(types.small(id));
   }
@@ -77,6 +82,7 @@
     const runner = this.runners.get(id);
     if (!runner) return null;
     this.runners.delete(id);
+    this.byRegion.get(runner.region)?.delete(runner);
     services.add(runner.instance.service);
     return runner;
   }
@@ -98,6 +104,8 @@
     if (!runner) {
       runner = new runners.Runner(instance, this.regionOf.get(instance.zone) ?? instance.zone, this.limits.of(instance.service));
       this.runners.set(instance.id, runner);
+      const cell = this.byRegion.get(runner.region) ?? new Set();
+      this.byRegion.set(runner.region, cell.add(runner));
       runner.outcomes.joinCohort(this.cohorts.of(instance.service, runner.region));
     }
     if (instance.coldMs > 0) runner.coldUntil = Math.max(runner.coldUntil, now + instance.coldMs);
@@ -113,9 +121,9 @@
   /** What was told last of each runner of a region that reports and speaks. */
   reportsOf(region: string): schema.Report[] {
     const reports: schema.Report[] = [];
-    for (const runner of this.runners.values()) {
+    for (const runner of this.in(region)) {
       const { id, isSpeaking, waiting, active, kvUsed, kvCapacity } = runner;
-      if (runner.region === region && isSpeaking && kvCapacity > 0) reports.push({ id, isSpeaking, waiting, active, kvUsed, kvCapacity });
+      if (isSpeaking && kvCapacity > 0) reports.push({ id, isSpeaking, waiting, active, kvUsed, kvCapacity });
     }
     return reports;
   }
@@ -130,7 +138,7 @@
 
   doubtRegion(region: string): void {
     const now = this.world.now();
-    for (const runner of this.runners.values()) if (runner.region === region) runner.doubt(now);
+    for (const runner of this.in(region)) runner.doubt(now);
   }
 
   newDoubts(): types.RunnerId[] {
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -97,11 +97,11 @@
         followed.stamp = mirror.stamp(topic);
         followed.movedAt = now;
         if (followed.isStale) this.takeItems(region, mirror.bodies(topic));
-        for (const runner of this.in(region)) runner.rebase();
+        for (const runner of this.fleet.in(region)) runner.rebase();
         this.onPeriod(region);
       }
       this.mark(region, followed, now - followed.movedAt > summaries.STALE_MS);
-      if (followed.isStale) for (const runner of this.in(region)) runner.fade(FADE);
+      if (followed.isStale) for (const runner of this.fleet.in(region)) runner.fade(FADE);
     }
     this.fleet.summaries.detailed(regions);
     if (this.isEstimateDue) for (const runner of this.fleet.all()) if (!regions.has(runner.region)) this.estimate(runner);
@@ -117,7 +117,7 @@
   private leave(region: string): void {
     this.followed.delete(region);
     this.isEstimateDue = true;
-    for (const runner of this.in(region)) runner.forgetReport();
+    for (const runner of this.fleet.in(region)) runner.forgetReport();
   }
 
   /** A runner of a region known by its summary has the mean usage. */
@@ -125,8 +125,4 @@
     const summary = this.fleet.summaries.of(runner.region, runner.instance.service);
     runner.others = summary ? Math.max(0, summaries.usageOf(summary, runner.instance.capacity) - runner.inflight) : 0;
   }
-
-  private *in(region: string): Generator<fleets.Runner> {
-    for (const runner of this.fleet.all()) if (runner.region === region) yield runner;
-  }
 }
