--- a/src/router/account.ts
+++ b/src/router/account.ts
@@ -3,10 +3,18 @@
 import * as vitals from "../startup/vitals.js";
 import * as counts from "../wire/counts.js";
 import type * as schema from "../wire/schema.js";
+import type * as types from "../wire/types.js";
 import type * as shares from "../shares/shares.js";
 import type * as choosers from "./chooser.js";
 import type * as fleets from "./fleet.js";
 
+/** What a router goes by now. */
+export interface Standing {
+  epoch: types.Epoch;
+  revision: number;
+  following: string | null;
+}
+
 export interface Accountable {
   node: schema.NodeInfo;
   following: string | null;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -36,11 +36,7 @@
 const LAST_MS = 400;
 const STEP_MS = 50;
 
-export interface Standing {
-  epoch: types.Epoch;
-  revision: number;
-  following: string | null;
-}
+export type { Standing } from "./account.js";
 
 export class RouterProgram implements followers.Taker, tellers.Hearer {
   private readonly life = crypto.randomBytes(6).toString("hex");
@@ -53,7 +49,7 @@
   private readonly config = new parts.ConfigParts();
   private readonly borrower: leases.Borrower;
   private readonly known = new readings.Readings();
-  private readonly usage: usages.Reader;
+  readonly usage: usages.Reader;
   private readonly teller: tellers.Teller;
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
@@ -138,9 +134,9 @@
     this.usage.sent(this.fleet.regionFor(runner));
     if (request.parts.length === 0) return 0;
     const unread = Math.round(this.known.unread(runner, request.parts, request.keys));
-    const kept = this.known.keptParts(runner, request.keys);
+    const news = request.keys.slice(this.known.keptParts(runner, request.keys));
     this.read(runner, unread, request.keys);
-    if (unread >= TOLD_TOKENS) this.teller.reading(runner, unread, request.keys.slice(kept));
+    if (unread >= TOLD_TOKENS) this.teller.reading(runner, unread, news);
     return unread;
   }
 
@@ -230,7 +226,7 @@
   }
 
   /** What it goes by now, for watchers in the same process (docs/experiment.md). */
-  standing(): Standing {
+  standing(): accounts.Standing {
     return { epoch: this.epoch, revision: this.config.revision, following: this.follower.main?.node.name ?? null };
   }
 
