Admission tells what its judgments came to: refusal times, ends by rank, room unused

Refusals and admitted requests were counted, but not how long a refusal took nor what became of whom was let in. One tally now holds both (status, and one line when a router leaves in order).

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -14,6 +14,7 @@
 import * as sizes from "./sizes.js";
 import * as slowness from "./slowness.js";
 import * as spreads from "./spread.js";
+import * as tallies from "./tally.js";
 import * as tickets from "./ticket.js";
 import * as usuals from "./usual.js";
 
@@ -52,6 +53,7 @@
   readonly cells: cells.Cells;
   readonly slowness = new slowness.Slowness();
   readonly returns = new returns.Returns();
+  readonly tally = new tallies.Tally();
   private readonly paces = new spreads.Bounded<string, paces.Pace>(MOST_SERVICES, newPace);
   private readonly sizes = new spreads.Bounded<string, sizes.Sizes>(MOST_ROUTES, newSizes);
   private readonly usuals = new spreads.Bounded<string, usuals.Usual>(MOST_ROUTES, newUsual);
@@ -209,7 +211,7 @@
     }
     const kinds: unknown[] = [];
     for (const [route, usual] of this.usuals.entries()) kinds.push({ route, service: usual.service, ...usual.told() });
-    return { isOn: this.isOn, rate: this.needs.known.rate, lagMs: this.lagMs, returners: this.returns.size, cells: this.cells.status(), services, kinds };
+    return { isOn: this.isOn, rate: this.needs.known.rate, lagMs: this.lagMs, returners: this.returns.size, tally: this.tally.status(), cells: this.cells.status(), services, kinds };
   }
 }
 
--- a/src/admission/spread.ts
+++ b/src/admission/spread.ts
@@ -19,7 +19,8 @@
   private sinceRead = 0;
   private all = 0;
 
-  constructor(private readonly scale: number) {}
+  /** `window`: records until the oldest are forgotten. */
+  constructor(private readonly scale: number, private readonly window = WINDOW) {}
 
   get count(): number {
     return this.all;
@@ -27,7 +28,7 @@
 
   record(value: number): void {
     if (!Number.isFinite(value) || value < 0) return;
-    if (this.current.count >= WINDOW) {
+    if (this.current.count >= this.window) {
       const oldest = this.former;
       this.former = this.current;
       oldest.reset();
--- /dev/null
+++ b/src/admission/tally.ts
@@ -0,0 +1,53 @@
+// What this router's judgments came to, over its whole life: how long each refusal took, what became of each
+// request by rank, and how much room was left unused when one was denied (design/admission 10).
+import type * as rooms from "./room.js";
+import * as spreads from "./spread.js";
+
+/** `late`: at a runner when its deadline passed; `lost`: at a runner, and no whole reply; `left`: the client went first. */
+export type End = "whole" | "late" | "lost" | "left" | "denied";
+
+const PER_MS = 10;
+const PERCENT = 100;
+const MIDDLE = 50;
+const TAIL = 99;
+const WORST = 100;
+
+function told(spread: spreads.Spread): { count: number; p50: number; p99: number; worst: number } {
+  return { count: spread.count, p50: spread.at(MIDDLE, 0), p99: spread.at(TAIL, 0), worst: spread.at(WORST, 0) };
+}
+
+export class Tally {
+  /** Milliseconds from a request's arrival to its refusal; apart for those that no runner had seen. */
+  private readonly atDoor = new spreads.Spread(PER_MS, Infinity);
+  private readonly afterSend = new spreads.Spread(PER_MS, Infinity);
+  /** Percent of the allowed runners' places that were free when one was denied. */
+  private readonly unused = new spreads.Spread(PERCENT, Infinity);
+  private readonly ends = new Map<string, number>();
+  private readonly causes = new Map<string, number>();
+
+  refused(ms: number, cause: string, hasBeenSent: boolean): void {
+    (hasBeenSent ? this.afterSend : this.atDoor).record(ms);
+    this.causes.set(cause, (this.causes.get(cause) ?? 0) + 1);
+  }
+
+  roomAt(room: rooms.Room): void {
+    if (room.places > 0) this.unused.record((PERCENT * room.freePlaces) / room.places);
+  }
+
+  ended(end: End, rank: number): void {
+    const name = `${end}_rank_${rank}`;
+    this.ends.set(name, (this.ends.get(name) ?? 0) + 1);
+  }
+
+  status(): Record<string, unknown> {
+    return {
+      ends: Object.fromEntries(this.ends), refusedAtDoorMs: told(this.atDoor), refusedAfterSendMs: told(this.afterSend),
+      unusedPercent: told(this.unused), causes: Object.fromEntries(this.causes),
+    };
+  }
+
+  /** One line for the log of a router that leaves. */
+  line(): string {
+    return `admission: ${JSON.stringify(this.status())}`;
+  }
+}
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -239,10 +239,10 @@
     const until = startedAt + this.startup.bounds.grace_s * 1000 - LAST_MS;
     this.server.isLeaving = true;
     this.beat();
-    const leave = Math.min(directory.LEAVE_MS + link.BEAT_MS, until - startedAt);
-    await world.sleep(this.clock, leave);
+    await world.sleep(this.clock, Math.min(directory.LEAVE_MS + link.BEAT_MS, until - startedAt));
     this.server.close();
     while (this.server.activeCount > 0 && this.clock.now() < until) await world.sleep(this.clock, STEP_MS);
+    log.state(this.chooser.admission.tally.line());
     await this.root.stop();
     this.dial.end();
     this.fleet.closeIdle();
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -15,6 +15,7 @@
   service: string;
   parts: plans.Part[];
   keys: number[];
+  arrivedAt: number;
   deadline: number;
   asked: plans.Asked;
   body: Buffer | null;
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -170,7 +170,7 @@
       requestId, entry, body,
       service: routes.chooseService(entry, shares.hash(`${requestId}/split`) / 4294967296),
       parts, keys: readings.chainKeys(parts),
-      deadline: arrivedAt + budget, asked: plans.readAsked(single(incoming.headers[names.HEADER.tokens]), parts),
+      arrivedAt, deadline: arrivedAt + budget, asked: plans.readAsked(single(incoming.headers[names.HEADER.tokens]), parts),
     };
     this.run(request, incoming, outgoing);
   }
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -4,6 +4,7 @@
 import * as names from "../wire/names.js";
 import * as types from "../wire/types.js";
 import * as attempts from "./attempt.js";
+import type * as tallies from "../admission/tally.js";
 import type * as choosers from "./chooser.js";
 import * as events from "./events.js";
 import * as headers from "./headers.js";
@@ -40,25 +41,22 @@
     outgoing.once("close", this.clientGone.bind(this));
   }
 
-  private move(to: states.State): void {
+  /** `end`: what it came to, with the last change. */
+  private move(to: states.State, end?: tallies.End): void {
     this.state = states.moved(this.state, to);
-    if (to !== "done") return;
+    if (!end) return;
+    this.context.chooser.admission.tally.ended(end, this.request.entry.route.priority ?? 1);
     this.deadlineTick?.stop();
     this.context.finished(this);
   }
 
   start(): void {
-    const left = this.request.deadline - this.context.world.now();
-    this.deadlineTick = this.context.world.after(Math.max(0, left), this.expired.bind(this));
+    this.deadlineTick = this.context.world.after(Math.max(0, this.request.deadline - this.context.world.now()), this.expired.bind(this));
     this.context.chooser.countRequest(this.request.service);
     this.move("choosing");
     this.choose();
   }
 
-  private isRepeatable(): boolean {
-    return this.request.entry.isRepeatable;
-  }
-
   /** Runs the chain and sends on; a denial is told at once. */
   private choose(): void {
     const left = this.request.deadline - this.context.world.now();
@@ -89,34 +87,36 @@
   private deny(denial: plans.Denial): void {
     log.count("router.denied");
     if (this.isHeadOut || this.hasRun) this.lost();
-    else this.finish(denial.status, denial.cause, denial.retryAfterS);
+    else this.finish(denial.status, denial.cause, denial.retryAfterS, "denied");
   }
 
   private lost(): void {
-    if (this.isHeadOut) this.breakOff();
-    else this.finish(502, "the runner broke off and the request may have run", null);
+    if (this.isHeadOut) this.breakOff("lost");
+    else this.finish(502, "the runner broke off and the request may have run", null, "lost");
   }
 
-  private finish(status: number, message: string, retryAfterS: number | null): void {
-    replies.send(this.outgoing, status, message, retryAfterS, this.context.isLeaving());
-    this.move("done");
+  private finish(status: number, message: string, retryAfterS: number | null, end: tallies.End): void {
+    const { world, chooser, isLeaving } = this.context;
+    if (end === "denied") chooser.admission.tally.refused(world.now() - this.request.arrivedAt, message, this.tried.size > 0);
+    replies.send(this.outgoing, status, message, retryAfterS, isLeaving());
+    this.move("done", end);
   }
 
-  private breakOff(): void {
+  private breakOff(end: tallies.End): void {
     log.count("router.broken_off");
     this.outgoing.destroy();
-    this.move("done");
+    this.move("done", end);
   }
 
   onHead(attempt: attempts.Attempt, head: attempts.Head): boolean {
     const isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && (!head.headers.has(names.HEADER.seal) || head.headers.has("content-encoding"))) return false;
     if (this.isHeadOut) return this.isSameStream(head);
-    if (head.status >= 500 && this.isRepeatable() && this.mayRepeat()) return false;
+    if (head.status >= 500 && this.request.entry.isRepeatable && this.mayRepeat()) return false;
     const raw = headers.forClient(head.raw, head.headers.get("connection"));
     if (this.context.isLeaving()) raw.push("Connection", "close");
     const isStream = this.request.entry.route.route_type === "streaming" && isSuccess;
-    if (isStream && this.isRepeatable() && !head.headers.has("content-length")) this.cutter = new events.EventCutter();
+    if (isStream && this.request.entry.isRepeatable && !head.headers.has("content-length")) this.cutter = new events.EventCutter();
     this.outgoing.writeHead(head.status, raw);
     this.isHeadOut = true;
     this.outgoing.on("drain", this.drained.bind(this));
@@ -162,7 +162,7 @@
     }
     const rest = this.cutter?.rest();
     this.outgoing.end(rest?.length ? rest : undefined);
-    this.move("done");
+    this.move("done", "whole");
   }
 
   private notSent(): void {
@@ -176,7 +176,7 @@
     log.count("router.handed_back");
     attempt.runner.denied(this.context.world.now(), head.status === 421);
     if (head.status === 400) {
-      this.finish(400, "the runner finds the request malformed; send X-Cranewind-Request-Id", null);
+      this.finish(400, "the runner finds the request malformed; send X-Cranewind-Request-Id", null, "denied");
       return;
     }
     if (this.mayRepeat()) this.again();
@@ -199,7 +199,7 @@
 
   /** Whether another runner may take it up: repeatable, a try left, and no answer begun that cannot be resumed. */
   private canGoOn(): boolean {
-    return this.isRepeatable() && this.mayRepeat() && (!this.isHeadOut || this.cutter !== null);
+    return this.request.entry.isRepeatable && this.mayRepeat() && (!this.isHeadOut || this.cutter !== null);
   }
 
   /**
@@ -233,8 +233,8 @@
     const isOut = attempt !== null && attempt.isSent && !attempt.isOver;
     this.attempt = null;
     attempt?.cancel();
-    if (this.isHeadOut) this.breakOff();
-    else if (isOut || this.hasRun) this.finish(504, "the deadline passed while the request ran", null);
+    if (this.isHeadOut) this.breakOff("late");
+    else if (isOut || this.hasRun) this.finish(504, "the deadline passed while the request ran", null, "late");
     else this.deny({ status: 503, cause: "the deadline has passed", retryAfterS: 0.2 });
   }
 
@@ -244,6 +244,6 @@
     const attempt = this.attempt;
     this.attempt = null;
     attempt?.cancel();
-    this.move("done");
+    this.move("done", "left");
   }
 }
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -74,7 +74,7 @@
 
 export function requestOf(entry: routes.RouteEntry, requestId: string, parts: plans.Part[], deadline: number, mostOut = 0): transactions.Request {
   const asked = { ...plans.readAsked(undefined, parts), mostOut };
-  return { requestId: types.small(requestId), entry, service: "model", parts, keys: readings.chainKeys(parts), deadline, asked, body: null };
+  return { requestId: types.small(requestId), entry, service: "model", parts, keys: readings.chainKeys(parts), arrivedAt: 0, deadline, asked, body: null };
 }
 
 /** Notes a reading where it is sent from, and tells the other routers a moment later, as signs do. */
