Admission: newcomers past the first rank are judged by their aim once half the places are taken

Under a burst runners were filled up to the deadline, so that most were late and streams starved. A newcomer that would miss its aim everywhere is told to come back instead; who comes back is judged by the deadline as before. The runner policy's choice is taken without a look at others where it has a place and is in time.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -36,6 +36,14 @@
   readonly routers: () => number;
 }
 
+/** What a prediction goes by at one runner. */
+interface Seen {
+  place: rooms.Place;
+  need: predictions.Need;
+  slow: slowness.Slow;
+  waitFactor: number;
+}
+
 function newPace(): paces.Pace {
   return new paces.Pace();
 }
@@ -98,9 +106,17 @@
   }
 
   predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slow, waitFactor: number): predictions.Prediction {
+    return this.predictAt(plan, runner, { place: this.placeOf(plan, runner), need: this.needOf(plan, runner), slow, waitFactor });
+  }
+
+  private placeOf(plan: plans.Plan, runner: fleets.Runner): rooms.Place {
+    return this.cells.placeOf(this.needs.known.backlogMs(runner.id, plan.now), runner);
+  }
+
+  private predictAt(plan: plans.Plan, runner: fleets.Runner, seen: Seen): predictions.Prediction {
     const pace = this.paceOf(plan.service);
-    const place = this.cells.placeOf(this.needs.known.backlogMs(runner.id, plan.now), runner);
-    return predictions.predict(place, this.needOf(plan, runner), {
+    const { place, need, slow, waitFactor } = seen;
+    return predictions.predict(place, need, {
       rate: this.needs.known.rate, heldMs: pace.heldMs(plan.asked.mostOut > 0),
       tokenMs: pace.tokenMs((place.used + 1) / Math.max(1, place.capacity)),
       waitFactor, slow, fullMs: Math.max(0, runner.fullUntil - plan.now), lagMs: this.lagMs,
@@ -108,38 +124,64 @@
   }
 
   /**
-   * Null lets the request in; the first runner that serves it in time is put first. It is denied only when each
-   * allowed runner is predicted to miss its deadline, over half of their places are taken, and no free place could
-   * still serve it.
+   * Null lets the request in; the first runner that serves it in time is put first. It is denied only when over half
+   * of the places of the allowed runners are taken and each of them is predicted to miss: its deadline, or, for a
+   * newcomer that is not of the first rank, its aim (design/admission 11).
    */
   judge(plan: plans.Plan): plans.Denial | null {
-    if (!this.isOn || plan.tried.size > 0) return null;
+    const chosen = plan.candidates[0];
+    if (!this.isOn || plan.tried.size > 0 || !chosen || this.isCalmAt(plan, chosen)) return null;
+    return this.judgeAll(plan);
+  }
+
+  /** On calm days the runner policy's choice has a place free and is in time, and nothing else is looked at. */
+  private isCalmAt(plan: plans.Plan, runner: fleets.Runner): boolean {
+    const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), 1);
+    const aim = plan.entry.route.target_latency_ms ?? Infinity;
+    return made.hasPlace && made.waitMs === 0 && !made.neverFits && made.firstMs <= aim && made.endMs <= plan.deadline - plan.now;
+  }
+
+  private judgeAll(plan: plans.Plan): plans.Denial | null {
     const sure = plan.candidates.filter(isSure);
     function isSure(runner: fleets.Runner): boolean {
       return !runner.isDoubtful(plan.now);
     }
     if (sure.length === 0) return null;
+    const { route } = plan.entry;
     const left = plan.deadline - plan.now;
     const part = this.partFor(plan);
-    const margin = this.paceOf(plan.service).margin(plan.entry.route.priority ?? 1, plan.now);
+    const margin = this.paceOf(plan.service).margin(route.priority ?? 1, plan.now);
+    const aim = this.isReturning(plan) || route.priority === 0 ? Infinity : (route.target_latency_ms ?? Infinity);
     let leastMs = Infinity;
+    let leastFirstMs = Infinity;
+    let late: fleets.Runner | null = null;
     let free: fleets.Runner | null = null;
     for (const runner of sure) {
       const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), margin);
       if (made.neverFits) continue;
       leastMs = Math.min(leastMs, made.endMs);
+      leastFirstMs = Math.min(leastFirstMs, made.firstMs);
       if (made.endMs + made.delayMs * (1 / part - 1) <= left) {
-        putFirst(plan, runner);
-        return null;
+        if (made.firstMs <= aim) return putFirst(plan, runner);
+        late ??= runner;
       }
       if (made.hasPlace && this.cells.hasLease(runner) && made.endMs <= left * HOPELESS) free ??= runner;
     }
-    // Nothing is denied while a place is free for it, but what cannot be done even without a wait.
-    if (free) putFirst(plan, free);
-    if (free) return null;
     // Every runner is too small for it: the chain goes on as before, and the runner itself says so.
     if (leastMs === Infinity) return null;
-    return this.isHalfEmpty(sure, plan.now) ? null : this.deny(plan, leastMs);
+    const room = this.roomNow(sure, plan.now);
+    // Nothing is denied while a place is free for it, but what cannot be done even without a wait.
+    if (aim === Infinity || rooms.isHalfEmpty(room)) {
+      const taken = late ?? free;
+      if (taken) return putFirst(plan, taken);
+      if (rooms.isHalfEmpty(room)) return null;
+    }
+    this.tally.roomAt(room);
+    return this.deny(plan, Math.max(leastMs - left, leastFirstMs - aim));
+  }
+
+  private isReturning(plan: plans.Plan): boolean {
+    return this.returns.times(plan.returnKey, plan.now) > 0;
   }
 
   /**
@@ -148,30 +190,29 @@
    */
   private partFor(plan: plans.Plan): number {
     const { route } = plan.entry;
-    const isReturning = this.returns.times(plan.returnKey, plan.now) > 0;
     const isHeldBack = this.sizes.of(route.name).isHeldBack(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
     const part = PARTS[Math.min(PARTS.length - 1, route.priority ?? 1)]!;
-    return isReturning || isHeldBack ? Math.sqrt(part) : part;
+    return this.isReturning(plan) || isHeldBack ? Math.sqrt(part) : part;
   }
 
   /** A runner that handed back a moment ago is full whatever is known of it. */
-  private isHalfEmpty(runners: readonly fleets.Runner[], now: number): boolean {
+  private roomNow(runners: readonly fleets.Runner[], now: number): rooms.Room {
     const { cells: known } = this;
-    return rooms.isHalfEmpty(rooms.roomOf(runners.map(placed)));
+    return rooms.roomOf(runners.map(placed));
     function placed(runner: fleets.Runner): rooms.Place {
       const place = known.reportedPlace(0, runner);
       return runner.fullUntil > now ? { ...place, used: Math.max(place.used, place.capacity) } : place;
     }
   }
 
-  private deny(plan: plans.Plan, leastMs: number): plans.Denial {
+  private deny(plan: plans.Plan, excessMs: number): plans.Denial {
     const left = Math.max(0, plan.deadline - plan.now);
     this.returns.note(plan.returnKey, plan.now);
     this.sizes.of(plan.entry.route.name).note(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), false);
     log.count("admission.denied");
     log.count(`admission.denied_rank_${plan.entry.route.priority ?? 1}`);
     // It fits once the excess has been worked off; chance keeps those denied together from returning together.
-    const waitMs = Math.min(left * HONOURED, Math.max(LEAST_RETRY_S * 1000, leastMs - left));
+    const waitMs = Math.min(left * HONOURED, Math.max(LEAST_RETRY_S * 1000, excessMs));
     const spread = SPREAD_FROM + (1 - SPREAD_FROM) * this.world.random();
     return { status: 503, cause: "the fleet has no room for this request in its time; come back as told", retryAfterS: (waitMs * spread) / 1000 };
   }
@@ -179,6 +220,7 @@
   /** It goes to this runner: its part of the room is spent, and its reply will teach. */
   sent(plan: plans.Plan, runner: fleets.Runner): tickets.Ticket {
     const need = this.needOf(plan, runner);
+    const place = this.placeOf(plan, runner);
     if (plan.tried.size === 0) {
       log.count("admission.admitted");
       this.returns.served(plan.returnKey);
@@ -189,8 +231,8 @@
     const pace = this.paceOf(plan.service);
     const waitFactor = pace.usualWait(rank);
     const ticket = new tickets.Ticket(this, {
-      runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predict(plan, runner, slowness.NONE, waitFactor), waitFactor,
-      sureMs: this.predict(plan, runner, slowness.NONE, Math.max(waitFactor, pace.margin(rank, plan.now))).firstMs,
+      runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predictAt(plan, runner, { place, need, slow: slowness.NONE, waitFactor }), waitFactor,
+      sureMs: this.predictAt(plan, runner, { place, need, slow: slowness.NONE, waitFactor: Math.max(waitFactor, pace.margin(rank, plan.now)) }).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
       rank, deadline: plan.deadline,
     });
@@ -216,10 +258,11 @@
 }
 
 /** The policy of the runner keeps its order, but for the one that serves in time. */
-function putFirst(plan: plans.Plan, runner: fleets.Runner): void {
-  if (plan.candidates[0] === runner) return;
+function putFirst(plan: plans.Plan, runner: fleets.Runner): null {
+  if (plan.candidates[0] === runner) return null;
   plan.candidates = [runner, ...plan.candidates.filter(isOther)];
   log.count("admission.moved");
+  return null;
   function isOther(item: fleets.Runner): boolean {
     return item !== runner;
   }
