Admission: readings ahead count as a wait; the begin and end of a shortage are told

The part of its spare time that a rank may wait took in places and memory alone, not the prompts to be read first.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -61,7 +61,7 @@
   readonly cells: cells.Cells;
   readonly slowness = new slowness.Slowness();
   readonly returns = new returns.Returns();
-  readonly tally = new tallies.Tally();
+  readonly tally: tallies.Tally;
   private readonly paces = new spreads.Bounded<string, paces.Pace>(MOST_SERVICES, newPace);
   private readonly sizes = new spreads.Bounded<string, sizes.Sizes>(MOST_ROUTES, newSizes);
   private readonly usuals = new spreads.Bounded<string, usuals.Usual>(MOST_ROUTES, newUsual);
@@ -70,6 +70,7 @@
 
   constructor(readonly world: types.World, private readonly needs: Needs) {
     this.cells = new cells.Cells(world);
+    this.tally = new tallies.Tally(world);
   }
 
   takeReport(report: schema.CellReport): void {
@@ -86,6 +87,7 @@
     const now = this.world.now();
     if (this.turnedAt >= 0) this.lagged(Math.max(0, now - this.turnedAt - everyMs));
     this.turnedAt = now;
+    this.tally.turn();
   }
 
   lagged(ms: number): void {
@@ -138,7 +140,7 @@
   private isCalmAt(plan: plans.Plan, runner: fleets.Runner): boolean {
     const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), 1);
     const aim = plan.entry.route.target_latency_ms ?? Infinity;
-    return made.hasPlace && made.waitMs === 0 && !made.neverFits && made.firstMs <= aim && made.endMs <= plan.deadline - plan.now;
+    return made.hasPlace && !made.neverFits && made.firstMs <= aim && made.endMs <= plan.deadline - plan.now;
   }
 
   private judgeAll(plan: plans.Plan): plans.Denial | null {
--- a/src/admission/predict.ts
+++ b/src/admission/predict.ts
@@ -29,7 +29,7 @@
 export interface Prediction {
   /** For a place or memory, before any factor. */
   waitMs: number;
-  /** The same as it was judged: by the wait's factor and the runner's slowness. */
+  /** All that is waited for, also readings ahead, as it was judged: by the wait's factor and the runner's slowness. */
   delayMs: number;
   firstMs: number;
   endMs: number;
@@ -54,12 +54,13 @@
 export function predict(place: rooms.Place, need: Need, known: Known): Prediction {
   const memory = memoryMs(place, need, known);
   const waitMs = Math.max(placeMs(place, known), memory, known.fullMs);
-  const readMs = Math.max(waitMs * known.waitFactor, place.backlogMs) + need.unread / known.rate;
+  const aheadMs = Math.max(waitMs * known.waitFactor, place.backlogMs);
+  const readMs = aheadMs + need.unread / known.rate;
   // A plain request is answered when its work is done; a stream speaks before that.
   const workMs = need.out > 0 ? need.out * known.tokenMs : known.heldMs;
   const firstMs = known.lagMs + known.slow.first * (readMs + (need.out > 0 ? known.tokenMs : workMs));
   const endMs = need.out > 0 ? firstMs + known.slow.stream * workMs : firstMs;
   const isMemoryFree = place.kvCapacity === 0 || need.unread + need.out <= place.kvCapacity - place.kvUsed;
   const hasPlace = place.used < place.capacity && place.waiting === 0 && isMemoryFree && known.fullMs === 0;
-  return { waitMs, delayMs: known.slow.first * waitMs * known.waitFactor, firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
+  return { waitMs, delayMs: known.slow.first * aheadMs, firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
 }
--- a/src/admission/tally.ts
+++ b/src/admission/tally.ts
@@ -1,11 +1,15 @@
 // What this router's judgments came to, over its whole life: how long each refusal took, what became of each
 // request by rank, and how much room was left unused when one was denied (design/admission 10).
 import type * as rooms from "./room.js";
+import * as log from "../startup/log.js";
+import type * as types from "../wire/types.js";
 import * as spreads from "./spread.js";
 
 /** `late`: at a runner when its deadline passed; `lost`: at a runner, and no whole reply; `left`: the client went first. */
 export type End = "whole" | "late" | "lost" | "left" | "denied";
 
+/** Without a refusal for so long, a shortage is over (ours). */
+const CALM_MS = 3000;
 const PER_MS = 10;
 const PERCENT = 100;
 const MIDDLE = 50;
@@ -24,9 +28,16 @@
   private readonly unused = new spreads.Spread(PERCENT, Infinity);
   private readonly ends = new Map<string, number>();
   private readonly causes = new Map<string, number>();
+  private isShort = false;
+  private refusedAt = 0;
+
+  constructor(private readonly world: types.World) {}
 
   refused(ms: number, cause: string, hasBeenSent: boolean): void {
     (hasBeenSent ? this.afterSend : this.atDoor).record(ms);
+    this.refusedAt = this.world.now();
+    if (!this.isShort) log.state("admission: refusing; room is short");
+    this.isShort = true;
     this.causes.set(cause, (this.causes.get(cause) ?? 0) + 1);
   }
 
@@ -39,6 +50,13 @@
     this.ends.set(name, (this.ends.get(name) ?? 0) + 1);
   }
 
+  /** Called now and then: the end of a shortage is a change of state, and told with what it came to. */
+  turn(): void {
+    if (!this.isShort || this.world.now() - this.refusedAt < CALM_MS) return;
+    this.isShort = false;
+    log.state(this.line());
+  }
+
   status(): Record<string, unknown> {
     return {
       ends: Object.fromEntries(this.ends), refusedAtDoorMs: told(this.atDoor), refusedAfterSendMs: told(this.afterSend),
@@ -46,7 +64,7 @@
     };
   }
 
-  /** One line for the log of a router that leaves. */
+  /** One line for the log: at the end of a shortage, and when the router leaves. */
   line(): string {
     return `admission: ${JSON.stringify(this.status())}`;
   }
