Admission: no long reading is added where streams pause almost too long

A long prompt being read holds up each stream of its runner. Pauses seen between events, over those the route allows, keep further long readings away for a moment; only the first rank takes a place whatever it costs.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -8,6 +8,7 @@
 import type * as types from "../wire/types.js";
 import * as cells from "./cells.js";
 import * as paces from "./pace.js";
+import * as pauses from "./pauses.js";
 import * as predictions from "./predict.js";
 import * as returns from "./returns.js";
 import * as rooms from "./room.js";
@@ -29,6 +30,8 @@
 /** Clients honour up to this part of the time they have left. */
 const HONOURED = 1 / 3;
 const SPREAD_FROM = 0.6;
+/** A longer reading holds up the streams of its runner (ours). */
+const LONG_TOKENS = 1000;
 
 export interface Needs {
   readonly runners: () => Iterable<fleets.Runner>;
@@ -59,6 +62,7 @@
 export class Admission implements tickets.Teacher {
   isOn = true;
   readonly cells: cells.Cells;
+  readonly pauses = new pauses.Pauses();
   readonly slowness = new slowness.Slowness();
   readonly returns = new returns.Returns();
   readonly tally: tallies.Tally;
@@ -79,6 +83,7 @@
 
   forgetAllBut(standing: { has(id: string): boolean }): void {
     this.slowness.forgetAllBut(standing);
+    this.pauses.forgetAllBut(standing);
     this.cells.forgetAllBut(standing);
   }
 
@@ -140,7 +145,12 @@
   private isCalmAt(plan: plans.Plan, runner: fleets.Runner): boolean {
     const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), 1);
     const aim = plan.entry.route.target_latency_ms ?? Infinity;
-    return made.hasPlace && !made.neverFits && made.firstMs <= aim && made.endMs <= plan.deadline - plan.now;
+    return made.hasPlace && !made.neverFits && made.firstMs <= aim && this.isFitting(plan, runner) && made.endMs <= plan.deadline - plan.now;
+  }
+
+  /** A long reading is not added where streams pause almost too long already. */
+  private isFitting(plan: plans.Plan, runner: fleets.Runner): boolean {
+    return !this.pauses.isPressed(runner.id, plan.now) || this.needOf(plan, runner).unread < LONG_TOKENS;
   }
 
   private judgeAll(plan: plans.Plan): plans.Denial | null {
@@ -164,7 +174,7 @@
       leastMs = Math.min(leastMs, made.endMs);
       leastFirstMs = Math.min(leastFirstMs, made.firstMs);
       if (made.endMs + made.delayMs * (1 / part - 1) <= left) {
-        if (made.firstMs <= aim) return putFirst(plan, runner);
+        if (made.firstMs <= aim && this.isFitting(plan, runner)) return putFirst(plan, runner);
         late ??= runner;
       }
       if (made.hasPlace && this.cells.hasLease(runner) && made.endMs <= left * HOPELESS) free ??= runner;
@@ -173,7 +183,7 @@
     if (leastMs === Infinity) return null;
     const room = this.roomNow(sure, plan.now);
     // Nothing is denied while a place is free for it, but what cannot be done even without a wait.
-    if (aim === Infinity || rooms.isHalfEmpty(room)) {
+    if (route.priority === 0 || rooms.isHalfEmpty(room)) {
       const taken = late ?? free;
       if (taken) return putFirst(plan, taken);
       if (rooms.isHalfEmpty(room)) return null;
@@ -236,7 +246,7 @@
       runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predictAt(plan, runner, { place, need, slow: slowness.NONE, waitFactor }), waitFactor,
       sureMs: this.predictAt(plan, runner, { place, need, slow: slowness.NONE, waitFactor: Math.max(waitFactor, pace.margin(rank, plan.now)) }).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
-      rank, deadline: plan.deadline,
+      rank, deadline: plan.deadline, gapMs: plan.entry.route.target_gap_ms ?? Infinity,
     });
     this.cells.spend(runner, tokens);
     return ticket;
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -3,6 +3,7 @@
 import type * as types from "../wire/types.js";
 import type * as cells from "./cells.js";
 import * as paces from "./pace.js";
+import type * as pauses from "./pauses.js";
 import type * as predictions from "./predict.js";
 import type * as slowness from "./slowness.js";
 import type * as usuals from "./usual.js";
@@ -20,6 +21,8 @@
   readonly sureMs: number;
   readonly fullness: number;
   readonly rank: number;
+  /** The pause that its route allows between two events; Infinity without one. */
+  readonly gapMs: number;
   readonly deadline: number;
 }
 
@@ -27,6 +30,7 @@
   readonly world: types.World;
   readonly slowness: slowness.Slowness;
   readonly cells: cells.Cells;
+  readonly pauses: pauses.Pauses;
   paceOf(service: string): paces.Pace;
   usualOf(route: string): usuals.Usual;
 }
@@ -35,6 +39,7 @@
 
 export class Ticket implements slowness.Waiting {
   private firstAt = 0;
+  private eventAt = 0;
   private isOver = false;
   readonly sentAt: number;
   readonly predictedMs: number;
@@ -63,6 +68,14 @@
     this.learnWait(this.firstAt);
   }
 
+  /** A piece of the reply is here. */
+  event(): void {
+    const now = this.teacher.world.now();
+    if (this.firstAt > 0) this.teacher.pauses.paused(this.sent.runner.id, (now - this.eventAt) / this.sent.gapMs, now);
+    else this.first();
+    this.eventAt = now;
+  }
+
   private learnWait(now: number): void {
     const pace = this.teacher.paceOf(this.sent.service);
     pace.learnWait(this.sent.rank, now - this.open.since, this.open.waitMs);
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -170,7 +170,7 @@
     this.hear();
     if (this.isHandedBack) return true;
     this.time();
-    this.what.ticket.first();
+    this.what.ticket.event();
     if (!this.isStreaming && this.what.isStream) {
       this.isStreaming = true;
       this.runner.streaming += 1;
