--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -6,6 +6,7 @@
 import * as log from "../startup/log.js";
 import type * as schema from "../wire/schema.js";
 import type * as types from "../wire/types.js";
+import * as accounts from "./account.js";
 import * as cells from "./cells.js";
 import * as paces from "./pace.js";
 import * as pauses from "./pauses.js";
@@ -18,6 +19,7 @@
 import * as tallies from "./tally.js";
 import * as tickets from "./ticket.js";
 import * as usuals from "./usual.js";
+import * as verdicts from "./verdict.js";
 
 const MOST_SERVICES = 64;
 const MOST_ROUTES = 256;
@@ -26,10 +28,6 @@
 /** A place is of no use to what would take so many times what it has left (ours). */
 const HOPELESS = 1.2;
 const LAG_DECAY = 0.5;
-const LEAST_RETRY_S = 0.2;
-/** Clients honour up to this part of the time they have left. */
-const HONOURED = 1 / 3;
-const SPREAD_FROM = 0.6;
 /** A longer reading holds up the streams of its runner (ours). */
 const LONG_TOKENS = 1000;
 
@@ -69,10 +67,10 @@
   private readonly paces = new spreads.Bounded<string, paces.Pace>(MOST_SERVICES, newPace);
   private readonly sizes = new spreads.Bounded<string, sizes.Sizes>(MOST_ROUTES, newSizes);
   private readonly usuals = new spreads.Bounded<string, usuals.Usual>(MOST_ROUTES, newUsual);
-  private lagMs = 0;
+  lagMs = 0;
   private turnedAt = -1;
 
-  constructor(readonly world: types.World, private readonly needs: Needs) {
+  constructor(readonly world: types.World, readonly needs: Needs) {
     this.cells = new cells.Cells(world);
     this.tally = new tallies.Tally(world);
   }
@@ -132,8 +130,8 @@
 
   /**
    * Null lets the request in; the first runner that serves it in time is put first. It is denied only when over half
-   * of the places of the allowed runners are taken and each of them is predicted to miss: its deadline, or, for a
-   * newcomer that is not of the first rank, its aim (design/admission 11).
+   * of the places of the allowed runners are taken and each of them is predicted to miss: its deadline; past the first
+   * rank also the aim of a newcomer, and the pauses of the streams there, were a long reading added (design/admission 11).
    */
   judge(plan: plans.Plan): plans.Denial | null {
     const chosen = plan.candidates[0];
@@ -174,18 +172,18 @@
       leastMs = Math.min(leastMs, made.endMs);
       leastFirstMs = Math.min(leastFirstMs, made.firstMs);
       if (made.endMs + made.delayMs * (1 / part - 1) <= left) {
-        if (made.firstMs <= aim && this.isFitting(plan, runner)) return putFirst(plan, runner);
+        if (made.firstMs <= aim && this.isFitting(plan, runner)) return verdicts.putFirst(plan, runner);
         late ??= runner;
       }
       if (made.hasPlace && this.cells.hasLease(runner) && made.endMs <= left * HOPELESS) free ??= runner;
     }
     // Every runner is too small for it: the chain goes on as before, and the runner itself says so.
     if (leastMs === Infinity) return null;
-    const room = this.roomNow(sure, plan.now);
+    const room = this.cells.roomNow(sure, plan.now);
     // Nothing is denied while a place is free for it, but what cannot be done even without a wait.
     if (route.priority === 0 || rooms.isHalfEmpty(room)) {
       const taken = late ?? free;
-      if (taken) return putFirst(plan, taken);
+      if (taken) return verdicts.putFirst(plan, taken);
       if (rooms.isHalfEmpty(room)) return null;
     }
     this.tally.roomAt(room);
@@ -207,26 +205,12 @@
     return this.isReturning(plan) || isHeldBack ? Math.sqrt(part) : part;
   }
 
-  /** A runner that handed back a moment ago is full whatever is known of it. */
-  private roomNow(runners: readonly fleets.Runner[], now: number): rooms.Room {
-    const { cells: known } = this;
-    return rooms.roomOf(runners.map(placed));
-    function placed(runner: fleets.Runner): rooms.Place {
-      const place = known.reportedPlace(0, runner);
-      return runner.fullUntil > now ? { ...place, used: Math.max(place.used, place.capacity) } : place;
-    }
-  }
-
   private deny(plan: plans.Plan, excessMs: number): plans.Denial {
-    const left = Math.max(0, plan.deadline - plan.now);
     this.returns.note(plan.returnKey, plan.now);
     this.sizes.of(plan.entry.route.name).note(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), false);
     log.count("admission.denied");
     log.count(`admission.denied_rank_${plan.entry.route.priority ?? 1}`);
-    // It fits once the excess has been worked off; chance keeps those denied together from returning together.
-    const waitMs = Math.min(left * HONOURED, Math.max(LEAST_RETRY_S * 1000, excessMs));
-    const spread = SPREAD_FROM + (1 - SPREAD_FROM) * this.world.random();
-    return { status: 503, cause: "the fleet has no room for this request in its time; come back as told", retryAfterS: (waitMs * spread) / 1000 };
+    return verdicts.denial(plan, excessMs, this.world.random());
   }
 
   /** It goes to this runner: its part of the room is spent, and its reply will teach. */
@@ -253,29 +237,6 @@
   }
 
   status(): unknown {
-    const now = this.world.now();
-    const services: unknown[] = [];
-    for (const [name, pace] of this.paces.entries()) {
-      const errors = [0, 1, 2].map(told);
-      function told(rank: number): unknown {
-        const error = pace.errorOf(rank);
-        return { rank, replies: error.count, p50: error.at(50, 1), p90: error.at(90, 1), p99: error.at(99, 1), margin: pace.margin(rank, now) };
-      }
-      services.push({ name, heldMs: pace.heldMs(true), errors });
-    }
-    const kinds: unknown[] = [];
-    for (const [route, usual] of this.usuals.entries()) kinds.push({ route, service: usual.service, ...usual.told() });
-    return { isOn: this.isOn, rate: this.needs.known.rate, lagMs: this.lagMs, returners: this.returns.size, tally: this.tally.status(), cells: this.cells.status(), services, kinds };
-  }
-}
-
-/** The policy of the runner keeps its order, but for the one that serves in time. */
-function putFirst(plan: plans.Plan, runner: fleets.Runner): null {
-  if (plan.candidates[0] === runner) return null;
-  plan.candidates = [runner, ...plan.candidates.filter(isOther)];
-  log.count("admission.moved");
-  return null;
-  function isOther(item: fleets.Runner): boolean {
-    return item !== runner;
+    return accounts.account(this, this.paces.entries(), this.usuals.entries());
   }
 }
--- a/src/admission/spread.ts
+++ b/src/admission/spread.ts
@@ -43,6 +43,11 @@
     }
   }
 
+  /** The same of all records of the window so far, read anew. */
+  exactly(percent: number): number {
+    return this.current.count === 0 ? 0 : this.current.percentile(percent) / this.scale;
+  }
+
   /** The value that `percent` of the records do not exceed; `none` without a record. */
   at(percent: number, none: number): number {
     if (this.all === 0) return none;
--- a/src/admission/tally.ts
+++ b/src/admission/tally.ts
@@ -17,7 +17,7 @@
 const WORST = 100;
 
 function told(spread: spreads.Spread): { count: number; p50: number; p99: number; worst: number } {
-  return { count: spread.count, p50: spread.at(MIDDLE, 0), p99: spread.at(TAIL, 0), worst: spread.at(WORST, 0) };
+  return { count: spread.count, p50: spread.exactly(MIDDLE), p99: spread.exactly(TAIL), worst: spread.exactly(WORST) };
 }
 
 export class Tally {
@@ -28,7 +28,8 @@
   private readonly unused = new spreads.Spread(PERCENT, Infinity);
   private readonly ends = new Map<string, number>();
   private readonly causes = new Map<string, number>();
-  private isShort = false;
+  /** Something was refused a moment ago. */
+  isShort = false;
   private refusedAt = 0;
 
   constructor(private readonly world: types.World) {}
--- /dev/null
+++ b/src/admission/verdict.ts
@@ -0,0 +1,30 @@
+// The two ends of a judgment (design/admission 1): in, at that runner first, or denied with a time to come back.
+import type * as fleets from "../router/fleet.js";
+import type * as plans from "../router/plan.js";
+import * as log from "../startup/log.js";
+
+const LEAST_RETRY_S = 0.2;
+/** Clients honour up to this part of the time they have left. */
+const HONOURED = 1 / 3;
+const SPREAD_FROM = 0.6;
+
+/** The policy of the runner keeps its order, but for the one that serves in time. */
+export function putFirst(plan: plans.Plan, runner: fleets.Runner): null {
+  if (plan.candidates[0] === runner) return null;
+  plan.candidates = [runner, ...plan.candidates.filter(isOther)];
+  log.count("admission.moved");
+  return null;
+  function isOther(item: fleets.Runner): boolean {
+    return item !== runner;
+  }
+}
+
+/**
+ * It fits once the excess has been worked off; chance (`random`, 0 to 1) keeps those denied together from returning
+ * together.
+ */
+export function denial(plan: plans.Plan, excessMs: number, random: number): plans.Denial {
+  const waitMs = Math.min(Math.max(0, plan.deadline - plan.now) * HONOURED, Math.max(LEAST_RETRY_S * 1000, excessMs));
+  const spread = SPREAD_FROM + (1 - SPREAD_FROM) * random;
+  return { status: 503, cause: "the fleet has no room for this request in its time; come back as told", retryAfterS: (waitMs * spread) / 1000 };
+}
