--- a/src/admission/spread.ts
+++ b/src/admission/spread.ts
@@ -19,7 +19,8 @@
   private sinceRead = 0;
   private all = 0;
 
-  constructor(private readonly scale: number) {}
+  /** `window`: records until the oldest are forgotten. */
+  constructor(private readonly scale: number, private readonly window = WINDOW) {}
 
   get count(): number {
     return this.all;
@@ -27,7 +28,7 @@
 
   record(value: number): void {
     if (!Number.isFinite(value) || value < 0) return;
-    if (this.current.count >= WINDOW) {
+    if (this.current.count >= this.window) {
       const oldest = this.former;
       this.former = this.current;
       oldest.reset();
@@ -42,6 +43,11 @@
     }
   }
 
+  /** The same of all records of the window so far, read anew. */
+  exactly(percent: number): number {
+    return this.current.count === 0 ? 0 : this.current.percentile(percent) / this.scale;
+  }
+
   /** The value that `percent` of the records do not exceed; `none` without a record. */
   at(percent: number, none: number): number {
     if (this.all === 0) return none;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -36,11 +36,7 @@
 const LAST_MS = 400;
 const STEP_MS = 50;
 
-export interface Standing {
-  epoch: types.Epoch;
-  revision: number;
-  following: string | null;
-}
+export type { Standing } from "./account.js";
 
 export class RouterProgram implements followers.Taker, tellers.Hearer {
   private readonly life = crypto.randomBytes(6).toString("hex");
@@ -53,7 +49,7 @@
   private readonly config = new parts.ConfigParts();
   private readonly borrower: leases.Borrower;
   private readonly known = new readings.Readings();
-  private readonly usage: usages.Reader;
+  readonly usage: usages.Reader;
   private readonly teller: tellers.Teller;
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
@@ -138,9 +134,9 @@
     this.usage.sent(this.fleet.regionFor(runner));
     if (request.parts.length === 0) return 0;
     const unread = Math.round(this.known.unread(runner, request.parts, request.keys));
-    const kept = this.known.keptParts(runner, request.keys);
-    this.known.note(runner, unread, request.keys, this.clock.now());
-    if (unread >= TOLD_TOKENS) this.teller.reading(runner, unread, request.keys.slice(kept));
+    const news = request.keys.slice(this.known.keptParts(runner, request.keys));
+    this.read(runner, unread, request.keys);
+    if (unread >= TOLD_TOKENS) this.teller.reading(runner, unread, news);
     return unread;
   }
 
@@ -154,6 +150,7 @@
 
   read(runner: types.RunnerId, unread: number, keys: readonly number[]): void {
     this.known.note(runner, unread, keys, this.clock.now());
+    this.fleet.reads(runner, unread / this.known.rate);
   }
 
   /** The runners of a region that is cut off from here are doubted. */
@@ -229,7 +226,7 @@
   }
 
   /** What it goes by now, for watchers in the same process (docs/experiment.md). */
-  standing(): Standing {
+  standing(): accounts.Standing {
     return { epoch: this.epoch, revision: this.config.revision, following: this.follower.main?.node.name ?? null };
   }
 
@@ -239,10 +236,10 @@
     const until = startedAt + this.startup.bounds.grace_s * 1000 - LAST_MS;
     this.server.isLeaving = true;
     this.beat();
-    const leave = Math.min(directory.LEAVE_MS + link.BEAT_MS, until - startedAt);
-    await world.sleep(this.clock, leave);
+    await world.sleep(this.clock, Math.min(directory.LEAVE_MS + link.BEAT_MS, until - startedAt));
     this.server.close();
     while (this.server.activeCount > 0 && this.clock.now() < until) await world.sleep(this.clock, STEP_MS);
+    log.state(this.chooser.admission.tally.line());
     await this.root.stop();
     this.dial.end();
     this.fleet.closeIdle();
