Admission: pauses are bound at 0.45 of the allowed; sizes that starve are spared both bounds

At 0.75 whole streams still missed their deadline behind readings; at 0.45 alone the largest tenth of the checks was served 0.28 against 0.60 of its kind. Sizes admitted under 0.65 as often as their kind now go by the deadline alone.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -161,7 +161,9 @@
     const left = plan.deadline - plan.now;
     const part = this.partFor(plan);
     const margin = this.paceOf(plan.service).margin(route.priority ?? 1, plan.now);
-    const aim = this.isReturning(plan) || route.priority === 0 ? Infinity : (route.target_latency_ms ?? Infinity);
+    // Neither bound may starve the large ones of a kind.
+    const isSpared = this.sizes.of(route.name).isStarved(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
+    const aim = isSpared || this.isReturning(plan) || route.priority === 0 ? Infinity : (route.target_latency_ms ?? Infinity);
     let leastMs = Infinity;
     let leastFirstMs = Infinity;
     let late: fleets.Runner | null = null;
@@ -172,7 +174,7 @@
       leastMs = Math.min(leastMs, made.endMs);
       leastFirstMs = Math.min(leastFirstMs, made.firstMs);
       if (made.endMs + made.delayMs * (1 / part - 1) <= left) {
-        if (made.firstMs <= aim && this.isFitting(plan, runner)) return verdicts.putFirst(plan, runner);
+        if (made.firstMs <= aim && (isSpared || this.isFitting(plan, runner))) return verdicts.putFirst(plan, runner);
         late ??= runner;
       }
       if (made.hasPlace && this.cells.hasLease(runner) && made.endMs <= left * HOPELESS) free ??= runner;
--- a/src/admission/pauses.ts
+++ b/src/admission/pauses.ts
@@ -5,7 +5,7 @@
 /** What was seen counts half after so long (ours). */
 const HALF_MS = 500;
 /** From this part of the allowed pause on, a runner takes no further long reading from a newcomer (ours). */
-const MOST = 0.75;
+const MOST = 0.45;
 
 interface Seen {
   share: number;
--- a/src/admission/sizes.ts
+++ b/src/admission/sizes.ts
@@ -8,6 +8,8 @@
 const DECAY = 0.995;
 const LEAST_ASKED = 10;
 const HELD_BACK = 0.9;
+/** Served half as often is too little: from here on nothing but the deadline bounds it (ours). */
+const STARVED = 0.65;
 
 interface Count {
   asked: number;
@@ -37,9 +39,17 @@
 
   /** Its class was admitted clearly less often than the whole. */
   isHeldBack(size: number): boolean {
+    return this.isUnder(HELD_BACK, size);
+  }
+
+  isStarved(size: number): boolean {
+    return this.isUnder(STARVED, size);
+  }
+
+  private isUnder(part: number, size: number): boolean {
     const mine = this.classes[this.classOf(size)]!;
     if (mine.asked < 1 || this.whole.asked < 1) return false;
-    return mine.admitted / mine.asked < HELD_BACK * (this.whole.admitted / this.whole.asked);
+    return mine.admitted / mine.asked < part * (this.whole.admitted / this.whole.asked);
   }
 
   note(size: number, isAdmitted: boolean): void {
