--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -30,6 +30,12 @@
     this.chooser = new choosers.Chooser(world, this.fleet, this.rotation, this.share, region, this.known);
     this.chooser.table = table;
   }
+
+  /** As the router's program does: a reading is known to the weighing and to the status of its runner. */
+  read(runner: string, unread: number, keys: readonly number[], now: number): void {
+    this.known.note(runner, unread, keys, now);
+    this.fleet.reads(types.small(runner), unread / this.known.rate);
+  }
 }
 
 function same(region: string): [string, string] {
@@ -80,10 +86,10 @@
 /** Notes a reading where it is sent from, and tells the other routers a moment later, as signs do. */
 export function tellReading(world: types.World, routers: readonly ModelRouter[], from: ModelRouter, runner: string, request: transactions.Request): number {
   const unread = Math.round(from.known.unread(runner, request.parts, request.keys));
-  from.known.note(runner, unread, request.keys, world.now());
+  from.read(runner, unread, request.keys, world.now());
   world.after(SIGN_MS, tell);
   return unread;
   function tell(): void {
-    for (const router of routers) if (router !== from) router.known.note(runner, unread, request.keys, world.now());
+    for (const router of routers) if (router !== from) router.read(runner, unread, request.keys, world.now());
   }
 }
