--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -71,7 +71,10 @@
   lagMs = 0;
   private turnedAt = -1;
 
-  constructor(readonly world: types.World, readonly needs: Needs) {
+  constructor(
+    readonly world: types.World,
+    readonly needs: Needs,
+  ) {
     this.cells = new cells.Cells(world);
     this.tally = new tallies.Tally(world);
   }
@@ -108,7 +111,11 @@
 
   needOf(plan: plans.Plan, runner: fleets.Runner): predictions.Need {
     const { prompt, mostOut } = plan.asked;
-    return { unread: plan.parts.length > 0 ? this.needs.known.unread(runner.id, plan.parts, plan.keys) : 0, out: mostOut, tokens: prompt + mostOut };
+    return {
+      unread: plan.parts.length > 0 ? this.needs.known.unread(runner.id, plan.parts, plan.keys) : 0,
+      out: mostOut,
+      tokens: prompt + mostOut,
+    };
   }
 
   predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slow, waitFactor: number): predictions.Prediction {
@@ -123,9 +130,13 @@
     const pace = this.paceOf(plan.service);
     const { place, need, slow, waitFactor } = seen;
     return predictions.predict(place, need, {
-      rate: this.needs.known.rate, heldMs: pace.heldMs(plan.asked.mostOut > 0),
+      rate: this.needs.known.rate,
+      heldMs: pace.heldMs(plan.asked.mostOut > 0),
       tokenMs: pace.tokenMs((place.used + 1) / Math.max(1, place.capacity)),
-      waitFactor, slow, fullMs: Math.max(0, runner.fullUntil - plan.now), lagMs: this.lagMs,
+      waitFactor,
+      slow,
+      fullMs: Math.max(0, runner.fullUntil - plan.now),
+      lagMs: this.lagMs,
     });
   }
 
@@ -144,7 +155,9 @@
   private isCalmAt(plan: plans.Plan, runner: fleets.Runner): boolean {
     const made = this.predict(plan, runner, this.slowness.at(runner.id, plan.now), 1);
     const aim = plan.entry.route.target_latency_ms ?? Infinity;
-    return made.hasPlace && !made.neverFits && made.firstMs <= aim && this.isFitting(plan, runner) && made.endMs <= plan.deadline - plan.now;
+    return (
+      made.hasPlace && !made.neverFits && made.firstMs <= aim && this.isFitting(plan, runner) && made.endMs <= plan.deadline - plan.now
+    );
   }
 
   /** A long reading is not added where streams pause almost too long already. */
@@ -204,7 +217,7 @@
   private partFor(plan: plans.Plan): number {
     const { route } = plan.entry;
     const isHeldBack = this.sizes.of(route.name).isHeldBack(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut));
-    const part = PARTS[Math.min(PARTS.length - 1, route.priority ?? 1)]!;
+    const part = PARTS[Math.min(PARTS.length - 1, route.priority ?? 1)];
     return this.isReturning(plan) || isHeldBack ? Math.sqrt(part) : part;
   }
 
@@ -230,10 +243,23 @@
     const pace = this.paceOf(plan.service);
     const waitFactor = pace.usualWait(rank);
     const ticket = new tickets.Ticket(this, {
-      runner, need, service: plan.service, route: plan.entry.route.name, sentAt: plan.now, bare: this.predictAt(plan, runner, { place, need, slow: slowness.NONE, waitFactor }), waitFactor,
-      sureMs: this.predictAt(plan, runner, { place, need, slow: slowness.NONE, waitFactor: Math.max(waitFactor, pace.margin(rank, plan.now)) }).firstMs,
+      runner,
+      need,
+      service: plan.service,
+      route: plan.entry.route.name,
+      sentAt: plan.now,
+      bare: this.predictAt(plan, runner, { place, need, slow: slowness.NONE, waitFactor }),
+      waitFactor,
+      sureMs: this.predictAt(plan, runner, {
+        place,
+        need,
+        slow: slowness.NONE,
+        waitFactor: Math.max(waitFactor, pace.margin(rank, plan.now)),
+      }).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
-      rank, deadline: plan.deadline, gapMs: plan.entry.route.target_gap_ms ?? Infinity,
+      rank,
+      deadline: plan.deadline,
+      gapMs: plan.entry.route.target_gap_ms ?? Infinity,
     });
     this.cells.spend(runner, tokens);
     return ticket;
--- a/src/admission/cells.ts
+++ b/src/admission/cells.ts
@@ -53,7 +53,8 @@
   takeReport(report: schema.CellReport, runners: Iterable<fleets.Runner>, routers: number): void {
     const at = this.world.now();
     for (const item of report.reports) {
-      if (item.isSpeaking) this.reported.set(item.id, { at, waiting: item.waiting, kvUsed: item.kvUsed, kvCapacity: item.kvCapacity, sentTokens: 0 });
+      if (item.isSpeaking)
+        this.reported.set(item.id, { at, waiting: item.waiting, kvUsed: item.kvUsed, kvCapacity: item.kvCapacity, sentTokens: 0 });
     }
     const cells = new Map<string, fleets.Runner[]>();
     for (const runner of runners) {
@@ -91,8 +92,12 @@
     const told = known && this.isFresh(known) ? known : undefined;
     return {
       // What others had there by a report that is stale is not known now.
-      capacity: runner.instance.capacity, used: known && !told ? runner.inflight : runner.usage(), waiting: told?.waiting ?? 0,
-      kvUsed: (told?.kvUsed ?? 0) + (told?.sentTokens ?? 0), kvCapacity: told?.kvCapacity ?? 0, backlogMs,
+      capacity: runner.instance.capacity,
+      used: known && !told ? runner.inflight : runner.usage(),
+      waiting: told?.waiting ?? 0,
+      kvUsed: (told?.kvUsed ?? 0) + (told?.sentTokens ?? 0),
+      kvCapacity: told?.kvCapacity ?? 0,
+      backlogMs,
     };
   }
 
--- a/src/admission/pace.ts
+++ b/src/admission/pace.ts
@@ -46,7 +46,7 @@
   readonly open = MARGIN_AT.map(newSet);
 
   openOf(rank: number): Set<Open> {
-    return this.open[classOf(rank)]!;
+    return this.open[classOf(rank)];
   }
 
   /** What the longest waiting have waited already, over what was predicted: all of them, so that one silent runner is no proof. */
@@ -64,7 +64,7 @@
   /** Whether one that had to wait was done by its deadline. */
   learnOutcome(rank: number, isInTime: boolean): void {
     const at = classOf(rank);
-    this.caution[at] = Math.min(MOST_CAUTION, Math.max(1, this.caution[at]! * (isInTime ? LESS_CAUTION : MORE_CAUTION)));
+    this.caution[at] = Math.min(MOST_CAUTION, Math.max(1, this.caution[at] * (isInTime ? LESS_CAUTION : MORE_CAUTION)));
   }
 
   /** From the first event to the end, over the tokens asked for at most. */
@@ -85,7 +85,7 @@
   }
 
   errorOf(rank: number): spreads.Spread {
-    return this.errors[classOf(rank)]!;
+    return this.errors[classOf(rank)];
   }
 
   /** Milliseconds per asked token; never less in a fuller batch. */
@@ -107,7 +107,7 @@
 
   /** What a wait is multiplied by to be judged: the less urgent the rank, the surer it must be. */
   margin(rank: number, now: number): number {
-    const learned = this.caution[classOf(rank)]! * this.factor(rank, MARGIN_AT[classOf(rank)]!, FIRST_MARGIN[classOf(rank)]!);
+    const learned = this.caution[classOf(rank)] * this.factor(rank, MARGIN_AT[classOf(rank)], FIRST_MARGIN[classOf(rank)]);
     return Math.max(learned, this.overdue(rank, now));
   }
 
--- a/src/admission/predict.ts
+++ b/src/admission/predict.ts
@@ -62,5 +62,12 @@
   const endMs = need.out > 0 ? firstMs + known.slow.stream * workMs : firstMs;
   const isMemoryFree = place.kvCapacity === 0 || need.unread + need.out <= place.kvCapacity - place.kvUsed;
   const hasPlace = place.used < place.capacity && place.waiting === 0 && isMemoryFree && known.fullMs === 0;
-  return { waitMs, delayMs: known.slow.first * aheadMs, firstMs, endMs, hasPlace, neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity };
+  return {
+    waitMs,
+    delayMs: known.slow.first * aheadMs,
+    firstMs,
+    endMs,
+    hasPlace,
+    neverFits: place.kvCapacity > 0 && need.tokens > place.kvCapacity,
+  };
 }
--- a/src/admission/sizes.ts
+++ b/src/admission/sizes.ts
@@ -47,13 +47,13 @@
   }
 
   private isUnder(part: number, size: number): boolean {
-    const mine = this.classes[this.classOf(size)]!;
+    const mine = this.classes[this.classOf(size)];
     if (mine.asked < 1 || this.whole.asked < 1) return false;
     return mine.admitted / mine.asked < part * (this.whole.admitted / this.whole.asked);
   }
 
   note(size: number, isAdmitted: boolean): void {
-    const mine = this.classes[this.classOf(size)]!;
+    const mine = this.classes[this.classOf(size)];
     if (size > 0) this.spread.record(size);
     for (const count of [mine, this.whole]) {
       count.asked = count.asked * DECAY + 1;
--- a/src/admission/spread.ts
+++ b/src/admission/spread.ts
@@ -20,7 +20,10 @@
   private all = 0;
 
   /** `window`: records until the oldest are forgotten. */
-  constructor(private readonly scale: number, private readonly window = WINDOW) {}
+  constructor(
+    private readonly scale: number,
+    private readonly window = WINDOW,
+  ) {}
 
   get count(): number {
     return this.all;
@@ -64,7 +67,10 @@
 /** A table that forgets what was not used for longest. */
 export class Bounded<K, V> {
   private readonly items = new Map<K, V>();
-  constructor(private readonly most: number, private readonly make: () => V) {}
+  constructor(
+    private readonly most: number,
+    private readonly make: () => V,
+  ) {}
 
   of(key: K): V {
     const item = this.items.get(key) ?? this.make();
--- a/src/admission/tally.ts
+++ b/src/admission/tally.ts
@@ -60,8 +60,11 @@
 
   status(): Record<string, unknown> {
     return {
-      ends: Object.fromEntries(this.ends), refusedAtDoorMs: told(this.atDoor), refusedAfterSendMs: told(this.afterSend),
-      unusedPercent: told(this.unused), causes: Object.fromEntries(this.causes),
+      ends: Object.fromEntries(this.ends),
+      refusedAtDoorMs: told(this.atDoor),
+      refusedAfterSendMs: told(this.afterSend),
+      unusedPercent: told(this.unused),
+      causes: Object.fromEntries(this.causes),
     };
   }
 
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -45,7 +45,10 @@
   readonly predictedMs: number;
   private readonly open: paces.Open;
 
-  constructor(private readonly teacher: Teacher, private readonly sent: Sent) {
+  constructor(
+    private readonly teacher: Teacher,
+    private readonly sent: Sent,
+  ) {
     this.sentAt = sent.sentAt;
     this.predictedMs = sent.sureMs;
     // Without a learned pace a plain request predicts nothing that its reply could be compared to.
--- a/src/admission/verdict.ts
+++ b/src/admission/verdict.ts
@@ -26,5 +26,9 @@
 export function denial(plan: plans.Plan, excessMs: number, random: number): plans.Denial {
   const waitMs = Math.min(Math.max(0, plan.deadline - plan.now) * HONOURED, Math.max(LEAST_RETRY_S * 1000, excessMs));
   const spread = SPREAD_FROM + (1 - SPREAD_FROM) * random;
-  return { status: 503, cause: "the fleet has no room for this request in its time; come back as told", retryAfterS: (waitMs * spread) / 1000 };
+  return {
+    status: 503,
+    cause: "the fleet has no room for this request in its time; come back as told",
+    retryAfterS: (waitMs * spread) / 1000,
+  };
 }
--- a/src/cli/ask.ts
+++ b/src/cli/ask.ts
@@ -15,7 +15,10 @@
 export function ask(output: commands.Output, wanted: Ask): Promise<number> {
   const started = Date.now();
   const headers: nodeHttp.OutgoingHttpHeaders = {
-    Host: wanted.host, "X-Cranewind-Request-Id": crypto.randomBytes(8).toString("hex"), "X-Cranewind-Time-Budget-Ms": wanted.budgetMs, "X-Cranewind-Model": "m",
+    Host: wanted.host,
+    "X-Cranewind-Request-Id": crypto.randomBytes(8).toString("hex"),
+    "X-Cranewind-Time-Budget-Ms": wanted.budgetMs,
+    "X-Cranewind-Model": "m",
   };
   if (wanted.prompt !== "") {
     headers["X-Cranewind-Prompt-Prefix"] = wanted.prompt;
@@ -23,7 +26,8 @@
   }
   return new Promise(function send(resolve) {
     const request = nodeHttp.request(
-      { host: types.hostOf(wanted.router), port: types.portOf(wanted.router), path: wanted.path, method: "POST", agent: false, headers }, taken,
+      { host: types.hostOf(wanted.router), port: types.portOf(wanted.router), path: wanted.path, method: "POST", agent: false, headers },
+      taken,
     );
     request.on("error", failed);
     request.end();
@@ -43,9 +47,14 @@
       });
       reply.on("close", function ended() {
         const state = reply.complete ? "whole" : "BROKEN OFF";
-        output.line(`${reply.statusCode} ${state}, first piece after ${firstMs} ms, ${bytes} bytes in ${Date.now() - started} ms, seal ${String(reply.headers["x-cranewind-response-seal"] ?? "none")}`);
+        output.line(
+          `${reply.statusCode} ${state}, first piece after ${firstMs} ms, ${bytes} bytes in ${Date.now() - started} ms, seal ${String(reply.headers["x-cranewind-response-seal"] ?? "none")}`,
+        );
         const isGood = reply.complete && reply.statusCode! < 300;
-        if (reply.statusCode! >= 300) output.failure(`denied with ${reply.statusCode}; retry after ${String(reply.headers["retry-after"] ?? "a change of the request")}`);
+        if (reply.statusCode! >= 300)
+          output.failure(
+            `denied with ${reply.statusCode}; retry after ${String(reply.headers["retry-after"] ?? "a change of the request")}`,
+          );
         resolve(isGood ? commands.EXIT.ok : commands.EXIT.denied);
       });
     }
--- a/src/cli/capacity.ts
+++ b/src/cli/capacity.ts
@@ -43,7 +43,14 @@
       const instance = byId.get(item.id);
       if (!instance || instance.isDraining || !item.isSpeaking) continue;
       const places = services.get(instance.service) ?? [];
-      places.push({ capacity: instance.capacity, used: item.active + item.waiting, waiting: item.waiting, kvUsed: item.kvUsed, kvCapacity: item.kvCapacity, backlogMs: 0 });
+      places.push({
+        capacity: instance.capacity,
+        used: item.active + item.waiting,
+        waiting: item.waiting,
+        kvUsed: item.kvUsed,
+        kvCapacity: item.kvCapacity,
+        backlogMs: 0,
+      });
       services.set(instance.service, places);
     }
     for (const [service, places] of services) made.push({ region, service, room: rooms.roomOf(places) });
@@ -87,7 +94,12 @@
 }
 
 /** Asks each address, control or router; 3 when none replies. */
-export async function capacity(world: types.World, output: commands.Output, addresses: readonly string[], isJson: boolean): Promise<number> {
+export async function capacity(
+  world: types.World,
+  output: commands.Output,
+  addresses: readonly string[],
+  isJson: boolean,
+): Promise<number> {
   const told: Status[] = [];
   let failure = "no address was given; name one with --control HOST:PORT";
   for (const address of addresses) {
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -27,7 +27,12 @@
   let { path } = call;
   for (let hop = 0; hop <= MOST_REDIRECTS; hop += 1) {
     const client = http.open(at, { connectMs: WITHIN_MS, idleMs: 1 });
-    const reply = await http.call(world, client, path, { method: call.method, headers: call.headers, body: call.body, withinMs: WITHIN_MS });
+    const reply = await http.call(world, client, path, {
+      method: call.method,
+      headers: call.headers,
+      body: call.body,
+      withinMs: WITHIN_MS,
+    });
     void client.destroy().catch(http.ignore);
     const location = reply?.status === 307 ? reply.headers.get("location") : undefined;
     if (!location) return reply;
--- a/src/cli/cranewind.ts
+++ b/src/cli/cranewind.ts
@@ -5,4 +5,4 @@
 const [, , role, ...rest] = process.argv;
 const isRole = (role === "router" || role === "control") && rest.length === 0;
 const loaded: Record<string, () => void> = require(path.join(__dirname, isRole ? "roles.js" : "commands.js"));
-if (isRole) loaded[role]!();
+if (isRole) loaded[role]();
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -47,53 +47,82 @@
 const controls = ["--control <host:port,...>", "control nodes to ask, one after the other"] as const;
 
 const checks = program.command("check").description("check a file without a running system");
-checks.command("settings <file>").description("check a node's settings file").action(function settings(file: string) {
-  return ending(commands.checkSettings(output, file));
-});
-checks.command("config <file>").description("check a configuration").action(function config(file: string) {
-  return ending(commands.checkConfig(output, file));
-});
+checks
+  .command("settings <file>")
+  .description("check a node's settings file")
+  .action(function settings(file: string) {
+    return ending(commands.checkSettings(output, file));
+  });
+checks
+  .command("config <file>")
+  .description("check a configuration")
+  .action(function config(file: string) {
+    return ending(commands.checkConfig(output, file));
+  });
 
-program.command("describe").description("print the newest configuration, read at a majority").requiredOption(...controls)
+program
+  .command("describe")
+  .description("print the newest configuration, read at a majority")
+  .requiredOption(...controls)
   .action(function describe(options: Options) {
     return ending(commands.describe(clock, output, listOf(options.control)));
   });
 
-program.command("apply <file>").description("send a whole configuration").requiredOption(...controls)
+program
+  .command("apply <file>")
+  .description("send a whole configuration")
+  .requiredOption(...controls)
   .requiredOption("--base <revision>", "the revision it builds on, 0 for the first")
   .action(function apply(file: string, options: Options) {
     return ending(commands.apply(clock, output, listOf(options.control), file, options.base, false));
   });
 
-program.command("update <file>").description("change named items of the configuration").requiredOption(...controls)
+program
+  .command("update <file>")
+  .description("change named items of the configuration")
+  .requiredOption(...controls)
   .requiredOption("--base <revision>", "the revision it builds on")
   .action(function update(file: string, options: Options) {
     return ending(commands.apply(clock, output, listOf(options.control), file, options.base, true));
   });
 
-program.command("evacuate <start|stop> <zone>").description("send nothing more to a zone's runners, or take that back").requiredOption(...controls)
+program
+  .command("evacuate <start|stop> <zone>")
+  .description("send nothing more to a zone's runners, or take that back")
+  .requiredOption(...controls)
   .action(function evacuate(verb: string, zone: string, options: Options) {
     return ending(commands.evacuate(clock, output, listOf(options.control), verb, zone));
   });
 
-program.command("status").description("members, voters, cells and counters of a node (a router: its readiness address)").requiredOption(...controls)
+program
+  .command("status")
+  .description("members, voters, cells and counters of a node (a router: its readiness address)")
+  .requiredOption(...controls)
   .option("--json", "as the node tells it")
   .action(function status(options: Options) {
     return ending(commands.status(clock, output, listOf(options.control), options.json === true));
   });
 
-program.command("capacity").description("how much more the fleet can take, a cell and service a line").requiredOption(...controls)
+program
+  .command("capacity")
+  .description("how much more the fleet can take, a cell and service a line")
+  .requiredOption(...controls)
   .option("--json", "rows as JSON")
   .action(function more(options: Options) {
     return ending(capacities.capacity(clock, output, listOf(options.control), options.json === true));
   });
 
-program.command("whatif <file>").description("play a described day through the router's policies").option("--json", "rows as JSON")
+program
+  .command("whatif <file>")
+  .description("play a described day through the router's policies")
+  .option("--json", "rows as JSON")
   .action(function whatIf(file: string, options: Options) {
     return ending(commands.whatIf(output, file, options.json === true));
   });
 
-program.command("ask").description("send one request through a router")
+program
+  .command("ask")
+  .description("send one request through a router")
   .requiredOption("--router <host:port>", "where the router takes clients")
   .requiredOption("--host <name>", "host of the route")
   .requiredOption("--path <path>", "path of the request")
@@ -103,7 +132,9 @@
     return ending(asks.ask(output, options));
   });
 
-program.command("try").description("run a small system on loopback against stand-ins")
+program
+  .command("try")
+  .description("run a small system on loopback against stand-ins")
   .requiredOption("--folder <path>", "where its settings, disks and logs go")
   .action(function trial(options: Options) {
     return trials.run(output, options.folder);
@@ -117,7 +148,12 @@
 
 /** Wrong use gets one line with its remedy, like any other failure. */
 function oneLine(text: string): void {
-  output.failure(`${text.trim().replace(/^error: /, "").replace(/\n/g, " ")}; run cranewind --help for what there is`);
+  output.failure(
+    `${text
+      .trim()
+      .replace(/^error: /, "")
+      .replace(/\n/g, " ")}; run cranewind --help for what there is`,
+  );
 }
 
 function strict(command: commander.Command): void {
--- a/src/cli/try.ts
+++ b/src/cli/try.ts
@@ -34,14 +34,35 @@
 function settingsOf(folder: string, node: Node, region: number, platform: string, isFirst: boolean): string {
   const zone = `${REGIONS[region]}-1`;
   const lines = [
-    `node_name=${node.name}`, `role=${node.role}`, `ip_address=${node.ip}`, `zone=${zone}`, `region=${REGIONS[region]}`,
-    ...REGIONS.map(zoneLine), `internal_port_range=${INTERNAL_PORTS}`,
-    `seed_nodes=${REGIONS.map(seedOf).join(",")}`, `bootstrap=${isFirst}`, `failure_counted=${node.role === "control"}`,
-    "limits.memory_mb=256", "limits.max_open_files=1024", `cloud_api.address=${platform}`, "cloud_api.rate_per_s=20", "cloud_api.max_lag_ms=100",
-    "bounds.grace_s=8", "bounds.retry_ratio=0.2", "bounds.retry_extra=50", "bounds.warmup_overshoot=1.5", "bounds.warmup_tolerance=5",
+    `node_name=${node.name}`,
+    `role=${node.role}`,
+    `ip_address=${node.ip}`,
+    `zone=${zone}`,
+    `region=${REGIONS[region]}`,
+    ...REGIONS.map(zoneLine),
+    `internal_port_range=${INTERNAL_PORTS}`,
+    `seed_nodes=${REGIONS.map(seedOf).join(",")}`,
+    `bootstrap=${isFirst}`,
+    `failure_counted=${node.role === "control"}`,
+    "limits.memory_mb=256",
+    "limits.max_open_files=1024",
+    `cloud_api.address=${platform}`,
+    "cloud_api.rate_per_s=20",
+    "cloud_api.max_lag_ms=100",
+    "bounds.grace_s=8",
+    "bounds.retry_ratio=0.2",
+    "bounds.retry_extra=50",
+    "bounds.warmup_overshoot=1.5",
+    "bounds.warmup_tolerance=5",
   ];
-  if (node.role === "router") lines.push(`bind_addresses.frontend=${node.ip}:${FRONT_PORT}`, `bind_addresses.readiness=${node.ip}:${READY_PORT}`);
-  else lines.push(`bind_addresses.control_plane=${node.ip}:${CONTROL_PORT}`, `bind_addresses.directory=${node.ip}:${DIRECTORY_PORT}`, `data_dir=${path.join(folder, node.name)}`);
+  if (node.role === "router")
+    lines.push(`bind_addresses.frontend=${node.ip}:${FRONT_PORT}`, `bind_addresses.readiness=${node.ip}:${READY_PORT}`);
+  else
+    lines.push(
+      `bind_addresses.control_plane=${node.ip}:${CONTROL_PORT}`,
+      `bind_addresses.directory=${node.ip}:${DIRECTORY_PORT}`,
+      `data_dir=${path.join(folder, node.name)}`,
+    );
   return `${lines.join("\n")}\n`;
 }
 
@@ -61,8 +82,14 @@
       const runner = new runners.StandInRunner({ id: `i-${region}-${count}`, eventMs: 40, tokensPerMs: 20, events: 25, capacity: 16 });
       await runner.start(ipOf(index, 10 + count));
       platform.instances.push({
-        instance_id: runner.id, service: "model", address: runner.address, zone: `${region}-1`, revision: "v1",
-        capacity: 16, state: "ready", warmup_left_ms: 0,
+        instance_id: runner.id,
+        service: "model",
+        address: runner.address,
+        zone: `${region}-1`,
+        revision: "v1",
+        capacity: 16,
+        state: "ready",
+        warmup_left_ms: 0,
       });
     }
   }
@@ -87,8 +114,9 @@
     const isFirst = !fs.existsSync(path.join(folder, node.name));
     fs.writeFileSync(node.settings, settingsOf(folder, node, region, platform.address, isFirst));
     const log = fs.openSync(path.join(folder, `${node.name}.log`), "a");
-    const child = childProcess.spawn(process.execPath, [process.argv[1]!, node.role], {
-      env: { ...process.env, CRANEWIND_NODE_FILE: node.settings }, stdio: ["ignore", log, log],
+    const child = childProcess.spawn(process.execPath, [process.argv[1], node.role], {
+      env: { ...process.env, CRANEWIND_NODE_FILE: node.settings },
+      stdio: ["ignore", log, log],
     });
     fs.closeSync(log);
     children.add(child);
--- a/src/cli/view.ts
+++ b/src/cli/view.ts
@@ -32,19 +32,25 @@
 
 function controlLines(status: ControlStatus): string[] {
   const { register, members, cells } = status;
-  const made = [`node      ${status.node.name} (control, ${status.node.zone}), ${status.isSettled ? "reaches a majority" : "reaches NO majority"}`];
+  const made = [
+    `node      ${status.node.name} (control, ${status.node.zone}), ${status.isSettled ? "reaches a majority" : "reaches NO majority"}`,
+  ];
   if (register) {
     made.push(`register  epoch ${register.epoch}, revision ${register.revision}, evacuated: ${register.evacuations.join(", ") || "none"}`);
     for (const voter of register.voters) made.push(`voter     ${voter.address} ${voter.node} ${voter.disk}`);
     if (register.former.length > 0) made.push("voter     a change of voters is under way");
   } else made.push("register  not read yet");
   for (const node of members.control) made.push(`control   ${node.name} ${node.zone}`);
-  for (const node of members.router) made.push(`router    ${node.name} ${node.zone} ${node.isReady ? "ready" : "not ready"}, epoch in force ${node.epoch}, ${node.outside}`);
+  for (const node of members.router)
+    made.push(`router    ${node.name} ${node.zone} ${node.isReady ? "ready" : "not ready"}, epoch in force ${node.epoch}, ${node.outside}`);
   for (const report of cells.reports) {
     const silent = report.reports.filter(isSilent).length;
     made.push(`cell      ${report.region}: ${report.reports.length} runners report, ${silent} silent`);
   }
-  for (const item of cells.instances) made.push(`runner    ${item.id} ${item.service} ${item.zone} ${item.address}${item.isDraining ? " draining" : ""}${item.coldMs > 0 ? " cold" : ""}`);
+  for (const item of cells.instances)
+    made.push(
+      `runner    ${item.id} ${item.service} ${item.zone} ${item.address}${item.isDraining ? " draining" : ""}${item.coldMs > 0 ? " cold" : ""}`,
+    );
   return [...made, ...spentLines(status.vitals, status.links), ...counterLines(status.counters)];
 }
 
@@ -54,13 +60,19 @@
     `config    epoch ${status.node.epoch} in force, following ${status.following ?? "nobody"}`,
     `shares    one of ${status.routers} routers, ${status.sharesValid ? "leased" : "no owner grants"}`,
   ];
-  for (const runner of status.runners) made.push(`runner    ${runner.id} ${runner.service} ${runner.zone} ${runner.status}, ${runner.inflight} from here, usage ${runner.usage}`);
+  for (const runner of status.runners)
+    made.push(
+      `runner    ${runner.id} ${runner.service} ${runner.zone} ${runner.status}, ${runner.inflight} from here, usage ${runner.usage}`,
+    );
   return [...made, ...spentLines(status.vitals, status.links), ...counterLines(status.counters)];
 }
 
 function spentLines(spent: vitals.Vitals, links: Record<string, counts.LinkCount>): string[] {
-  const made = [`process   ${(spent.cpuMs / 1000).toFixed(1)} s of processor time, ${spent.memoryMb.toFixed(0)} MB, loop late ${spent.loopP99Ms.toFixed(1)} ms (99 in 100), ${spent.descriptors} descriptors`];
-  for (const [name, of] of Object.entries(links).sort()) made.push(`frames    ${name}: told ${of.framesTold} (${of.bytesTold} bytes), heard ${of.framesHeard} (${of.bytesHeard} bytes)`);
+  const made = [
+    `process   ${(spent.cpuMs / 1000).toFixed(1)} s of processor time, ${spent.memoryMb.toFixed(0)} MB, loop late ${spent.loopP99Ms.toFixed(1)} ms (99 in 100), ${spent.descriptors} descriptors`,
+  ];
+  for (const [name, of] of Object.entries(links).sort())
+    made.push(`frames    ${name}: told ${of.framesTold} (${of.bytesTold} bytes), heard ${of.framesHeard} (${of.bytesHeard} bytes)`);
   return made;
 }
 
--- a/src/config/check.ts
+++ b/src/config/check.ts
@@ -105,7 +105,8 @@
   if (backends.length === 0) return invalid(`${field}.service`, "it names no service", "set service, or backends with weights");
   let weight = 0;
   for (const one of backends) {
-    if (!services.has(one.service)) return invalid(`${field}.service`, `unknown service ${one.service}`, "add it under services or name another");
+    if (!services.has(one.service))
+      return invalid(`${field}.service`, `unknown service ${one.service}`, "add it under services or name another");
     weight += one.weight;
   }
   if (weight <= 0) return invalid(`${field}.backends`, "the weights sum to 0", "give one of them a weight above 0");
--- a/src/config/routes.ts
+++ b/src/config/routes.ts
@@ -62,7 +62,10 @@
     for (const backend of backends) weight += backend.weight;
     const isStream = route.route_type === "streaming";
     host.byPrefix.set(route.path_prefix, {
-      route, backends, weight, homes: route.allowed_regions ?? [],
+      route,
+      backends,
+      weight,
+      homes: route.allowed_regions ?? [],
       isRepeatable: route.route_type === "read_only" || (isStream && route.resumable === true),
     });
   }
@@ -96,5 +99,5 @@
     left -= backend.weight;
     if (left < 0 && backend.weight > 0) return backend.service;
   }
-  return entry.backends[entry.backends.length - 1]!.service;
+  return entry.backends[entry.backends.length - 1].service;
 }
--- a/src/control/arranger.ts
+++ b/src/control/arranger.ts
@@ -12,7 +12,11 @@
   private readonly startedAt: number;
   private isChanging = false;
 
-  constructor(private readonly world: types.World, private readonly core: cores.Core, private readonly nodes: () => schema.NodeInfo[]) {
+  constructor(
+    private readonly world: types.World,
+    private readonly core: cores.Core,
+    private readonly nodes: () => schema.NodeInfo[],
+  ) {
     this.startedAt = world.now();
   }
 
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -34,7 +34,11 @@
   readonly proposer: proposers.Proposer;
   chosen: schema.Value | null = null;
 
-  constructor(private readonly world: types.World, private readonly options: CoreOptions, private readonly dial: dialer.Dialer) {
+  constructor(
+    private readonly world: types.World,
+    private readonly options: CoreOptions,
+    private readonly dial: dialer.Dialer,
+  ) {
     super();
     this.proposer = new proposers.Proposer(world, options.life, this, options.first, this.learnOwn.bind(this));
   }
--- a/src/control/deal.ts
+++ b/src/control/deal.ts
@@ -29,9 +29,9 @@
   for (const isOwned of [true, false]) {
     for (const [name, weight] of heaviestFirst) {
       const order = orderOf(name, [...loads.values()]);
-      if (order.length === 0 || (order[0]!.reader.region === name) !== isOwned) continue;
+      if (order.length === 0 || (order[0].reader.region === name) !== isOwned) continue;
       if (name === region) return order.map(readerOf);
-      order[0]!.weight += weight;
+      order[0].weight += weight;
     }
   }
   return orderOf(region, [...loads.values()]).map(readerOf);
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -14,7 +14,13 @@
   private readonly tenure: tenures.Tenure;
   private readonly owner: owners.LeaseOwner;
 
-  constructor(private readonly world: types.World, life: string, bounds: parts.Bounds, private readonly core: cores.Core, private readonly dial: dialers.Dialer) {
+  constructor(
+    private readonly world: types.World,
+    life: string,
+    bounds: parts.Bounds,
+    private readonly core: cores.Core,
+    private readonly dial: dialers.Dialer,
+  ) {
     this.tenure = new tenures.Tenure(world);
     this.owner = new owners.LeaseOwner(world, life, bounds, this.tenure);
   }
@@ -46,7 +52,8 @@
     const { epoch } = tenure;
     if (tenure.slot < 0) return;
     const sentAt = world.now();
-    for (const control of this.dial.controls.values()) void control.link.call(calls.fence, { voterEpoch: epoch }, tenures.FENCE_MS).then(hear);
+    for (const control of this.dial.controls.values())
+      void control.link.call(calls.fence, { voterEpoch: epoch }, tenures.FENCE_MS).then(hear);
     function hear(reply: leaseSchema.FenceReply | null): void {
       if (reply) tenure.hear(epoch, sentAt, reply);
     }
--- a/src/control/list.ts
+++ b/src/control/list.ts
@@ -16,7 +16,7 @@
   const old = before.instance;
   if (old.service !== item.service || old.address !== item.address || old.zone !== item.zone) return true;
   if (old.isDraining !== item.isDraining || old.capacity !== item.capacity) return true;
-  if ((old.leavesMs < 0) !== (item.leavesMs < 0) || (old.coldMs > 0 && item.coldMs === 0)) return true;
+  if (old.leavesMs < 0 !== item.leavesMs < 0 || (old.coldMs > 0 && item.coldMs === 0)) return true;
   return item.coldMs > Math.max(0, old.coldMs - (now - before.readAt)) + COLD_SLACK_MS;
 }
 
@@ -41,7 +41,8 @@
     for (const item of list) {
       standing.add(item.id);
       const before = this.entries.get(item.id);
-      if (!before || differs(before, item, now)) changes.set(item.id, schema.listed.toBuffer({ times: (before?.times ?? 0) + 1, instance: item }));
+      if (!before || differs(before, item, now))
+        changes.set(item.id, schema.listed.toBuffer({ times: (before?.times ?? 0) + 1, instance: item }));
     }
     for (const id of this.entries.keys()) if (!standing.has(id)) changes.set(id, null);
     const plan = this.items.plan(changes);
@@ -77,7 +78,10 @@
   private readonly regionOfId = new Map<string, string>();
   private isPublished = false;
 
-  constructor(private readonly regionOfZone: ReadonlyMap<string, string>, private readonly feed: feeds.Feed) {
+  constructor(
+    private readonly regionOfZone: ReadonlyMap<string, string>,
+    private readonly feed: feeds.Feed,
+  ) {
     for (const region of regionOfZone.values()) this.lists.set(region, new Map());
     this.lists.set(NO_REGION, new Map());
   }
--- a/src/control/orchestrator.ts
+++ b/src/control/orchestrator.ts
@@ -133,8 +133,12 @@
   try {
     const raw = JSON.parse(body.toString("utf8")) as Record<string, unknown>;
     return {
-      id, isSpeaking: true, waiting: whole(raw["waiting_requests"]), active: whole(raw["active"]),
-      kvUsed: whole(raw["kv_used"]), kvCapacity: whole(raw["kv_capacity"]),
+      id,
+      isSpeaking: true,
+      waiting: whole(raw["waiting_requests"]),
+      active: whole(raw["active"]),
+      kvUsed: whole(raw["kv_used"]),
+      kvCapacity: whole(raw["kv_capacity"]),
     };
   } catch {
     return null;
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -41,8 +41,11 @@
   private closeDisk: (() => Promise<void>) | null = null;
   readonly root: supervisor.Supervisor;
 
-  constructor(private readonly world: types.World, private startup: settings.Settings) {
-    const port = startup.internal_port_range[0]!;
+  constructor(
+    private readonly world: types.World,
+    private startup: settings.Settings,
+  ) {
+    const port = startup.internal_port_range[0];
     this.address = `${startup.ip_address}:${port}`;
     this.dial = new dialers.Dialer(world, this.address, this.handlers, this.describe.bind(this), link.SILENT_MS);
     this.members = new sessions.Sessions(world, link.SILENT_MS, this.life);
@@ -61,9 +64,17 @@
 
   private describe(): schema.NodeInfo {
     return {
-      name: this.startup.node_name, role: "control", life: this.life, zone: this.startup.zone, region: this.startup.region,
-      address: this.address, outside: this.startup.bind_addresses.control_plane ?? "", disk: this.core?.disk ?? "",
-      isCounted: this.startup.failure_counted, isReady: true, epoch: this.core?.chosen?.epoch ?? types.NO_EPOCH,
+      name: this.startup.node_name,
+      role: "control",
+      life: this.life,
+      zone: this.startup.zone,
+      region: this.startup.region,
+      address: this.address,
+      outside: this.startup.bind_addresses.control_plane ?? "",
+      disk: this.core?.disk ?? "",
+      isCounted: this.startup.failure_counted,
+      isReady: true,
+      epoch: this.core?.chosen?.epoch ?? types.NO_EPOCH,
     };
   }
 
@@ -161,7 +172,9 @@
 
   private beat(): void {
     const base = {
-      isReady: true, epoch: this.core.chosen?.epoch ?? types.NO_EPOCH, isSettled: this.core.isSettled(),
+      isReady: true,
+      epoch: this.core.chosen?.epoch ?? types.NO_EPOCH,
+      isSettled: this.core.isSettled(),
       silentRegions: this.dial.silentRegions(),
     };
     this.members.tellBeats(base);
@@ -205,11 +218,20 @@
   status(): unknown {
     const value = this.core.chosen;
     return {
-      node: this.describe(), isSettled: this.core.isSettled(),
-      register: value && { epoch: value.epoch, revision: value.revision, evacuations: value.evacuations, voters: value.voters, former: value.former },
+      node: this.describe(),
+      isSettled: this.core.isSettled(),
+      register: value && {
+        epoch: value.epoch,
+        revision: value.revision,
+        evacuations: value.evacuations,
+        voters: value.voters,
+        former: value.former,
+      },
       members: { control: this.members.members("control"), router: this.members.members("router") },
-      cells: this.cells.status(), counters: Object.fromEntries(log.counted()),
-      vitals: vitals.vitals(), links: Object.fromEntries(counts.linkCounts()),
+      cells: this.cells.status(),
+      counters: Object.fromEntries(log.counted()),
+      vitals: vitals.vitals(),
+      links: Object.fromEntries(counts.linkCounts()),
     };
   }
 
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -83,8 +83,16 @@
     const isWhole = from < this.oldest || from > this.number;
     const after = isWhole ? -1 : from;
     const told: schema.Sessions = {
-      life: this.life, isWhole, from: after, number: this.number, count: this.entries.size, digest: this.digest,
-      nodes: [], gone: [], leaving: [], controls: [],
+      life: this.life,
+      isWhole,
+      from: after,
+      number: this.number,
+      count: this.entries.size,
+      digest: this.digest,
+      nodes: [],
+      gone: [],
+      leaving: [],
+      controls: [],
     };
     if (after === this.number) return told;
     for (const entry of this.entries.values()) if (entry.number > after) told.nodes.push(entry.node);
--- a/src/control/serve.ts
+++ b/src/control/serve.ts
@@ -22,7 +22,13 @@
 }
 
 const STATUS = new Map<errors.Kind, number>([
-  ["invalid", 400], ["race", 412], ["not_found", 404], ["usage", 400], ["no_majority", 503], ["not_ready", 503], ["timeout", 503],
+  ["invalid", 400],
+  ["race", 412],
+  ["not_found", 404],
+  ["usage", 400],
+  ["no_majority", 503],
+  ["not_ready", 503],
+  ["timeout", 503],
 ]);
 
 export function denial(error: errors.CranewindError): Told {
@@ -38,7 +44,10 @@
 }
 
 export async function serve(address: string, mostBodyBytes: number, reply: Reply): Promise<Server> {
-  const server = http.createServer({ keepAliveTimeout: 10_000, requestTimeout: 30_000, headersTimeout: 5000, connectionsCheckingInterval: 2000 }, take);
+  const server = http.createServer(
+    { keepAliveTimeout: 10_000, requestTimeout: 30_000, headersTimeout: 5000, connectionsCheckingInterval: 2000 },
+    take,
+  );
   function take(request: http.IncomingMessage, response: http.ServerResponse): void {
     void handle(request, response, mostBodyBytes, reply).catch(lost);
     function lost(cause: Error): void {
@@ -73,7 +82,11 @@
   }
   const url = new URL(request.url ?? "/", "http://node");
   const told = await reply({
-    method: request.method ?? "GET", path: url.pathname, query: url.searchParams, headers: request.headers, body: Buffer.concat(parts),
+    method: request.method ?? "GET",
+    path: url.pathname,
+    query: url.searchParams,
+    headers: request.headers,
+    body: Buffer.concat(parts),
   });
   send(response, told, false);
 }
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -38,7 +38,11 @@
   private view: doubts.Seen[] = [];
   private viewAt = -1;
 
-  constructor(private readonly world: types.World, private readonly silentMs: number, life: string) {
+  constructor(
+    private readonly world: types.World,
+    private readonly silentMs: number,
+    life: string,
+  ) {
     this.roster = new rosters.Roster(life);
     this.doubt = new doubts.Doubt(world);
   }
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -27,11 +27,11 @@
     }
   }
   for (const voter of value.voters) {
-    if (silentMs(voter) > SILENT_MS) return swapped(value.voters, voter, joiners[0]!);
+    if (silentMs(voter) > SILENT_MS) return swapped(value.voters, voter, joiners[0]);
   }
   const isEven = value.voters.length % 2 === 0;
   if (!isEven && joiners.length < 2) return null;
-  return [...value.voters, voterOf(joiners[0]!)];
+  return [...value.voters, voterOf(joiners[0])];
 }
 
 /** An even core with a silent voter is better off without it. */
--- a/src/control/watcher.ts
+++ b/src/control/watcher.ts
@@ -26,7 +26,10 @@
   const { instance_id: id, service, address, zone } = raw;
   if (typeof id !== "string" || typeof service !== "string" || typeof address !== "string" || typeof zone !== "string") return null;
   return {
-    id: types.small(id), service, address, zone,
+    id: types.small(id),
+    service,
+    address,
+    zone,
     capacity: whole(raw["capacity"], 1),
     isDraining: raw["state"] !== "ready",
     coldMs: whole(raw["warmup_left_ms"], 0),
@@ -107,7 +110,16 @@
   }
 
   private frame(base: types.Digest, isView: boolean, packed: ReturnType<typeof keyed.pack>): schema.Change {
-    return { place: "", topic: "list", number: 0, stamp: types.small(this.world.now()), base, digest: this.items.digest, isView, ...packed };
+    return {
+      place: "",
+      topic: "list",
+      number: 0,
+      stamp: types.small(this.world.now()),
+      base,
+      digest: this.items.digest,
+      isView,
+      ...packed,
+    };
   }
 
   /** A sibling that came up gets the list whole. */
--- a/src/experiment/losses.ts
+++ b/src/experiment/losses.ts
@@ -4,7 +4,12 @@
 import * as rows from "./rows.js";
 
 export function lossRow(
-  point: rows.Point, manner: "killed" | "frozen", lost: string, atMs: number, followers: number, accounts: readonly routers.Account[],
+  point: rows.Point,
+  manner: "killed" | "frozen",
+  lost: string,
+  atMs: number,
+  followers: number,
+  accounts: readonly routers.Account[],
 ): rows.LossRow {
   const movedMs: number[] = [];
   const dials = new Map<number, number>();
@@ -21,8 +26,15 @@
   }
   const counts = [...dials.values()];
   return {
-    ...point, manner, followers, moved: movedMs.length, movedP50Ms: rows.quantile(movedMs, 0.5), movedP99Ms: rows.quantile(movedMs, 0.99),
-    movedWorstMs: rows.quantile(movedMs, 1), dials: counts.reduce(add, 0), mostDialsIn50Ms: Math.max(0, ...counts),
+    ...point,
+    manner,
+    followers,
+    moved: movedMs.length,
+    movedP50Ms: rows.quantile(movedMs, 0.5),
+    movedP99Ms: rows.quantile(movedMs, 0.99),
+    movedWorstMs: rows.quantile(movedMs, 1),
+    dials: counts.reduce(add, 0),
+    mostDialsIn50Ms: Math.max(0, ...counts),
   };
 }
 
--- a/src/experiment/panels.ts
+++ b/src/experiment/panels.ts
@@ -4,7 +4,14 @@
 
 type NodeMeasure = "cpuPercent" | "memoryMb" | "toldBytesPerS" | "heardBytesPerS";
 
-function nodePanel(title: string, yTitle: string, field: keyof rows.Point, measure: NodeMeasure, nodes: readonly rows.NodeRow[], role: rows.NodeRow["role"]): plot.Panel {
+function nodePanel(
+  title: string,
+  yTitle: string,
+  field: keyof rows.Point,
+  measure: NodeMeasure,
+  nodes: readonly rows.NodeRow[],
+  role: rows.NodeRow["role"],
+): plot.Panel {
   const byX = new Map<number, number[]>();
   for (const row of nodes) {
     if (row.role !== role) continue;
@@ -23,7 +30,11 @@
   const inForce: plot.Panel = { title: "A change: acknowledged until in force", yTitle: "ms", series: [] };
   for (const row of outcome.changes) {
     const x = Number(row[field]);
-    inForce.series.push({ x, y: row.inForceP50Ms, line: "50 in 100" }, { x, y: row.inForceP99Ms, line: "99 in 100" }, { x, y: row.inForceWorstMs, line: "worst" });
+    inForce.series.push(
+      { x, y: row.inForceP50Ms, line: "50 in 100" },
+      { x, y: row.inForceP99Ms, line: "99 in 100" },
+      { x, y: row.inForceWorstMs, line: "worst" },
+    );
   }
   const moved: plot.Panel = { title: "A control node lost: all its routers follow another", yTitle: "ms, worst", series: [] };
   const dials: plot.Panel = { title: "Dials at once", yTitle: "most in 50 ms", series: [] };
@@ -38,7 +49,9 @@
     nodePanel("Control node: told", "bytes a second", field, "toldBytesPerS", nodes, "control"),
     nodePanel("Router: heard", "bytes a second", field, "heardBytesPerS", nodes, "router"),
     nodePanel("Control node: memory", "MB", field, "memoryMb", nodes, "control"),
-    inForce, moved, dials,
+    inForce,
+    moved,
+    dials,
   ];
 }
 
--- a/src/experiment/routers.ts
+++ b/src/experiment/routers.ts
@@ -108,7 +108,14 @@
 
   /** What was seen since the last account. */
   account(): Account {
-    const made = { atMs: clock.machineMs(), vitals: vitals.vitals(), links: [...counts.linkCounts()], taken: this.taken, moved: this.moved, dials: [...this.dials] };
+    const made = {
+      atMs: clock.machineMs(),
+      vitals: vitals.vitals(),
+      links: [...counts.linkCounts()],
+      taken: this.taken,
+      moved: this.moved,
+      dials: [...this.dials],
+    };
     this.taken = [];
     this.moved = [];
     this.dials = new Map();
--- a/src/experiment/window.ts
+++ b/src/experiment/window.ts
@@ -25,9 +25,14 @@
   for (const [kind, now] of after.links) {
     const then = before.links.get(kind) ?? NOTHING;
     made.push({
-      ...point, role: part.role, node: part.node, kind,
-      toldFramesPerS: (now.framesTold - then.framesTold) / per, toldBytesPerS: (now.bytesTold - then.bytesTold) / per,
-      heardFramesPerS: (now.framesHeard - then.framesHeard) / per, heardBytesPerS: (now.bytesHeard - then.bytesHeard) / per,
+      ...point,
+      role: part.role,
+      node: part.node,
+      kind,
+      toldFramesPerS: (now.framesTold - then.framesTold) / per,
+      toldBytesPerS: (now.bytesTold - then.bytesTold) / per,
+      heardFramesPerS: (now.framesHeard - then.framesHeard) / per,
+      heardBytesPerS: (now.bytesHeard - then.bytesHeard) / per,
     });
   }
   return made;
@@ -44,9 +49,18 @@
     sum.heardBytesPerS += row.heardBytesPerS;
   }
   return {
-    ...point, role: part.role, node: part.node, sharedBy: part.sharedBy, seconds: passedMs / 1000,
-    cpuPercent: (100 * (now.cpuMs - before.vitals.cpuMs)) / passedMs / part.sharedBy, memoryMb: now.memoryMb / part.sharedBy,
-    loopP50Ms: now.loopP50Ms, loopP99Ms: now.loopP99Ms, loopWorstMs: now.loopWorstMs, descriptors: now.descriptors / part.sharedBy,
-    ...sum, reportsReadPerS: (1000 * (after.reports - before.reports)) / passedMs,
+    ...point,
+    role: part.role,
+    node: part.node,
+    sharedBy: part.sharedBy,
+    seconds: passedMs / 1000,
+    cpuPercent: (100 * (now.cpuMs - before.vitals.cpuMs)) / passedMs / part.sharedBy,
+    memoryMb: now.memoryMb / part.sharedBy,
+    loopP50Ms: now.loopP50Ms,
+    loopP99Ms: now.loopP99Ms,
+    loopWorstMs: now.loopWorstMs,
+    descriptors: now.descriptors / part.sharedBy,
+    ...sum,
+    reportsReadPerS: (1000 * (after.reports - before.reports)) / passedMs,
   };
 }
--- a/src/feed/cuts.ts
+++ b/src/feed/cuts.ts
@@ -14,7 +14,7 @@
   }
   if (words.length === 0) return cut;
   for (const region of cut) if (!isHeldWhole(dial, region) && !isAgreed(words, region)) cut.delete(region);
-  for (const region of words[0]!) if (isAgreed(words, region) && !isHeard(dial, region, cut)) cut.add(region);
+  for (const region of words[0]) if (isAgreed(words, region) && !isHeard(dial, region, cut)) cut.add(region);
   return cut;
 }
 
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -64,7 +64,15 @@
     for (const address of addresses) {
       if (address === this.own || this.targets.has(address) || address === "") continue;
       this.targets.set(address, {
-        state: "idle", notBefore: 0, pauseMs: FIRST_PAUSE_MS, failures: 0, dialedAt: 0, dueAt: Infinity, urgency: 0, isReleased: false, region: "",
+        state: "idle",
+        notBefore: 0,
+        pauseMs: FIRST_PAUSE_MS,
+        failures: 0,
+        dialedAt: 0,
+        dueAt: Infinity,
+        urgency: 0,
+        isReleased: false,
+        region: "",
       });
     }
   }
@@ -148,8 +156,13 @@
     target.region = known.node.region;
     this.few?.forget(target);
     const control: Control = {
-      address, node: known.node, place: known.place, link: made, beat: null,
-      beatAt: this.world.now(), tripMs: this.world.now() - asked,
+      address,
+      node: known.node,
+      place: known.place,
+      link: made,
+      beat: null,
+      beatAt: this.world.now(),
+      tripMs: this.world.now() - asked,
     };
     this.controls.set(address, control);
     this.learn(known.controls);
--- a/src/feed/digest.ts
+++ b/src/feed/digest.ts
@@ -14,7 +14,7 @@
     low = Math.imul(low ^ unit, SECOND_LANE);
   }
   for (let index = 0; index < body.length; index += 1) {
-    const byte = body[index]!;
+    const byte = body[index];
     high = Math.imul(high ^ byte, FIRST_LANE);
     low = Math.imul(low ^ byte, SECOND_LANE);
   }
--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -116,7 +116,16 @@
   }
 
   private frame(name: string, topic: Topic, base: types.Digest, isView: boolean, packed: ReturnType<typeof keyed.pack>): schema.Change {
-    return { place: this.place, topic: name, number: topic.number, stamp: topic.stamp, base, digest: topic.items.digest, isView, ...packed };
+    return {
+      place: this.place,
+      topic: name,
+      number: topic.number,
+      stamp: topic.stamp,
+      base,
+      digest: topic.items.digest,
+      isView,
+      ...packed,
+    };
   }
 
   private tell(follower: link.Link, change: schema.Change): void {
--- a/src/feed/few.ts
+++ b/src/feed/few.ts
@@ -84,7 +84,10 @@
   /** Enough good ones are held: what else is known may wait. */
   hasEnough = false;
 
-  constructor(private readonly world: types.World, private readonly self: Self) {}
+  constructor(
+    private readonly world: types.World,
+    private readonly self: Self,
+  ) {}
 
   /** One that says it is not settled, or is silent, does not count toward the few. */
   private isGood(control: dialers.Control, isLate: boolean): boolean {
@@ -157,7 +160,10 @@
   }
 
   private release(
-    targets: ReadonlyMap<string, dialers.Target>, controls: ReadonlyMap<string, dialers.Control>, kept: ReadonlySet<string>, isAllowed: boolean,
+    targets: ReadonlyMap<string, dialers.Target>,
+    controls: ReadonlyMap<string, dialers.Control>,
+    kept: ReadonlySet<string>,
+    isAllowed: boolean,
   ): void {
     const extra: dialers.Control[] = [];
     for (const control of controls.values()) if (!kept.has(control.address)) extra.push(control);
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -46,7 +46,12 @@
 
   /** A newer set of voters, heard from elsewhere. */
   heard(value: schema.Value): void {
-    if (this.asked.voters.length === 0 || value.voterEpoch > this.asked.voterEpoch || (value.voterEpoch === this.asked.voterEpoch && value.epoch > this.asked.epoch)) this.asked = value;
+    if (
+      this.asked.voters.length === 0 ||
+      value.voterEpoch > this.asked.voterEpoch ||
+      (value.voterEpoch === this.asked.voterEpoch && value.epoch > this.asked.epoch)
+    )
+      this.asked = value;
   }
 
   change(step: Step, withinMs: number): Promise<Outcome> {
@@ -108,7 +113,11 @@
     };
   }
 
-  private accepting(ballot: schema.Ballot, voterEpoch: types.Epoch, value: schema.Value): (voter: schema.Voter) => Promise<schema.Vote | null> {
+  private accepting(
+    ballot: schema.Ballot,
+    voterEpoch: types.Epoch,
+    value: schema.Value,
+  ): (voter: schema.Voter) => Promise<schema.Vote | null> {
     const reach = this.reach;
     return function accept(voter) {
       return reach.accept(voter, { disk: voter.disk, ballot, voterEpoch, value });
--- a/src/register/value.ts
+++ b/src/register/value.ts
@@ -16,8 +16,14 @@
 /** The value that every process knows at the very first start, made of the seeds alone (design 5.4). */
 export function firstValue(seeds: readonly string[]): schema.Value {
   return {
-    epoch: types.FIRST_EPOCH, revision: 0, config: Buffer.alloc(0), taken: [], evacuations: [],
-    voterEpoch: types.FIRST_EPOCH, voters: seeds.map(firstVoter), former: [],
+    epoch: types.FIRST_EPOCH,
+    revision: 0,
+    config: Buffer.alloc(0),
+    taken: [],
+    evacuations: [],
+    voterEpoch: types.FIRST_EPOCH,
+    voters: seeds.map(firstVoter),
+    former: [],
   };
 }
 
@@ -53,7 +59,7 @@
   function isOther(item: string): boolean {
     return item !== zone;
   }
-  if (isStart === (others.length < value.evacuations.length)) return value;
+  if (isStart === others.length < value.evacuations.length) return value;
   return { ...value, epoch: types.nextEpoch(value.epoch), evacuations: isStart ? [...others, zone].sort() : others };
 }
 
--- a/src/register/voter.ts
+++ b/src/register/voter.ts
@@ -15,7 +15,10 @@
   private writing = false;
   private pending: { resolve(isKept: boolean): void }[] = [];
 
-  constructor(private readonly keep: Keep, private state: schema.Disk) {}
+  constructor(
+    private readonly keep: Keep,
+    private state: schema.Disk,
+  ) {}
 
   static restore(bytes: Buffer): schema.Disk {
     return schema.disk.fromBuffer(bytes);
--- a/src/router/account.ts
+++ b/src/router/account.ts
@@ -28,8 +28,14 @@
   const runners: unknown[] = [];
   for (const runner of of.fleet.all()) runners.push(runner.account(of.now));
   return {
-    node: of.node, following: of.following, routers: of.share.routers, sharesValid: of.share.isValid(),
-    admission: of.chooser.admission.status(), runners, counters: Object.fromEntries(log.counted()),
-    vitals: vitals.vitals(), links: Object.fromEntries(counts.linkCounts()),
+    node: of.node,
+    following: of.following,
+    routers: of.share.routers,
+    sharesValid: of.share.isValid(),
+    admission: of.chooser.admission.status(),
+    runners,
+    counters: Object.fromEntries(log.counted()),
+    vitals: vitals.vitals(),
+    links: Object.fromEntries(counts.linkCounts()),
   };
 }
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -49,7 +49,10 @@
   ) {
     this.admission = new admissions.Admission(world, { runners: fleet.in.bind(fleet), known, routers });
     this.chain = [
-      new homes.HomesPolicy(fleet, rotation), new cells.CellPolicy(ownRegion, fleet.summaries), new runners.RunnerPolicy(known), new admitting.AdmissionPolicy(this.admission),
+      new homes.HomesPolicy(fleet, rotation),
+      new cells.CellPolicy(ownRegion, fleet.summaries),
+      new runners.RunnerPolicy(known),
+      new admitting.AdmissionPolicy(this.admission),
     ];
     function routers(): number {
       return share.routers;
@@ -78,9 +81,20 @@
     let sharedTokens = 0;
     for (const part of shared) sharedTokens += part.tokens;
     const plan: plans.Plan = {
-      requestId: request.requestId, entry: request.entry, service: request.service, parts: request.parts, keys: request.keys, shared, sharedTokens, tried,
-      now: this.world.now(), deadline: request.deadline, asked: request.asked,
-      returnKey: returns.keyOf(request.entry.route.name, request.keys, request.body), cells: [], candidates: [],
+      requestId: request.requestId,
+      entry: request.entry,
+      service: request.service,
+      parts: request.parts,
+      keys: request.keys,
+      shared,
+      sharedTokens,
+      tried,
+      now: this.world.now(),
+      deadline: request.deadline,
+      asked: request.asked,
+      returnKey: returns.keyOf(request.entry.route.name, request.keys, request.body),
+      cells: [],
+      candidates: [],
     };
     const denial = plans.runPolicies(this.chain, plan);
     if (denial) return denial;
--- a/src/router/connections.ts
+++ b/src/router/connections.ts
@@ -25,7 +25,11 @@
   private readonly idle: Connection[] = [];
   private open = 0;
 
-  constructor(private readonly address: string, private readonly onOpen: () => void, private readonly limit: idle.IdleLimit) {}
+  constructor(
+    private readonly address: string,
+    private readonly onOpen: () => void,
+    private readonly limit: idle.IdleLimit,
+  ) {}
 
   /** The connection used last, or a new one within the bound; null when all are busy. */
   take(most: number, isRepeatable = true): Connection | null {
@@ -41,7 +45,7 @@
       if (idleMs > mostMs) {
         // The others were idle for longer. They stay for what is repeatable, unless the bound asks for the place.
         this.idle.push(connection);
-        if (this.open >= most) this.lost(this.idle[0]!);
+        if (this.open >= most) this.lost(this.idle[0]);
         break;
       }
       connection.idleMs = idleMs;
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -21,7 +21,10 @@
   private readonly limits: idle.IdleLimits;
   readonly cohorts = new cohorts.Cohorts();
 
-  constructor(private readonly world: types.World, private readonly regionOf: ReadonlyMap<string, string>) {
+  constructor(
+    private readonly world: types.World,
+    private readonly regionOf: ReadonlyMap<string, string>,
+  ) {
     this.limits = new idle.IdleLimits(world, connections.IDLE_MS);
   }
 
--- a/src/router/headers.ts
+++ b/src/router/headers.ts
@@ -5,13 +5,24 @@
 
 /** Headers of one connection, and those that the router itself sets. All others are passed on untouched. */
 const CONNECTION_RULES: readonly [string, Rule][] = [
-  ["connection", "drop"], ["keep-alive", "drop"], ["proxy-connection", "drop"], ["proxy-authenticate", "drop"],
-  ["proxy-authorization", "drop"], ["te", "drop"], ["trailer", "drop"], ["transfer-encoding", "drop"], ["upgrade", "drop"],
+  ["connection", "drop"],
+  ["keep-alive", "drop"],
+  ["proxy-connection", "drop"],
+  ["proxy-authenticate", "drop"],
+  ["proxy-authorization", "drop"],
+  ["te", "drop"],
+  ["trailer", "drop"],
+  ["transfer-encoding", "drop"],
+  ["upgrade", "drop"],
 ];
 const REQUEST_RULES = new Map<string, Rule>([
   ...CONNECTION_RULES,
-  ["expect", "drop"], ["content-length", "replace"], ["http2-settings", "drop"],
-  [names.HEADER.target, "replace"], [names.HEADER.budgetMs, "replace"], [names.HEADER.priority, "replace"],
+  ["expect", "drop"],
+  ["content-length", "replace"],
+  ["http2-settings", "drop"],
+  [names.HEADER.target, "replace"],
+  [names.HEADER.budgetMs, "replace"],
+  [names.HEADER.priority, "replace"],
 ]);
 const REPLY_RULES = new Map<string, Rule>(CONNECTION_RULES);
 
@@ -42,13 +53,20 @@
   const dropped = nominated(connection);
   const made: string[] = [];
   for (let index = 0; index + 1 < raw.length; index += 2) {
-    const name = raw[index]!.toLowerCase();
+    const name = raw[index].toLowerCase();
     if (REQUEST_RULES.has(name) || dropped.has(name)) continue;
     if (sending.lastEventId !== null && name === names.HEADER.lastEventId) continue;
-    made.push(raw[index]!, raw[index + 1]!);
+    made.push(raw[index], raw[index + 1]);
   }
   const priority = Math.min(LAST_PRIORITY, FIRST_PRIORITY + sending.rank);
-  made.push("X-Cranewind-Request-Priority", String(priority), "X-Cranewind-Target-Instance", sending.target, "X-Cranewind-Time-Budget-Ms", String(sending.budgetMs));
+  made.push(
+    "X-Cranewind-Request-Priority",
+    String(priority),
+    "X-Cranewind-Target-Instance",
+    sending.target,
+    "X-Cranewind-Time-Budget-Ms",
+    String(sending.budgetMs),
+  );
   if (sending.lastEventId !== null) made.push("Last-Event-Id", sending.lastEventId);
   return made;
 }
@@ -58,10 +76,10 @@
   const dropped = nominated(connection);
   const made: string[] = [];
   for (let index = 0; index + 1 < raw.length; index += 2) {
-    const name = raw[index]!.toString("latin1");
+    const name = raw[index].toString("latin1");
     const lower = name.toLowerCase();
     if (REPLY_RULES.has(lower) || dropped.has(lower)) continue;
-    made.push(name, raw[index + 1]!.toString("latin1"));
+    made.push(name, raw[index + 1].toString("latin1"));
   }
   return made;
 }
--- a/src/router/idle.ts
+++ b/src/router/idle.ts
@@ -29,7 +29,10 @@
   private learnedMs = Infinity;
   private learnedAt = 0;
 
-  constructor(readonly world: types.World, private readonly usualMs: number) {}
+  constructor(
+    readonly world: types.World,
+    private readonly usualMs: number,
+  ) {}
 
   /** A kept connection, idle for so long, was reset so soon after its next send, without a byte of reply. */
   learn(idleMs: number, resetAfterMs: number): void {
@@ -52,7 +55,10 @@
 export class IdleLimits {
   private readonly byService = new Map<string, IdleLimit>();
 
-  constructor(private readonly world: types.World, private readonly usualMs: number) {}
+  constructor(
+    private readonly world: types.World,
+    private readonly usualMs: number,
+  ) {}
 
   of(service: string): IdleLimit {
     let limit = this.byService.get(service);
--- a/src/router/leases.ts
+++ b/src/router/leases.ts
@@ -29,7 +29,12 @@
   private turnNumber = 0;
   private askedAt = -Infinity;
 
-  constructor(private readonly world: types.World, private readonly life: string, private readonly dial: dialers.Dialer, private readonly share: shares.Shares) {}
+  constructor(
+    private readonly world: types.World,
+    private readonly life: string,
+    private readonly dial: dialers.Dialer,
+    private readonly share: shares.Shares,
+  ) {}
 
   /** Called often: asks at once when something was missing, else with each beat. */
   turn(): void {
--- a/src/router/outcomes.ts
+++ b/src/router/outcomes.ts
@@ -103,7 +103,8 @@
     const score = this.score.read(now);
     if (this.current === "suspected" && score < CLEAR_SCORE) this.move("good", now, "calm");
     // What still goes wrong there with work sent before keeps it out a little longer.
-    if (this.current === "ejected" && now >= this.until && (score < AGAIN_SCORE || now >= this.until + MOST_EJECTION_MS)) this.move("probation", now, "time is up");
+    if (this.current === "ejected" && now >= this.until && (score < AGAIN_SCORE || now >= this.until + MOST_EJECTION_MS))
+      this.move("probation", now, "time is up");
     if (this.current === "probation" && this.step(now) >= PROBATION_PERCENTS.length) this.move("good", now, "probation is over");
     return this.current;
   }
@@ -233,8 +234,11 @@
     const all = this.all.read(now);
     const timed = this.timed.read(now);
     return {
-      failing: rounded(all > 0 ? this.bad.read(now) / all : 0), samples: rounded(all),
-      slow: rounded(timed > 0 ? this.slow.read(now) / timed : 0), timed: rounded(timed), score: rounded(this.score.read(now)),
+      failing: rounded(all > 0 ? this.bad.read(now) / all : 0),
+      samples: rounded(all),
+      slow: rounded(timed > 0 ? this.slow.read(now) / timed : 0),
+      timed: rounded(timed),
+      score: rounded(this.score.read(now)),
     };
   }
 
--- a/src/router/policies/cells.ts
+++ b/src/router/policies/cells.ts
@@ -64,7 +64,10 @@
 export class CellPolicy implements plans.Policy {
   readonly name = "cells";
   private readonly states = new Map<string, CellState>();
-  constructor(private readonly ownRegion: string, private readonly known = new summaries.Summaries()) {}
+  constructor(
+    private readonly ownRegion: string,
+    private readonly known = new summaries.Summaries(),
+  ) {}
 
   apply(plan: plans.Plan): plans.Denial | null {
     const counts = countCells(plan.candidates, plan.now);
--- a/src/router/policies/homes.ts
+++ b/src/router/policies/homes.ts
@@ -7,7 +7,10 @@
 
 export class HomesPolicy implements plans.Policy {
   readonly name = "homes";
-  constructor(private readonly fleet: fleets.Fleet, private readonly rotation: rotations.Rotation) {}
+  constructor(
+    private readonly fleet: fleets.Fleet,
+    private readonly rotation: rotations.Rotation,
+  ) {}
 
   apply(plan: plans.Plan): plans.Denial | null {
     const { homes } = plan.entry;
--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -62,7 +62,10 @@
     const lastLong = hasPrompt ? lastLongMark(cell) : null;
     return cell.map(weighed);
     function weighed(runner: fleets.Runner): Weighed {
-      let ms = standings.penaltyMs(runner, plan.now, plan.entry.isRepeatable) + place * NEXT_CELL_MS + (BATCH_MS * runner.usage()) / runner.instance.capacity;
+      let ms =
+        standings.penaltyMs(runner, plan.now, plan.entry.isRepeatable) +
+        place * NEXT_CELL_MS +
+        (BATCH_MS * runner.usage()) / runner.instance.capacity;
       if (hasPrompt) {
         const unread = known.unread(runner.id, plan.parts, plan.keys);
         ms += known.backlogMs(runner.id, plan.now) + (READ_WEIGHT * unread) / known.rate + RANK_MS * (ranks?.get(runner) ?? MOST_RANK);
@@ -101,7 +104,7 @@
   for (const runner of cell) {
     const score = shares.ended(start, runner.id);
     let at = first.length;
-    while (at > 0 && score > scores[at - 1]!) at -= 1;
+    while (at > 0 && score > scores[at - 1]) at -= 1;
     if (at >= MOST_RANK) continue;
     first.splice(at, 0, runner);
     scores.splice(at, 0, score);
@@ -118,5 +121,5 @@
   const marks = new Uint32Array(cell.length);
   for (const [index, runner] of cell.entries()) marks[index] = runner.mark;
   const count = Math.min(cell.length - 1, Math.max(1, Math.round(cell.length * LONG_SHARE)));
-  return marks.sort()[count - 1]!;
+  return marks.sort()[count - 1];
 }
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -57,7 +57,10 @@
   private hasLists = false;
   readonly root: supervisor.Supervisor;
 
-  constructor(private readonly clock: types.World, private startup: settings.Settings) {
+  constructor(
+    private readonly clock: types.World,
+    private startup: settings.Settings,
+  ) {
     this.fleet = new fleets.Fleet(clock, new Map(Object.entries(startup.zones)));
     this.rotation = new rotations.Rotation(clock);
     this.share = new shares.Shares(clock, startup.bounds);
@@ -94,9 +97,17 @@
 
   private describe(): schema.NodeInfo {
     return {
-      name: this.startup.node_name, role: "router", life: this.life, zone: this.startup.zone, region: this.startup.region,
-      address: "", outside: this.startup.bind_addresses.frontend ?? "", disk: "", isCounted: this.startup.failure_counted,
-      isReady: this.isReady(), epoch: this.epoch,
+      name: this.startup.node_name,
+      role: "router",
+      life: this.life,
+      zone: this.startup.zone,
+      region: this.startup.region,
+      address: "",
+      outside: this.startup.bind_addresses.frontend ?? "",
+      disk: "",
+      isCounted: this.startup.failure_counted,
+      isReady: this.isReady(),
+      epoch: this.epoch,
     };
   }
 
@@ -222,7 +233,14 @@
   }
 
   private status(): unknown {
-    return accounts.account({ node: this.describe(), following: this.standing().following, share: this.share, chooser: this.chooser, fleet: this.fleet, now: this.clock.now() });
+    return accounts.account({
+      node: this.describe(),
+      following: this.standing().following,
+      share: this.share,
+      chooser: this.chooser,
+      fleet: this.fleet,
+      now: this.clock.now(),
+    });
   }
 
   /** What it goes by now, for watchers in the same process (docs/experiment.md). */
--- a/src/router/proper.ts
+++ b/src/router/proper.ts
@@ -60,7 +60,7 @@
   let hostAt = -1;
   let hasId = false;
   for (let index = 0; index + 1 < raw.length; index += 2) {
-    const name = raw[index]!;
+    const name = raw[index];
     // Lengths first: few fields are looked at any closer.
     if (name.length === HOST.length && name.toLowerCase() === HOST) {
       if (hostAt >= 0) return bad("two Host fields; send one");
@@ -68,15 +68,16 @@
     } else if (name.length === names.HEADER.requestId.length && name.toLowerCase() === names.HEADER.requestId) {
       if (hasId) return bad("two X-Cranewind-Request-Id fields; send one id a try");
       hasId = true;
-      if (!ID.test(raw[index + 1]!)) return bad("X-Cranewind-Request-Id holds more than visible ASCII; send a plain id");
+      if (!ID.test(raw[index + 1])) return bad("X-Cranewind-Request-Id holds more than visible ASCII; send a plain id");
     } else if (name.length === CODING.length && name.toLowerCase() === CODING) {
       if (incoming.httpVersionMinor === 0) return bad("Transfer-Encoding in HTTP/1.0; send Content-Length");
-      if (raw[index + 1]!.toLowerCase() !== "chunked") return { status: 501, message: "a transfer coding other than chunked; send chunked alone" };
+      if (raw[index + 1].toLowerCase() !== "chunked")
+        return { status: 501, message: "a transfer coding other than chunked; send chunked alone" };
     }
   }
   if (incoming.httpVersionMajor !== 1) return { status: 505, message: "not HTTP/1.1; send HTTP/1.1" };
   if (hostAt < 0 && incoming.httpVersionMinor > 0) return bad("Host is missing; send one");
-  if (hostAt >= 0 && !AUTHORITY.test(raw[hostAt]!)) return bad("Host is no host; send host or host:port");
+  if (hostAt >= 0 && !AUTHORITY.test(raw[hostAt])) return bad("Host is no host; send host or host:port");
   return ofConnection(incoming.headers.connection) ?? ofTarget(incoming, hostAt);
 }
 
@@ -97,14 +98,14 @@
   if (target.charCodeAt(0) === SLASH) return target.includes("#") ? bad("a fragment in the target; leave it out") : null;
   if (target === "*") return incoming.method === "OPTIONS" ? null : bad("the target * is for OPTIONS; send a path");
   const parts = ABSOLUTE.exec(target);
-  if (!parts || !AUTHORITY.test(parts[1]!)) return bad("the target is neither a path nor http://host/path; send a path");
-  const rest = parts[2]!;
+  if (!parts || !AUTHORITY.test(parts[1])) return bad("the target is neither a path nor http://host/path; send a path");
+  const rest = parts[2];
   if (rest === "" && incoming.method === "OPTIONS") incoming.url = "*";
   else incoming.url = rest.charCodeAt(0) === SLASH ? rest : `/${rest}`;
   // The authority of the target counts, whatever Host says (RFC 9112, 3.2.2).
   incoming.headers.host = parts[1]!;
   if (hostAt >= 0) incoming.rawHeaders[hostAt] = parts[1]!;
-  else incoming.rawHeaders.push("Host", parts[1]!);
+  else incoming.rawHeaders.push("Host", parts[1]);
   return null;
 }
 
--- a/src/router/readings.ts
+++ b/src/router/readings.ts
@@ -62,7 +62,7 @@
   keptParts(runner: string, keys: readonly number[]): number {
     const kept = this.readers.get(runner)?.kept;
     if (!kept) return 0;
-    for (let count = keys.length; count > 0; count -= 1) if (kept.has(keys[count - 1]!)) return count;
+    for (let count = keys.length; count > 0; count -= 1) if (kept.has(keys[count - 1])) return count;
     return 0;
   }
 
--- a/src/router/replies.ts
+++ b/src/router/replies.ts
@@ -1,7 +1,13 @@
 // The router's own replies; each is final and told at once (design 7.10).
 import type * as nodeHttp from "node:http";
 
-export function send(outgoing: nodeHttp.ServerResponse, status: number, message: string, retryAfterS: number | null, isLast: boolean): void {
+export function send(
+  outgoing: nodeHttp.ServerResponse,
+  status: number,
+  message: string,
+  retryAfterS: number | null,
+  isLast: boolean,
+): void {
   if (outgoing.headersSent || outgoing.destroyed) {
     outgoing.destroy();
     return;
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -31,10 +31,20 @@
 }
 
 /** The request as a runner gets it: method, path and body unchanged, headers by the rules (design 7.7). */
-export function sendable(request: Request, incoming: nodeHttp.IncomingMessage, sending: headers.Sending, ticket: tickets.Ticket): attempts.Sendable {
+export function sendable(
+  request: Request,
+  incoming: nodeHttp.IncomingMessage,
+  sending: headers.Sending,
+  ticket: tickets.Ticket,
+): attempts.Sendable {
   const { method, url, rawHeaders, headers: parsed } = incoming;
   return {
-    method: method ?? "GET", path: url ?? "/", headers: headers.forRunner(rawHeaders, parsed.connection, sending),
-    body: request.body, requestId: request.requestId, isStream: request.entry.route.route_type === "streaming", ticket,
+    method: method ?? "GET",
+    path: url ?? "/",
+    headers: headers.forRunner(rawHeaders, parsed.connection, sending),
+    body: request.body,
+    requestId: request.requestId,
+    isStream: request.entry.route.route_type === "streaming",
+    ticket,
   };
 }
--- a/src/router/runner.ts
+++ b/src/router/runner.ts
@@ -39,7 +39,11 @@
   /** A fixed place in the order of runners, the same at every router. */
   readonly mark: number;
 
-  constructor(readonly instance: schema.Instance, readonly region: string, limit: idle.IdleLimit) {
+  constructor(
+    readonly instance: schema.Instance,
+    readonly region: string,
+    limit: idle.IdleLimit,
+  ) {
     super();
     this.outcomes = new outcomes.Outcomes(instance.id);
     this.connections = new connections.Connections(instance.address, opened, limit);
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -15,7 +15,10 @@
 import * as transactions from "./transaction.js";
 
 const DEFAULTS: Required<check.Limits> = {
-  max_header_bytes: 16384, max_body_bytes: 4 * 1024 * 1024, header_timeout_ms: 5000, idle_timeout_ms: 15000,
+  max_header_bytes: 16384,
+  max_body_bytes: 4 * 1024 * 1024,
+  header_timeout_ms: 5000,
+  idle_timeout_ms: 15000,
 };
 const DEFAULT_BUDGET_MS = 60_000;
 /** What of the machine's limits goes where (design 2.3). */
@@ -50,7 +53,10 @@
   ) {
     this.mostHeldBytes = machine.memory_mb * 1024 * 1024 * HELD_SHARE;
     this.mostPending = Math.floor(machine.memory_mb * PENDING_PER_MB);
-    this.server = nodeHttp.createServer({ connectionsCheckingInterval: CHECK_MS, maxHeaderSize: DEFAULTS.max_header_bytes, requireHostHeader: false }, this.take.bind(this));
+    this.server = nodeHttp.createServer(
+      { connectionsCheckingInterval: CHECK_MS, maxHeaderSize: DEFAULTS.max_header_bytes, requireHostHeader: false },
+      this.take.bind(this),
+    );
     this.server.on("clientError", clientError);
     this.server.on("connect", proper.denyTunnel);
     this.server.maxConnections = Math.floor(machine.max_open_files * CONNECTIONS_SHARE);
@@ -167,10 +173,15 @@
     const budget = Math.min(asked > 0 ? asked : DEFAULT_BUDGET_MS, entry.route.deadline_ms);
     const parts = plans.readParts(single(incoming.headers[names.HEADER.prefix]));
     const request: transactions.Request = {
-      requestId, entry, body,
+      requestId,
+      entry,
+      body,
       service: routes.chooseService(entry, shares.hash(`${requestId}/split`) / 4294967296),
-      parts, keys: readings.chainKeys(parts),
-      arrivedAt, deadline: arrivedAt + budget, asked: plans.readAsked(single(incoming.headers[names.HEADER.tokens]), parts),
+      parts,
+      keys: readings.chainKeys(parts),
+      arrivedAt,
+      deadline: arrivedAt + budget,
+      asked: plans.readAsked(single(incoming.headers[names.HEADER.tokens]), parts),
     };
     this.run(request, incoming, outgoing);
   }
--- a/src/router/signs.ts
+++ b/src/router/signs.ts
@@ -13,8 +13,16 @@
   | "shed"; // handed back although it is not full
 
 export const WEIGHTS = new Map<Sign, number>([
-  ["error", 1], ["broken", 1], ["refused", 1], ["unreached", 1], ["silent", 1], ["stale", 0.5],
-  ["overdue", 0.8], ["late", 0.5], ["slow", 0.7], ["shed", 0.5],
+  ["error", 1],
+  ["broken", 1],
+  ["refused", 1],
+  ["unreached", 1],
+  ["silent", 1],
+  ["stale", 0.5],
+  ["overdue", 0.8],
+  ["late", 0.5],
+  ["slow", 0.7],
+  ["shed", 0.5],
 ]);
 /** These say nothing of a runner that has much to do. */
 export const LOADED_SIGNS = new Set<Sign>(["silent", "overdue", "late", "slow", "shed"]);
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -74,10 +74,18 @@
     this.tried.add(choice.runner.id);
     this.sends += 1;
     const sending = {
-      target: choice.runner.id, budgetMs: Math.max(1, Math.floor(left)),
-      lastEventId: this.cutter?.lastId ?? null, rank: this.request.entry.route.priority ?? 1,
+      target: choice.runner.id,
+      budgetMs: Math.max(1, Math.floor(left)),
+      lastEventId: this.cutter?.lastId ?? null,
+      rank: this.request.entry.route.priority ?? 1,
     };
-    this.attempt = new attempts.Attempt(this.context.world, choice.runner, choice.connection, this, requests.sendable(this.request, this.incoming, sending, choice.ticket));
+    this.attempt = new attempts.Attempt(
+      this.context.world,
+      choice.runner,
+      choice.connection,
+      this,
+      requests.sendable(this.request, this.incoming, sending, choice.ticket),
+    );
     this.move("sent");
     this.reading = { tokens: this.context.sending(this.request, choice.runner.id), since: this.context.world.now() };
     this.attempt.start(this.reading.tokens);
--- a/src/shares/holdings.ts
+++ b/src/shares/holdings.ts
@@ -106,7 +106,8 @@
 
   private held(demand: Demand, now: number): number {
     let held = 0;
-    for (const lease of this.open(demand.kind, demand.key)) if (lease.until > now + ENDING_MS / (demand.kind === leaseSchema.COLD ? 4 : 1)) held += lease.left;
+    for (const lease of this.open(demand.kind, demand.key))
+      if (lease.until > now + ENDING_MS / (demand.kind === leaseSchema.COLD ? 4 : 1)) held += lease.left;
     return held;
   }
 
@@ -119,9 +120,15 @@
     for (const [name, demand] of this.demands) {
       const isCold = demand.kind === leaseSchema.COLD;
       const since = now - (isCold ? COLD_DEMAND_MS : DEMAND_MS);
-      while (demand.hits.length > 0 && demand.hits[0]! < since) demand.hits.shift();
+      while (demand.hits.length > 0 && demand.hits[0] < since) demand.hits.shift();
       const isHot = demand.hits.length > 0;
-      const wanted = isHot ? (isCold ? Math.min(MOST_COLD_WANTED, Math.ceil(demand.hits.length * COLD_AHEAD)) : Math.min(MOST_WANTED, demand.hits.length)) : demand.standingUntil > now ? 1 : 0;
+      const wanted = isHot
+        ? isCold
+          ? Math.min(MOST_COLD_WANTED, Math.ceil(demand.hits.length * COLD_AHEAD))
+          : Math.min(MOST_WANTED, demand.hits.length)
+        : demand.standingUntil > now
+          ? 1
+          : 0;
       const more = wanted - this.held(demand, now);
       if (wanted === 0) this.demands.delete(name);
       if (more > 0) (isCold ? cold : needs).push({ kind: demand.kind, key: demand.key, perS: demand.perS, wanted: more, isHot });
--- a/src/shares/owner.ts
+++ b/src/shares/owner.ts
@@ -35,7 +35,12 @@
   private readonly leases = new Map<number, Lease>();
   private readonly holdings = new Map<string, Holding>();
 
-  constructor(private readonly world: types.World, readonly life: string, private bounds: parts.Bounds, private readonly tenure: tenures.Tenure) {}
+  constructor(
+    private readonly world: types.World,
+    readonly life: string,
+    private bounds: parts.Bounds,
+    private readonly tenure: tenures.Tenure,
+  ) {}
 
   resettle(bounds: parts.Bounds): void {
     this.bounds = bounds;
@@ -75,7 +80,8 @@
     if (this.round !== this.tenure.round) this.restart();
     if (now - this.sweptAt < SWEEP_MS) return;
     this.sweptAt = now;
-    for (const [id, lease] of this.leases) if (now > lease.lostAt) this.settle(lease.router, { id, unused: this.unreported(lease.amount) }, now);
+    for (const [id, lease] of this.leases)
+      if (now > lease.lostAt) this.settle(lease.router, { id, unused: this.unreported(lease.amount) }, now);
     for (const [key, holding] of this.holdings) if (holding.pool.isSpare(now)) this.holdings.delete(key);
   }
 
--- a/src/shares/pool.ts
+++ b/src/shares/pool.ts
@@ -26,7 +26,12 @@
   readonly claims = new Map<string, Claim>();
 
   /** earnedSince: refill counts from then on, with nothing there at first. memoryMs: how long a grant is held against its taker. */
-  constructor(private part: parts.Part, earnedSince: number, now: number, private readonly memoryMs: number) {
+  constructor(
+    private part: parts.Part,
+    earnedSince: number,
+    now: number,
+    private readonly memoryMs: number,
+  ) {
     this.level = 0;
     this.at = Math.min(earnedSince, now);
     this.refill(now);
@@ -56,7 +61,10 @@
     claim.wanted = need.wanted;
     claim.isHot = need.isHot;
     claim.at = now;
-    const amount = Math.max(0, Math.min(need.wanted, Math.floor(this.level + 1e-9), need.isHot ? this.fair(claim, now) : this.standing(claim)));
+    const amount = Math.max(
+      0,
+      Math.min(need.wanted, Math.floor(this.level + 1e-9), need.isHot ? this.fair(claim, now) : this.standing(claim)),
+    );
     this.level -= amount;
     this.outstanding += amount;
     claim.held += amount;
--- a/src/shares/shares.ts
+++ b/src/shares/shares.ts
@@ -27,7 +27,10 @@
   private readonly windows = new Map<string, Window>();
   readonly held: holdings.Holdings;
 
-  constructor(private readonly world: types.World, private bounds: Bounds) {
+  constructor(
+    private readonly world: types.World,
+    private bounds: Bounds,
+  ) {
     this.held = new holdings.Holdings(world);
   }
 
@@ -62,8 +65,8 @@
       this.windows.set(service, window);
     }
     const from = this.world.now() - this.bounds.retry_window_s * 1000;
-    while (window.requests.length > 0 && window.requests[0]! < from) window.requests.shift();
-    while (window.repeats.length > 0 && window.repeats[0]! < from) window.repeats.shift();
+    while (window.requests.length > 0 && window.requests[0] < from) window.requests.shift();
+    while (window.repeats.length > 0 && window.repeats[0] < from) window.repeats.shift();
     return window;
   }
 
--- a/src/shares/tenure.ts
+++ b/src/shares/tenure.ts
@@ -57,8 +57,12 @@
     const disks = value.voters.map(diskOf);
     const slot = disk === "" ? -1 : disks.indexOf(disk);
     const isKept =
-      before !== null && disk === this.disk && slot >= 0 && slot === before.slot &&
-      disks.length === before.slots && value.voterEpoch === before.epoch + 1;
+      before !== null &&
+      disk === this.disk &&
+      slot >= 0 &&
+      slot === before.slot &&
+      disks.length === before.slots &&
+      value.voterEpoch === before.epoch + 1;
     const isSame = before !== null && value.voterEpoch === before.epoch;
     this.era = { epoch: value.voterEpoch, voters: new Set(disks), slots: disks.length, slot, knownAt: isSame ? before.knownAt : now };
     this.disk = disk;
--- a/src/signs/batch.ts
+++ b/src/signs/batch.ts
@@ -30,7 +30,9 @@
     const before = this.readings.get(reading.runner);
     const keys = new Set([...(before?.keys ?? []), ...reading.keys]);
     this.readings.set(reading.runner, {
-      runner: reading.runner, unread: (before?.unread ?? 0) + reading.unread, keys: [...keys].slice(-MOST_KEYS),
+      runner: reading.runner,
+      unread: (before?.unread ?? 0) + reading.unread,
+      keys: [...keys].slice(-MOST_KEYS),
     });
     dropOldest(this.readings);
   }
--- a/src/signs/pace.ts
+++ b/src/signs/pace.ts
@@ -9,7 +9,11 @@
   private lastAt = -Infinity;
   private tick: types.Tick | null = null;
 
-  constructor(private readonly world: types.World, private readonly run: () => void, private readonly periodMs = PERIOD_MS) {}
+  constructor(
+    private readonly world: types.World,
+    private readonly run: () => void,
+    private readonly periodMs = PERIOD_MS,
+  ) {}
 
   ask(): void {
     if (this.tick) return;
--- a/src/signs/relay.ts
+++ b/src/signs/relay.ts
@@ -48,7 +48,10 @@
   private readonly buckets = new Map<Ear, Bucket>();
   private readonly pace: paces.Pace;
 
-  constructor(private readonly world: types.World, private readonly outlets: Outlets) {
+  constructor(
+    private readonly world: types.World,
+    private readonly outlets: Outlets,
+  ) {
     this.pace = new paces.Pace(world, this.flush.bind(this));
   }
 
--- a/src/standin/runner.ts
+++ b/src/standin/runner.ts
@@ -116,7 +116,17 @@
   }
 
   private report(outgoing: nodeHttp.ServerResponse): void {
-    const body = { phase: "combined", models: [], utilization: false, sequence: 0, waiting_requests: 0, active: this.active, kv_used: 0, kv_capacity: 100_000, supported_models: 0 };
+    const body = {
+      phase: "combined",
+      models: [],
+      utilization: false,
+      sequence: 0,
+      waiting_requests: 0,
+      active: this.active,
+      kv_used: 0,
+      kv_capacity: 100_000,
+      supported_models: 0,
+    };
     outgoing.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify(body));
   }
 
@@ -135,8 +145,14 @@
     else {
       const lastEventId = header(names.HEADER.lastEventId);
       this.seen.push({
-        requestId, target, method: incoming.method ?? "", path: incoming.url ?? "", body, headers: incoming.headers,
-        lastEventId: lastEventId === "" ? null : lastEventId, budgetMs: Number(header(names.HEADER.budgetMs)),
+        requestId,
+        target,
+        method: incoming.method ?? "",
+        path: incoming.url ?? "",
+        body,
+        headers: incoming.headers,
+        lastEventId: lastEventId === "" ? null : lastEventId,
+        budgetMs: Number(header(names.HEADER.budgetMs)),
         readTokens: this.read(header(names.HEADER.prefix)),
       });
       this.reply(incoming, outgoing, requestId, mishap);
@@ -158,7 +174,12 @@
     return read;
   }
 
-  private reply(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse, requestId: string, mishap: Mishap | undefined): void {
+  private reply(
+    incoming: nodeHttp.IncomingMessage,
+    outgoing: nodeHttp.ServerResponse,
+    requestId: string,
+    mishap: Mishap | undefined,
+  ): void {
     if (mishap === "silent") return;
     if (mishap === "reset") {
       incoming.socket.destroy();
--- a/src/startup/vitals.ts
+++ b/src/startup/vitals.ts
@@ -30,9 +30,13 @@
     delay.enable();
   }
   const made = {
-    cpuMs: (cpu.user + cpu.system) / 1000, memoryMb: memory.rss / MEGA, heapMb: memory.heapUsed / MEGA,
-    loopP50Ms: before ? lateMs(before.percentile(50)) : 0, loopP99Ms: before ? lateMs(before.percentile(99)) : 0,
-    loopWorstMs: before && before.count > 0 ? lateMs(before.max) : 0, descriptors: openDescriptors(),
+    cpuMs: (cpu.user + cpu.system) / 1000,
+    memoryMb: memory.rss / MEGA,
+    heapMb: memory.heapUsed / MEGA,
+    loopP50Ms: before ? lateMs(before.percentile(50)) : 0,
+    loopP99Ms: before ? lateMs(before.percentile(99)) : 0,
+    loopWorstMs: before && before.count > 0 ? lateMs(before.max) : 0,
+    descriptors: openDescriptors(),
   };
   delay.reset();
   if (resting) clearTimeout(resting);
--- a/src/store/ring.ts
+++ b/src/store/ring.ts
@@ -134,7 +134,7 @@
     this.number += 1;
     // The place moves on after a success only: failures never reach the file of the newest whole record.
     const place = (this.place + 1) % this.slots.length;
-    await this.slots[place]!.write(encode(this.number, body));
+    await this.slots[place].write(encode(this.number, body));
     this.place = place;
   }
 }
--- a/src/supervisor/tree.ts
+++ b/src/supervisor/tree.ts
@@ -16,7 +16,11 @@
   private readonly started: Child[] = [];
   private failures: number[] = [];
 
-  constructor(readonly name: string, private readonly clock: types.World, private readonly children: Child[]) {}
+  constructor(
+    readonly name: string,
+    private readonly clock: types.World,
+    private readonly children: Child[],
+  ) {}
 
   async start(): Promise<void> {
     for (const child of this.children) {
--- a/src/usage/interest.ts
+++ b/src/usage/interest.ts
@@ -7,7 +7,10 @@
 export class Interest {
   private readonly usedAt = new Map<string, types.SteadyMs>();
 
-  constructor(private readonly world: types.World, private readonly ownRegion: string) {}
+  constructor(
+    private readonly world: types.World,
+    private readonly ownRegion: string,
+  ) {}
 
   /** A request went there, or would have gone there first. */
   use(region: string): void {
--- a/src/usage/publisher.ts
+++ b/src/usage/publisher.ts
@@ -26,7 +26,10 @@
   private readonly summed = new Map<string, schema.Summary>();
   private summedAt = -Infinity;
 
-  constructor(private readonly world: types.World, private readonly feed: Pick<feeds.Feed, "publish" | "amend">) {}
+  constructor(
+    private readonly world: types.World,
+    private readonly feed: Pick<feeds.Feed, "publish" | "amend">,
+  ) {}
 
   private pictureOf(region: string): pictures.Picture {
     let picture = this.pictures.get(region);
@@ -47,7 +50,8 @@
     for (const picture of this.pictures.values()) {
       picture.forgetAllBut(regions);
       // The time of reading stands: a new list is no report.
-      if (Number.isFinite(picture.heardAt)) this.feed.publish(feeds.cellTopic(picture.region), this.items([...picture.told.values()]), types.small(picture.heardAt));
+      if (Number.isFinite(picture.heardAt))
+        this.feed.publish(feeds.cellTopic(picture.region), this.items([...picture.told.values()]), types.small(picture.heardAt));
     }
   }
 
--- a/src/whatif/batch.ts
+++ b/src/whatif/batch.ts
@@ -34,7 +34,12 @@
   /** Above 1: everything takes so much longer. */
   slow = 1;
 
-  constructor(readonly id: string, readonly region: string, private readonly figures: scenarios.Scenario["runner"], private readonly world: types.World) {}
+  constructor(
+    readonly id: string,
+    readonly region: string,
+    private readonly figures: scenarios.Scenario["runner"],
+    private readonly world: types.World,
+  ) {}
 
   private tokensOf(job: Job): number {
     let sum = job.events;
@@ -96,8 +101,12 @@
 
   report(): schema.Report {
     return {
-      id: types.small(this.id), isSpeaking: true, waiting: this.queue.length, active: this.active,
-      kvUsed: this.kvUsed, kvCapacity: this.figures.kv_tokens,
+      id: types.small(this.id),
+      isSpeaking: true,
+      waiting: this.queue.length,
+      active: this.active,
+      kvUsed: this.kvUsed,
+      kvCapacity: this.figures.kv_tokens,
     };
   }
 }
--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -49,8 +49,12 @@
   private ids = 0;
 
   constructor(
-    private readonly day: Day, private readonly scenario: scenarios.Scenario, private readonly kind: scenarios.Kind,
-    private readonly parts: plans.Part[], private readonly events: number, private readonly asked: Asked,
+    private readonly day: Day,
+    private readonly scenario: scenarios.Scenario,
+    private readonly kind: scenarios.Kind,
+    private readonly parts: plans.Part[],
+    private readonly events: number,
+    private readonly asked: Asked,
   ) {
     this.deadline = day.world.now() + kind.deadline_ms;
   }
@@ -81,8 +85,13 @@
   }
 
   private submit(
-    router: systems.ModelRouter, seen: fleets.Runner, model: batches.BatchRunner, ticket: tickets.Ticket, tried: Set<string>,
-    request: transactions.Request, trip: number,
+    router: systems.ModelRouter,
+    seen: fleets.Runner,
+    model: batches.BatchRunner,
+    ticket: tickets.Ticket,
+    tried: Set<string>,
+    request: transactions.Request,
+    trip: number,
   ): void {
     const { day, kind } = this;
     const tokens = systems.tellReading(day.world, day.routers, router, model.id, request);
@@ -91,7 +100,10 @@
     const ended = this.ended.bind(this);
     let hasFirst = false;
     const isTaken = model.submit({
-      parts: this.parts, events: this.events, priority: kind.priority, deadline: this.deadline,
+      parts: this.parts,
+      events: this.events,
+      priority: kind.priority,
+      deadline: this.deadline,
       first(): void {
         hasFirst = true;
         router.known.learn(tokens, day.world.now() - sentAt);
--- a/src/whatif/outcome.ts
+++ b/src/whatif/outcome.ts
@@ -73,12 +73,24 @@
     if (item.admitted > 0) admitted += 1;
   }
   return {
-    kind, admission: isOn ? "on" : "off", asked: items.length, admitted,
-    in_aim: counts.get("in_aim") ?? 0, late: counts.get("late") ?? 0, too_late: counts.get("too_late") ?? 0, lost: counts.get("open") ?? 0,
-    refused: counts.get("refused") ?? 0, refusals: times.length,
-    refusal_p50_ms: at(times, 0.5), refusal_p99_ms: at(times, 0.99), refusal_worst_ms: Math.round(times[times.length - 1] ?? 0),
-    unused: mean(items.flatMap(unusedOf)), worth: mean(items.map(worthOf)),
-    largest: shareServed(sorted.slice(0, tenth)), large: shareServed(sorted.slice(tenth, three)), served: shareServed(items),
+    kind,
+    admission: isOn ? "on" : "off",
+    asked: items.length,
+    admitted,
+    in_aim: counts.get("in_aim") ?? 0,
+    late: counts.get("late") ?? 0,
+    too_late: counts.get("too_late") ?? 0,
+    lost: counts.get("open") ?? 0,
+    refused: counts.get("refused") ?? 0,
+    refusals: times.length,
+    refusal_p50_ms: at(times, 0.5),
+    refusal_p99_ms: at(times, 0.99),
+    refusal_worst_ms: Math.round(times[times.length - 1] ?? 0),
+    unused: mean(items.flatMap(unusedOf)),
+    worth: mean(items.map(worthOf)),
+    largest: shareServed(sorted.slice(0, tenth)),
+    large: shareServed(sorted.slice(tenth, three)),
+    served: shareServed(items),
   };
 }
 
@@ -105,7 +117,22 @@
 }
 
 const COLUMNS: readonly (keyof Row)[] = [
-  "asked", "admitted", "in_aim", "late", "too_late", "lost", "refused", "refusals", "refusal_p50_ms", "refusal_p99_ms", "refusal_worst_ms", "unused", "worth", "largest", "large", "served",
+  "asked",
+  "admitted",
+  "in_aim",
+  "late",
+  "too_late",
+  "lost",
+  "refused",
+  "refusals",
+  "refusal_p50_ms",
+  "refusal_p99_ms",
+  "refusal_worst_ms",
+  "unused",
+  "worth",
+  "largest",
+  "large",
+  "served",
 ];
 
 export function lines(made: readonly Row[]): string[] {
--- a/src/whatif/overload.ts
+++ b/src/whatif/overload.ts
@@ -24,7 +24,10 @@
   /** Chance of its own, so that the same clients come whatever the routers do. */
   private readonly chance: worlds.PlannedWorld;
 
-  constructor(private readonly scenario: scenarios.Scenario, isOn: boolean) {
+  constructor(
+    private readonly scenario: scenarios.Scenario,
+    isOn: boolean,
+  ) {
     this.world = new worlds.PlannedWorld(scenario.seed);
     this.owner = new owners.SoleOwner(this.world, systems.BOUNDS);
     this.chance = new worlds.PlannedWorld(scenario.seed + 1);
@@ -36,7 +39,8 @@
         const runner = new batches.BatchRunner(`${region.name}-${this.lives}`, region.name, scenario.runner, this.world);
         this.runners.set(runner.id, runner);
       }
-      for (let count = 0; count < region.routers; count += 1) this.addRouter(new systems.ModelRouter(region.name, this.world, regions, table), isOn);
+      for (let count = 0; count < region.routers; count += 1)
+        this.addRouter(new systems.ModelRouter(region.name, this.world, regions, table), isOn);
     }
   }
 
@@ -134,19 +138,30 @@
     const session = `${kind.name}-${Math.floor(this.chance.random() * kind.sessions)}`;
     const size = Math.min(LONGEST_SIZE, 0.5 - 0.5 * Math.log(1 - this.chance.random()));
     const parts: plans.Part[] = [
-      { id: `c-${kind.name}`, tokens: kind.common_tokens }, { id: `s-${session}`, tokens: kind.session_tokens },
+      { id: `c-${kind.name}`, tokens: kind.common_tokens },
+      { id: `s-${session}`, tokens: kind.session_tokens },
       { id: `t-${this.asked.length}`, tokens: Math.max(1, Math.round(kind.turn_tokens * size)) },
     ];
     const events = Math.max(1, Math.round(kind.events * size));
     const asked: clients.Asked = {
-      kind: kind.name, at: this.world.now(), size, outcome: "open", tries: 0, refusedMs: [], retryAfterS: [], unused: [], admitted: 0, worth: 0, session,
+      kind: kind.name,
+      at: this.world.now(),
+      size,
+      outcome: "open",
+      tries: 0,
+      refusedMs: [],
+      retryAfterS: [],
+      unused: [],
+      admitted: 0,
+      worth: 0,
+      session,
     };
     this.asked.push(asked);
     new clients.Try(this, this.scenario, kind, parts, events, asked).start();
   }
 
   pickRouter(): systems.ModelRouter {
-    return this.routers[Math.floor(this.world.random() * this.routers.length)]!;
+    return this.routers[Math.floor(this.world.random() * this.routers.length)];
   }
 
   lagOf(router: systems.ModelRouter): number {
--- a/src/whatif/owner.ts
+++ b/src/whatif/owner.ts
@@ -12,7 +12,10 @@
 export class SoleOwner {
   private readonly owner: owners.LeaseOwner;
 
-  constructor(private readonly world: types.World, bounds: shares.Bounds) {
+  constructor(
+    private readonly world: types.World,
+    bounds: shares.Bounds,
+  ) {
     const tenure = new tenures.Tenure(world);
     tenure.take(registers.firstValue([ADDRESS]), registers.firstDisk(ADDRESS));
     this.owner = new owners.LeaseOwner(world, LIFE, bounds, tenure);
--- a/src/whatif/runner.ts
+++ b/src/whatif/runner.ts
@@ -16,7 +16,11 @@
   active = 0;
   isUp = true;
 
-  constructor(readonly id: string, readonly region: string, private readonly figures: scenarios.Scenario["runner"]) {}
+  constructor(
+    readonly id: string,
+    readonly region: string,
+    private readonly figures: scenarios.Scenario["runner"],
+  ) {}
 
   isFull(): boolean {
     return this.active >= this.figures.capacity * 2;
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -23,7 +23,12 @@
   readonly share: shares.Shares;
   readonly chooser: choosers.Chooser;
 
-  constructor(readonly region: string, world: worlds.PlannedWorld, regions: readonly string[], table: routes.RouteTable) {
+  constructor(
+    readonly region: string,
+    world: worlds.PlannedWorld,
+    regions: readonly string[],
+    table: routes.RouteTable,
+  ) {
     this.fleet = new fleets.Fleet(world, new Map(regions.map(same)));
     this.rotation = new rotations.Rotation(world);
     this.share = new shares.Shares(world, BOUNDS);
@@ -55,8 +60,18 @@
 
 function routeOf(kind: scenarios.Kind): unknown {
   return {
-    name: kind.name, hostname: "whatif", path_prefix: `/${kind.name}/`, route_type: "streaming", deadline_ms: kind.deadline_ms, target_latency_ms: kind.aim_ms, priority: kind.priority,
-    service: "model", max_attempts: 2, session_affinity: true, resumable: true, allowed_regions: kind.homes,
+    name: kind.name,
+    hostname: "whatif",
+    path_prefix: `/${kind.name}/`,
+    route_type: "streaming",
+    deadline_ms: kind.deadline_ms,
+    target_latency_ms: kind.aim_ms,
+    priority: kind.priority,
+    service: "model",
+    max_attempts: 2,
+    session_affinity: true,
+    resumable: true,
+    allowed_regions: kind.homes,
   };
 }
 
@@ -71,20 +86,48 @@
   for (const runner of runners) {
     if (!runner.isUp) continue;
     made.push({
-      id: types.small(runner.id), service: "model", address: "127.0.0.1:9", zone: runner.region, capacity,
-      isDraining: false, coldMs: coldMs.get(runner.id) ?? 0, leavesMs: -1,
+      id: types.small(runner.id),
+      service: "model",
+      address: "127.0.0.1:9",
+      zone: runner.region,
+      capacity,
+      isDraining: false,
+      coldMs: coldMs.get(runner.id) ?? 0,
+      leavesMs: -1,
     });
   }
   return made;
 }
 
-export function requestOf(entry: routes.RouteEntry, requestId: string, parts: plans.Part[], deadline: number, mostOut = 0): transactions.Request {
+export function requestOf(
+  entry: routes.RouteEntry,
+  requestId: string,
+  parts: plans.Part[],
+  deadline: number,
+  mostOut = 0,
+): transactions.Request {
   const asked = { ...plans.readAsked(undefined, parts), mostOut };
-  return { requestId: types.small(requestId), entry, service: "model", parts, keys: readings.chainKeys(parts), arrivedAt: 0, deadline, asked, body: null };
+  return {
+    requestId: types.small(requestId),
+    entry,
+    service: "model",
+    parts,
+    keys: readings.chainKeys(parts),
+    arrivedAt: 0,
+    deadline,
+    asked,
+    body: null,
+  };
 }
 
 /** Notes a reading where it is sent from, and tells the other routers a moment later, as signs do. */
-export function tellReading(world: types.World, routers: readonly ModelRouter[], from: ModelRouter, runner: string, request: transactions.Request): number {
+export function tellReading(
+  world: types.World,
+  routers: readonly ModelRouter[],
+  from: ModelRouter,
+  runner: string,
+  request: transactions.Request,
+): number {
   const unread = Math.round(from.known.unread(runner, request.parts, request.keys));
   from.read(runner, unread, request.keys, world.now());
   world.after(SIGN_MS, tell);
--- a/src/whatif/table.ts
+++ b/src/whatif/table.ts
@@ -45,8 +45,15 @@
   }
   times.sort(byNumber);
   return {
-    kind, phase, turns, count: items.length, denied: items.length - times.length, p50: at(times, 0.5), p99: at(times, 0.99),
-    keptPercent: tokens > 0 ? Math.round((100 * (tokens - unread)) / tokens) : 0, moved,
+    kind,
+    phase,
+    turns,
+    count: items.length,
+    denied: items.length - times.length,
+    p50: at(times, 0.5),
+    p99: at(times, 0.99),
+    keptPercent: tokens > 0 ? Math.round((100 * (tokens - unread)) / tokens) : 0,
+    moved,
   };
 }
 
@@ -71,6 +78,6 @@
   const numbers = [row.count, row.denied, row.p50, row.p99, row.keptPercent, row.moved];
   const widths = [7, 8, 8, 8, 8, 7];
   let line = row.kind.padEnd(16) + row.phase.padEnd(8) + row.turns.padEnd(6);
-  for (const [index, value] of numbers.entries()) line += String(value).padStart(widths[index]!);
+  for (const [index, value] of numbers.entries()) line += String(value).padStart(widths[index]);
   return line;
 }
--- a/src/whatif/world.ts
+++ b/src/whatif/world.ts
@@ -49,18 +49,18 @@
   }
 
   private isBefore(left: number, right: number): boolean {
-    const [a, b] = [this.heap[left]!, this.heap[right]!];
+    const [a, b] = [this.heap[left], this.heap[right]];
     return a.at < b.at || (a.at === b.at && a.order < b.order);
   }
 
   private swap(left: number, right: number): void {
-    const item = this.heap[left]!;
+    const item = this.heap[left];
     this.heap[left] = this.heap[right]!;
     this.heap[right] = item;
   }
 
   private rise(index: number): void {
-    for (let at = index; at > 0; ) {
+    for (let at = index; at > 0;) {
       const parent = (at - 1) >> 1;
       if (!this.isBefore(at, parent)) return;
       this.swap(at, parent);
@@ -71,7 +71,7 @@
   private pop(): void {
     this.swap(0, this.heap.length - 1);
     this.heap.pop();
-    for (let at = 0; ; ) {
+    for (let at = 0; ;) {
       const left = 2 * at + 1;
       if (left >= this.heap.length) return;
       const child = left + 1 < this.heap.length && this.isBefore(left + 1, left) ? left + 1 : left;
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -13,7 +13,7 @@
 
 function pair<Ask, Reply>(code: number, name: string, ask: schema.Schema<Ask>, reply: schema.Schema<Reply>): Pair<Ask, Reply> {
   const made = { code, name, ask, reply };
-  known.set(code, made as unknown as Pair<unknown, unknown>);
+  known.set(code, made);
   return made;
 }
 
--- a/src/wire/counts.ts
+++ b/src/wire/counts.ts
@@ -16,13 +16,13 @@
 }
 
 export function told(code: number, bodyBytes: number): void {
-  framesTold[code]! += 1;
-  bytesTold[code]! += bodyBytes + HEAD_BYTES;
+  framesTold[code] += 1;
+  bytesTold[code] += bodyBytes + HEAD_BYTES;
 }
 
 export function heard(code: number, bodyBytes: number): void {
-  framesHeard[code]! += 1;
-  bytesHeard[code]! += bodyBytes + HEAD_BYTES;
+  framesHeard[code] += 1;
+  bytesHeard[code] += bodyBytes + HEAD_BYTES;
 }
 
 /** Since this process began, by the name of the pair; bytes with the frames' heads, without TCP's. */
@@ -31,7 +31,10 @@
   for (let code = 0; code < KINDS; code += 1) {
     if (framesTold[code] === 0 && framesHeard[code] === 0) continue;
     found.set(calls.byCode(code)?.name ?? `code-${code}`, {
-      framesTold: framesTold[code]!, bytesTold: bytesTold[code]!, framesHeard: framesHeard[code]!, bytesHeard: bytesHeard[code]!,
+      framesTold: framesTold[code],
+      bytesTold: bytesTold[code],
+      framesHeard: framesHeard[code],
+      bytesHeard: bytesHeard[code],
     });
   }
   return found;
--- a/src/wire/http.ts
+++ b/src/wire/http.ts
@@ -35,7 +35,7 @@
 export function headerMap(raw: readonly Buffer[]): Map<string, string> {
   const map = new Map<string, string>();
   for (let index = 0; index + 1 < raw.length; index += 2) {
-    map.set(raw[index]!.toString("latin1").toLowerCase(), raw[index + 1]!.toString("latin1"));
+    map.set(raw[index].toString("latin1").toLowerCase(), raw[index + 1].toString("latin1"));
   }
   return map;
 }
@@ -45,7 +45,10 @@
   private headers = new Map<string, string>();
   private readonly parts: Buffer[] = [];
   private held = 0;
-  constructor(private readonly mostBytes: number, private readonly done: (reply: Reply | null) => void) {}
+  constructor(
+    private readonly mostBytes: number,
+    private readonly done: (reply: Reply | null) => void,
+  ) {}
   abort: (() => void) | null = null;
   onConnect(abort: () => void): void {
     this.abort = abort;
@@ -94,10 +97,7 @@
       else void client.destroy().catch(ignore);
       finish(null);
     }
-    client.dispatch(
-      { path, method: options.method ?? "GET", headers: options.headers ?? {}, body: options.body ?? null },
-      collector as unknown as undici.Dispatcher.DispatchHandlers,
-    );
+    client.dispatch({ path, method: options.method ?? "GET", headers: options.headers ?? {}, body: options.body ?? null }, collector);
   });
 }
 
--- a/src/wire/lease-schema.ts
+++ b/src/wire/lease-schema.ts
@@ -8,47 +8,96 @@
 export type Kind = typeof TRIES | typeof COLD;
 
 const needType = avscTypes.Type.forSchema({
-  type: "record", name: "Need",
+  type: "record",
+  name: "Need",
   fields: [
-    { name: "kind", type: "int" }, { name: "key", type: "string" }, { name: "perS", type: "double" },
-    { name: "wanted", type: "int" }, { name: "isHot", type: "boolean" },
+    { name: "kind", type: "int" },
+    { name: "key", type: "string" },
+    { name: "perS", type: "double" },
+    { name: "wanted", type: "int" },
+    { name: "isHot", type: "boolean" },
   ],
 });
 const doneType = avscTypes.Type.forSchema({
-  type: "record", name: "Done", fields: [{ name: "id", type: "long" }, { name: "unused", type: "int" }],
+  type: "record",
+  name: "Done",
+  fields: [
+    { name: "id", type: "long" },
+    { name: "unused", type: "int" },
+  ],
 });
 const grantType = avscTypes.Type.forSchema({
-  type: "record", name: "Grant",
+  type: "record",
+  name: "Grant",
   fields: [
-    { name: "id", type: "long" }, { name: "kind", type: "int" }, { name: "key", type: "string" },
-    { name: "amount", type: "int" }, { name: "lifeMs", type: "int" },
+    { name: "id", type: "long" },
+    { name: "kind", type: "int" },
+    { name: "key", type: "string" },
+    { name: "amount", type: "int" },
+    { name: "lifeMs", type: "int" },
   ],
 });
 
 /** key: a service (tries) or a runner (cold), whose warmup_per_s is perS. isHot: wanted now, not for the case of need. */
-export interface Need { kind: Kind; key: string; perS: number; wanted: number; isHot: boolean }
+export interface Need {
+  kind: Kind;
+  key: string;
+  perS: number;
+  wanted: number;
+  isHot: boolean;
+}
 /** A lease that ended at the router, with what it did not use of it. */
-export interface Done { id: number; unused: number }
+export interface Done {
+  id: number;
+  unused: number;
+}
 /** lifeMs counts on the router's steady clock from when it sent its ask. */
-export interface Grant { id: number; kind: Kind; key: string; amount: number; lifeMs: number }
+export interface Grant {
+  id: number;
+  kind: Kind;
+  key: string;
+  amount: number;
+  lifeMs: number;
+}
 
 /** router: the life of the asking process; life: the life of the owner whose leases ended. */
-export interface LeaseAsk { router: string; life: string; needs: Need[]; done: Done[] }
+export interface LeaseAsk {
+  router: string;
+  life: string;
+  needs: Need[];
+  done: Done[];
+}
 export const leaseAsk = schema.record<LeaseAsk>("LeaseAsk", [
-  { name: "router", type: "string" }, { name: "life", type: "string" },
-  { name: "needs", type: { type: "array", items: needType } }, { name: "done", type: { type: "array", items: doneType } },
+  { name: "router", type: "string" },
+  { name: "life", type: "string" },
+  { name: "needs", type: { type: "array", items: needType } },
+  { name: "done", type: { type: "array", items: doneType } },
 ]);
 
-export interface LeaseReply { life: string; isGranting: boolean; grants: Grant[] }
+export interface LeaseReply {
+  life: string;
+  isGranting: boolean;
+  grants: Grant[];
+}
 export const leaseReply = schema.record<LeaseReply>("LeaseReply", [
-  { name: "life", type: "string" }, { name: "isGranting", type: "boolean" }, { name: "grants", type: { type: "array", items: grantType } },
+  { name: "life", type: "string" },
+  { name: "isGranting", type: "boolean" },
+  { name: "grants", type: { type: "array", items: grantType } },
 ]);
 
-export interface FenceAsk { voterEpoch: types.Epoch }
+export interface FenceAsk {
+  voterEpoch: types.Epoch;
+}
 export const fenceAsk = schema.record<FenceAsk>("FenceAsk", [{ name: "voterEpoch", type: "long" }]);
 
 /** The newest voter epoch accepted on that disk, and for how long (ms) the asked one is known as chosen; -1: not. */
-export interface FenceReply { disk: string; voterEpoch: types.Epoch; knownMs: number }
+export interface FenceReply {
+  disk: string;
+  voterEpoch: types.Epoch;
+  knownMs: number;
+}
 export const fenceReply = schema.record<FenceReply>("FenceReply", [
-  { name: "disk", type: "string" }, { name: "voterEpoch", type: "long" }, { name: "knownMs", type: "double" },
+  { name: "disk", type: "string" },
+  { name: "voterEpoch", type: "long" },
+  { name: "knownMs", type: "double" },
 ]);
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -24,7 +24,7 @@
 export class Handlers {
   private readonly table = new Map<number, Handler>();
   on<Ask, Reply>(pair: calls.Pair<Ask, Reply>, run: (link: Link, ask: Ask) => Promise<Reply | null> | Reply | null): void {
-    this.table.set(pair.code, run as Handler);
+    this.table.set(pair.code, run);
   }
   get(code: number): Handler | undefined {
     return this.table.get(code);
@@ -51,7 +51,11 @@
   heardAt: types.SteadyMs;
   isOpen = true;
 
-  constructor(private readonly world: types.World, readonly socket: net.Socket, private readonly handlers: Handlers) {
+  constructor(
+    private readonly world: types.World,
+    readonly socket: net.Socket,
+    private readonly handlers: Handlers,
+  ) {
     super();
     this.heardAt = world.now();
     socket.setNoDelay(true);
@@ -122,7 +126,7 @@
         resolve(null);
       }
       const tick = world.after(withinMs, late);
-      waiting.set(id, { pair: pair as unknown as calls.Pair<unknown, unknown>, resolve: resolve as (reply: unknown) => void, tick });
+      waiting.set(id, { pair: pair, resolve: resolve, tick });
       write(CALL, pair.code, id, pair.ask.toBuffer(ask));
     });
   }
@@ -138,7 +142,7 @@
     this.parts.push(chunk);
     this.held += chunk.length;
     if (this.held < this.wanted) return;
-    let bytes = this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts);
+    let bytes = this.parts.length === 1 ? this.parts[0] : Buffer.concat(this.parts);
     while (this.isOpen && bytes.length >= HEAD_BYTES) {
       const length = bytes.readUInt32BE(0);
       if (length > MOST_BYTES) {
--- a/src/wire/release.ts
+++ b/src/wire/release.ts
@@ -26,7 +26,7 @@
 
 /** Builds before the first numbered release begin with a frame: a small length, then a kind. */
 function isOldFrame(bytes: Buffer): boolean {
-  return bytes[0]! <= 1 && bytes[KIND_AT]! <= LAST_KIND;
+  return bytes[0] <= 1 && bytes[KIND_AT] <= LAST_KIND;
 }
 
 /** The start of one link, as this side hears it. */
@@ -37,7 +37,12 @@
   private readonly host: string;
 
   /** deny ends the link for the reason told. */
-  constructor(private readonly world: types.World, private readonly socket: net.Socket, withinMs: number, private readonly deny: (cause: string) => void) {
+  constructor(
+    private readonly world: types.World,
+    private readonly socket: net.Socket,
+    withinMs: number,
+    private readonly deny: (cause: string) => void,
+  ) {
     this.host = socket.remoteAddress ?? "an unknown host";
     this.tick = world.after(withinMs, this.late.bind(this));
     socket.write(preamble(schema.RELEASE));
@@ -48,7 +53,7 @@
     this.held = this.held.length === 0 ? chunk : Buffer.concat([this.held, chunk]);
     const least = Math.min(this.held.length, MAGIC.length);
     if (!this.held.subarray(0, least).equals(MAGIC.subarray(0, least))) {
-      if (this.held.length > KIND_AT || this.held[0]! > 1) this.denyStranger();
+      if (this.held.length > KIND_AT || this.held[0] > 1) this.denyStranger();
       return null;
     }
     if (this.held.length < PREAMBLE_BYTES) return null;
@@ -68,11 +73,16 @@
   }
 
   private denyRelease(theirs: string): void {
-    this.end("link.other_release", `${this.host} speaks frames of ${theirs}, this process those of release ${schema.RELEASE}`, "run the same release on both ends");
+    this.end(
+      "link.other_release",
+      `${this.host} speaks frames of ${theirs}, this process those of release ${schema.RELEASE}`,
+      "run the same release on both ends",
+    );
   }
 
   private late(): void {
-    if (!this.isOver) this.end("link.no_preamble", `${this.host} told no release in time`, "see that it is a cranewind node and reachable both ways");
+    if (!this.isOver)
+      this.end("link.no_preamble", `${this.host} told no release in time`, "see that it is a cranewind node and reachable both ways");
   }
 
   private end(counter: string, what: string, remedy: string): void {
