Register: nothing is concluded from a joint set of voters that may never have been chosen

Cause: a settle step settled whatever joint set it read, also one accepted at a single voter; two changes were then confirmed on one base. Voters also denied rounds by the voter epoch of values never chosen, which could stop a core for good.

Change: a proposer has an unproven joint set chosen as it stands before it builds on it; the settle step names the set it is meant for; an accept says whether the set of its value was chosen with the former voters, and a voter denies new voters that stand alone without that. Voters judge by ballots alone; a proposer takes the newest value of its promises if they hold a quorum of that very value, and values not known to be chosen only widen whom it asks. Former voters accept new ones only once each joiner has them on its synced disk. Prepare and Accept lose the voter epoch: release 2.

--- a/src/control/arranger.ts
+++ b/src/control/arranger.ts
@@ -44,7 +44,7 @@
     if (!wanted && value.former.length === 0) return;
     this.isChanging = true;
     log.count("voters.change");
-    void this.change(wanted ? policy.voterStep(value, wanted) : policy.settleStep);
+    void this.change(wanted ? policy.voterStep(value, wanted) : policy.settleStep(value));
   }
 
   private async change(step: Parameters<cores.Core["change"]>[0]): Promise<void> {
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -56,7 +56,7 @@
   enter(voter: voters.Voter): void {
     this.voter = voter;
     if (voter.accepted) {
-      this.proposer.heard(voter.accepted.value);
+      this.proposer.learnAccepted(voter.accepted.value);
       this.dial.know(addressesOf(voter.accepted.value));
     }
   }
@@ -119,7 +119,7 @@
     if (this.chosen && value.epoch <= this.chosen.epoch) return false;
     this.chosen = value;
     this.isConfirmed = true;
-    this.proposer.heard(value);
+    this.proposer.learnChosen(value);
     this.dial.know(addressesOf(value));
     log.state(`register: epoch ${value.epoch}, revision ${value.revision}, ${value.voters.length} voters`);
     this.emit("chosen", value);
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -73,6 +73,9 @@
   };
 }
 
-export function settleStep(read: schema.Value): ReturnType<proposers.Step> {
-  return result.ok(registers.settled(read));
+/** Drops the former voters, if the joint set read is the very one meant; another one is left alone. */
+export function settleStep(joint: schema.Value): proposers.Step {
+  return function settle(read) {
+    return result.ok(registers.isSameSet(read, joint) ? registers.settled(read) : read);
+  };
 }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -1,10 +1,12 @@
-// Changes the register in two rounds at a majority; any control node may (design 5.2). No log, no leader.
+// Proposer of the register: changes the value in two phases at a majority of the voters, with no log and no leader.
+// Every control node runs one (design 5.2). Safety argument: docs/design/hardening/0-register.md.
 import * as result from "true-myth/result";
 import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as world from "../wire/world.js";
+import * as rounds from "./round.js";
 import * as registers from "./value.js";
 
 /** Reaches one voter; null when it stays silent. */
@@ -13,26 +15,20 @@
   accept(voter: schema.Voter, ask: schema.Accept): Promise<schema.Vote | null>;
 }
 
+/** Computes the next value from the one read; the value read itself means no change, an error denies the change. */
 export type Step = (read: schema.Value) => result.Result<schema.Value, errors.CranewindError>;
 export type Outcome = result.Result<schema.Value, errors.CranewindError>;
 
-interface Round {
-  granted: Set<string>;
-  newest: schema.Accepted | null;
-  /** Who has accepted the newest ballot. */
-  standing: Set<string>;
-  seen: schema.Value | null;
-}
-
-const ROUND_MS = 1300;
 const FIRST_PAUSE_MS = 25;
 const MOST_PAUSE_MS = 600;
 
 export class Proposer {
-  private highest = 0;
+  private highestBallot = 0;
   private last: Promise<unknown> = Promise.resolve();
-  /** The newest value with its voters that this node heard of, chosen or not: whom to ask. */
-  private asked: schema.Value;
+  /** The newest value known to be chosen. */
+  private known: schema.Value;
+  /** An accepted value newer than `known`, not known to be chosen: its voters are asked as well, nothing else follows from it. */
+  private hint: schema.Value | null = null;
 
   constructor(
     private readonly clock: types.World,
@@ -41,19 +37,22 @@
     first: schema.Value,
     private readonly onChosen: (value: schema.Value) => void,
   ) {
-    this.asked = first;
+    this.known = first;
   }
 
-  /** A newer set of voters, heard from elsewhere. */
-  heard(value: schema.Value): void {
-    if (
-      this.asked.voters.length === 0 ||
-      value.voterEpoch > this.asked.voterEpoch ||
-      (value.voterEpoch === this.asked.voterEpoch && value.epoch > this.asked.epoch)
-    )
-      this.asked = value;
+  /** Takes a value that was chosen, as heard from another node. */
+  learnChosen(value: schema.Value): void {
+    if (this.known.voters.length === 0 || value.epoch > this.known.epoch) this.known = value;
+    if (this.hint && this.hint.epoch <= this.known.epoch) this.hint = null;
   }
 
+  /** Takes a value that some voter has accepted and that need not be chosen: it only widens whom to ask. */
+  learnAccepted(value: schema.Value): void {
+    if (this.known.voters.length > 0 && value.epoch <= this.known.epoch) return;
+    if (!this.hint || isNewer(value, this.hint)) this.hint = value;
+  }
+
+  /** Runs the step on the newest value until it is chosen or denied; one change at a time. Times count from this call. */
   change(step: Step, withinMs: number): Promise<Outcome> {
     const until = this.clock.now() + withinMs;
     const run = this.attempt.bind(this, step, until);
@@ -65,7 +64,7 @@
   private async attempt(step: Step, until: number): Promise<Outcome> {
     let pause = FIRST_PAUSE_MS;
     while (this.clock.now() < until) {
-      const outcome = await this.once(step);
+      const outcome = await this.round(step);
       if (outcome) return outcome;
       log.count("register.again");
       await world.sleep(this.clock, pause * (0.3 + this.clock.random()));
@@ -74,108 +73,140 @@
     return result.err(errors.fail("no_majority", "no majority of the core replied in time", "send the call again, to any control node"));
   }
 
-  /** Null: try again with a higher ballot. */
-  private async once(step: Step): Promise<Outcome | null> {
-    this.highest += 1;
-    const ballot = { n: this.highest, by: this.life };
-    const asked = this.asked;
-    const promised = await this.gather(asked, asked, this.preparing(ballot, asked.voterEpoch));
-    if (promised.seen) this.heard(promised.seen);
-    if (!registers.isQuorum(asked, promised.granted)) return null;
-    const read = promised.newest ? promised.newest.value : asked.epoch === 0 ? asked : null;
+  /** Null: not decided in this round, which is run again with a higher ballot. */
+  private async round(step: Step): Promise<Outcome | null> {
+    this.highestBallot += 1;
+    const ballot = { n: this.highestBallot, by: this.life };
+    const promises = await this.prepare(ballot);
+    const read = this.readFrom(promises);
     if (!read) return null;
-    if (read.voterEpoch > asked.voterEpoch || !registers.isQuorum(read, promised.granted)) {
-      this.asked = read;
-      return null;
-    }
-    const wanted = step(read);
+    const outcome = step(read);
+    const next = outcome.isOk ? outcome.value : read;
+    // Nothing is built on joint voters that may never have been chosen: they are chosen first, as they stand.
+    const isReadFirst = next !== read && read.former.length > 0 && !this.isSetChosen(read);
+    const proposed = isReadFirst ? read : next;
     // What is denied was read at a majority, but must be chosen before anybody hears of it.
-    const next = wanted.isOk ? wanted.value : read;
-    // A quorum that has accepted this very ballot has chosen it already: reading needs no second round.
-    const isStanding = next === read && registers.isQuorum(read, promised.standing);
-    if (isStanding) return this.ended(next, wanted);
-    const accepted = await this.gather(read, next, this.accepting(ballot, types.laterEpoch(asked.voterEpoch, next.voterEpoch), next));
-    if (accepted.seen) this.heard(accepted.seen);
-    if (!registers.isQuorum(read, accepted.granted) || !registers.isQuorum(next, accepted.granted)) return null;
-    return this.ended(next, wanted);
-  }
-
-  private ended(chosen: schema.Value, wanted: Outcome): Outcome {
-    this.heard(chosen);
+    const isChosen = (proposed === read && this.isStanding(read, promises)) || (await this.accept(ballot, read, proposed));
+    if (!isChosen) return null;
+    this.finish(proposed);
+    return isReadFirst ? null : outcome;
+  }
+
+  /** The newest value that the promises show, if they come from a quorum of that very value's voters. */
+  private readFrom(promises: rounds.Votes): schema.Value | null {
+    if (promises.newest) this.learnAccepted(promises.newest.value);
+    const read = promises.newest ? promises.newest.value : this.firstOnly();
+    if (!read || !registers.isQuorum(read, promises.granted)) return null;
+    return read.epoch < this.known.epoch ? null : read;
+  }
+
+  /** Before the first change nobody need have accepted anything. */
+  private firstOnly(): schema.Value | null {
+    return this.known.epoch === types.FIRST_EPOCH ? this.known : null;
+  }
+
+  /** Whether a quorum has accepted the value at one ballot, and no voter that replied shows another that should be overwritten. */
+  private isStanding(read: schema.Value, promises: rounds.Votes): boolean {
+    if (!registers.isQuorum(read, promises.holders)) return false;
+    return !promises.shown.some(isStray);
+    function isStray(value: schema.Value): boolean {
+      return value.epoch > read.epoch || value.voterEpoch > read.voterEpoch;
+    }
+  }
+
+  /** Whether the voters of a value were chosen together with the former ones, at whatever ballot. */
+  private isSetChosen(value: schema.Value): boolean {
+    return value.voterEpoch === types.FIRST_EPOCH || registers.isSameSet(value, this.known);
+  }
+
+  private finish(chosen: schema.Value): void {
+    this.learnChosen(chosen);
+    // Whatever was accepted at a lower ballot and isn't among its ancestors can't be chosen any more.
+    this.hint = null;
     this.onChosen(chosen);
-    return wanted.isOk ? result.ok(chosen) : wanted;
-  }
-
-  private preparing(ballot: schema.Ballot, voterEpoch: types.Epoch): (voter: schema.Voter) => Promise<schema.Vote | null> {
-    const reach = this.reach;
-    return function prepare(voter) {
-      return reach.prepare(voter, { disk: voter.disk, ballot, voterEpoch });
-    };
-  }
-
-  private accepting(
-    ballot: schema.Ballot,
-    voterEpoch: types.Epoch,
-    value: schema.Value,
-  ): (voter: schema.Voter) => Promise<schema.Vote | null> {
-    const reach = this.reach;
-    return function accept(voter) {
-      return reach.accept(voter, { disk: voter.disk, ballot, voterEpoch, value });
-    };
-  }
-
-  /** Asks all voters of both values; ends at a quorum of both, or once none can come together. */
-  private gather(first: schema.Value, second: schema.Value, send: (voter: schema.Voter) => Promise<schema.Vote | null>): Promise<Round> {
-    const round: Round = { granted: new Set(), newest: null, standing: new Set(), seen: null };
-    const voters = registers.allVoters(first, second);
-    const take = this.take.bind(this, round);
-    const clock = this.clock;
-    return new Promise(function start(resolve) {
-      // A hung disk, the own one too, is a silent voter: the round never waits on it.
-      const tick = clock.after(ROUND_MS, end);
-      function end(): void {
-        tick.stop();
-        resolve(round);
-      }
-      const open = new Set(voters.keys());
-      function isEnough(granted: ReadonlySet<string>): boolean {
-        return registers.isQuorum(first, granted) && registers.isQuorum(second, granted);
-      }
-      for (const voter of voters.values()) {
-        void send(voter).then(heard, silent);
-        function heard(vote: schema.Vote | null): void {
-          open.delete(voter.disk);
-          if (vote) take(voter, vote);
-          if (isEnough(round.granted) || !isEnough(new Set([...round.granted, ...open]))) end();
-        }
-        function silent(): void {
-          heard(null);
-        }
-      }
-      if (open.size === 0) end();
-    });
-  }
-
-  private compare(round: Round, voter: schema.Voter, accepted: schema.Accepted): void {
-    const order = round.newest ? registers.compareBallots(accepted.ballot, round.newest.ballot) : 1;
-    if (order > 0) {
-      round.newest = accepted;
-      round.standing.clear();
+  }
+
+  private async prepare(ballot: schema.Ballot): Promise<rounds.Votes> {
+    const { reach } = this;
+    const votes = new rounds.Votes();
+    const isEnough = this.isRead.bind(this, votes);
+    const isPossible = this.isReadable.bind(this, votes);
+    await rounds.run(this.clock, { voters: this.targets(this.known).values(), send, votes, isEnough, isPossible });
+    this.take(votes);
+    return votes;
+    function send(voter: schema.Voter): Promise<schema.Vote | null> {
+      return reach.prepare(voter, { disk: voter.disk, ballot });
     }
-    if (order >= 0) round.standing.add(voter.disk);
   }
 
-  private take(round: Round, voter: schema.Voter, vote: schema.Vote): void {
-    if (vote.accepted) {
-      if (vote.isGranted && vote.disk === voter.disk) this.compare(round, voter, vote.accepted);
-      if (!round.seen || vote.accepted.value.voterEpoch > round.seen.voterEpoch) round.seen = vote.accepted.value;
+  private isRead(votes: rounds.Votes): boolean {
+    const read = votes.newest ? votes.newest.value : this.firstOnly();
+    return read !== null && registers.isQuorum(read, votes.granted);
+  }
+
+  /** Voters still to reply may show another set: the phase is in vain once none of those known can come together. */
+  private isReadable(votes: rounds.Votes, disks: ReadonlySet<string>): boolean {
+    const sets = [this.known, this.hint, votes.newest ? votes.newest.value : null];
+    return sets.some(isPossible);
+    function isPossible(value: schema.Value | null): boolean {
+      return value !== null && registers.isQuorum(value, disks);
+    }
+  }
+
+  /** Whether the proposed value was accepted by a quorum of its own voters, former ones included. */
+  private async accept(ballot: schema.Ballot, read: schema.Value, proposed: schema.Value): Promise<boolean> {
+    const { reach, clock } = this;
+    const isSetChosen = proposed.former.length === 0 && (read.former.length === 0 || this.isSetChosen(read));
+    const votes = new rounds.Votes();
+    const others = this.targets(read, proposed);
+    const joiners = joinersOf(read, proposed);
+    for (const voter of joiners) others.delete(voter.disk);
+    // A former voter accepts new voters only once each joiner has them on its synced disk.
+    if (joiners.length > 0) {
+      await rounds.run(clock, { voters: joiners, send, votes, isEnough: hasJoiners, isPossible: areAllIn });
+      this.take(votes);
+      if (!hasJoiners()) return false;
+    }
+    await rounds.run(clock, { voters: others.values(), send, votes, isEnough, isPossible });
+    this.take(votes);
+    return isEnough();
+    function send(voter: schema.Voter): Promise<schema.Vote | null> {
+      return reach.accept(voter, { disk: voter.disk, ballot, isSetChosen, value: proposed });
+    }
+    function areAllIn(disks: ReadonlySet<string>): boolean {
+      return joiners.every((voter) => disks.has(voter.disk));
+    }
+    function hasJoiners(): boolean {
+      return areAllIn(votes.granted);
+    }
+    function isPossible(disks: ReadonlySet<string>): boolean {
+      return registers.isQuorum(proposed, disks);
     }
-    if (vote.isGranted && vote.disk === voter.disk) {
-      round.granted.add(voter.disk);
-      return;
+    function isEnough(): boolean {
+      return isPossible(votes.granted);
     }
-    // Another disk answers there: that voter is gone, which is silence and no denial.
-    if (vote.disk !== voter.disk) return;
-    this.highest = Math.max(this.highest, vote.ballot.n);
+  }
+
+  /** The voters of the values and of the hint, whose holders are to hear what is decided. */
+  private targets(...values: schema.Value[]): Map<string, schema.Voter> {
+    return registers.allVoters(...(this.hint ? [this.hint] : []), ...values);
+  }
+
+  private take(votes: rounds.Votes): void {
+    this.highestBallot = Math.max(this.highestBallot, votes.highestDenied);
+    for (const value of votes.shown) this.learnAccepted(value);
+  }
+}
+
+function isNewer(left: schema.Value, right: schema.Value): boolean {
+  return left.voterEpoch > right.voterEpoch || (left.voterEpoch === right.voterEpoch && left.epoch > right.epoch);
+}
+
+/** Voters of the proposed value that had no vote in the one read. */
+function joinersOf(read: schema.Value, proposed: schema.Value): schema.Voter[] {
+  const before = registers.allVoters(read);
+  return proposed.voters.filter(isNew);
+  function isNew(voter: schema.Voter): boolean {
+    return !before.has(voter.disk);
   }
 }
--- a/src/register/value.ts
+++ b/src/register/value.ts
@@ -73,14 +73,24 @@
   return { ...value, epoch: types.nextEpoch(value.epoch), former: [] };
 }
 
+/** All voters of the values by disk; where an address differs, the later value's and the newer set's counts. */
 export function allVoters(...values: schema.Value[]): Map<string, schema.Voter> {
   const all = new Map<string, schema.Voter>();
   for (const value of values) {
-    for (const voter of [...value.voters, ...value.former]) all.set(voter.disk, voter);
+    for (const voter of [...value.former, ...value.voters]) all.set(voter.disk, voter);
   }
   return all;
 }
 
+/** Whether two values name the same voters under the same voter epoch, settled or not. */
+export function isSameSet(left: schema.Value, right: schema.Value): boolean {
+  if (left.voterEpoch !== right.voterEpoch || left.voters.length !== right.voters.length) return false;
+  return left.voters.every(isAlike);
+  function isAlike(voter: schema.Voter, index: number): boolean {
+    return voter.disk === right.voters[index].disk;
+  }
+}
+
 function isMajority(voters: readonly schema.Voter[], granted: ReadonlySet<string>): boolean {
   let count = 0;
   for (const voter of voters) if (granted.has(voter.disk)) count += 1;
--- a/src/register/voter.ts
+++ b/src/register/voter.ts
@@ -1,6 +1,6 @@
 // One voter: promises and accepts, synced to disk before each reply (design 5.2).
 import * as schema from "../wire/schema.js";
-import type * as types from "../wire/types.js";
+import * as types from "../wire/types.js";
 import * as value from "./value.js";
 import * as log from "../startup/log.js";
 
@@ -65,22 +65,25 @@
     return { isGranted: false, disk: this.state.disk, ballot: this.state.promised, accepted: this.state.accepted };
   }
 
-  private isDenied(disk: string, ballot: schema.Ballot, voterEpoch: types.Epoch): boolean {
-    if (disk !== this.state.disk) return true;
-    if (this.state.accepted && voterEpoch < this.state.accepted.value.voterEpoch) return true;
-    return value.compareBallots(ballot, this.state.promised) < 0;
+  private isDenied(disk: string, ballot: schema.Ballot): boolean {
+    return disk !== this.state.disk || value.compareBallots(ballot, this.state.promised) < 0;
+  }
+
+  /** New voters stand alone only after they were chosen together with the former ones; the proposer vouches for it. */
+  private isUnproven(ask: schema.Accept): boolean {
+    return ask.value.former.length === 0 && ask.value.voterEpoch !== types.FIRST_EPOCH && !ask.isSetChosen;
   }
 
   /** Null means silence: the disk did not take it, so nothing may be said. */
   async prepare(ask: schema.Prepare): Promise<schema.Vote | null> {
-    if (this.isDenied(ask.disk, ask.ballot, ask.voterEpoch)) return this.denied();
+    if (this.isDenied(ask.disk, ask.ballot)) return this.denied();
     this.state = { ...this.state, promised: ask.ballot };
     const reply = { isGranted: true, disk: this.state.disk, ballot: ask.ballot, accepted: this.state.accepted };
     return (await this.sync()) ? reply : null;
   }
 
   async accept(ask: schema.Accept): Promise<schema.Vote | null> {
-    if (this.isDenied(ask.disk, ask.ballot, ask.voterEpoch)) return this.denied();
+    if (this.isDenied(ask.disk, ask.ballot) || this.isUnproven(ask)) return this.denied();
     this.state = { ...this.state, promised: ask.ballot, accepted: { ballot: ask.ballot, value: ask.value } };
     const reply = { isGranted: true, disk: this.state.disk, ballot: ask.ballot, accepted: null };
     return (await this.sync()) ? reply : null;
--- a/src/wire/register-schema.ts
+++ b/src/wire/register-schema.ts
@@ -81,24 +81,23 @@
 export interface Prepare {
   disk: string;
   ballot: Ballot;
-  voterEpoch: types.Epoch;
 }
 export const prepare = avro.record<Prepare>("Prepare", [
   { name: "disk", type: "string" },
   { name: "ballot", type: ballotType },
-  { name: "voterEpoch", type: "long" },
 ]);
 
 export interface Accept {
   disk: string;
   ballot: Ballot;
-  voterEpoch: types.Epoch;
+  /** The proposer knows that the voters of the value were chosen together with the former ones. */
+  isSetChosen: boolean;
   value: Value;
 }
 export const accept = avro.record<Accept>("Accept", [
   { name: "disk", type: "string" },
   { name: "ballot", type: ballotType },
-  { name: "voterEpoch", type: "long" },
+  { name: "isSetChosen", type: "boolean" },
   { name: "value", type: valueType },
 ]);
 
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -9,7 +9,7 @@
 export * from "./signs-schema.js";
 
 /** The release of the frames' layout. Add one with any change to a message or its code (design/edge 3.4). */
-export const RELEASE = 1;
+export const RELEASE = 2;
 
 const nodeType = avscTypes.Type.forSchema({
   type: "record",
--- a/tests/link.test.ts
+++ b/tests/link.test.ts
@@ -78,7 +78,7 @@
   const [reply, silent, vote] = await Promise.all([
     made.call(calls.ask, { epoch: types.small(1) }, 1000),
     made.call(calls.ask, { epoch: types.small(9) }, 30),
-    made.call(calls.prepare, { disk: "d", ballot: { n: 1, by: "x" }, voterEpoch: types.FIRST_EPOCH }, 1000),
+    made.call(calls.prepare, { disk: "d", ballot: { n: 1, by: "x" } }, 1000),
   ]);
   expect(reply!.value!.epoch).toBe(5);
   expect(silent).toBeNull();
--- /dev/null
+++ b/tests/register-joint.test.ts
@@ -0,0 +1,190 @@
+// Joint sets of voters that may never have been chosen: nothing may be concluded from them (design 5.5,
+// design/hardening/0-register).
+import * as result from "true-myth/result";
+import * as errors from "../src/startup/errors.js";
+import * as policy from "../src/control/voters.js";
+import * as proposers from "../src/register/proposer.js";
+import * as registers from "../src/register/value.js";
+import * as voters from "../src/register/voter.js";
+import * as schema from "../src/wire/schema.js";
+import * as core from "./sim/core.js";
+import * as sim from "./sim/world.js";
+
+const ADDRESSES = ["a:1", "b:1", "c:1"];
+type Nodes = Record<"a" | "b" | "c" | "d" | "e", core.SimNode>;
+
+interface Made {
+  clock: sim.SimWorld;
+  made: core.SimCore;
+  nodes: Nodes;
+}
+
+/** Voters a, b and c hold revision 1; d and e have blank disks. */
+async function start(seed: number): Promise<Made> {
+  const clock = new sim.SimWorld(seed);
+  const made = new core.SimCore(clock, ADDRESSES);
+  const [a, b, c] = [...made.nodes.values()];
+  await ended(clock, a.proposer.change(setTo(0, 1, "first"), 3000));
+  await clock.play(1000);
+  return { clock, made, nodes: { a, b, c, d: made.join("d:1"), e: made.join("e:1") } };
+}
+
+function setTo(base: number, revision: number, mark: string): proposers.Step {
+  return function step(value): result.Result<schema.Value, errors.CranewindError> {
+    if (value.revision !== base) return result.err(errors.fail("race", "another revision", "read again"));
+    return result.ok(registers.withConfig(value, revision, Buffer.from(mark), mark));
+  };
+}
+
+function unchanged(value: schema.Value): proposers.Outcome {
+  return result.ok(value);
+}
+
+async function ended<T>(clock: sim.SimWorld, promise: Promise<T>): Promise<T> {
+  let isEnded = false;
+  void promise.finally(function end() {
+    isEnded = true;
+  });
+  for (let spent = 0; !isEnded && spent < 30_000; spent += 50) await clock.play(50);
+  if (!isEnded) throw new Error("not ended in time");
+  return promise;
+}
+
+function voterOf(node: core.SimNode): schema.Voter {
+  return { disk: node.voter!.disk, node: node.address, address: node.address };
+}
+
+function valueAt(node: core.SimNode): schema.Value {
+  return node.voter!.accepted!.value;
+}
+
+/** A proposer prepares at all former voters and ends once its accept has reached one voter alone. */
+async function acceptAlone(all: Made, node: core.SimNode, value: schema.Value, isSetChosen = false): Promise<schema.Vote> {
+  const { a, b, c } = all.nodes;
+  const ballot = { n: Math.max(...[a, b, c].map(ballotAt)) + 1, by: "lost" };
+  for (const { voter } of [a, b, c]) await ended(all.clock, voter!.prepare({ disk: voter!.disk, ballot }));
+  return (await ended(all.clock, node.voter!.accept({ disk: node.voter!.disk, ballot, isSetChosen, value })))!;
+}
+
+function ballotAt(node: core.SimNode): number {
+  return voters.Voter.restore(node.stored!).promised.n;
+}
+
+function split({ made }: Made, left: core.SimNode[], right: core.SimNode[]): void {
+  for (const one of left) {
+    for (const other of right) {
+      made.cuts.add(`${one.address}>${other.address}`);
+      made.cuts.add(`${other.address}>${one.address}`);
+    }
+  }
+}
+
+/** A proposer of the node whose accepts reach the node itself alone. */
+function lonelyProposer({ clock, made }: Made, node: core.SimNode): proposers.Proposer {
+  const reach = made.reach(node);
+  function accept(voter: schema.Voter, ask: schema.Accept): Promise<schema.Vote | null> {
+    return voter.address === node.address ? reach.accept(voter, ask) : Promise.resolve(null);
+  }
+  return new proposers.Proposer(clock, "late", { prepare: reach.prepare, accept }, made.first, function ignore() {});
+}
+
+test.each([1, 2, 3, 4, 5, 6])("a late settle step never lets two changes be confirmed on one base (seed %d)", async function late(seed) {
+  const all = await start(seed);
+  const { a, b, c, d } = all.nodes;
+  const joint = registers.withVoters(valueAt(b), [d, b, c].map(voterOf));
+  expect((await acceptAlone(all, b, joint)).isGranted).toBe(true);
+  await ended(all.clock, lonelyProposer(all, b).change(policy.settleStep(joint), 1000));
+  expect(valueAt(b).former).toHaveLength(3);
+  split(all, [b, d], [a, c]);
+  const [left, right] = await ended(
+    all.clock,
+    Promise.all([b.proposer.change(setTo(1, 2, "left"), 5000), a.proposer.change(setTo(1, 3, "right"), 5000)]),
+  );
+  expect([left.isOk, right.isOk].filter(Boolean).length).toBeLessThan(2);
+});
+
+test("a voter denies new voters that stand alone without having been chosen with the former ones", async function unproven() {
+  const all = await start(7);
+  const { b, c, d } = all.nodes;
+  const joint = registers.withVoters(valueAt(b), [d, b, c].map(voterOf));
+  await acceptAlone(all, b, joint);
+  expect((await acceptAlone(all, b, registers.settled(joint))).isGranted).toBe(false);
+  expect(valueAt(b)).toEqual(joint);
+  expect((await acceptAlone(all, c, registers.settled(joint))).isGranted).toBe(false);
+  expect((await acceptAlone(all, b, registers.settled(joint), true)).isGranted).toBe(true);
+});
+
+test("a settle step leaves another joint set of the same voter epoch alone", async function other() {
+  const all = await start(8);
+  const { b, c, d, e } = all.nodes;
+  const meant = registers.withVoters(valueAt(b), [d, b, c].map(voterOf));
+  const stands = registers.withVoters(valueAt(b), [e, b, c].map(voterOf));
+  expect(policy.settleStep(meant)(stands).unwrapOr(null)).toBe(stands);
+  expect(policy.settleStep(meant)(meant).unwrapOr(null)!.former).toEqual([]);
+});
+
+test("a joint set not known to be chosen is chosen as it stands before a change builds on it", async function first() {
+  const all = await start(9);
+  const { b, c, d } = all.nodes;
+  const joint = registers.withVoters(valueAt(b), [d, b, c].map(voterOf));
+  await acceptAlone(all, b, joint);
+  all.nodes.a.isUp = false;
+  const chosen: schema.Value[] = [];
+  const proposer = new proposers.Proposer(all.clock, "next", all.made.reach(b), all.made.first, keep);
+  function keep(value: schema.Value): void {
+    chosen.push(value);
+  }
+  const outcome = await ended(all.clock, proposer.change(policy.settleStep(joint), 3000));
+  expect(outcome.isOk && outcome.value.former).toEqual([]);
+  expect(chosen.map((value) => value.former.length)).toEqual([3, 0]);
+});
+
+test("a joint set at one former voter, never chosen, gives way to a change by a majority that didn't see it", async function givesWay() {
+  const all = await start(10);
+  const { a, b, c, d, e } = all.nodes;
+  await acceptAlone(
+    all,
+    c,
+    registers.withVoters(valueAt(c), [...ADDRESSES.map((address) => voterOf(all.made.nodes.get(address)!)), voterOf(d)]),
+  );
+  split(all, [c], [a, b]);
+  expect((await ended(all.clock, a.proposer.change(setTo(1, 2, "x"), 3000))).isOk).toBe(true);
+  all.made.cuts.clear();
+  d.wipe();
+  e.wipe();
+  a.wipe();
+  expect((await ended(all.clock, b.proposer.change(setTo(2, 3, "y"), 5000))).isOk).toBe(true);
+  expect((await ended(all.clock, c.proposer.change(setTo(3, 4, "z"), 5000))).isOk).toBe(true);
+  expect(valueAt(c).voterEpoch).toBe(0);
+});
+
+test("no former voter accepts new voters before each joiner has them on its synced disk", async function joinersFirst() {
+  const all = await start(11);
+  const { a, b, c, d, e } = all.nodes;
+  e.isDiskHung = true;
+  const step = policy.voterStep(valueAt(a), [a, b, c, d, e].map(voterOf));
+  expect((await ended(all.clock, a.proposer.change(step, 3000))).isErr).toBe(true);
+  for (const node of [a, b, c]) expect(valueAt(node).voterEpoch).toBe(0);
+  a.wipe();
+  expect((await ended(all.clock, b.proposer.change(setTo(1, 2, "x"), 5000))).isOk).toBe(true);
+});
+
+test.each(["a", "b", "c"] as const)(
+  "growth cut short at voter %s alone: a joiner and another voter wiped, the rest decides",
+  async function cutShort(at) {
+    const all = await start(12);
+    const { a, b, c, d, e } = all.nodes;
+    const joint = registers.withVoters(valueAt(a), [a, b, c, d, e].map(voterOf));
+    // As the proposer does it: the joiners first.
+    for (const joiner of [d, e]) {
+      const ask = { disk: joiner.voter!.disk, ballot: { n: 2, by: "lost" }, isSetChosen: false, value: joint };
+      expect((await ended(all.clock, joiner.voter!.accept(ask)))!.isGranted).toBe(true);
+    }
+    await acceptAlone(all, all.nodes[at], joint);
+    d.wipe();
+    const [gone, one, other] = at === "a" ? [b, a, c] : [a, b, c];
+    gone.wipe();
+    expect((await ended(all.clock, one.proposer.change(setTo(1, 2, "x"), 6000))).isOk).toBe(true);
+    expect((await ended(all.clock, other.proposer.change(unchanged, 6000))).isOk).toBe(true);
+  },
+);
--- a/tests/register.test.ts
+++ b/tests/register.test.ts
@@ -3,7 +3,6 @@
 import * as errors from "../src/startup/errors.js";
 import * as registers from "../src/register/value.js";
 import * as policy from "../src/control/voters.js";
-import * as types from "../src/wire/types.js";
 import * as schema from "../src/wire/schema.js";
 import * as core from "./sim/core.js";
 import * as sim from "./sim/world.js";
@@ -103,7 +102,7 @@
       if (read.isErr) continue;
       const alive = nodes.map(aliveOf);
       const wanted = policy.nextVoters(read.value, alive, never);
-      const step = read.value.former.length > 0 ? policy.settleStep : wanted ? policy.voterStep(read.value, wanted) : null;
+      const step = read.value.former.length > 0 ? policy.settleStep(read.value) : wanted ? policy.voterStep(read.value, wanted) : null;
       if (!step) return;
       await done(clock, nodes[turn % 3].proposer.change(step, 6000), 30_000);
     }
@@ -158,7 +157,8 @@
   }
   expect(wanted!.map(addressOf)).toEqual(["a:1", "b:1", "d:1"]);
   expect((await done(clock, b.proposer.change(policy.voterStep(read, wanted!), 3000))).isOk).toBe(true);
-  expect((await done(clock, a.proposer.change(policy.settleStep, 3000))).isOk).toBe(true);
+  const joint = (await done(clock, b.proposer.change(same, 3000))).unwrapOr(null)!;
+  expect((await done(clock, a.proposer.change(policy.settleStep(joint), 3000))).isOk).toBe(true);
   // The old voter wakes with the older set: it is denied with the newer one and can change nothing alone.
   c.isUp = true;
   a.isUp = false;
@@ -186,10 +186,7 @@
   const a = made.nodes.get("a:1")!;
   const before = a.voter!.disk;
   a.wipe();
-  const vote = await done(
-    clock,
-    a.voter!.accept({ disk: before, ballot: { n: 5, by: "old" }, voterEpoch: types.FIRST_EPOCH, value: made.first }),
-  );
+  const vote = await done(clock, a.voter!.accept({ disk: before, ballot: { n: 5, by: "old" }, isSetChosen: true, value: made.first }));
   expect(vote).toMatchObject({ isGranted: false });
   expect(vote!.disk).not.toBe(before);
 });
@@ -204,7 +201,7 @@
   for (let turn = 0; turn < 6; turn += 1) {
     const read = (await done(clock, a.proposer.change(same, 3000))).unwrapOr(null)!;
     const wanted = policy.nextVoters(read, [...made.nodes.values()].map(aliveOf), never);
-    const step = read.former.length > 0 ? policy.settleStep : wanted ? policy.voterStep(read, wanted) : null;
+    const step = read.former.length > 0 ? policy.settleStep(read) : wanted ? policy.voterStep(read, wanted) : null;
     if (step) expect((await done(clock, a.proposer.change(step, 3000))).isOk).toBe(true);
   }
   const grown = (await done(clock, a.proposer.change(same, 3000))).unwrapOr(null)!;
