Membership: learners first, replacements in one change, no even core on the way, hand-over on leaving

Cause: a joiner that held nothing counted as a voter at once; a core of three grew by way of four; each replacement took a change of its own with a pause before it was settled; the next change of a core that had changed at all could wait for a voter that nobody told the newest value.

Change: the arranger has each joiner store the chosen value and sync it before it is proposed, puts all replacements into one change, grows an odd core by two at once, settles in the same run, and lets the next voter in order act only when the first doesn't. A disk at another address moves in the set. register/driver.ts (out of core.ts) ends values not known to be chosen and brings lagging voters' disks up to date. Arranger.handOver gives the vote of a leaving node to a spare, or spreads the newest value. Core.lossesBorne for status. The voter epoch of the lease fence no longer counts an accepted value that can never be chosen. A proposer begins above the ballot its own voter has promised.

--- a/src/control/arranger.ts
+++ b/src/control/arranger.ts
@@ -1,23 +1,55 @@
-// Keeps the set of voters as it should be: whoever is settled and votes proposes the next one (design 5.5).
+// Runs the membership policy: the voters in touch propose the next set, settle it, and hand over on leaving (design 5.5).
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
+import * as world from "../wire/world.js";
 import * as log from "../startup/log.js";
-import type * as cores from "./core.js";
+import type * as proposers from "../register/proposer.js";
 import * as policy from "./voters.js";
 
-const POLICY_MS = 1500;
+/** No round of a change of voters begins later than this after its start. */
+const CHANGE_MS = 1500;
+/** The next voter in the order of addresses acts this much later, so that they don't outbid each other. */
+const RANK_MS = 600;
+const PAUSE_MS = 200;
+
+/** What the arranger uses of a control node's core. */
+export interface Register {
+  readonly chosen: schema.Value | null;
+  readonly disk: string;
+  isSettled(): boolean;
+  /** How many voters in touch come before this one in the order of addresses. */
+  voterRank(): number;
+  change(step: proposers.Step, withinMs: number): Promise<proposers.Outcome>;
+  /** Whether the disk, which has no vote yet, can join: it stores the newest chosen value and syncs it. */
+  teach(joiner: schema.Voter): Promise<boolean>;
+  /** Has the newest value accepted anew by all voters in touch. */
+  spread(withinMs: number): Promise<proposers.Outcome>;
+}
 
 export class Arranger {
   private readonly heardAt = new Map<string, number>();
+  private readonly failed = new Map<string, number>();
   private readonly startedAt: number;
+  private readonly silentMs: policy.SilentMs;
+  private readonly failures: policy.Failures;
+  private dueSince: number | null = null;
+  private dueEpoch = types.NO_EPOCH;
   private isChanging = false;
+  private isLeaving = false;
 
   constructor(
     private readonly world: types.World,
-    private readonly core: cores.Core,
+    private readonly core: Register,
     private readonly nodes: () => schema.NodeInfo[],
   ) {
     this.startedAt = world.now();
+    const { heardAt, failed, startedAt } = this;
+    this.silentMs = function silentMs(voter) {
+      return world.now() - (heardAt.get(voter.disk) ?? startedAt);
+    };
+    this.failures = function failures(disk) {
+      return failed.get(disk) ?? 0;
+    };
   }
 
   private alive(): policy.Alive[] {
@@ -31,33 +63,76 @@
   }
 
   turn(): void {
-    const value = this.core.chosen;
     const alive = this.alive();
-    const now = this.world.now();
-    const { heardAt, startedAt } = this;
-    if (!value || this.isChanging || !this.core.isSettled()) return;
-    if (!value.voters.some(isOwn.bind(null, this.core.disk))) return;
-    const wanted = value.former.length > 0 ? null : policy.nextVoters(value, alive, silentMs);
-    function silentMs(voter: schema.Voter): number {
-      return now - (heardAt.get(voter.disk) ?? startedAt);
+    const value = this.core.chosen;
+    if (!value || this.isChanging || this.isLeaving || !this.core.isSettled() || !this.isVoter(value)) return;
+    const isJoint = value.former.length > 0;
+    const voters = isJoint ? null : policy.nextVoters(value, alive, this.silentMs, this.failures);
+    if (!voters && !isJoint) {
+      this.dueSince = null;
+      return;
     }
-    if (!wanted && value.former.length === 0) return;
+    if (!this.isDue(value)) return;
     this.isChanging = true;
     log.count("voters.change");
-    void this.change(wanted ? policy.voterStep(value, wanted) : policy.settleStep(value));
+    void this.run(value, voters);
   }
 
-  private async change(step: Parameters<cores.Core["change"]>[0]): Promise<void> {
-    await this.core.change(step, POLICY_MS);
-    const again = this.allowChange.bind(this);
-    this.world.after(200 + 400 * this.world.random(), again);
+  /** The first in order acts at once, each next one if the register hasn't moved on meanwhile. */
+  private isDue(value: schema.Value): boolean {
+    const now = this.world.now();
+    if (this.dueSince === null || this.dueEpoch !== value.epoch) this.dueSince = now;
+    this.dueEpoch = value.epoch;
+    return now - this.dueSince >= this.core.voterRank() * RANK_MS;
+  }
+
+  private isVoter(value: schema.Value): boolean {
+    return value.voters.some((voter) => voter.disk === this.core.disk);
   }
 
-  private allowChange(): void {
+  /** One change of voters to its end; the next may follow at once if it worked. */
+  private async run(value: schema.Value, voters: schema.Voter[] | null): Promise<void> {
+    const isDone = await this.change(value, voters);
+    if (!isDone) await world.sleep(this.world, PAUSE_MS * (1 + 2 * this.world.random()));
     this.isChanging = false;
+    this.dueSince = null;
   }
-}
 
-function isOwn(disk: string, voter: schema.Voter): boolean {
-  return voter.disk === disk;
+  /** Has the voters chosen together with the former ones, then settles them. Null: settles what stands. */
+  private async change(value: schema.Value, voters: schema.Voter[] | null): Promise<boolean> {
+    if (voters) {
+      if (!(await this.teach(value, voters))) return false;
+      const outcome = await this.core.change(policy.voterStep(value, voters), CHANGE_MS);
+      if (outcome.isErr) return false;
+    }
+    const joint = this.core.chosen;
+    if (!joint || joint.former.length === 0) return true;
+    return (await this.core.change(policy.settleStep(joint), CHANGE_MS)).isOk;
+  }
+
+  /** Learners first: nobody is proposed before its synced disk holds the chosen value. Those that fail come last from then on. */
+  private async teach(value: schema.Value, voters: schema.Voter[]): Promise<boolean> {
+    const before = new Set(value.voters.map((voter) => voter.disk));
+    const joiners = voters.filter((voter) => !before.has(voter.disk));
+    const taught = await Promise.all(joiners.map((joiner) => this.core.teach(joiner)));
+    for (const [index, { disk }] of joiners.entries()) {
+      if (taught[index]) this.failed.delete(disk);
+      else this.failed.set(disk, this.failures(disk) + 1);
+    }
+    return taught.every(Boolean);
+  }
+
+  /**
+   * Before this node leaves: its vote goes to a spare, if one is in touch; else the voters in touch accept the newest
+   * value anew, so that this disk isn't the last to hold it. Ends after withinMs at the latest, done or not.
+   */
+  async handOver(withinMs: number): Promise<void> {
+    this.isLeaving = true;
+    const value = this.core.chosen;
+    if (!value || !this.core.isSettled() || !this.isVoter(value)) return;
+    const voters = value.former.length > 0 ? null : policy.handedOver(value, this.alive(), this.failures, this.core.disk);
+    const work = voters ? this.change(value, voters) : this.core.spread(withinMs);
+    const isDone = await Promise.race([work.then(() => true), world.sleep(this.world, withinMs).then(() => false)]);
+    log.count(isDone ? "voters.handed_over" : "voters.hand_over_late");
+  }
 }
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -6,15 +6,13 @@
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import * as dialer from "../feed/dialer.js";
+import * as drivers from "../register/driver.js";
 import * as proposers from "../register/proposer.js";
 import * as registers from "../register/value.js";
 import * as voters from "../register/voter.js";
 import * as result from "true-myth/result";
 
 const VOTE_MS = 1300;
-const REPAIR_AFTER_MS = 350;
-const RANK_MS = 250;
-const REPAIR_WITHIN_MS = 1500;
 
 export interface CoreEvents {
   chosen: [value: schema.Value];
@@ -26,30 +24,41 @@
   first: schema.Value;
 }
 
-export class Core extends events.EventEmitter<CoreEvents> implements proposers.Reach {
+export class Core extends events.EventEmitter<CoreEvents> implements proposers.Reach, drivers.Register {
   private voter: voters.Voter | null = null;
-  private isConfirmed = false;
-  private behindSince = 0;
-  private isRepairing = false;
+  private readonly driver: drivers.Driver;
+  /** Whether this life of the process has learned what is chosen. */
+  isConfirmed = false;
   readonly proposer: proposers.Proposer;
   chosen: schema.Value | null = null;
 
   constructor(
-    private readonly world: types.World,
+    world: types.World,
     private readonly options: CoreOptions,
     private readonly dial: dialer.Dialer,
   ) {
     super();
     this.proposer = new proposers.Proposer(world, options.life, this, options.first, this.learnOwn.bind(this));
+    this.driver = new drivers.Driver(world, this);
   }
 
   get disk(): string {
     return this.voter?.disk ?? "";
   }
 
-  /** The newest voters accepted on the own disk, chosen or not. */
+  /** The newest value accepted on the own disk, chosen or not. */
+  get accepted(): schema.Value | null {
+    return this.voter?.accepted?.value ?? null;
+  }
+
+  /**
+   * The newest voter epoch that may be in force as far as this disk can tell. An accepted value no newer than the
+   * chosen one is its ancestor or can never be chosen (design/hardening/0-register 4), so that the chosen one's counts.
+   */
   get acceptedVoterEpoch(): types.Epoch {
-    return this.voter?.accepted?.value.voterEpoch ?? types.NO_EPOCH;
+    const { accepted } = this;
+    if (!accepted) return types.NO_EPOCH;
+    return this.chosen && accepted.epoch <= this.chosen.epoch ? this.chosen.voterEpoch : accepted.voterEpoch;
   }
 
   /** The disk is read: from now on this node may vote. */
@@ -84,28 +93,61 @@
     });
   }
 
-  private reachOf(voter: schema.Voter): link.Link | null {
+  /** The link to a voter: by its disk, which may have moved to another machine, else by its address. */
+  private linkTo(voter: schema.Voter): link.Link | null {
+    for (const control of this.dial.controls.values()) if (control.node.disk === voter.disk) return control.link;
     return this.dial.controls.get(voter.address)?.link ?? null;
   }
 
+  private isOwn(voter: schema.Voter): boolean {
+    return voter.disk === this.disk || (voter.address === this.options.address && !this.linkTo(voter));
+  }
+
   prepare(voter: schema.Voter, ask: schema.Prepare): Promise<schema.Vote | null> {
-    if (voter.address === this.options.address) return this.voter ? this.voter.prepare(ask) : Promise.resolve(null);
-    return this.reachOf(voter)?.call(calls.prepare, ask, VOTE_MS) ?? Promise.resolve(null);
+    if (this.isOwn(voter)) return this.voter ? this.voter.prepare(ask) : Promise.resolve(null);
+    return this.linkTo(voter)?.call(calls.prepare, ask, VOTE_MS) ?? Promise.resolve(null);
   }
 
   accept(voter: schema.Voter, ask: schema.Accept): Promise<schema.Vote | null> {
-    if (voter.address === this.options.address) return this.voter ? this.voter.accept(ask) : Promise.resolve(null);
-    return this.reachOf(voter)?.call(calls.accept, ask, VOTE_MS) ?? Promise.resolve(null);
+    if (this.isOwn(voter)) return this.voter ? this.voter.accept(ask) : Promise.resolve(null);
+    return this.linkTo(voter)?.call(calls.accept, ask, VOTE_MS) ?? Promise.resolve(null);
+  }
+
+  promised(): number {
+    return this.voter?.promised.n ?? 0;
+  }
+
+  /** Whether the voter's very disk is in touch; one that isn't known yet, just after a start, counts by its address. */
+  private isInTouch(voter: schema.Voter): boolean {
+    if (this.disk !== "" && voter.disk === this.disk) return true;
+    const controls = [...this.dial.controls.values()];
+    if (controls.some((control) => control.node.disk === voter.disk)) return true;
+    return this.dial.controls.get(voter.address)?.node.disk === "";
   }
 
   /** Whether a majority of the voters can be reached now. */
   isSettled(): boolean {
     if (!this.chosen) return false;
-    const reached = new Set<string>();
-    for (const voter of this.chosen.voters) {
-      if (voter.address === this.options.address || this.reachOf(voter)) reached.add(voter.disk);
+    const disks = this.chosen.voters.filter(this.isInTouch.bind(this)).map((voter) => voter.disk);
+    return registers.isQuorum({ ...this.chosen, former: [] }, new Set(disks));
+  }
+
+  /** How many of the voters in touch may be lost now with the register still deciding; 0 also when it can't. */
+  lossesBorne(): number {
+    if (!this.chosen) return 0;
+    const isInTouch = this.isInTouch.bind(this);
+    const { voters, former } = this.chosen;
+    const sets = former.length > 0 ? [voters, former] : [voters];
+    return Math.max(0, Math.min(...sets.map(spare)));
+    function spare(set: schema.Voter[]): number {
+      return set.filter(isInTouch).length - (Math.floor(set.length / 2) + 1);
     }
-    return registers.isQuorum({ ...this.chosen, former: [] }, reached);
+  }
+
+  /** How many voters in touch come before this node in the order of addresses. */
+  voterRank(): number {
+    const before = this.chosen?.voters.filter((voter) => voter.address < this.options.address) ?? [];
+    return before.filter(this.isInTouch.bind(this)).length;
   }
 
   private learnOwn(value: schema.Value): void {
@@ -137,40 +179,34 @@
     return this.proposer.change(step, withinMs);
   }
 
+  /** Whether the disk, which has no vote yet, can join: it stores the newest chosen value and syncs it. */
+  teach(joiner: schema.Voter): Promise<boolean> {
+    return this.proposer.teach(joiner);
+  }
+
+  /** Has the newest value accepted anew by all voters in touch. */
+  spread(withinMs: number): Promise<proposers.Outcome> {
+    return this.proposer.spread(withinMs);
+  }
+
   /** Reads at a majority; never a local guess. */
   read(withinMs: number): Promise<proposers.Outcome> {
     return this.proposer.change(unchanged, withinMs);
   }
 
-  /** A value accepted here and not known to be chosen is brought to an end: its proposer may be gone. */
-  turn(): void {
-    const accepted = this.voter?.accepted;
-    const isBehind = !this.isConfirmed || (accepted && (!this.chosen || accepted.value.epoch > this.chosen.epoch));
-    if (!isBehind) {
-      this.behindSince = 0;
-      return;
-    }
-    const now = this.world.now();
-    const isAlone = accepted?.value.voters.length === 1;
-    if (this.isRepairing || (this.dial.controls.size === 0 && !isAlone)) return;
-    if (this.behindSince === 0) this.behindSince = now;
-    // After a start nobody knows what is chosen: the first in order reads it at once, the others give it time.
-    const patience = (this.isConfirmed ? REPAIR_AFTER_MS : 0) + this.rank() * RANK_MS;
-    if (now - this.behindSince < patience) return;
-    this.isRepairing = true;
-    void this.repair();
-  }
-
-  private rank(): number {
+  /** Whether there is anybody to ask: another node, or itself as a core of one. */
+  canAsk(): boolean {
+    return this.dial.controls.size > 0 || this.accepted?.voters.length === 1;
+  }
+
+  rank(): number {
     let rank = 0;
     for (const address of this.dial.controls.keys()) if (address < this.options.address) rank += 1;
     return rank;
   }
 
-  private async repair(): Promise<void> {
-    await this.read(REPAIR_WITHIN_MS);
-    this.isRepairing = false;
-    this.behindSince = 0;
+  turn(): void {
+    this.driver.turn();
   }
 }
 
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -13,6 +13,8 @@
 export interface Reach {
   prepare(voter: schema.Voter, ask: schema.Prepare): Promise<schema.Vote | null>;
   accept(voter: schema.Voter, ask: schema.Accept): Promise<schema.Vote | null>;
+  /** The ballot number that the own voter has promised, if there is one: a lower one would be denied. */
+  promised?(): number;
 }
 
 /** Computes the next value from the one read; the value read itself means no change, an error denies the change. */
@@ -61,6 +63,33 @@
     return outcome;
   }
 
+  /** As a change that changes nothing, but the voters accept the newest value anew, also where a quorum holds it. */
+  spread(withinMs: number): Promise<Outcome> {
+    return this.change(renewed, withinMs);
+  }
+
+  /**
+   * Has a disk without a vote store the newest chosen value as a learner; true once its synced disk holds it, or, where
+   * it has voted before, once it is shown that the disk syncs: it then gets the value with the change that it joins by.
+   */
+  async teach(joiner: schema.Voter): Promise<boolean> {
+    const { reach } = this;
+    const ask = { disk: joiner.disk, ballot: registers.NO_BALLOT, isSetChosen: true, value: this.known };
+    const learned = await this.askOne(joiner, () => reach.accept(joiner, ask));
+    if (learned.granted.size > 0 || learned.highestDenied === 0) return learned.granted.size > 0;
+    const ballot = { n: learned.highestDenied + 1, by: this.life };
+    const synced = await this.askOne(joiner, () => reach.prepare(joiner, { disk: joiner.disk, ballot }));
+    return synced.granted.size > 0;
+  }
+
+  private async askOne(voter: schema.Voter, send: rounds.Send): Promise<rounds.Votes> {
+    const votes = new rounds.Votes();
+    const isEnough = (): boolean => votes.granted.size > 0;
+    const isPossible = (disks: ReadonlySet<string>): boolean => disks.size > 0;
+    await rounds.run(this.clock, { voters: [voter], send, votes, withinMs: rounds.JOINER_MS, isEnough, isPossible });
+    return votes;
+  }
+
   private async attempt(step: Step, until: number): Promise<Outcome> {
     let pause = FIRST_PAUSE_MS;
     while (this.clock.now() < until) {
@@ -75,7 +104,7 @@
 
   /** Null: not decided in this round, which is run again with a higher ballot. */
   private async round(step: Step): Promise<Outcome | null> {
-    this.highestBallot += 1;
+    this.highestBallot = Math.max(this.highestBallot, this.reach.promised?.() ?? 0) + 1;
     const ballot = { n: this.highestBallot, by: this.life };
     const promises = await this.prepare(ballot);
     const read = this.readFrom(promises);
@@ -163,7 +192,7 @@
     for (const voter of joiners) others.delete(voter.disk);
     // A former voter accepts new voters only once each joiner has them on its synced disk.
     if (joiners.length > 0) {
-      await rounds.run(clock, { voters: joiners, send, votes, isEnough: hasJoiners, isPossible: areAllIn });
+      await rounds.run(clock, { voters: joiners, send, votes, withinMs: rounds.JOINER_MS, isEnough: hasJoiners, isPossible: areAllIn });
       this.take(votes);
       if (!hasJoiners()) return false;
     }
@@ -198,6 +227,11 @@
   }
 }
 
+/** Equal to the value read, yet another object: it counts as a change and goes through both phases. */
+function renewed(read: schema.Value): Outcome {
+  return result.ok({ ...read });
+}
+
 function isNewer(left: schema.Value, right: schema.Value): boolean {
   return left.voterEpoch > right.voterEpoch || (left.voterEpoch === right.voterEpoch && left.epoch > right.epoch);
 }
--- a/src/register/round.ts
+++ b/src/register/round.ts
@@ -4,7 +4,9 @@
 import * as registers from "./value.js";
 
 /** A voter that has not replied by then, the own one included, counts as silent in this phase. */
-export const PHASE_MS = 1300;
+const PHASE_MS = 1300;
+/** The same for disks without a vote yet: a change of voters must not hold up the others for long. */
+export const JOINER_MS = 600;
 
 export type Send = (voter: schema.Voter) => Promise<schema.Vote | null>;
 
@@ -47,19 +49,20 @@
   voters: Iterable<schema.Voter>;
   send: Send;
   votes: Votes;
+  withinMs?: number;
   /** Whether the votes so far decide the phase. */
   isEnough(): boolean;
   /** Whether they still can, should all the disks given grant it. */
   isPossible(disks: ReadonlySet<string>): boolean;
 }
 
-/** Resolves once the votes suffice, once they can't any more, or after PHASE_MS. Later replies are dropped. */
+/** Resolves once the votes suffice, once they can't any more, or after the phase's time. Later replies are dropped. */
 export function run(clock: types.World, phase: Phase): Promise<void> {
   const { votes, send } = phase;
   const voters = [...phase.voters];
   const open = new Set(voters.map(diskOf));
   return new Promise(function start(resolve) {
-    const timer = clock.after(PHASE_MS, end);
+    const timer = clock.after(phase.withinMs ?? PHASE_MS, end);
     let isOver = false;
     function end(): void {
       isOver = true;
--- a/src/register/voter.ts
+++ b/src/register/voter.ts
@@ -28,6 +28,11 @@
     return this.state.disk;
   }
 
+  /** The highest ballot promised; lower ones are denied. */
+  get promised(): schema.Ballot {
+    return this.state.promised;
+  }
+
   get accepted(): schema.Accepted | null {
     return this.state.accepted;
   }
--- a/tests/sim/core.ts
+++ b/tests/sim/core.ts
@@ -16,6 +16,8 @@
   isDiskHung = false;
   wipes = 0;
   readonly chosen: schema.Value[] = [];
+  /** Called with each value that this node's proposer has chosen. */
+  onChosen: ((value: schema.Value) => void) | null = null;
   proposer: proposers.Proposer;
 
   constructor(
@@ -30,6 +32,7 @@
     const node = this;
     function keep(value: schema.Value): void {
       node.chosen.push(value);
+      node.onChosen?.(value);
     }
     this.core.lives += 1;
     return new proposers.Proposer(this.core.clock, `life-${this.core.lives}`, this.core.reach(this), first, keep);
@@ -125,10 +128,16 @@
     return newest;
   }
 
-  private isCut(from: string, to: string): boolean {
+  isCut(from: string, to: string): boolean {
     return this.cuts.has(`${from}>${to}`);
   }
 
+  /** Where the voter's disk runs, on whatever machine, else what its address says. */
+  private addressOf(voter: schema.Voter): string {
+    for (const node of this.nodes.values()) if (node.isUp && node.voter?.disk === voter.disk) return node.address;
+    return voter.address;
+  }
+
   /** The way there and back, each with its delay, its losses and its cuts. */
   private async send<T>(from: SimNode, to: string, run: (voter: voters.Voter) => Promise<T | null>): Promise<T | null> {
     const delay = 10 + this.clock.random() * 60;
@@ -153,13 +162,16 @@
   reach(from: SimNode): proposers.Reach {
     const core = this;
     return {
+      promised() {
+        return from.voter?.promised.n ?? 0;
+      },
       prepare(voter, ask) {
-        return core.send(from, voter.address, function run(target) {
+        return core.send(from, core.addressOf(voter), function run(target) {
           return target.prepare(ask);
         });
       },
       accept(voter, ask) {
-        return core.send(from, voter.address, function run(target) {
+        return core.send(from, core.addressOf(voter), function run(target) {
           return target.accept(ask);
         });
       },
--- /dev/null
+++ b/tests/sim/membership.ts
@@ -0,0 +1,223 @@
+// Control nodes over the simulated core that run the real membership policy: news of chosen values, heartbeats,
+// driving of values not known to be chosen, and the arranger.
+import * as arrangers from "../../src/control/arranger.js";
+import * as drivers from "../../src/register/driver.js";
+import * as proposers from "../../src/register/proposer.js";
+import * as registers from "../../src/register/value.js";
+import * as result from "true-myth/result";
+import * as schema from "../../src/wire/schema.js";
+import * as types from "../../src/wire/types.js";
+import * as core from "./core.js";
+
+const STEP_MS = 100;
+const BEAT_MS = 300;
+/** A link with no word for so long is down. */
+const SILENT_MS = 1800;
+
+export class Member implements arrangers.Register, drivers.Register {
+  chosen: schema.Value | null = null;
+  private arranger: arrangers.Arranger;
+  private readonly heard = new Map<Member, number>();
+  private driver: drivers.Driver;
+  private nextBeat = 0;
+
+  constructor(
+    private readonly fleet: Fleet,
+    readonly node: core.SimNode,
+  ) {
+    this.driver = new drivers.Driver(fleet.made.clock, this);
+    this.arranger = new arrangers.Arranger(fleet.made.clock, this, this.nodesInTouch.bind(this));
+    this.begin();
+  }
+
+  get disk(): string {
+    return this.node.voter?.disk ?? "";
+  }
+
+  get accepted(): schema.Value | null {
+    return this.node.voter?.accepted?.value ?? null;
+  }
+
+  get isConfirmed(): boolean {
+    return this.chosen !== null;
+  }
+
+  canAsk(): boolean {
+    return true;
+  }
+
+  rank(): number {
+    return this.fleet.members.filter((other) => other.node.address < this.node.address && this.isInTouch(other)).length;
+  }
+
+  read(withinMs: number): Promise<proposers.Outcome> {
+    return this.change(unchanged, withinMs);
+  }
+
+  /** A new life of the process on the disk as it is now. */
+  begin(): void {
+    this.chosen = null;
+    this.heard.clear();
+    const accepted = this.node.voter?.accepted;
+    if (accepted) this.node.proposer.learnAccepted(accepted.value);
+    this.arranger = new arrangers.Arranger(this.fleet.made.clock, this, this.nodesInTouch.bind(this));
+    this.driver = new drivers.Driver(this.fleet.made.clock, this);
+  }
+
+  learn(value: schema.Value): void {
+    if (this.chosen && value.epoch <= this.chosen.epoch) return;
+    this.chosen = value;
+    this.node.proposer.learnChosen(value);
+  }
+
+  hear(from: Member): void {
+    this.heard.set(from, this.fleet.made.clock.now());
+    if (from.chosen) this.learn(from.chosen);
+  }
+
+  private isInTouch(other: Member): boolean {
+    return other === this || this.fleet.made.clock.now() - (this.heard.get(other) ?? -Infinity) < SILENT_MS;
+  }
+
+  private nodesInTouch(): schema.NodeInfo[] {
+    return this.fleet.members.filter(this.isInTouch.bind(this)).map(nodeOf);
+  }
+
+  private votersInTouch(voters: readonly schema.Voter[]): schema.Voter[] {
+    const disks = new Set(this.fleet.members.filter(this.isInTouch.bind(this)).map((member) => member.disk));
+    return voters.filter((voter) => disks.has(voter.disk));
+  }
+
+  isSettled(): boolean {
+    if (!this.chosen) return false;
+    const disks = this.votersInTouch(this.chosen.voters).map((voter) => voter.disk);
+    return registers.isQuorum({ ...this.chosen, former: [] }, new Set(disks));
+  }
+
+  voterRank(): number {
+    return this.votersInTouch(this.chosen?.voters ?? []).filter((voter) => voter.address < this.node.address).length;
+  }
+
+  change(step: proposers.Step, withinMs: number): Promise<proposers.Outcome> {
+    return this.node.proposer.change(step, withinMs);
+  }
+
+  teach(joiner: schema.Voter): Promise<boolean> {
+    return this.node.proposer.teach(joiner);
+  }
+
+  spread(withinMs: number): Promise<proposers.Outcome> {
+    return this.node.proposer.spread(withinMs);
+  }
+
+  handOver(withinMs: number): Promise<void> {
+    return this.arranger.handOver(withinMs);
+  }
+
+  turn(): void {
+    if (!this.node.isUp || this.node.isFrozen || !this.node.voter) return;
+    const now = this.fleet.made.clock.now();
+    if (now >= this.nextBeat) {
+      this.nextBeat = now + BEAT_MS;
+      this.fleet.tell(this);
+    }
+    this.driver.turn();
+    this.arranger.turn();
+  }
+}
+
+export class Fleet {
+  readonly members: Member[] = [];
+
+  constructor(readonly made: core.SimCore) {
+    for (const node of made.nodes.values()) this.enter(node);
+    this.step();
+  }
+
+  private enter(node: core.SimNode): Member {
+    const member = new Member(this, node);
+    this.members.push(member);
+    node.onChosen = (value) => {
+      member.learn(value);
+      this.tell(member);
+    };
+    return member;
+  }
+
+  /** A machine with a blank disk starts at a new address. */
+  join(address: string): Member {
+    return this.enter(this.made.join(address));
+  }
+
+  at(address: string): Member {
+    return this.members.find((member) => member.node.address === address)!;
+  }
+
+  wipe(member: Member): void {
+    member.node.wipe();
+    member.begin();
+  }
+
+  restart(member: Member): void {
+    member.node.isUp = true;
+    member.node.restart();
+    member.begin();
+  }
+
+  /** Heartbeat and news in one: the newest chosen value goes to all that can be reached. */
+  tell(from: Member): void {
+    const { clock, lossShare } = this.made;
+    for (const to of this.members) {
+      if (to === from || this.made.isCut(from.node.address, to.node.address) || clock.random() < lossShare) continue;
+      clock.after(10 + clock.random() * 60, () => {
+        if (to.node.isUp && from.node.isUp && !to.node.isFrozen) to.hear(from);
+      });
+    }
+  }
+
+  private step(): void {
+    for (const member of this.members) member.turn();
+    this.made.clock.after(STEP_MS, this.step.bind(this));
+  }
+
+  /** The newest value that any node knows to be chosen. */
+  newest(): schema.Value {
+    return this.members.reduce<schema.Value>(
+      (newest, { chosen }) => (chosen && chosen.epoch > newest.epoch ? chosen : newest),
+      this.made.first,
+    );
+  }
+
+  /** Whether so many voters stand settled, each up with the newest value on its synced disk. */
+  isStrong(voters: number): boolean {
+    const newest = this.newest();
+    if (newest.former.length > 0 || newest.voters.length !== voters) return false;
+    return newest.voters.every((voter) => {
+      const holder = this.members.find((member) => member.node.isUp && member.disk === voter.disk);
+      const stored = holder?.node.stored;
+      return stored !== null && stored !== undefined && schema.disk.fromBuffer(stored).accepted?.value.epoch === newest.epoch;
+    });
+  }
+
+  /** Plays until so many voters stand in full; the time it took, or Infinity after the bound. */
+  async untilStrong(voters: number, withinMs: number): Promise<number> {
+    const { clock } = this.made;
+    const from = clock.now();
+    while (clock.now() - from < withinMs) {
+      if (this.isStrong(voters)) return clock.now() - from;
+      await clock.play(20);
+    }
+    return Infinity;
+  }
+}
+
+function unchanged(value: schema.Value): proposers.Outcome {
+  return result.ok(value);
+}
+
+function nodeOf(member: Member): schema.NodeInfo {
+  const { address } = member.node;
+  const name = address.split(":")[0];
+  const place = { zone: "z", region: "r", outside: "", life: "" };
+  return { ...place, name, role: "control", address, disk: member.disk, isCounted: true, isReady: true, epoch: types.NO_EPOCH };
+}
