Store: whole writes, a set of files that proves itself whole, a disk that may refuse

Cause: the count of a write was not looked at, so that a short one counted as taken; a folder that was not synced was counted and passed over, so that a loss of power could take the file of the newest record and leave older ones under the same identity; a process that started anew went on from a record that was perhaps never synced.

Change: writes go on until all bytes are taken or none more are. Each file has a header with format version, random set id, index and number of files; each record names its set and the fingerprint of its layout. Files, folder and parents are synced before the first record. A set that is not whole is given up: new identity, also with bootstrap set. The newest record is written again and synced at start. Room for a record twice as large is made ahead. VoterDisk retries, probes and tells its state in status; one line a change.

Other checks of the record's format and of the ring (tests/store.test.ts) hold as they were, over the new interfaces.

--- a/src/control/disk.ts
+++ b/src/control/disk.ts
@@ -1,35 +1,209 @@
-// The voter's disk at start: its record, or a new identity on a blank one (design 5.3, 5.4).
+/**
+ * The voter's disk (design 5.3, 5.4): opens it, however often that takes, and tells whether it takes writes. A disk
+ * that can't be read or written makes a silent voter; it never ends the process and never holds up its other work.
+ */
 import * as crypto from "node:crypto";
 import * as log from "../startup/log.js";
 import * as registers from "../register/value.js";
 import * as voters from "../register/voter.js";
-import * as ring from "../store/ring.js";
+import type * as files from "../store/files.js";
+import * as format from "../store/format.js";
+import * as owner from "../store/owner.js";
+import * as remedies from "../store/remedies.js";
+import * as rings from "../store/ring.js";
 import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
 
-export interface Opened {
-  voter: voters.Voter;
-  close(): Promise<void>;
-}
+/** Pause between two attempts at a disk that refuses. */
+export const RETRY_MS = 1000;
+/** How long an ending process waits for a disk that hangs. */
+const CLOSE_MS = 1000;
 
+/** Which node the disk belongs to. */
 export interface Place {
-  folder: string;
   address: string;
   seeds: readonly string[];
   isBootstrap: boolean;
 }
 
-function blank(place: Place): schema.Disk {
-  // Only the very first start knows the first value without asking anybody.
-  const isFirst = place.isBootstrap && place.seeds.includes(place.address);
+/** What the disk needs of its machine; tests hand in their own. */
+export interface Machine {
+  world: types.World;
+  folder: files.StoreFolder;
+  processes: owner.ProcessTable;
+}
+
+/** `opening`: not read yet; `ready`: the last write was taken; `refusing`: not, and the voter is silent. */
+export type DiskState = "opening" | "ready" | "refusing" | "closed";
+
+/** The disk as `status` shows it. */
+export interface DiskStatus {
+  state: DiskState;
+  /** What failed last and its remedy; empty while all is well. */
+  error: string;
+  /** How long the operation under way has taken so far, in ms; 0 if there is none. */
+  waitingMs: number;
+}
+
+/** Tells records of this release's layout from those of others. */
+export function recordLayout(): number {
+  return schema.disk.fingerprint("sha256").readUInt32BE(0);
+}
+
+function newSetId(): Buffer {
+  return crypto.randomBytes(format.SET_ID_BYTES);
+}
+
+/** The state of a voter that has no record. Only the very first start knows the first value without asking anybody. */
+function blankState(place: Place, isPristine: boolean): schema.Disk {
+  const isFirst = isPristine && place.isBootstrap && place.seeds.includes(place.address);
   const disk = isFirst ? registers.firstDisk(place.address) : `disk:${crypto.randomBytes(9).toString("base64url")}`;
   const accepted = isFirst ? { ballot: registers.NO_BALLOT, value: registers.firstValue(place.seeds) } : null;
-  log.state(`store: blank disk, new identity ${disk}`);
   return { disk, promised: registers.NO_BALLOT, accepted };
 }
 
-export async function open(place: Place): Promise<Opened> {
-  const { ring: kept, newest } = await ring.Ring.open(ring.realFiles, place.folder);
-  const state = newest ? voters.Voter.restore(newest) : blank(place);
-  if (!newest) await kept.write(schema.disk.toBuffer(state));
-  return { voter: new voters.Voter(kept, state), close: kept.close.bind(kept) };
+export class VoterDisk implements voters.Keep {
+  private ring: rings.Ring | null = null;
+  private state: DiskState = "opening";
+  private error = "";
+  /** When the operation under way began; null if there is none. */
+  private busySince: types.SteadyMs | null = null;
+  private retry: types.Tick | null = null;
+  /** The newest record handed in; what a refusing disk is tried with. */
+  private latest: Buffer | null = null;
+  private probing: Promise<void> = Promise.resolve();
+
+  constructor(
+    private readonly machine: Machine,
+    private readonly place: Place,
+    private readonly entered: (voter: voters.Voter) => void,
+  ) {}
+
+  /** Begins to open the disk and returns at once; `entered` is called with the voter when it is open. */
+  start(): void {
+    void this.openOrRetry();
+  }
+
+  /** Resolves once the files are closed, or soon after if the disk hangs. */
+  async stop(): Promise<void> {
+    this.state = "closed";
+    this.retry?.stop();
+    await this.within(CLOSE_MS, this.closeRing());
+  }
+
+  status(): DiskStatus {
+    const waitingMs = this.busySince === null ? 0 : this.machine.world.now() - this.busySince;
+    return { state: this.state, error: this.error, waitingMs };
+  }
+
+  /** Resolves once the record is durable; rejects if it may not be. One call at a time. */
+  async write(body: Buffer): Promise<void> {
+    this.latest = body;
+    await this.probing;
+    await this.writeNow(body);
+  }
+
+  private async openOrRetry(): Promise<void> {
+    try {
+      await this.timed(this.open.bind(this));
+    } catch (cause) {
+      this.refused(cause);
+      this.again(this.openOrRetry.bind(this));
+    }
+  }
+
+  private async open(): Promise<void> {
+    const { folder, processes } = this.machine;
+    await folder.make();
+    await owner.claim(folder, processes);
+    const opened = await rings.Ring.open(folder, { layout: recordLayout(), newSetId });
+    try {
+      const state = opened.newest ? voters.Voter.restore(opened.newest) : blankState(this.place, opened.isPristine);
+      if (!opened.newest) await opened.ring.write(schema.disk.toBuffer(state));
+      if (!opened.newest) log.state(`store: no record on disk, new identity ${state.disk}`);
+      this.enter(opened.ring, state);
+    } catch (cause) {
+      await opened.ring.close();
+      throw cause;
+    }
+  }
+
+  private enter(ring: rings.Ring, state: schema.Disk): void {
+    if (this.state === "closed") {
+      void ring.close();
+      return;
+    }
+    this.ring = ring;
+    this.accepted();
+    this.entered(new voters.Voter(this, state));
+  }
+
+  private async writeNow(body: Buffer): Promise<void> {
+    const { ring } = this;
+    if (!ring) throw new Error("the disk is not open");
+    try {
+      await this.timed(ring.write.bind(ring, body));
+      this.accepted();
+    } catch (cause) {
+      this.refused(cause);
+      this.again(this.probe.bind(this));
+      throw cause;
+    }
+  }
+
+  /** Tries a refusing disk with the newest record, so that `status` shows when it takes writes again. */
+  private probe(): void {
+    if (this.state !== "refusing" || this.busySince !== null || !this.latest) return;
+    this.probing = this.writeNow(this.latest).catch(ignore);
+  }
+
+  private again(attempt: () => unknown): void {
+    this.retry?.stop();
+    if (this.state !== "closed") this.retry = this.machine.world.after(RETRY_MS, attempt);
+  }
+
+  private async closeRing(): Promise<void> {
+    await this.probing;
+    await this.ring?.close();
+  }
+
+  private async within(ms: number, work: Promise<void>): Promise<void> {
+    const { world } = this.machine;
+    let timer: types.Tick | null = null;
+    const elapsed = new Promise<void>(function wait(resolve) {
+      timer = world.after(ms, resolve);
+    });
+    await Promise.race([work, elapsed]);
+    (timer as types.Tick | null)?.stop();
+  }
+
+  private async timed(operation: () => Promise<void>): Promise<void> {
+    this.busySince = this.machine.world.now();
+    try {
+      await operation();
+    } finally {
+      this.busySince = null;
+    }
+  }
+
+  private accepted(): void {
+    if (this.state === "refusing") log.state(`disk: data_dir ${this.machine.folder.name} takes writes again; this node votes again`);
+    this.change("ready", "");
+  }
+
+  private refused(cause: unknown): void {
+    const error = remedies.describe(cause);
+    log.count("disk.refused");
+    if (error !== this.error) log.state(`disk: data_dir ${this.machine.folder.name}: ${error}; this node does not vote until it can`);
+    this.change("refusing", error);
+  }
+
+  private change(state: DiskState, error: string): void {
+    if (this.state === "closed") return;
+    this.state = state;
+    this.error = error;
+  }
 }
+
+/** The refusal is in `status` already. */
+function ignore(): void {}
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -14,6 +14,8 @@
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
 import * as registers from "../register/value.js";
+import * as files from "../store/files.js";
+import * as owner from "../store/owner.js";
 import * as supervisor from "../supervisor/tree.js";
 import * as arrangers from "./arranger.js";
 import * as cells from "./cells.js";
@@ -38,7 +40,7 @@
   private readonly cells: cells.Cells;
   private readonly leases: leases.Lessor;
   private readonly arranger: arrangers.Arranger;
-  private closeDisk: (() => Promise<void>) | null = null;
+  private disk: disks.VoterDisk | null = null;
   readonly root: supervisor.Supervisor;
 
   constructor(
@@ -154,20 +156,16 @@
 
   /** The loop never waits on the disk: until it is read, this node runs without a vote. */
   private openDisk(seeds: string[]): void {
-    void this.readDisk(seeds).catch(this.root.failed.bind(this.root, "disk"));
-  }
-
-  private async readDisk(seeds: string[]): Promise<void> {
-    const { data_dir: folder, bootstrap: isBootstrap } = this.startup;
-    if (!folder) return;
-    const opened = await disks.open({ folder, address: this.address, seeds, isBootstrap });
-    this.closeDisk = opened.close;
-    this.core.enter(opened.voter);
+    const { data_dir: name, bootstrap: isBootstrap } = this.startup;
+    if (!name) return;
+    const machine = { world: this.world, folder: new files.RealFolder(name), processes: owner.realProcesses };
+    this.disk = new disks.VoterDisk(machine, { address: this.address, seeds, isBootstrap }, this.core.enter.bind(this.core));
+    this.disk.start();
   }
 
   private async stopDisk(): Promise<void> {
     this.core.leave();
-    await this.closeDisk?.();
+    await this.disk?.stop();
   }
 
   private beat(): void {
@@ -220,6 +218,7 @@
     return {
       node: this.describe(),
       isSettled: this.core.isSettled(),
+      disk: this.disk?.status() ?? null,
       register: value && {
         epoch: value.epoch,
         revision: value.revision,
--- a/src/register/voter.ts
+++ b/src/register/voter.ts
@@ -51,10 +51,9 @@
       let isKept = true;
       try {
         await this.keep.write(schema.disk.toBuffer(this.state));
-      } catch (cause) {
+      } catch {
         isKept = false;
         log.count("voter.write_failed");
-        log.state(`voter: the disk denies writes (${(cause as Error).message}); this voter stays silent`);
       }
       for (const item of batch) item.resolve(isKept);
     }
--- a/src/store/ring.ts
+++ b/src/store/ring.ts
@@ -1,140 +1,178 @@
-// A ring of preallocated files: each record goes whole into the next file, synced, so that a torn
-// write can only hurt the record that nobody was told of (design 5.3).
-import * as fs from "node:fs/promises";
-import * as path from "node:path";
-import * as zlib from "node:zlib";
+/**
+ * A ring of preallocated files that keeps the newest of a row of records (design 5.3). Each record goes whole into the
+ * file after the newest one's and is synced before `write` resolves; a failed write is repeated, whole, into the same
+ * file. So a torn write hurts a record that was never acknowledged, and never the newest acknowledged one.
+ */
+import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
+import type * as files from "./files.js";
+import * as format from "./format.js";
+import * as inspection from "./inspection.js";
 
-const FILES = 4;
+export const FILES = 4;
 const FIRST_BYTES = 64 * 1024;
-const MAGIC = 0x43574e44;
-const HEAD_BYTES = 24; // magic u32, number u64, length u32, crc of body u32, crc of head u32
+/** The next file is kept large enough for a record this many times as large as the last one. */
+const ROOM_FACTOR = 2;
 
-/** What the ring asks of a disk: tests hand in their own. */
-export interface Files {
-  open(folder: string, name: string): Promise<Slot>;
+export interface RingOptions {
+  /** Fingerprint of the records' layout: a record of another one is an error. */
+  layout: number;
+  /** A random id for a new set of files, `format.SET_ID_BYTES` long. */
+  newSetId(): Buffer;
 }
-export interface Slot {
-  readAll(): Promise<Buffer>;
-  write(bytes: Buffer): Promise<void>;
-  close(): Promise<void>;
+
+export interface OpenedRing {
+  ring: Ring;
+  /** The newest whole record, durable by now; null if the files are a new set. */
+  newest: Buffer | null;
+  /** With no record: whether the folder shows no trace of any earlier promise. */
+  isPristine: boolean;
 }
 
-class RealSlot implements Slot {
-  constructor(private readonly handle: fs.FileHandle) {}
-  async readAll(): Promise<Buffer> {
-    return this.handle.readFile();
-  }
-  async write(bytes: Buffer): Promise<void> {
-    await this.handle.write(bytes, 0, bytes.length, 0);
-    await this.handle.datasync();
+interface Position {
+  setId: Buffer;
+  /** Number and file of the newest durable record. */
+  number: number;
+  place: number;
+}
+
+export class Ring {
+  /** Room that is being made in the file of the next record. */
+  private reservation: Promise<void> = Promise.resolve();
+
+  private constructor(
+    private readonly files: readonly files.StoreFile[],
+    private readonly capacities: number[],
+    private readonly layout: number,
+    private readonly position: Position,
+  ) {}
+
+  /** Opens the set of files, or makes a new one; what it gives is durable. Rejects if the disk refuses. */
+  static async open(folder: files.StoreFolder, options: RingOptions): Promise<OpenedRing> {
+    await folder.make();
+    const opened = await openAll(folder);
+    try {
+      const contents = await Promise.all(opened.map(readFile));
+      const { newest, isPristine } = inspection.inspect(contents, options.layout);
+      const position = newest
+        ? { setId: newest.setId, number: newest.number, place: newest.place }
+        : { setId: options.newSetId(), number: 0, place: 0 };
+      if (newest) await makeDurable(opened[newest.place], contents[newest.place], newest);
+      else await makeSet(folder, opened, contents, position.setId, isPristine);
+      const capacities = contents.map(capacityOf);
+      return { ring: new Ring(opened, capacities, options.layout, position), newest: newest?.body ?? null, isPristine };
+    } catch (cause) {
+      await closeAll(opened);
+      throw cause;
+    }
   }
+
   async close(): Promise<void> {
-    await this.handle.close();
+    await this.reservation;
+    await closeAll(this.files);
   }
-}
 
-async function openReal(folder: string, name: string): Promise<Slot> {
-  await fs.mkdir(folder, { recursive: true });
-  const full = path.join(folder, name);
-  const handle = await fs.open(full, "a+").then(reopen);
-  async function reopen(first: fs.FileHandle): Promise<fs.FileHandle> {
-    await first.close();
-    return fs.open(full, "r+");
+  /** Resolves once the record is durable; rejects if it may not be. One call at a time. */
+  async write(body: Buffer): Promise<void> {
+    const { setId } = this.position;
+    const number = this.position.number + 1;
+    // Number and place move on after a success only: failures never reach the file of the newest durable record.
+    const place = (this.position.place + 1) % this.files.length;
+    const record = format.encodeRecord({ setId, layout: this.layout, number, body });
+    const padded = Buffer.concat([record], format.roundUpToBlock(record.length));
+    await this.reservation;
+    await writeWhole(this.files[place], padded, format.RECORD_AT);
+    await this.files[place].sync();
+    this.position.number = number;
+    this.position.place = place;
+    this.capacities[place] = Math.max(this.capacities[place], format.RECORD_AT + padded.length);
+    this.reservation = this.reserve((place + 1) % this.files.length, format.RECORD_AT + ROOM_FACTOR * padded.length);
   }
-  const { size } = await handle.stat();
-  if (size < FIRST_BYTES) {
-    await handle.write(Buffer.alloc(FIRST_BYTES - size), 0, FIRST_BYTES - size, size);
-    await handle.sync();
-    const parent = await fs.open(folder, "r");
-    await parent.sync().catch(ignore);
-    await parent.close();
+
+  /** Makes room ahead of need, so that a disk that fills up later still takes the next records. */
+  private async reserve(place: number, bytes: number): Promise<void> {
+    const capacity = this.capacities[place];
+    if (capacity >= bytes) return;
+    try {
+      await writeWhole(this.files[place], Buffer.alloc(bytes - capacity), capacity);
+      await this.files[place].sync();
+      this.capacities[place] = bytes;
+    } catch {
+      log.count("store.reserve_failed");
+    }
   }
-  return new RealSlot(handle);
 }
 
-function ignore(): void {
-  log.count("store.folder_sync_failed");
+function fileName(index: number): string {
+  return `register-${index}`;
 }
 
-export const realFiles: Files = { open: openReal };
-
-export function encode(number: number, body: Buffer): Buffer {
-  const bytes = Buffer.alloc(HEAD_BYTES + body.length);
-  bytes.writeUInt32BE(MAGIC, 0);
-  bytes.writeBigUInt64BE(BigInt(number), 4);
-  bytes.writeUInt32BE(body.length, 12);
-  bytes.writeUInt32BE(checksum(body), 16);
-  bytes.writeUInt32BE(checksum(bytes.subarray(0, 20)), 20);
-  body.copy(bytes, HEAD_BYTES);
-  return bytes;
+async function openAll(folder: files.StoreFolder): Promise<files.StoreFile[]> {
+  const opened: files.StoreFile[] = [];
+  try {
+    for (let index = 0; index < FILES; index += 1) opened.push(await folder.open(fileName(index)));
+  } catch (cause) {
+    await closeAll(opened);
+    throw cause;
+  }
+  return opened;
 }
 
-function checksum(bytes: Buffer): number {
-  return zlib.crc32 ? zlib.crc32(bytes) : slowCrc(bytes);
+async function closeAll(opened: readonly files.StoreFile[]): Promise<void> {
+  await Promise.allSettled(opened.map(closeFile));
 }
 
-function slowCrc(bytes: Buffer): number {
-  let crc = ~0;
-  for (const byte of bytes) {
-    crc ^= byte;
-    for (let bit = 0; bit < 8; bit += 1) crc = (crc >>> 1) ^ (0xedb88320 & -(crc & 1));
-  }
-  return ~crc >>> 0;
+function closeFile(file: files.StoreFile): Promise<void> {
+  return file.close();
 }
 
-export function decode(bytes: Buffer): { number: number; body: Buffer } | null {
-  if (bytes.length < HEAD_BYTES || bytes.readUInt32BE(0) !== MAGIC) return null;
-  if (checksum(bytes.subarray(0, 20)) !== bytes.readUInt32BE(20)) return null;
-  const length = bytes.readUInt32BE(12);
-  if (bytes.length < HEAD_BYTES + length) return null;
-  const body = bytes.subarray(HEAD_BYTES, HEAD_BYTES + length);
-  if (checksum(body) !== bytes.readUInt32BE(16)) return null;
-  return { number: Number(bytes.readBigUInt64BE(4)), body };
+function readFile(file: files.StoreFile): Promise<Buffer> {
+  return file.read();
 }
 
-export class Ring {
-  private number = 0;
-  private place = 0;
-  private constructor(private readonly slots: Slot[]) {}
-
-  /** The newest whole record, or null on a blank disk. */
-  static async open(files: Files, folder: string): Promise<{ ring: Ring; newest: Buffer | null }> {
-    const slots: Slot[] = [];
-    let newest: Buffer | null = null;
-    let number = 0;
-    let place = 0;
-    for (let index = 0; index < FILES; index += 1) {
-      const slot = await files.open(folder, `register-${index}`);
-      slots.push(slot);
-      const bytes = await slot.readAll();
-      const found = decode(bytes);
-      if (!found && bytes.length > 0 && bytes.readUInt8(0) !== 0) {
-        log.count("store.torn");
-        log.state(`store: register-${index} holds a torn record; the ring goes on with an older one`);
-      }
-      if (found && found.number > number) {
-        number = found.number;
-        place = index;
-        newest = found.body;
-      }
-    }
-    const ring = new Ring(slots);
-    ring.number = number;
-    ring.place = place;
-    return { ring, newest };
-  }
+function capacityOf(content: Buffer): number {
+  return Math.max(FIRST_BYTES, format.roundUpToBlock(content.length));
+}
 
-  async close(): Promise<void> {
-    for (const slot of this.slots) await slot.close();
+/**
+ * The newest record may come from a process that ended before its sync. It is written once more, the same bytes at the
+ * same place, since a sync alone proves nothing after one that failed; if it was durable, this changes nothing.
+ */
+async function makeDurable(file: files.StoreFile, content: Buffer, newest: inspection.NewestRecord): Promise<void> {
+  const end = format.RECORD_AT + format.roundUpToBlock(format.RECORD_HEAD_BYTES + newest.body.length);
+  await writeWhole(file, content.subarray(format.RECORD_AT, end), format.RECORD_AT);
+  await file.sync();
+}
+
+/**
+ * Writes the headers of a new set and makes files and names durable, all before the first record. Record bytes of an
+ * older set stay until then, as the trace that it was there; they belong to another set and are never read as this one's.
+ */
+async function makeSet(
+  folder: files.StoreFolder,
+  opened: readonly files.StoreFile[],
+  contents: readonly Buffer[],
+  setId: Buffer,
+  isPristine: boolean,
+): Promise<void> {
+  async function makeFile(file: files.StoreFile, index: number): Promise<void> {
+    const bytes = Buffer.alloc(capacityOf(contents[index]));
+    if (!isPristine) contents[index].copy(bytes);
+    format.encodeHeader({ setId, files: opened.length, index, isFirstSet: isPristine }).copy(bytes);
+    await writeWhole(file, bytes, 0);
+    await file.sync();
   }
+  const steps = await Promise.allSettled([...opened.map(makeFile), folder.sync()]);
+  for (const step of steps) if (step.status === "rejected") throw step.reason;
+}
 
-  /** Resolves once the record is synced. One call at a time. */
-  async write(body: Buffer): Promise<void> {
-    this.number += 1;
-    // The place moves on after a success only: failures never reach the file of the newest whole record.
-    const place = (this.place + 1) % this.slots.length;
-    await this.slots[place].write(encode(this.number, body));
-    this.place = place;
+/** A write may take fewer bytes than it was given, as on a full disk: the rest is written until all is, or none more. */
+async function writeWhole(file: files.StoreFile, bytes: Buffer, position: number): Promise<void> {
+  let done = 0;
+  while (done < bytes.length) {
+    const written = await file.write(bytes.subarray(done), position + done);
+    if (written <= 0)
+      throw errors.fail("store", `a write stopped after ${done} of ${bytes.length} bytes`, "free space on the disk of data_dir");
+    done += written;
   }
 }
--- a/src/wire/avro.ts
+++ b/src/wire/avro.ts
@@ -9,4 +9,6 @@
 export interface Schema<T> {
   toBuffer(value: T): Buffer;
   fromBuffer(bytes: Buffer): T;
+  /** Digest of the layout: equal for equal layouts. */
+  fingerprint(algorithm: string): Buffer;
 }
--- /dev/null
+++ b/tests/sim/disk-world.ts
@@ -0,0 +1,87 @@
+/** A machine around a simulated disk: its clock runs on without waiting, and no other process uses the folder. */
+import * as disks from "../../src/control/disk.js";
+import type * as voters from "../../src/register/voter.js";
+import type * as owner from "../../src/store/owner.js";
+import * as types from "../../src/wire/types.js";
+import type * as simulated from "./disk.js";
+
+export const ADDRESS = "10.0.0.1:7000";
+
+/** Timers fire in the order of their time as soon as nothing else is to be done; none fires after `end`. */
+export class HastyWorld implements types.World {
+  private time = 0;
+  private isEnded = false;
+
+  now(): types.SteadyMs {
+    return types.small(this.time);
+  }
+
+  random(): number {
+    return 0.5;
+  }
+
+  after(ms: number, run: () => void): types.Tick {
+    const handle = setImmediate(this.fire.bind(this, this.time + ms, run));
+    return {
+      stop(): void {
+        clearImmediate(handle);
+      },
+    };
+  }
+
+  end(): void {
+    this.isEnded = true;
+  }
+
+  private fire(due: number, run: () => void): void {
+    if (this.isEnded) return;
+    this.time = Math.max(this.time, due);
+    run();
+  }
+}
+
+export interface SimulatedMachine {
+  world: HastyWorld;
+  folder: simulated.MountedDisk;
+  processes: owner.ProcessTable;
+}
+
+const unknownProcesses: owner.ProcessTable = {
+  async own() {
+    return null;
+  },
+  async isRunning() {
+    return false;
+  },
+};
+
+export function machineOf(folder: simulated.MountedDisk): SimulatedMachine {
+  return { world: new HastyWorld(), folder, processes: unknownProcesses };
+}
+
+export function placeOf(isBootstrap: boolean): disks.Place {
+  return { address: ADDRESS, seeds: [ADDRESS], isBootstrap };
+}
+
+/** A voter's disk that was started, and the voter once it is open. */
+export interface StartedDisk {
+  disk: disks.VoterDisk;
+  voter: Promise<voters.Voter>;
+}
+
+export function startDisk(machine: disks.Machine, isBootstrap: boolean): StartedDisk {
+  const opened = deferred<voters.Voter>();
+  const disk = new disks.VoterDisk(machine, placeOf(isBootstrap), opened.resolve);
+  disk.start();
+  return { disk, voter: opened.promise };
+}
+
+function deferred<T>(): { promise: Promise<T>; resolve: (value: T) => void } {
+  let settle: (value: T) => void = ignore;
+  const promise = new Promise<T>(function keep(resolve) {
+    settle = resolve;
+  });
+  return { promise, resolve: settle };
+}
+
+function ignore(): void {}
--- a/tests/store.test.ts
+++ b/tests/store.test.ts
@@ -1,47 +1,75 @@
 // The ring of files under torn and failed writes (design 5.3), and the settings file (design 2.1).
+import * as format from "../src/store/format.js";
 import * as ring from "../src/store/ring.js";
+import type * as files from "../src/store/files.js";
 import * as settings from "../src/startup/settings.js";
 
 type Fault = "none" | "fails" | "torn";
 
-class SimSlot implements ring.Slot {
+const LAYOUT = 7;
+const SET_ID = Buffer.alloc(format.SET_ID_BYTES, 5);
+
+class SimFile implements files.StoreFile {
   bytes = Buffer.alloc(64);
   constructor(private readonly disk: SimDisk) {}
-  async readAll(): Promise<Buffer> {
-    return this.bytes;
+  async read(): Promise<Buffer> {
+    return Buffer.from(this.bytes);
   }
-  async write(bytes: Buffer): Promise<void> {
+  async write(bytes: Buffer, position: number): Promise<number> {
     const { fault } = this.disk;
     if (fault === "fails") throw new Error("EIO");
-    if (fault === "none") this.bytes = Buffer.from(bytes);
-    else {
-      const half = Math.floor(bytes.length / 2);
-      this.bytes = Buffer.concat([bytes.subarray(0, half), this.bytes.subarray(half)]);
-      throw new Error("power");
-    }
+    const taken = fault === "none" ? bytes : bytes.subarray(0, Math.floor(this.disk.bodyEnd / 2));
+    this.bytes = Buffer.concat([this.bytes], Math.max(this.bytes.length, position + bytes.length));
+    taken.copy(this.bytes, position);
+    if (fault === "torn") throw new Error("power");
+    return taken.length;
+  }
+  async sync(): Promise<void> {
+    return undefined;
   }
   async close(): Promise<void> {
     return undefined;
   }
 }
 
-class SimDisk implements ring.Files {
+class SimDisk implements files.StoreFolder {
+  readonly name = "f";
   fault: Fault = "none";
-  readonly slots = new Map<string, SimSlot>();
-  async open(_folder: string, name: string): Promise<ring.Slot> {
-    const slot = this.slots.get(name) ?? new SimSlot(this);
-    this.slots.set(name, slot);
-    return slot;
+  /** Bytes of a record without its padding: a torn write ends in the middle of them. */
+  bodyEnd = format.RECORD_HEAD_BYTES + "record 0".length;
+  readonly files = new Map<string, SimFile>();
+  async make(): Promise<void> {
+    return undefined;
+  }
+  async open(name: string): Promise<files.StoreFile> {
+    const file = this.files.get(name) ?? new SimFile(this);
+    this.files.set(name, file);
+    return file;
+  }
+  async sync(): Promise<void> {
+    return undefined;
   }
 }
 
+function newSetId(): Buffer {
+  return SET_ID;
+}
+
+function openRing(disk: SimDisk): Promise<ring.OpenedRing> {
+  return ring.Ring.open(disk, { layout: LAYOUT, newSetId });
+}
+
 async function newest(disk: SimDisk): Promise<string | null> {
-  return (await ring.Ring.open(disk, "f")).newest?.toString() ?? null;
+  const { fault } = disk;
+  disk.fault = "none";
+  const found = (await openRing(disk)).newest?.toString() ?? null;
+  disk.fault = fault;
+  return found;
 }
 
 test.each(["fails", "torn"] as const)("a write that %s, however often, leaves the newest whole record", async function faults(fault) {
   const disk = new SimDisk();
-  const { ring: kept } = await ring.Ring.open(disk, "f");
+  const { ring: kept } = await openRing(disk);
   for (let turn = 0; turn < 7; turn += 1) {
     await kept.write(Buffer.from(`record ${turn}`));
     disk.fault = fault;
@@ -53,24 +81,27 @@
 
 test("a torn record at start is passed over, and the next write goes elsewhere than the newest", async function torn() {
   const disk = new SimDisk();
-  const { ring: kept } = await ring.Ring.open(disk, "f");
+  const { ring: kept } = await openRing(disk);
   await kept.write(Buffer.from("one"));
   disk.fault = "torn";
   await expect(kept.write(Buffer.from("two"))).rejects.toThrow();
-  const { ring: again, newest: found } = await ring.Ring.open(disk, "f");
+  disk.fault = "none";
+  const { ring: again, newest: found } = await openRing(disk);
   expect(found!.toString()).toBe("one");
+  disk.fault = "torn";
   await expect(again.write(Buffer.from("three"))).rejects.toThrow();
   expect(await newest(disk)).toBe("one");
 });
 
 test("any flipped bit makes a record unreadable", function bits() {
-  const bytes = ring.encode(7, Buffer.from("body"));
+  const record = { setId: SET_ID, layout: LAYOUT, number: 7, body: Buffer.from("body") };
+  const bytes = format.encodeRecord(record);
   for (let index = 0; index < bytes.length; index += 1) {
     const bad = Buffer.from(bytes);
     bad[index] ^= 4;
-    expect(ring.decode(bad)).toBeNull();
+    expect(format.decodeRecord(bad)).toBeNull();
   }
-  expect(ring.decode(bytes)).toEqual({ number: 7, body: Buffer.from("body") });
+  expect(format.decodeRecord(bytes)).toEqual(record);
 });
 
 test("a blank disk has no record", async function blank() {
