--- a/src/control/disk.ts
+++ b/src/control/disk.ts
@@ -1,5 +1,5 @@
 /**
- * The voter's disk (design 5.3, 5.4): opens it, however often that takes, and tells whether it takes writes. A disk
+ * The voter's disk (design 5.3, 5.4; hardening 6): opens it, however often that takes, and tells whether it takes writes. A disk
  * that can't be read or written makes a silent voter; it never ends the process and never holds up its other work.
  */
 import * as crypto from "node:crypto";
--- a/src/store/ring.ts
+++ b/src/store/ring.ts
@@ -1,5 +1,5 @@
 /**
- * A ring of preallocated files that keeps the newest of a row of records (design 5.3). Each record goes whole into the
+ * A ring of preallocated files that keeps the newest of a row of records (design 5.3, hardening 6). Each record goes whole into the
  * file after the newest one's and is synced before `write` resolves; a failed write is repeated, whole, into the same
  * file. So a torn write hurts a record that was never acknowledged, and never the newest acknowledged one.
  */
