--- a/tests/disk-faults.test.ts
+++ b/tests/disk-faults.test.ts
@@ -108,3 +108,32 @@
   },
   60_000,
 );
+
+const FIRST_CUT = 10;
+const LAST_CUT = 16;
+const LOSSES = 25;
+/** No fault, but a sync at the cut has no effect. */
+const UNSYNCED_AT_THE_CUT = new Array<number>(200).fill(1);
+
+test("four processes in a row that are killed before their sync, then a loss of power, cost no answered promise", async function killed() {
+  for (let operations = FIRST_CUT; operations <= LAST_CUT; operations += 1) {
+    for (let loss = 0; loss < LOSSES; loss += 1) {
+      const disk = new simulated.SimulatedDisk();
+      const checker = new Checker(disk, false);
+      await checker.play({ operations: Infinity, isPowerLost: false, promises: 6, choices: [] });
+      for (let life = 0; life < 4; life += 1) {
+        await checker.play({ operations, isPowerLost: false, promises: 1, choices: UNSYNCED_AT_THE_CUT });
+      }
+      disk.mount(lossChoices(loss));
+      disk.losePower();
+      await checker.play({ operations: Infinity, isPowerLost: false, promises: 0, choices: [] });
+    }
+  }
+});
+
+/** Fates of unsynced writes that differ from loss to loss. */
+function lossChoices(loss: number): number[] {
+  const choices: number[] = [];
+  for (let index = 0; index < 50; index += 1) choices.push(Math.floor(((loss * 50 + index) * 2654435761) / 65536) % 9973);
+  return choices;
+}
