Waiting steps of the register go in one change (register/batch.ts)

Cause: orders under way at one node waited in line, each for its own two rounds, with their time counted from the call: eight on a slow disk took over ten seconds. Change: a queue in front of the proposer applies all waiting steps to the value read, one after the other; each caller gets its own outcome once the result is chosen, or no_majority at its own deadline. core.ts hands its changes and reads to the queue.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -7,6 +7,7 @@
 import * as log from "../startup/log.js";
 import * as dialer from "../feed/dialer.js";
 import * as drivers from "../register/driver.js";
+import * as batch from "../register/batch.js";
 import * as proposers from "../register/proposer.js";
 import * as registers from "../register/value.js";
 import * as voters from "../register/voter.js";
@@ -30,6 +31,7 @@
   /** Whether this life of the process has learned what is chosen. */
   isConfirmed = false;
   readonly proposer: proposers.Proposer;
+  private readonly queue: batch.StepQueue;
   chosen: schema.Value | null = null;
 
   constructor(
@@ -40,6 +42,7 @@
     super();
     this.proposer = new proposers.Proposer(world, options.life, this, options.first, this.learnOwn.bind(this));
     this.driver = new drivers.Driver(world, this);
+    this.queue = new batch.StepQueue(world, this.proposer.change.bind(this.proposer));
   }
 
   get disk(): string {
@@ -176,7 +179,7 @@
   }
 
   change(step: proposers.Step, withinMs: number): Promise<proposers.Outcome> {
-    return this.proposer.change(step, withinMs);
+    return this.queue.change(step, withinMs);
   }
 
   /** Whether the disk, which has no vote yet, can join: it stores the newest chosen value and syncs it. */
@@ -191,7 +194,7 @@
 
   /** Reads at a majority; never a local guess. */
   read(withinMs: number): Promise<proposers.Outcome> {
-    return this.proposer.change(unchanged, withinMs);
+    return this.queue.change(unchanged, withinMs);
   }
 
   /** Whether there is anybody to ask: another node, or itself as a core of one. */
