Proposers listen before they begin a round (register/contention.ts)

Cause: proposers at several nodes ended each other's rounds; the loser's pause doubled up to 600 ms while newcomers began at once. Change: a proposer waits while its node's voter is between another's prepare and accept, at most 1.5 usual changes, then a little longer, shorter the longer it has waited; the ballot begins above the highest one that the voter was asked with; while others propose, the pause after a lost round stays under 65 ms. It only delays the begin of a round. proposer.ts, core.ts and tests/sim/core.ts get the hooks.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -81,10 +81,10 @@
   register(handlers: link.Handlers): void {
     const core = this;
     handlers.on(calls.prepare, function prepare(_from, ask) {
-      return core.voter ? core.voter.prepare(ask) : null;
+      return core.takePrepare(ask);
     });
     handlers.on(calls.accept, function accept(_from, ask) {
-      return core.voter ? core.voter.accept(ask) : null;
+      return core.takeAccept(ask);
     });
     handlers.on(calls.chosen, function chosen(_from, news) {
       if (news.value) core.learn(news.value);
@@ -107,12 +107,12 @@
   }
 
   prepare(voter: schema.Voter, ask: schema.Prepare): Promise<schema.Vote | null> {
-    if (this.isOwn(voter)) return this.voter ? this.voter.prepare(ask) : Promise.resolve(null);
+    if (this.isOwn(voter)) return this.takePrepare(ask);
     return this.linkTo(voter)?.call(calls.prepare, ask, VOTE_MS) ?? Promise.resolve(null);
   }
 
   accept(voter: schema.Voter, ask: schema.Accept): Promise<schema.Vote | null> {
-    if (this.isOwn(voter)) return this.voter ? this.voter.accept(ask) : Promise.resolve(null);
+    if (this.isOwn(voter)) return this.takeAccept(ask);
     return this.linkTo(voter)?.call(calls.accept, ask, VOTE_MS) ?? Promise.resolve(null);
   }
 
@@ -120,6 +120,17 @@
     return this.voter?.promised.n ?? 0;
   }
 
+  /** This node's own voter, asked by any proposer. */
+  private takePrepare(ask: schema.Prepare): Promise<schema.Vote | null> {
+    this.proposer.contention.sawPrepare(ask.ballot);
+    return this.voter ? this.voter.prepare(ask) : Promise.resolve(null);
+  }
+
+  private takeAccept(ask: schema.Accept): Promise<schema.Vote | null> {
+    this.proposer.contention.sawAccept(ask.ballot);
+    return this.voter ? this.voter.accept(ask) : Promise.resolve(null);
+  }
+
   /** Whether the voter's very disk is in touch; one that isn't known yet, just after a start, counts by its address. */
   private isInTouch(voter: schema.Voter): boolean {
     if (this.disk !== "" && voter.disk === this.disk) return true;
--- /dev/null
+++ b/src/register/contention.ts
@@ -0,0 +1,102 @@
+/**
+ * Keeps proposers at several nodes out of each other's way (design/hardening/2-orders). A prepare with a higher ballot
+ * ends the round of whoever is between its two rounds; on slow disks several proposers could do so to each other for
+ * seconds. So a proposer listens first: while this node's voter was asked by another proposer to prepare and not yet to
+ * accept, it waits, for as long as a change usually takes, and then for a little more by chance, so that those who
+ * waited for the same round do not begin at the same moment.
+ *
+ * This only ever delays the begin of a round: no promise, quorum or value depends on it.
+ */
+import type * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import * as world from "../wire/world.js";
+import * as registers from "./value.js";
+
+/** How long a change takes, until one was measured, and the bounds on what is believed of it. */
+const FIRST_CHANGE_MS = 200;
+const LEAST_CHANGE_MS = 50;
+const MOST_CHANGE_MS = 800;
+/** The newest measurement's part in the mean. */
+const NEWEST_SHARE = 0.3;
+/** A round that lasts longer than this many usual changes was given up, or only read. */
+const PATIENCE_CHANGES = 1.5;
+/** The longest wait after a round of others: this, and so many usual changes; the last part of it is left to chance. */
+const SPREAD_MS = 100;
+const SPREAD_CHANGES = 0.5;
+const JITTER = 0.3;
+/** Others count as active for so long after their last prepare. */
+const ACTIVE_MS = 3000;
+const LISTEN_MS = 10;
+
+interface Round {
+  ballot: schema.Ballot;
+  since: types.SteadyMs;
+}
+
+export class Contention {
+  private round: Round | null = null;
+  /** The highest ballot number that this node's voter was asked with. */
+  highestSeen = 0;
+  private changeMs = FIRST_CHANGE_MS;
+  private otherAt: number = Number.NEGATIVE_INFINITY;
+  private ownAt: number = Number.NEGATIVE_INFINITY;
+
+  constructor(
+    private readonly clock: types.World,
+    private readonly own: string,
+  ) {}
+
+  /** This node's voter is asked to prepare. */
+  sawPrepare(ballot: schema.Ballot): void {
+    this.highestSeen = Math.max(this.highestSeen, ballot.n);
+    if (ballot.by === this.own) return;
+    this.otherAt = this.clock.now();
+    if (this.round && registers.compareBallots(ballot, this.round.ballot) <= 0) return;
+    this.round = { ballot, since: this.clock.now() };
+  }
+
+  /** This node's voter is asked to accept: the round of that ballot, and any before it, are over. */
+  sawAccept(ballot: schema.Ballot): void {
+    if (this.round && registers.compareBallots(ballot, this.round.ballot) >= 0) this.round = null;
+  }
+
+  /** A change of this node's own was chosen, `ms` after its prepare. */
+  changed(ms: number): void {
+    this.ownAt = this.clock.now();
+    const mean = this.changeMs + (ms - this.changeMs) * NEWEST_SHARE;
+    this.changeMs = Math.min(MOST_CHANGE_MS, Math.max(LEAST_CHANGE_MS, mean));
+  }
+
+  /** Whether another proposer was at work lately. */
+  isActive(): boolean {
+    return this.clock.now() - this.otherAt < ACTIVE_MS;
+  }
+
+  private isBusy(): boolean {
+    return this.round !== null && this.clock.now() - this.round.since < this.changeMs * PATIENCE_CHANGES;
+  }
+
+  /** Whether this node would begin again right behind a change of its own, while others wait. */
+  private isHogging(): boolean {
+    return this.isActive() && this.clock.now() - this.ownAt < this.changeMs * SPREAD_CHANGES;
+  }
+
+  /**
+   * Resolves when no other proposer is in the middle of a change, as far as this node can know; at `until` at the latest.
+   * `since`: when this node's change began to wait. Who has waited longer listens for a shorter time, and so comes first.
+   */
+  async clear(since: number, until: number): Promise<void> {
+    let isWaiting = this.isHogging() || this.isBusy();
+    while (isWaiting && this.clock.now() < until) {
+      while (this.isBusy() && this.clock.now() < until) await world.sleep(this.clock, LISTEN_MS);
+      await world.sleep(this.clock, this.pauseMs(since));
+      isWaiting = this.isBusy();
+    }
+  }
+
+  private pauseMs(since: number): number {
+    const longest = SPREAD_MS + this.changeMs * SPREAD_CHANGES;
+    const waited = (this.clock.now() - since) / this.changeMs;
+    return (longest * (1 - JITTER * this.clock.random())) / (1 + waited);
+  }
+}
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -6,6 +6,7 @@
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as world from "../wire/world.js";
+import * as contentions from "./contention.js";
 import * as rounds from "./round.js";
 import * as registers from "./value.js";
 
@@ -23,10 +24,14 @@
 
 const FIRST_PAUSE_MS = 25;
 const MOST_PAUSE_MS = 600;
+/** While others propose: `contention` keeps them apart, so that a longer pause would only let newcomers pass. */
+const MOST_CONTENDED_PAUSE_MS = 50;
 
 export class Proposer {
   private highestBallot = 0;
   private last: Promise<unknown> = Promise.resolve();
+  /** What other proposers do, as this node's voter sees it. */
+  readonly contention: contentions.Contention;
   /** The newest value known to be chosen. */
   private known: schema.Value;
   /** An accepted value newer than `known`, not known to be chosen: its voters are asked as well, nothing else follows from it. */
@@ -40,6 +45,7 @@
     private readonly onChosen: (value: schema.Value) => void,
   ) {
     this.known = first;
+    this.contention = new contentions.Contention(clock, life);
   }
 
   /** Takes a value that was chosen, as heard from another node. */
@@ -92,19 +98,25 @@
 
   private async attempt(step: Step, until: number): Promise<Outcome> {
     let pause = FIRST_PAUSE_MS;
+    const since = this.clock.now();
     while (this.clock.now() < until) {
+      await this.contention.clear(since, until);
+      const startedAt = this.clock.now();
       const outcome = await this.round(step);
-      if (outcome) return outcome;
+      if (outcome) {
+        this.contention.changed(this.clock.now() - startedAt);
+        return outcome;
+      }
       log.count("register.again");
       await world.sleep(this.clock, pause * (0.3 + this.clock.random()));
-      pause = Math.min(MOST_PAUSE_MS, pause * 2);
+      pause = Math.min(this.contention.isActive() ? MOST_CONTENDED_PAUSE_MS : MOST_PAUSE_MS, pause * 2);
     }
     return result.err(errors.fail("no_majority", "no majority of the core replied in time", "send the call again, to any control node"));
   }
 
   /** Null: not decided in this round, which is run again with a higher ballot. */
   private async round(step: Step): Promise<Outcome | null> {
-    this.highestBallot = Math.max(this.highestBallot, this.reach.promised?.() ?? 0) + 1;
+    this.highestBallot = Math.max(this.highestBallot, this.contention.highestSeen, this.reach.promised?.() ?? 0) + 1;
     const ballot = { n: this.highestBallot, by: this.life };
     const promises = await this.prepare(ballot);
     const read = this.readFrom(promises);
--- a/tests/sim/core.ts
+++ b/tests/sim/core.ts
@@ -47,7 +47,7 @@
       {
         async write(body: Buffer): Promise<void> {
           while (node.isDiskHung) await node.core.wait(50);
-          await node.core.wait(2 + node.core.clock.random() * 5);
+          await node.core.wait((2 + node.core.clock.random() * 5) * node.core.diskFactor);
           if (node.core.broken === "forget_promise") {
             const kept = voters.Voter.restore(body);
             node.stored = schema.disk.toBuffer({ ...kept, promised: registers.NO_BALLOT });
@@ -87,6 +87,8 @@
   readonly nodes = new Map<string, SimNode>();
   readonly cuts = new Set<string>();
   lossShare = 0;
+  /** How many times slower than usual the disks are. */
+  diskFactor = 1;
   readonly first: schema.Value;
 
   constructor(
@@ -166,12 +168,16 @@
         return from.voter?.promised.n ?? 0;
       },
       prepare(voter, ask) {
-        return core.send(from, core.addressOf(voter), function run(target) {
+        const address = core.addressOf(voter);
+        return core.send(from, address, function run(target) {
+          core.nodes.get(address)?.proposer.contention.sawPrepare(ask.ballot);
           return target.prepare(ask);
         });
       },
       accept(voter, ask) {
-        return core.send(from, core.addressOf(voter), function run(target) {
+        const address = core.addressOf(voter);
+        return core.send(from, address, function run(target) {
+          core.nodes.get(address)?.proposer.contention.sawAccept(ask.ballot);
           return target.accept(ask);
         });
       },
