--- a/tests/orders.test.ts
+++ b/tests/orders.test.ts
@@ -152,7 +152,7 @@
     voter.address === "c:1" ? { disk: joiner.voter!.disk, node: "d:1", address: "d:1" } : voter,
   );
   expect((await done(clock, proposer.change(policy.voterStep(before, voters), 5000))).isOk).toBe(true);
-  expect((await done(clock, proposer.change(policy.settleStep, 5000))).isOk).toBe(true);
+  expect((await done(clock, proposer.change(policy.settleStep(core.newestChosen()!), 5000))).isOk).toBe(true);
   joiner.makeProposer(core.newestChosen()!);
 }
 
