--- a/src/wire/register-schema.ts
+++ b/src/wire/register-schema.ts
@@ -1,6 +1,5 @@
 // The register's records and messages: its value, ballots, votes, and what a voter keeps on disk (design 5).
 import * as avscTypes from "avsc/lib/types.js"; // its types alone: containers and services would only slow a start
-import * as errors from "../startup/errors.js";
 import * as avro from "./avro.js";
 import type * as types from "./types.js";
 
@@ -119,29 +118,9 @@
   promised: Ballot;
   accepted: Accepted | null;
 }
-const diskRecord = avro.record<Disk>("Disk", [
+/** What a voter keeps on disk. The store's files name this layout by its fingerprint, so that another release's is never misread. */
+export const disk = avro.record<Disk>("Disk", [
   { name: "disk", type: "string" },
   { name: "promised", type: ballotType },
   { name: "accepted", type: ["null", acceptedType] },
 ]);
-
-/**
- * The layout of what a voter keeps; raise it by two with any change to it. The records of release 1 bore no such byte:
- * they began with the length of a string, whose byte is even or above 127.
- */
-const DISK_FORMAT = 3;
-
-/** What a voter keeps, behind a byte that names the layout; a record of another layout is an error and never misread. */
-export const disk: avro.Schema<Disk> = {
-  toBuffer(value) {
-    return Buffer.concat([Buffer.of(DISK_FORMAT), diskRecord.toBuffer(value)]);
-  },
-  fromBuffer(bytes) {
-    if (bytes.length > 0 && bytes.readUInt8(0) === DISK_FORMAT) return diskRecord.fromBuffer(bytes.subarray(1));
-    throw errors.fail(
-      "store",
-      "the record on this disk was written by another release",
-      "run that release, or empty data_dir: the node then comes back as a new voter",
-    );
-  },
-};
--- a/tests/disk-faults.test.ts
+++ b/tests/disk-faults.test.ts
@@ -1,7 +1,6 @@
 // The voter's disk under cuts, losses of power, short and refused writes and failed syncs (design 5.3).
 import * as fc from "fast-check";
 import * as schema from "../src/wire/schema.js";
-import * as types from "../src/wire/types.js";
 import type * as voters from "../src/register/voter.js";
 import * as simulated from "./sim/disk.js";
 import * as simWorld from "./sim/disk-world.js";
@@ -75,7 +74,7 @@
 }
 
 function prepareOf(disk: string, number: number): schema.Prepare {
-  return { disk, ballot: { n: number, by: "p" }, voterEpoch: types.FIRST_EPOCH };
+  return { disk, ballot: { n: number, by: "p" } };
 }
 
 async function playHistory(disk: simulated.SimulatedDisk, history: Life[], isBootstrap: boolean): Promise<void> {
--- a/tests/disk-start.test.ts
+++ b/tests/disk-start.test.ts
@@ -24,7 +24,7 @@
 }
 
 function prepare(voter: voters.Voter, number: number): Promise<schema.Vote | null> {
-  return voter.prepare({ disk: voter.disk, ballot: { n: number, by: "p" }, voterEpoch: types.FIRST_EPOCH });
+  return voter.prepare({ disk: voter.disk, ballot: { n: number, by: "p" } });
 }
 
 async function diskWithPromises(count = 6): Promise<simulated.SimulatedDisk> {
@@ -92,7 +92,7 @@
   const voter = await start(disk).voter;
   async function acceptOf(number: number, bytes: number): Promise<schema.Vote | null> {
     const value = { ...largeValue(), config: Buffer.alloc(bytes, number) };
-    return voter.accept({ disk: voter.disk, ballot: { n: number, by: "p" }, voterEpoch: types.FIRST_EPOCH, value });
+    return voter.accept({ disk: voter.disk, ballot: { n: number, by: "p" }, isSetChosen: true, value });
   }
   expect(await acceptOf(1, 100_000)).toMatchObject({ isGranted: true });
   await until(() => disk.files.get("register-3")!.unsynced.length === 0 && disk.files.get("register-3")!.current.length > 200_000);
@@ -105,7 +105,16 @@
 
 function largeValue(): schema.Value {
   const epoch = types.FIRST_EPOCH;
-  return { epoch, revision: 1, config: Buffer.alloc(0), taken: [], evacuations: [], voterEpoch: epoch, voters: [], former: [] };
+  return {
+    epoch,
+    revision: 1,
+    config: Buffer.alloc(0),
+    taken: Buffer.alloc(0),
+    evacuations: [],
+    voterEpoch: epoch,
+    voters: [],
+    former: [],
+  };
 }
 
 test("a disk that refuses writes makes a silent voter that says so once, and votes again by itself", async function refusing() {
