Contact with a majority, measured on the steady clock, before a control node counts as settled

Cause: 'settled' was that links to a majority were open, up to 1.8 s stale, and nothing said whether the configuration was current. Change: Contact asks the voters with each beat (the lease fence's asks, now shared); a node is confirmed while a majority of both sets answered asks of the last 1.2 s and knows nothing newer. Operator's calls elsewhere by 307 or 503, directory from own sessions, no leases, duties to confirmed ones, a starting router waits for a confirmed configuration (1.2 s at most). A leaving node says so. Release 2 of the frames.

--- /dev/null
+++ b/src/control/account.ts
@@ -0,0 +1,39 @@
+// A control node's own account of itself, for its operators (design 9.1, docs/operating.md).
+import * as counts from "../wire/counts.js";
+import type * as schema from "../wire/schema.js";
+import * as log from "../startup/log.js";
+import * as vitals from "../startup/vitals.js";
+import type * as contacts from "./contact.js";
+import type * as cores from "./core.js";
+import type * as sessions from "./sessions.js";
+
+export interface AccountParts {
+  node: schema.NodeInfo;
+  core: cores.Core;
+  contact: contacts.Contact;
+  members: sessions.Sessions;
+  /** The platform's list and the reports, as Cells tells them. */
+  cells: unknown;
+}
+
+export function account(parts: AccountParts): unknown {
+  const { node, core, contact, members, cells } = parts;
+  const value = core.chosen;
+  return {
+    node,
+    isSettled: contact.isConfirmed(),
+    contact: contact.status(),
+    register: value && {
+      epoch: value.epoch,
+      revision: value.revision,
+      evacuations: value.evacuations,
+      voters: value.voters,
+      former: value.former,
+    },
+    members: { control: members.members("control"), router: members.members("router") },
+    cells,
+    counters: Object.fromEntries(log.counted()),
+    vitals: vitals.vitals(),
+    links: Object.fromEntries(counts.linkCounts()),
+  };
+}
--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -12,6 +12,7 @@
 import type * as cores from "./core.js";
 import type * as sessions from "./sessions.js";
 import * as deal from "./deal.js";
+import * as duties from "./duties.js";
 import * as lists from "./list.js";
 import * as orchestrators from "./orchestrator.js";
 import * as relays from "../signs/relay.js";
@@ -35,6 +36,7 @@
     private readonly feed: feeds.Feed,
     core: cores.Core,
     private readonly members: sessions.Sessions,
+    private readonly ownFitness: () => duties.Fitness,
   ) {
     for (const [zone, region] of Object.entries(startup.zones)) this.regionOf.set(zone, region);
     this.lists = new lists.RegionLists(this.regionOf, feed);
@@ -120,29 +122,24 @@
     this.publisher.take(report);
   }
 
-  /** Control nodes that this one hears, itself among them, in one order for all. */
-  private controls(): { name: string; region: string }[] {
-    const all = [{ name: this.startup.node_name, region: this.startup.region }];
+  /** The control nodes that this one hears, itself among them, and how fit for duty each says it is. */
+  private candidates(): duties.Candidate[] {
+    const { node_name: name, region } = this.startup;
+    const all: duties.Candidate[] = [{ name, region, fitness: this.ownFitness() }];
     for (const control of this.dial.controls.values()) {
-      if (this.members.isHeld(control.node.name)) all.push({ name: control.node.name, region: control.node.region });
-    }
-    return all.sort(byName);
-  }
-
-  private rankWithin(order: { name: string }[]): number {
-    const own = this.startup.node_name;
-    return order.findIndex(isOwn);
-    function isOwn(item: { name: string }): boolean {
-      return item.name === own;
+      const { node } = control;
+      if (this.members.isHeld(node.name)) all.push({ name: node.name, region: node.region, fitness: duties.fitnessOf(control) });
     }
+    return all;
   }
 
   private listRank(): number {
-    return this.rankWithin(this.controls());
+    return duties.rankOf(this.startup.node_name, duties.fittest(this.candidates()));
   }
 
   rank(region: string): number {
-    return this.rankWithin(deal.readersOf(region, this.controls(), this.weights()));
+    const readers = deal.readersOf(region, duties.fittest(this.candidates()), this.weights());
+    return duties.rankOf(this.startup.node_name, readers);
   }
 
   /** Runners that write reports, by region. */
@@ -171,10 +168,6 @@
   }
 }
 
-function byName(left: { name: string }, right: { name: string }): number {
-  return left.name < right.name ? -1 : left.name > right.name ? 1 : 0;
-}
-
 function linkOf(control: dialers.Control): link.Link {
   return control.link;
 }
--- /dev/null
+++ b/src/control/contact.ts
@@ -0,0 +1,177 @@
+// Contact with a majority of the voters, measured on the steady clock (design/hardening/1-cut-off).
+import * as events from "node:events";
+import * as calls from "../wire/calls.js";
+import type * as leaseSchema from "../wire/lease-schema.js";
+import type * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import * as log from "../startup/log.js";
+import type * as dialers from "../feed/dialer.js";
+import * as registers from "../register/value.js";
+import * as tenures from "../shares/tenure.js";
+import type * as cores from "./core.js";
+
+/** A voter's answer counts for so long, in milliseconds from when it was asked. */
+export const CONFIRMED_MS = tenures.FENCE_MS;
+
+interface Answer {
+  sentAt: types.SteadyMs;
+  /** The newest epoch that the voter had accepted, or knew as chosen, when it answered. */
+  epoch: types.Epoch;
+}
+
+/**
+ * Whether a chosen value is confirmed: a majority of its voters (of both sets, when it is a joint value) answered asks
+ * sent within CONFIRMED_MS, and none of these answers knows a newer epoch. Then every change that was acknowledged
+ * before the oldest of these asks was sent is part of the value.
+ */
+export class Confirmation {
+  private readonly answers = new Map<string, Answer[]>();
+
+  constructor(private readonly world: types.World) {}
+
+  /** Takes a voter's answer; sentAt: when it was asked, on the own clock. An answer ahead of the value counts once the value has caught up. */
+  take(disk: string, answer: Answer): void {
+    const since = this.world.now() - CONFIRMED_MS;
+    if (disk === "" || answer.sentAt <= since) return;
+    const recent = (this.answers.get(disk) ?? []).filter(isRecent);
+    recent.push(answer);
+    this.answers.set(disk, recent);
+    function isRecent(item: Answer): boolean {
+      return item.sentAt > since;
+    }
+  }
+
+  isConfirmed(value: schema.Value | null): boolean {
+    return value !== null && registers.isQuorum(value, this.confirming(value));
+  }
+
+  /** The disks whose recent answers know nothing newer than the value. */
+  confirming(value: schema.Value): Set<string> {
+    const since = this.world.now() - CONFIRMED_MS;
+    const disks = new Set<string>();
+    for (const [disk, answers] of this.answers) if (answers.some(isCurrent)) disks.add(disk);
+    return disks;
+    function isCurrent(answer: Answer): boolean {
+      return answer.sentAt > since && answer.epoch <= value.epoch;
+    }
+  }
+}
+
+/** A voter's answer to an ask of this node: the voter epoch asked for, when (own clock), and the reply. */
+export type OnReply = (asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply) => void;
+
+export interface ContactEvents {
+  /** The chosen value is confirmed again, or for the first time. */
+  confirmed: [];
+  /** The confirmation ran out, or this node is leaving. */
+  lost: [];
+}
+
+/** Asks the voters with each beat and tells whether this node is confirmed now. */
+export class Contact extends events.EventEmitter<ContactEvents> {
+  private readonly confirmation: Confirmation;
+  private wasConfirmed = false;
+  private isWithdrawn = false;
+  private changedAt: types.SteadyMs;
+  /** Whether this process was ever confirmed. */
+  hasStarted = false;
+
+  constructor(
+    private readonly world: types.World,
+    private readonly core: cores.Core,
+    private readonly dial: dialers.Dialer,
+    private readonly onReply: OnReply,
+  ) {
+    super();
+    // Each order that is under way listens for the loss of contact.
+    this.setMaxListeners(0);
+    this.confirmation = new Confirmation(world);
+    this.changedAt = world.now();
+    dial.on("up", this.ask.bind(this));
+    core.on("chosen", this.chosen.bind(this));
+  }
+
+  /** Judged by the clock at each call, so that a process that stood still finds its confirmation expired. */
+  isConfirmed(): boolean {
+    return !this.isWithdrawn && this.confirmation.isConfirmed(this.core.chosen);
+  }
+
+  /** Asks all control nodes with a link; whoever is no voter yet may be one soon. */
+  beat(): void {
+    for (const control of this.dial.controls.values()) this.ask(control);
+    this.turn();
+  }
+
+  /** Hears the own disk, and notices that the confirmation ran out. */
+  turn(): void {
+    this.answerOwn();
+    this.judge();
+  }
+
+  /** This node leaves: from now on it is not confirmed, whatever the voters say. */
+  withdraw(): void {
+    this.isWithdrawn = true;
+    this.judge();
+  }
+
+  status(): unknown {
+    const { chosen } = this.core;
+    const isConfirmed = this.isConfirmed();
+    return {
+      isConfirmed,
+      isLeaving: this.isWithdrawn,
+      sinceMs: Math.round(this.world.now() - this.changedAt),
+      voters: chosen?.voters.length ?? 0,
+      confirming: chosen ? this.confirmingVoters(chosen) : 0,
+    };
+  }
+
+  private confirmingVoters(chosen: schema.Value): number {
+    const disks = this.confirmation.confirming(chosen);
+    return chosen.voters.filter(isAnswering).length;
+    function isAnswering(voter: schema.Voter): boolean {
+      return disks.has(voter.disk);
+    }
+  }
+
+  /** After the first value, or another set of voters, the answer is not left to the next beat. */
+  private chosen(): void {
+    if (this.isConfirmed()) this.judge();
+    else this.beat();
+  }
+
+  private ask(control: dialers.Control): void {
+    const sentAt = this.world.now();
+    const asked = this.core.chosen?.voterEpoch ?? types.NO_EPOCH;
+    void control.link.call(calls.fence, { voterEpoch: asked }, CONFIRMED_MS).then(this.heard.bind(this, control, asked, sentAt));
+  }
+
+  private heard(control: dialers.Control, asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply | null): void {
+    if (!reply) return;
+    this.confirmation.take(reply.disk, { sentAt, epoch: types.laterEpoch(reply.acceptedEpoch, reply.chosenEpoch) });
+    this.onReply(asked, sentAt, reply);
+    if (reply.chosenEpoch > (this.core.chosen?.epoch ?? types.NO_EPOCH)) void this.core.catchUp(control.link, reply.chosenEpoch);
+    this.judge();
+  }
+
+  /** The own disk answers at once, as of now. */
+  private answerOwn(): void {
+    this.confirmation.take(this.core.disk, { sentAt: this.world.now(), epoch: this.core.acceptedEpoch });
+  }
+
+  private judge(): void {
+    const isConfirmed = this.isConfirmed();
+    if (isConfirmed === this.wasConfirmed) return;
+    this.wasConfirmed = isConfirmed;
+    this.hasStarted ||= isConfirmed;
+    this.changedAt = this.world.now();
+    log.count(isConfirmed ? "contact.confirmed" : "contact.lost");
+    log.state(isConfirmed ? "contact: a majority of the voters confirms" : this.lostLine());
+    this.emit(isConfirmed ? "confirmed" : "lost");
+  }
+
+  private lostLine(): string {
+    if (this.isWithdrawn) return "contact: leaving, no longer confirmed";
+    return `contact: no majority of the voters confirmed within ${CONFIRMED_MS} ms`;
+  }
+}
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -52,6 +52,11 @@
     return this.voter?.accepted?.value.voterEpoch ?? types.NO_EPOCH;
   }
 
+  /** The newest epoch accepted on the own disk, chosen or not. */
+  get acceptedEpoch(): types.Epoch {
+    return this.voter?.accepted?.value.epoch ?? types.NO_EPOCH;
+  }
+
   /** The disk is read: from now on this node may vote. */
   enter(voter: voters.Voter): void {
     this.voter = voter;
--- /dev/null
+++ b/src/control/duties.ts
@@ -0,0 +1,43 @@
+// Who is fit to read the platform's list and the regions' reports for all (design/hardening/1-cut-off).
+import * as dialers from "../feed/dialer.js";
+
+/** A higher one goes first: a confirmed node, then one that is cut off from a majority, last one that is leaving. */
+export const LEAVING = 0;
+export const UNCONFIRMED = 1;
+export const CONFIRMED = 2;
+export type Fitness = typeof LEAVING | typeof UNCONFIRMED | typeof CONFIRMED;
+
+export interface Candidate {
+  name: string;
+  region: string;
+  fitness: Fitness;
+}
+
+/** By what another control node said last. */
+export function fitnessOf(control: dialers.Control): Fitness {
+  if (dialers.isLeaving(control)) return LEAVING;
+  return dialers.isConfirmed(control) ? CONFIRMED : UNCONFIRMED;
+}
+
+/** The fittest of all, by name; while nobody is confirmed, a side that is cut off still has its readers. */
+export function fittest(candidates: readonly Candidate[]): Candidate[] {
+  let best: Fitness = LEAVING;
+  for (const { fitness } of candidates) if (fitness > best) best = fitness;
+  return candidates.filter(isBest).sort(byName);
+  function isBest(candidate: Candidate): boolean {
+    return candidate.fitness === best;
+  }
+}
+
+/** The place in an order of readers; one that is not among them stands in after all of them. */
+export function rankOf(name: string, order: readonly { name: string }[]): number {
+  const rank = order.findIndex(isNamed);
+  return rank < 0 ? order.length : rank;
+  function isNamed(item: { name: string }): boolean {
+    return item.name === name;
+  }
+}
+
+function byName(left: Candidate, right: Candidate): number {
+  return left.name < right.name ? -1 : left.name > right.name ? 1 : 0;
+}
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -2,24 +2,26 @@
 // (design/shares 2, 4).
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
-import * as leaseSchema from "../wire/lease-schema.js";
+import type * as leaseSchema from "../wire/lease-schema.js";
 import * as types from "../wire/types.js";
-import type * as dialers from "../feed/dialer.js";
 import * as owners from "../shares/owner.js";
 import type * as parts from "../shares/parts.js";
 import * as tenures from "../shares/tenure.js";
+import type * as contacts from "./contact.js";
 import type * as cores from "./core.js";
 
+/** Higher than any epoch: an owner that is not confirmed grants nothing. */
+const BEYOND = types.small<types.Epoch>(Number.MAX_SAFE_INTEGER);
+
 export class Lessor {
   private readonly tenure: tenures.Tenure;
   private readonly owner: owners.LeaseOwner;
 
   constructor(
-    private readonly world: types.World,
+    world: types.World,
     life: string,
     bounds: parts.Bounds,
     private readonly core: cores.Core,
-    private readonly dial: dialers.Dialer,
   ) {
     this.tenure = new tenures.Tenure(world);
     this.owner = new owners.LeaseOwner(world, life, bounds, this.tenure);
@@ -29,33 +31,36 @@
     this.owner.resettle(bounds);
   }
 
-  register(handlers: link.Handlers): void {
-    const lessor = this;
-    handlers.on(calls.lease, function lease(_from, ask) {
-      lessor.follow();
-      return lessor.owner.reply(ask, lessor.core.acceptedVoterEpoch);
-    });
-    handlers.on(calls.fence, function fence(_from, ask) {
-      lessor.follow();
-      return { disk: lessor.core.disk, voterEpoch: lessor.core.acceptedVoterEpoch, knownMs: lessor.tenure.knownMs(ask.voterEpoch) };
-    });
+  /** Answers routers that ask for leases, and control nodes that ask what this voter knows (contact.ts). */
+  register(handlers: link.Handlers, contact: contacts.Contact): void {
+    handlers.on(calls.lease, this.lease.bind(this, contact));
+    handlers.on(calls.fence, this.fence.bind(this));
+  }
+
+  private lease(contact: contacts.Contact, _from: link.Link, ask: leaseSchema.LeaseAsk): leaseSchema.LeaseReply {
+    this.follow();
+    return this.owner.reply(ask, contact.isConfirmed() ? this.core.acceptedVoterEpoch : BEYOND);
+  }
+
+  private fence(_from: link.Link, ask: leaseSchema.FenceAsk): leaseSchema.FenceReply {
+    this.follow();
+    const { disk, acceptedVoterEpoch, acceptedEpoch, chosen } = this.core;
+    return {
+      disk,
+      voterEpoch: acceptedVoterEpoch,
+      knownMs: this.tenure.knownMs(ask.voterEpoch),
+      acceptedEpoch,
+      chosenEpoch: chosen?.epoch ?? types.NO_EPOCH,
+    };
   }
 
   private follow(): void {
     if (this.core.chosen) this.tenure.take(this.core.chosen, this.core.disk);
   }
 
-  /** With each beat: the voters are asked whether they know newer ones. */
-  beat(): void {
+  /** A voter's reply to one of the contact's asks; see OnReply of contact.ts. */
+  heard(asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply): void {
     this.follow();
-    const { tenure, world } = this;
-    const { epoch } = tenure;
-    if (tenure.slot < 0) return;
-    const sentAt = world.now();
-    for (const control of this.dial.controls.values())
-      void control.link.call(calls.fence, { voterEpoch: epoch }, tenures.FENCE_MS).then(hear);
-    function hear(reply: leaseSchema.FenceReply | null): void {
-      if (reply) tenure.hear(epoch, sentAt, reply);
-    }
+    this.tenure.hear(asked, sentAt, reply);
   }
 }
--- /dev/null
+++ b/src/control/membership.ts
@@ -0,0 +1,46 @@
+// What nodes say to a control node about themselves: hello, beats, and other control nodes' rosters (design 4.1).
+import * as calls from "../wire/calls.js";
+import type * as link from "../wire/link.js";
+import type * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import type * as dialers from "../feed/dialer.js";
+import type * as contacts from "./contact.js";
+import type * as cores from "./core.js";
+import type * as sessions from "./sessions.js";
+
+export interface MembershipParts {
+  handlers: link.Handlers;
+  members: sessions.Sessions;
+  dial: dialers.Dialer;
+  core: cores.Core;
+  contact: contacts.Contact;
+  describe(): schema.NodeInfo;
+  /** This control node and those it has links to. */
+  controls(): schema.ControlInfo[];
+  /** The life of this node's feed. */
+  place: string;
+}
+
+export function register(parts: MembershipParts): void {
+  const { handlers, members, dial, core, contact } = parts;
+  handlers.on(calls.hello, function hello(from, ask) {
+    members.enter(ask.node, from);
+    if (ask.node.role === "control") dial.know([ask.node.address]);
+    return { node: parts.describe(), controls: parts.controls(), place: parts.place, isConfirmed: contact.isConfirmed() };
+  });
+  handlers.on(calls.beat, function beat(from, told) {
+    members.beat(from, told);
+    dial.heard(from, told);
+    if (told.epoch > (core.chosen?.epoch ?? types.NO_EPOCH)) void core.catchUp(from, told.epoch);
+    return null;
+  });
+  handlers.on(calls.sessions, function sessions(from, told) {
+    members.hear(from, told);
+    dial.learn(told.controls);
+    return null;
+  });
+  handlers.on(calls.whole, function whole(from) {
+    members.forgetPlace(from);
+    return null;
+  });
+}
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -2,30 +2,36 @@
 import * as crypto from "node:crypto";
 import * as net from "node:net";
 import * as calls from "../wire/calls.js";
-import * as counts from "../wire/counts.js";
 import * as link from "../wire/link.js";
 import * as listening from "../wire/listen.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
+import * as worlds from "../wire/world.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
 import * as parts from "../config/parts.js";
-import * as vitals from "../startup/vitals.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
 import * as registers from "../register/value.js";
 import * as supervisor from "../supervisor/tree.js";
+import * as account from "./account.js";
 import * as arrangers from "./arranger.js";
 import * as cells from "./cells.js";
+import * as contacts from "./contact.js";
 import * as cores from "./core.js";
 import * as disks from "./disk.js";
-import * as directory from "./directory.js";
+import type * as doubts from "./doubt.js";
+import * as duties from "./duties.js";
+import * as endpoints from "./endpoints.js";
 import * as leases from "./leases.js";
+import * as membership from "./membership.js";
 import * as operators from "./operator.js";
-import * as serve from "./serve.js";
+import * as redirects from "./redirect.js";
 import * as sessions from "./sessions.js";
 
 const TURN_MS = 100;
+/** A leaving node's word reaches its neighbours before its links end. */
+const LEAVE_MS = 150;
 
 export class ControlProgram {
   private readonly life = crypto.randomBytes(6).toString("hex");
@@ -35,9 +41,11 @@
   private readonly members: sessions.Sessions;
   private readonly feed: feeds.Feed;
   private readonly core: cores.Core;
+  private readonly contact: contacts.Contact;
   private readonly cells: cells.Cells;
   private readonly leases: leases.Lessor;
   private readonly arranger: arrangers.Arranger;
+  private isLeaving = false;
   private closeDisk: (() => Promise<void>) | null = null;
   readonly root: supervisor.Supervisor;
 
@@ -54,8 +62,9 @@
     this.dial.know(seeds);
     const first = startup.bootstrap ? registers.firstValue(seeds) : registers.firstValue([]);
     this.core = new cores.Core(world, { life: this.life, address: this.address, first }, this.dial);
-    this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members);
-    this.leases = new leases.Lessor(world, this.life, startup.bounds, this.core, this.dial);
+    this.leases = new leases.Lessor(world, this.life, startup.bounds, this.core);
+    this.contact = new contacts.Contact(world, this.core, this.dial, this.leases.heard.bind(this.leases));
+    this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members, this.fitness.bind(this));
     this.arranger = new arrangers.Arranger(world, this.core, this.heldControls.bind(this));
     this.root = new supervisor.Supervisor("control", world, []);
     this.handle();
@@ -79,34 +88,15 @@
   }
 
   private handle(): void {
-    const { handlers, members, dial, core } = this;
+    const { handlers, members, dial, core, contact } = this;
     const describe = this.describe.bind(this);
     const controls = this.controls.bind(this);
     const feed = this.feed;
     const splitter = new parts.Splitter();
     core.register(handlers);
     this.cells.register(handlers);
-    this.leases.register(handlers);
-    handlers.on(calls.hello, function hello(from, ask) {
-      members.enter(ask.node, from);
-      if (ask.node.role === "control") dial.know([ask.node.address]);
-      return { node: describe(), controls: controls(), place: feed.place };
-    });
-    handlers.on(calls.beat, function beat(from, told) {
-      members.beat(from, told);
-      dial.heard(from, told);
-      if (told.epoch > (core.chosen?.epoch ?? types.NO_EPOCH)) void core.catchUp(from, told.epoch);
-      return null;
-    });
-    handlers.on(calls.sessions, function hear(from, told) {
-      members.hear(from, told);
-      dial.learn(told.controls);
-      return null;
-    });
-    handlers.on(calls.whole, function whole(from) {
-      members.forgetPlace(from);
-      return null;
-    });
+    this.leases.register(handlers, this.contact);
+    membership.register({ handlers, members, dial, core, contact, describe, controls, place: feed.place });
     dial.on("up", function met() {
       members.tellControls(controls());
     });
@@ -114,6 +104,8 @@
       feed.follow(from, ask);
       return null;
     });
+    contact.on("confirmed", this.tell.bind(this));
+    contact.on("lost", this.tell.bind(this));
     core.on("chosen", function chosen(value) {
       feed.publish(feeds.REGISTER_TOPIC, splitter.split(value), types.small(value.epoch));
     });
@@ -122,14 +114,11 @@
   private plan(seeds: string[]): void {
     const { root, startup } = this;
     const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this));
-    const view = { routers: this.members.routers.bind(this.members), ttlMostS: startup.bounds.ttl_max_s };
+    const redirector = new redirects.Redirector(this.world, this.contact, this.peers.bind(this), operator.reply.bind(operator));
+    const view = { routers: this.resolvable.bind(this), ttlMostS: startup.bounds.ttl_max_s };
     root.add(this.internal());
-    root.add(serve.child("operator", startup.bind_addresses.control_plane, operator.reply.bind(operator)));
-    root.add(serve.child("directory", startup.bind_addresses.directory, resolve));
-    function resolve(asked: serve.Asked): serve.Told {
-      if (asked.path === "/-/resolve") return directory.resolve(view, asked.query);
-      return { status: 404, json: { message: `no call ${asked.path}; ask /-/resolve` } };
-    }
+    root.add(endpoints.operatorChild(startup, redirector.reply.bind(redirector)));
+    root.add(endpoints.directoryChild(startup, view));
     root.add(root.turns("beats", link.BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("turn", TURN_MS, this.turn.bind(this)));
     root.add({ name: "disk", start: this.openDisk.bind(this, seeds), stop: this.stopDisk.bind(this) });
@@ -171,18 +160,37 @@
   }
 
   private beat(): void {
+    this.contact.beat();
+    this.tell();
+  }
+
+  /** Also at once when contact with a majority is found or lost. */
+  private tell(): void {
     const base = {
-      isReady: true,
+      isReady: !this.isLeaving,
       epoch: this.core.chosen?.epoch ?? types.NO_EPOCH,
-      isSettled: this.core.isSettled(),
+      isSettled: this.contact.isConfirmed(),
       silentRegions: this.dial.silentRegions(),
     };
     this.members.tellBeats(base);
-    this.leases.beat();
     this.dial.tellAll({ ...base, index: 0, members: 1 });
     this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
   }
 
+  private peers(): Iterable<dialers.Control> {
+    return this.dial.controls.values();
+  }
+
+  /** The routers that the directory names: while nobody confirms this node, those that it hears itself. */
+  private resolvable(): doubts.Seen[] {
+    return this.contact.isConfirmed() ? this.members.routers() : this.members.heardHere();
+  }
+
+  private fitness(): duties.Fitness {
+    if (this.isLeaving) return duties.LEAVING;
+    return this.contact.isConfirmed() ? duties.CONFIRMED : duties.UNCONFIRMED;
+  }
+
   /** This control node and those it has links to. */
   private controls(): schema.ControlInfo[] {
     const { node_name: name, zone, region } = this.startup;
@@ -193,6 +201,7 @@
     this.dial.turn();
     this.members.sweep();
     this.core.turn();
+    this.contact.turn();
     this.cells.turn();
     this.arranger.turn();
   }
@@ -216,29 +225,24 @@
   }
 
   status(): unknown {
-    const value = this.core.chosen;
-    return {
-      node: this.describe(),
-      isSettled: this.core.isSettled(),
-      register: value && {
-        epoch: value.epoch,
-        revision: value.revision,
-        evacuations: value.evacuations,
-        voters: value.voters,
-        former: value.former,
-      },
-      members: { control: this.members.members("control"), router: this.members.members("router") },
-      cells: this.cells.status(),
-      counters: Object.fromEntries(log.counted()),
-      vitals: vitals.vitals(),
-      links: Object.fromEntries(counts.linkCounts()),
-    };
+    const { core, contact, members } = this;
+    return account.account({ node: this.describe(), core, contact, members, cells: this.cells.status() });
   }
 
+  /** Hands over what others can take on, while it still votes; links end before the vote does, so that it is never silent. */
   async stop(): Promise<void> {
-    await this.root.stop();
+    this.isLeaving = true;
+    this.contact.withdraw();
+    this.tell();
+    await Promise.all([worlds.sleep(this.world, LEAVE_MS), this.handOverVote()]);
     this.dial.end();
     this.members.end();
+    await this.root.stop();
     this.cells.stop();
   }
+
+  /** Where a member hands its vote to a spare, if one is there (design/hardening/3-membership). */
+  private handOverVote(): Promise<void> {
+    return Promise.resolve();
+  }
 }
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -170,6 +170,16 @@
     return this.view;
   }
 
+  /** The routers heard here on links of their own; all that are believed when there is none (design/hardening/1-cut-off). */
+  heardHere(): doubts.Seen[] {
+    const heard: doubts.Seen[] = [];
+    for (const session of this.own.values()) {
+      const node = this.seen(session);
+      if (node.role === "router" && node.isReady) heard.push({ node, isSure: true });
+    }
+    return heard.length > 0 ? heard.sort(bySeenName) : this.routers();
+  }
+
   members(role: string): schema.NodeInfo[] {
     return role === "router" ? this.routers().map(nodeOf) : this.heard(role);
   }
@@ -200,6 +210,10 @@
   return old?.address !== control.address || old.name !== control.name;
 }
 
+function bySeenName(left: doubts.Seen, right: doubts.Seen): number {
+  return byName(left.node, right.node);
+}
+
 function byName(left: schema.NodeInfo, right: schema.NodeInfo): number {
   return left.name < right.name ? -1 : left.name > right.name ? 1 : 0;
 }
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -22,13 +22,28 @@
   place: string;
   link: link.Link;
   beat: schema.Beat | null;
+  /** When the last beat came, or the hello, on the own clock. */
   beatAt: number;
+  /** What its hello said; isConfirmed() tells its newest word. */
+  wasConfirmed: boolean;
   tripMs: number;
 }
 
 export interface DialerEvents {
   up: [control: Control];
   down: [control: Control];
+  /** A beat of it came. */
+  beat: [control: Control];
+}
+
+/** Whether the control node said, by its newest word, that a majority of the voters confirmed it lately. */
+export function isConfirmed(control: Control): boolean {
+  return control.beat ? control.beat.isSettled : control.wasConfirmed;
+}
+
+/** Whether it said that it leaves. */
+export function isLeaving(control: Control): boolean {
+  return control.beat !== null && !control.beat.isReady;
 }
 
 /** A known address. failures: in a row, since it was last up; dueAt, urgency: when and why it is dialled (few.ts). */
@@ -162,6 +177,7 @@
       link: made,
       beat: null,
       beatAt: this.world.now(),
+      wasConfirmed: known.isConfirmed,
       tripMs: this.world.now() - asked,
     };
     this.controls.set(address, control);
@@ -185,6 +201,7 @@
       if (control.link !== from) continue;
       control.beat = beat;
       control.beatAt = this.world.now();
+      this.emit("beat", control);
       return;
     }
   }
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -72,8 +72,8 @@
 
   private rankOf(control: dialers.Control): number {
     let rank = control.node.region === this.region ? 0 : 1;
-    // One that has not confirmed with a majority lately says so: others come first.
-    if (control.beat && !control.beat.isSettled) rank += 4;
+    // One that no majority confirmed lately says so: others come first.
+    if (!dialers.isConfirmed(control)) rank += 4;
     if (!this.isFresh(control)) rank += 8;
     return rank;
   }
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -27,6 +27,7 @@
 import * as readings from "./readings.js";
 import * as rotations from "./rotation.js";
 import * as servers from "./server.js";
+import * as startGates from "./start-gate.js";
 import * as topics from "./topics.js";
 import type * as transactions from "./transaction.js";
 
@@ -42,6 +43,7 @@
   private readonly life = crypto.randomBytes(6).toString("hex");
   private readonly handlers = new link.Handlers();
   private readonly dial: dialers.Dialer;
+  private readonly gate: startGates.StartGate;
   private readonly follower: followers.Follower;
   private readonly fleet: fleets.Fleet;
   private readonly rotation: rotations.Rotation;
@@ -54,7 +56,6 @@
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
   private epoch = types.NO_EPOCH;
-  private hasLists = false;
   readonly root: supervisor.Supervisor;
 
   constructor(
@@ -65,9 +66,11 @@
     this.rotation = new rotations.Rotation(clock);
     this.share = new shares.Shares(clock, startup.bounds);
     this.chooser = new choosers.Chooser(clock, this.fleet, this.rotation, this.share, startup.region, this.known);
-    this.server = new servers.RouterServer(clock, this.chooser, this.hasAll.bind(this), this.sending.bind(this), startup.limits);
     const few = new fews.Few(clock, { name: startup.node_name, region: startup.region });
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS, few);
+    this.gate = new startGates.StartGate(clock, this.dial.controls, this.opened.bind(this));
+    this.dial.on("beat", this.judgeStart.bind(this));
+    this.server = new servers.RouterServer(clock, this.chooser, this.gate.allows.bind(this.gate), this.sending.bind(this), startup.limits);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this.topics.bind(this), this);
     this.borrower = new leases.Borrower(clock, this.life, this.dial, this.share);
     this.dial.know(settings.innerSeeds(startup));
@@ -87,12 +90,18 @@
     this.plan();
   }
 
-  private hasAll(): boolean {
-    return this.chooser.table !== null && this.hasLists;
+  private isReady(): boolean {
+    return this.gate.isOpen && !this.server.isLeaving;
   }
 
-  private isReady(): boolean {
-    return this.hasAll() && !this.server.isLeaving;
+  /** The first lists of all regions count together; later a region may come in while this router serves. */
+  private judgeStart(): void {
+    this.gate.judge(this.epoch, this.chooser.table !== null && this.follower.hasAll(feeds.isListTopic));
+  }
+
+  private opened(): void {
+    this.server.takePending();
+    this.beat();
   }
 
   private describe(): schema.NodeInfo {
@@ -125,6 +134,7 @@
   }
 
   private watch(): void {
+    this.judgeStart();
     this.chooser.admission.turn(WATCH_MS);
     this.dial.turn();
     this.follower.elect();
@@ -185,7 +195,6 @@
 
   /** An epoch is taken whole, between two requests (design/parts 4). */
   private takeRegister(applied: mirrors.Applied): void {
-    const wasReady = this.isReady();
     const { config } = this;
     const isFirst = this.epoch < 0;
     config.take(applied);
@@ -195,11 +204,10 @@
     for (const zone of this.rotation.take(config.evacuations, isFirst)) this.fleet.chill(zone, CHILL_MS);
     log.state(`config: epoch ${this.epoch}, revision ${config.revision} in force`);
     this.beat();
-    this.turnedReady(wasReady);
+    this.judgeStart();
   }
 
   private takeList(applied: mirrors.Applied): void {
-    const wasReady = this.isReady();
     const changed: schema.Instance[] = [];
     for (const body of applied.changed.values()) changed.push(schema.listed.fromBuffer(body).instance);
     this.fleet.takeChanges(changed, applied.gone);
@@ -207,15 +215,7 @@
       this.known.forgetAllBut(this.fleet);
       this.chooser.admission.forgetAllBut(this.fleet);
     }
-    // The first lists of all regions count together; later a region may come in while this router serves.
-    this.hasLists ||= this.follower.hasAll(feeds.isListTopic);
-    if (this.turnedReady(wasReady)) this.beat();
-  }
-
-  private turnedReady(wasReady: boolean): boolean {
-    if (wasReady || !this.isReady()) return false;
-    this.server.takePending();
-    return true;
+    this.judgeStart();
   }
 
   /** A period of a region's reports is whole. */
--- a/src/wire/lease-schema.ts
+++ b/src/wire/lease-schema.ts
@@ -91,13 +91,20 @@
 export const fenceAsk = schema.record<FenceAsk>("FenceAsk", [{ name: "voterEpoch", type: "long" }]);
 
 /** The newest voter epoch accepted on that disk, and for how long (ms) the asked one is known as chosen; -1: not. */
-export interface FenceReply {
+export interface VoterWord {
   disk: string;
   voterEpoch: types.Epoch;
   knownMs: number;
 }
+/** With it the newest epoch accepted on that disk, and the newest one that is known there as chosen. */
+export interface FenceReply extends VoterWord {
+  acceptedEpoch: types.Epoch;
+  chosenEpoch: types.Epoch;
+}
 export const fenceReply = schema.record<FenceReply>("FenceReply", [
   { name: "disk", type: "string" },
   { name: "voterEpoch", type: "long" },
   { name: "knownMs", type: "double" },
+  { name: "acceptedEpoch", type: "long" },
+  { name: "chosenEpoch", type: "long" },
 ]);
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -9,7 +9,7 @@
 export * from "./signs-schema.js";
 
 /** The release of the frames' layout. Add one with any change to a message or its code (design/edge 3.4). */
-export const RELEASE = 1;
+export const RELEASE = 2;
 
 const nodeType = avscTypes.Type.forSchema({
   type: "record",
@@ -118,18 +118,25 @@
 }
 export const hello = avro.record<Hello>("Hello", [{ name: "node", type: nodeType }]);
 
+/** isConfirmed: as isSettled of a beat, told before the first one. */
 export interface Known {
   node: NodeInfo;
   controls: ControlInfo[];
   place: string;
+  isConfirmed: boolean;
 }
 export const known = avro.record<Known>("Known", [
   { name: "node", type: nodeType },
   { name: "controls", type: controlsType },
   { name: "place", type: "string" },
+  { name: "isConfirmed", type: "boolean" },
 ]);
 
-/** silentRegions: of these the teller hears no control node now (design/members 4). */
+/**
+ * isReady: a router takes requests; a control node is not leaving. isSettled: a majority of the voters confirmed the
+ * teller's configuration lately (design/hardening/1-cut-off). silentRegions: of these it hears no control node now
+ * (design/members 4).
+ */
 export interface Beat {
   isReady: boolean;
   epoch: types.Epoch;
--- a/tests/release.test.ts
+++ b/tests/release.test.ts
@@ -9,7 +9,10 @@
 import * as sim from "./sim/world.js";
 
 /** What the frames of each release look like, by digest. A line that stands is not changed: a new release gets a new line. */
-const LAYOUTS = new Map<number, string>([[1, "fa75b0da752b2ff9"]]);
+const LAYOUTS = new Map<number, string>([
+  [1, "fa75b0da752b2ff9"],
+  [2, "f6538e0a0ae406c7"],
+]);
 
 function schemaOf(message: unknown): unknown {
   return (message as { schema(): unknown }).schema();
@@ -84,13 +87,13 @@
 });
 
 const DENIED: [string, Buffer, string, RegExp][] = [
-  ["frames of an earlier build", helloFrame(), "link.other_release", /before releases were told.*release 1;.*same release on both ends/],
-  ["an earlier release", releases.preamble(0), "link.other_release", /release 0, .*release 1;.*same release on both ends/],
+  ["frames of an earlier build", helloFrame(), "link.other_release", /before releases were told.*release 2;.*same release on both ends/],
+  ["an earlier release", releases.preamble(0), "link.other_release", /release 0, .*release 2;.*same release on both ends/],
   [
     "a later release with a layout unknown here",
     Buffer.concat([releases.preamble(7), Buffer.alloc(50, 255)]),
     "link.other_release",
-    /release 7, .*release 1;.*same release on both ends/,
+    /release 7, .*release 2;.*same release on both ends/,
   ],
   ["garbage", Buffer.from("GET / HTTP/1.1\r\n\r\n"), "link.garbled", /no link's; let nothing but cranewind nodes/],
   ["garbage that begins well", Buffer.from("CWLOCK"), "link.garbled", /no link's; let nothing but cranewind nodes/],
--- a/tests/sim/fleet.ts
+++ b/tests/sim/fleet.ts
@@ -57,7 +57,7 @@
     this.handlers.on(calls.hello, (from, ask) => {
       this.members.enter(ask.node, from);
       if (ask.node.role === "control") this.dial.know([ask.node.address]);
-      return { node: this.describe(), controls: [info, ...this.dial.met()], place: info.name };
+      return { node: this.describe(), controls: [info, ...this.dial.met()], place: info.name, isConfirmed: this.isSettled };
     });
     this.handlers.on(calls.beat, (from, told) => {
       this.members.beat(from, told);
--- a/tests/sim/links.ts
+++ b/tests/sim/links.ts
@@ -106,6 +106,7 @@
       link: up as unknown as link.Link,
       beat: null,
       beatAt: Infinity,
+      wasConfirmed: true,
       tripMs: 0,
     };
     const session = { control, down, up };
