--- a/src/cli/view.ts
+++ b/src/cli/view.ts
@@ -6,6 +6,7 @@
 interface ControlStatus {
   node: schema.NodeInfo;
   isSettled: boolean;
+  contact: { isConfirmed: boolean; isLeaving: boolean; sinceMs: number; voters: number; confirming: number };
   register: { epoch: number; revision: number; evacuations: string[]; voters: schema.Voter[]; former: schema.Voter[] } | null;
   members: { control: schema.NodeInfo[]; router: schema.NodeInfo[] };
   cells: { instances: schema.Instance[]; reports: schema.CellReport[] };
@@ -34,6 +35,7 @@
   const { register, members, cells } = status;
   const made = [
     `node      ${status.node.name} (control, ${status.node.zone}), ${status.isSettled ? "reaches a majority" : "reaches NO majority"}`,
+    contactLine(status.contact),
   ];
   if (register) {
     made.push(`register  epoch ${register.epoch}, revision ${register.revision}, evacuated: ${register.evacuations.join(", ") || "none"}`);
@@ -54,6 +56,11 @@
   return [...made, ...spentLines(status.vitals, status.links), ...counterLines(status.counters)];
 }
 
+function contactLine(contact: ControlStatus["contact"]): string {
+  const word = contact.isLeaving ? "leaving" : contact.isConfirmed ? "confirmed" : "NOT confirmed";
+  return `contact   ${word} for ${(contact.sinceMs / 1000).toFixed(1)} s; ${contact.confirming} of ${contact.voters} voters confirm`;
+}
+
 function routerLines(status: RouterStatus): string[] {
   const made = [
     `node      ${status.node.name} (router, ${status.node.zone}), ${status.node.isReady ? "ready" : "not ready"}`,
--- a/src/control/contact.ts
+++ b/src/control/contact.ts
@@ -13,7 +13,9 @@
 /** A voter's answer counts for so long, in milliseconds from when it was asked. */
 export const CONFIRMED_MS = tenures.FENCE_MS;
 
-interface Answer {
+/** What one voter knew. */
+export interface Answer {
+  /** When it was asked, on the asker's clock. */
   sentAt: types.SteadyMs;
   /** The newest epoch that the voter had accepted, or knew as chosen, when it answered. */
   epoch: types.Epoch;
@@ -27,17 +29,21 @@
 export class Confirmation {
   private readonly answers = new Map<string, Answer[]>();
 
-  constructor(private readonly world: types.World) {}
+  constructor(protected readonly world: types.World) {}
 
-  /** Takes a voter's answer; sentAt: when it was asked, on the own clock. An answer ahead of the value counts once the value has caught up. */
+  /** Takes a voter's answer. One that is ahead of the value counts once the value has caught up. */
   take(disk: string, answer: Answer): void {
-    const since = this.world.now() - CONFIRMED_MS;
-    if (disk === "" || answer.sentAt <= since) return;
-    const recent = (this.answers.get(disk) ?? []).filter(isRecent);
-    recent.push(answer);
-    this.answers.set(disk, recent);
-    function isRecent(item: Answer): boolean {
-      return item.sentAt > since;
+    if (disk === "" || !this.isRecent(answer.sentAt)) return;
+    this.forgetOld();
+    const recent = this.answers.get(disk);
+    if (recent) recent.push(answer);
+    else this.answers.set(disk, [answer]);
+  }
+
+  private forgetOld(): void {
+    for (const [disk, answers] of this.answers) {
+      while (answers.length > 0 && !this.isRecent(answers[0].sentAt)) answers.shift();
+      if (answers.length === 0) this.answers.delete(disk);
     }
   }
 
@@ -47,13 +53,16 @@
 
   /** The disks whose recent answers know nothing newer than the value. */
   confirming(value: schema.Value): Set<string> {
-    const since = this.world.now() - CONFIRMED_MS;
     const disks = new Set<string>();
-    for (const [disk, answers] of this.answers) if (answers.some(isCurrent)) disks.add(disk);
-    return disks;
-    function isCurrent(answer: Answer): boolean {
-      return answer.sentAt > since && answer.epoch <= value.epoch;
+    for (const [disk, answers] of this.answers) {
+      for (const { sentAt, epoch } of answers) if (this.isRecent(sentAt) && epoch <= value.epoch) disks.add(disk);
     }
+    return disks;
+  }
+
+  /** sentAt: when an answer was asked for. */
+  protected isRecent(sentAt: types.SteadyMs): boolean {
+    return sentAt > this.world.now() - CONFIRMED_MS;
   }
 }
 
@@ -69,7 +78,6 @@
 
 /** Asks the voters with each beat and tells whether this node is confirmed now. */
 export class Contact extends events.EventEmitter<ContactEvents> {
-  private readonly confirmation: Confirmation;
   private wasConfirmed = false;
   private isWithdrawn = false;
   private changedAt: types.SteadyMs;
@@ -81,11 +89,11 @@
     private readonly core: cores.Core,
     private readonly dial: dialers.Dialer,
     private readonly onReply: OnReply,
+    private readonly confirmation = new Confirmation(world),
   ) {
     super();
     // Each order that is under way listens for the loss of contact.
     this.setMaxListeners(0);
-    this.confirmation = new Confirmation(world);
     this.changedAt = world.now();
     dial.on("up", this.ask.bind(this));
     core.on("chosen", this.chosen.bind(this));
--- /dev/null
+++ b/tests/leaving.test.ts
@@ -0,0 +1,35 @@
+// A control node that leaves in order, and who takes its duties (design/hardening/1-cut-off).
+import * as duties from "../src/control/duties.js";
+import * as systems from "./sim/system.js";
+
+test("leaving: it says so at once, votes on, sends operators elsewhere, and its duties and routers move", async () => {
+  const system = await systems.start();
+  const { clock } = system;
+  const [a, b] = [systems.get(system, "a"), systems.get(system, "b")];
+  expect(b.fitness(a)).toBe(duties.CONFIRMED);
+  a.leave();
+  await clock.play(20);
+  expect(b.fitness(a)).toBe(duties.LEAVING);
+  expect((await systems.answered(system, a.evacuate("z0"))).told.status).toBe(307);
+  await clock.play(130);
+  expect(["b", "c"]).toContain(systems.router(system, "ra").main);
+  system.network.cut(["c"], ["a", "b"]);
+  await clock.play(50);
+  const { told, ms } = await systems.answered(system, b.evacuate("z0"));
+  expect([told.status, ms < 100]).toEqual([200, true]); // a's vote is one of the two
+});
+
+test("duties go to confirmed nodes by name, then to those cut off, and last to one that leaves", () => {
+  const { LEAVING, UNCONFIRMED, CONFIRMED } = duties;
+  function order(...fitness: duties.Fitness[]): string[] {
+    const all = fitness.map((item, index) => ({ name: "abc"[index], region: "", fitness: item }));
+    return duties.fittest(all).map((item) => item.name);
+  }
+  expect(order(CONFIRMED, CONFIRMED, CONFIRMED)).toEqual(["a", "b", "c"]);
+  expect(order(UNCONFIRMED, CONFIRMED, CONFIRMED)).toEqual(["b", "c"]);
+  expect(order(LEAVING, CONFIRMED, UNCONFIRMED)).toEqual(["b"]);
+  expect(order(LEAVING, UNCONFIRMED, UNCONFIRMED)).toEqual(["b", "c"]);
+  expect(order(LEAVING, LEAVING)).toEqual(["a", "b"]);
+  expect(duties.rankOf("b", [{ name: "a" }, { name: "b" }])).toBe(1);
+  expect(duties.rankOf("c", [{ name: "a" }, { name: "b" }])).toBe(2);
+});
--- /dev/null
+++ b/tests/sim/members.ts
@@ -0,0 +1,214 @@
+// Whole control nodes over a simulated network: register, contact, sessions, feed, operator and directory as the
+// program puts them together, without sockets.
+import * as parts from "../../src/config/parts.js";
+import * as contacts from "../../src/control/contact.js";
+import * as cores from "../../src/control/core.js";
+import * as directory from "../../src/control/directory.js";
+import * as duties from "../../src/control/duties.js";
+import * as leases from "../../src/control/leases.js";
+import * as membership from "../../src/control/membership.js";
+import * as operators from "../../src/control/operator.js";
+import * as redirects from "../../src/control/redirect.js";
+import type * as serve from "../../src/control/serve.js";
+import * as sessions from "../../src/control/sessions.js";
+import * as dialers from "../../src/feed/dialer.js";
+import * as feeds from "../../src/feed/feed.js";
+import * as registers from "../../src/register/value.js";
+import * as voters from "../../src/register/voter.js";
+import * as calls from "../../src/wire/calls.js";
+import * as link from "../../src/wire/link.js";
+import type * as schema from "../../src/wire/schema.js";
+import * as types from "../../src/wire/types.js";
+import * as fleet from "./fleet.js";
+import * as networks from "./network.js";
+
+export const ZONES = new Set(["z0", "z1", "z2", "z3", "z4", "z5", "z6", "z7"]);
+const BOUNDS = { retry_ratio: 0.1, retry_window_s: 10, retry_extra: 20, warmup_overshoot: 1.5, warmup_tolerance: 3 };
+
+export class MemberDialer extends dialers.Dialer {
+  reach: (address: string) => Promise<link.Link | null> = () => Promise.resolve(null);
+  protected override connect(address: string): Promise<link.Link | null> {
+    return this.reach(address);
+  }
+}
+
+/** A guard that a test may break on purpose, to see the checker fail. */
+export type Broken = "none" | "always_confirmed" | "any_epoch" | "no_bound";
+
+class BrokenConfirmation extends contacts.Confirmation {
+  constructor(
+    world: types.World,
+    private readonly broken: Broken,
+  ) {
+    super(world);
+  }
+  override take(disk: string, answer: contacts.Answer): void {
+    super.take(disk, this.broken === "any_epoch" ? { ...answer, epoch: types.NO_EPOCH } : answer);
+  }
+  override isConfirmed(value: schema.Value | null): boolean {
+    return this.broken === "always_confirmed" || super.isConfirmed(value);
+  }
+  protected override isRecent(sentAt: types.SteadyMs): boolean {
+    return this.broken === "no_bound" || super.isRecent(sentAt);
+  }
+}
+
+export interface Options {
+  seeds: readonly string[];
+  region: string;
+  isVoter?: boolean;
+  broken?: Broken;
+}
+
+/** What the node did that the outside could see, with the time. */
+export interface Said {
+  at: number;
+  isSettled: boolean;
+  epoch: types.Epoch;
+}
+
+export class ControlNode {
+  readonly handlers = new link.Handlers();
+  readonly world: networks.NodeWorld;
+  readonly dial: MemberDialer;
+  readonly members: sessions.Sessions;
+  readonly feed: feeds.Feed;
+  readonly core: cores.Core;
+  readonly lessor: leases.Lessor;
+  readonly contact: contacts.Contact;
+  readonly redirector: redirects.Redirector;
+  readonly said: Said[] = [];
+  private readonly region: string;
+  syncMs = 3;
+  isLeaving = false;
+
+  constructor(
+    readonly network: networks.SimNetwork,
+    readonly name: string,
+    options: Options,
+  ) {
+    const world = (this.world = new networks.NodeWorld(network, name));
+    this.region = options.region;
+    const seeds = options.seeds.map(addressOf);
+    this.dial = new MemberDialer(world, addressOf(name), this.handlers, this.describe.bind(this), link.SILENT_MS);
+    this.dial.reach = (address) => network.connect(name, address, this.handlers, world);
+    this.dial.know(seeds);
+    this.members = new sessions.Sessions(world, link.SILENT_MS, `${name}/1`);
+    this.feed = new feeds.Feed(`${name}/1`);
+    const first = registers.firstValue(seeds);
+    this.core = new cores.Core(world, { life: `${name}/1`, address: addressOf(name), first }, this.dial);
+    this.lessor = new leases.Lessor(world, `${name}/1`, BOUNDS, this.core);
+    const confirmation = new BrokenConfirmation(world, options.broken ?? "none");
+    this.contact = new contacts.Contact(world, this.core, this.dial, this.lessor.heard.bind(this.lessor), confirmation);
+    const operator = new operators.Operator(this.core, ZONES, () => ({ contact: this.contact.status() }));
+    const peers = (): Iterable<dialers.Control> => this.dial.controls.values();
+    this.redirector = new redirects.Redirector(world, this.contact, peers, operator.reply.bind(operator));
+    this.handle();
+    if (options.isVoter !== false) this.vote(first);
+    this.run();
+  }
+
+  private handle(): void {
+    const { handlers, members, dial, core, contact, feed } = this;
+    const splitter = new parts.Splitter();
+    core.register(handlers);
+    this.lessor.register(handlers, contact);
+    const describe = this.describe.bind(this);
+    membership.register({ handlers, members, dial, core, contact, describe, controls: () => this.controls(), place: feed.place });
+    handlers.on(calls.follow, (from, ask) => {
+      feed.follow(from, ask);
+      return null;
+    });
+    dial.on("up", () => members.tellControls(this.controls()));
+    contact.on("confirmed", () => this.tell());
+    contact.on("lost", () => this.tell());
+    core.on("chosen", (value) => feed.publish(feeds.REGISTER_TOPIC, splitter.split(value), types.small(value.epoch)));
+    this.network.listen(this.name, handlers);
+  }
+
+  private vote(first: schema.Value): void {
+    const accepted = { ballot: registers.NO_BALLOT, value: first };
+    const state = { disk: registers.firstDisk(addressOf(this.name)), promised: registers.NO_BALLOT, accepted };
+    const write = (): Promise<void> => new Promise((resolve) => this.world.after(this.syncMs, resolve));
+    this.core.enter(new voters.Voter({ write }, state));
+  }
+
+  private run(): void {
+    every(this.world, link.BEAT_MS, () => this.beat());
+    every(this.world, 100, () => this.turn());
+  }
+
+  private describe(): schema.NodeInfo {
+    const disk = this.core?.disk ?? "";
+    return { ...fleet.nodeOf(this.name, "control", this.region, addressOf(this.name)), disk, epoch: this.epoch };
+  }
+
+  get epoch(): types.Epoch {
+    return this.core?.chosen?.epoch ?? types.NO_EPOCH;
+  }
+
+  private controls(): schema.ControlInfo[] {
+    return [{ address: addressOf(this.name), name: this.name, zone: this.region, region: this.region }, ...this.dial.met()];
+  }
+
+  private beat(): void {
+    this.contact.beat();
+    this.tell();
+  }
+
+  private tell(): void {
+    const isSettled = this.contact.isConfirmed();
+    this.said.push({ at: this.world.now(), isSettled, epoch: this.epoch });
+    const base = { isReady: !this.isLeaving, epoch: this.epoch, isSettled, silentRegions: this.dial.silentRegions() };
+    this.members.tellBeats(base);
+    this.dial.tellAll({ ...base, index: 0, members: 1 });
+    this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
+  }
+
+  private turn(): void {
+    this.dial.turn();
+    this.members.sweep();
+    this.core.turn();
+    this.contact.turn();
+  }
+
+  leave(): void {
+    this.isLeaving = true;
+    this.contact.withdraw();
+    this.tell();
+  }
+
+  fitness(of: ControlNode): duties.Fitness | null {
+    const control = this.dial.controls.get(addressOf(of.name));
+    return control ? duties.fitnessOf(control) : null;
+  }
+
+  /** An operator's call to this very node; no redirect is followed. */
+  call(method: string, path: string): Promise<serve.Told> {
+    return this.redirector.reply({ method, path, query: new URLSearchParams(), headers: {}, body: Buffer.alloc(0) });
+  }
+
+  evacuate(zone: string): Promise<serve.Told> {
+    return this.call("POST", `/-/Evacuations.Start/${zone}`);
+  }
+
+  resolve(region: string): string[] {
+    const routers = (): ReturnType<sessions.Sessions["routers"]> =>
+      this.contact.isConfirmed() ? this.members.routers() : this.members.heardHere();
+    const told = directory.resolve({ routers, ttlMostS: 2 }, new URLSearchParams({ region, zone: region }));
+    return (told.json as { addresses?: string[] }).addresses ?? [];
+  }
+}
+
+export function addressOf(name: string): string {
+  return `${name}:1`;
+}
+
+/** Each process at a phase of its own. */
+export function every(world: types.World, ms: number, run: () => void): void {
+  const again = (): void => {
+    world.after(ms, again);
+    run();
+  };
+  world.after(ms * world.random(), again);
+}
--- /dev/null
+++ b/tests/sim/router-node.ts
@@ -0,0 +1,71 @@
+// Routers over a simulated network, as far as they follow control nodes and start.
+import * as fews from "../../src/feed/few.js";
+import * as followers from "../../src/feed/follower.js";
+import * as startGates from "../../src/router/start-gate.js";
+import * as calls from "../../src/wire/calls.js";
+import * as link from "../../src/wire/link.js";
+import type * as schema from "../../src/wire/schema.js";
+import * as types from "../../src/wire/types.js";
+import * as fleet from "./fleet.js";
+import * as members from "./members.js";
+import * as networks from "./network.js";
+
+export class RouterNode implements followers.Taker {
+  readonly handlers = new link.Handlers();
+  readonly dial: members.MemberDialer;
+  readonly follower: followers.Follower;
+  readonly gate: startGates.StartGate;
+  readonly epochs: { at: number; epoch: number }[] = [];
+  openedAt = -1;
+  epoch = types.NO_EPOCH;
+
+  constructor(
+    private readonly network: networks.SimNetwork,
+    readonly name: string,
+    region: string,
+    seeds: readonly string[],
+  ) {
+    const world = new networks.NodeWorld(network, name);
+    const few = new fews.Few(world, { name, region });
+    const describe = (): schema.NodeInfo => ({ ...fleet.nodeOf(name, "router", region, ""), isReady: this.gate.isOpen });
+    this.dial = new members.MemberDialer(world, "", this.handlers, describe, link.SILENT_MS, few);
+    this.dial.reach = (address) => network.connect(name, address, this.handlers, world);
+    this.gate = new startGates.StartGate(world, this.dial.controls, () => (this.openedAt = network.clock.now()));
+    this.dial.on("beat", () => this.judge());
+    this.follower = new followers.Follower(world, region, this.dial, this.handlers, () => [], this);
+    this.handlers.on(calls.controls, (_from, told) => {
+      this.dial.learn(told.controls);
+      return null;
+    });
+    this.dial.know(seeds.map(members.addressOf));
+    members.every(world, link.BEAT_MS, () => this.beat());
+    members.every(world, 100, () => this.turn());
+  }
+
+  get main(): string {
+    return this.follower.main?.node.name ?? "";
+  }
+
+  private judge(): void {
+    this.gate.judge(this.epoch, true);
+  }
+
+  private beat(): void {
+    this.dial.tellAll({ isReady: this.gate.isOpen, epoch: this.epoch, isSettled: true, index: 0, members: 1, silentRegions: [] });
+  }
+
+  private turn(): void {
+    this.judge();
+    this.dial.turn();
+    this.follower.elect();
+    this.follower.narrow();
+  }
+
+  take(applied: { stamp: types.Stamp }): void {
+    this.epoch = types.small(applied.stamp);
+    this.epochs.push({ at: this.network.clock.now(), epoch: this.epoch });
+    this.judge();
+  }
+
+  leave(): void {}
+}
--- /dev/null
+++ b/tests/sim/system.ts
@@ -0,0 +1,54 @@
+// A small deployment over the simulated network: control nodes a, b, c ..., each in a region of its own, a router in each.
+import type * as serve from "../../src/control/serve.js";
+import * as members from "./members.js";
+import * as networks from "./network.js";
+import * as routerNodes from "./router-node.js";
+import * as sim from "./world.js";
+
+export interface System {
+  clock: sim.SimWorld;
+  network: networks.SimNetwork;
+  controls: Map<string, members.ControlNode>;
+  routers: routerNodes.RouterNode[];
+}
+
+export const NAMES = ["a", "b", "c"];
+
+/** Each control node in a region of its own name; one router in each. */
+export async function start(
+  options: { seed?: number; names?: string[]; broken?: members.Broken; withRouters?: boolean } = {},
+): Promise<System> {
+  const { seed = 7, names = NAMES, broken = "none", withRouters = true } = options;
+  const clock = new sim.SimWorld(seed);
+  const network = new networks.SimNetwork(clock);
+  const controls = new Map<string, members.ControlNode>();
+  for (const name of names) {
+    controls.set(name, new members.ControlNode(network, name, { seeds: names, region: name, broken }));
+  }
+  const system: System = { clock, network, controls, routers: [] };
+  if (withRouters) for (const name of names) system.routers.push(new routerNodes.RouterNode(network, `r${name}`, name, names));
+  await clock.play(4000);
+  return system;
+}
+
+export function get(system: System, name: string): members.ControlNode {
+  return system.controls.get(name)!;
+}
+
+/** Plays until the call is answered; how long that took. */
+export async function answered(system: System, call: Promise<serve.Told>): Promise<{ told: serve.Told; ms: number }> {
+  const from = system.clock.now();
+  let told: serve.Told | null = null;
+  void call.then((reply) => (told = reply));
+  while (!told && system.clock.now() - from < 10_000) await system.clock.play(10);
+  return { told: told!, ms: system.clock.now() - from };
+}
+
+export async function take(system: System, name: string, zone: string): Promise<void> {
+  const { told } = await answered(system, get(system, name).evacuate(zone));
+  expect(told.status).toBe(200);
+}
+
+export function router(system: System, name: string): routerNodes.RouterNode {
+  return system.routers.find((item) => item.name === name)!;
+}
