--- a/tests/link.test.ts
+++ b/tests/link.test.ts
@@ -136,6 +136,7 @@
     node: node(name, region),
     controls: sides.map((item) => ({ address: item.address, name: "", zone: "", region: "" })),
     place: name,
+    isConfirmed: true,
   }));
   side.handlers.on(calls.follow, (from, ask) => {
     feed.follow(from, ask);
