Leaving shows in the node's own entry; tests see a broken directory, lease and redirect guard

Cause: a leaving node's roster entry still said ready, which undid its beat's word at others. Change: the entry says not ready; plainer names (takeReply, ownRouters, FenceState).

--- a/src/control/contact.ts
+++ b/src/control/contact.ts
@@ -151,10 +151,10 @@
   private ask(control: dialers.Control): void {
     const sentAt = this.world.now();
     const asked = this.core.chosen?.voterEpoch ?? types.NO_EPOCH;
-    void control.link.call(calls.fence, { voterEpoch: asked }, CONFIRMED_MS).then(this.heard.bind(this, control, asked, sentAt));
+    void control.link.call(calls.fence, { voterEpoch: asked }, CONFIRMED_MS).then(this.takeReply.bind(this, control, asked, sentAt));
   }
 
-  private heard(control: dialers.Control, asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply | null): void {
+  private takeReply(control: dialers.Control, asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply | null): void {
     if (!reply) return;
     this.confirmation.take(reply.disk, { sentAt, epoch: types.laterEpoch(reply.acceptedEpoch, reply.chosenEpoch) });
     this.onReply(asked, sentAt, reply);
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -59,7 +59,7 @@
   }
 
   /** A voter's reply to one of the contact's asks; see OnReply of contact.ts. */
-  heard(asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply): void {
+  takeReply(asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply): void {
     this.follow();
     this.tenure.hear(asked, sentAt, reply);
   }
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -63,7 +63,7 @@
     const first = startup.bootstrap ? registers.firstValue(seeds) : registers.firstValue([]);
     this.core = new cores.Core(world, { life: this.life, address: this.address, first }, this.dial);
     this.leases = new leases.Lessor(world, this.life, startup.bounds, this.core);
-    this.contact = new contacts.Contact(world, this.core, this.dial, this.leases.heard.bind(this.leases));
+    this.contact = new contacts.Contact(world, this.core, this.dial, this.leases.takeReply.bind(this.leases));
     this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members, this.fitness.bind(this));
     this.arranger = new arrangers.Arranger(world, this.core, this.heldControls.bind(this));
     this.root = new supervisor.Supervisor("control", world, []);
@@ -82,7 +82,7 @@
       outside: this.startup.bind_addresses.control_plane ?? "",
       disk: this.core?.disk ?? "",
       isCounted: this.startup.failure_counted,
-      isReady: true,
+      isReady: !this.isLeaving,
       epoch: this.core?.chosen?.epoch ?? types.NO_EPOCH,
     };
   }
@@ -183,7 +183,7 @@
 
   /** The routers that the directory names: while nobody confirms this node, those that it hears itself. */
   private resolvable(): doubts.Seen[] {
-    return this.contact.isConfirmed() ? this.members.routers() : this.members.heardHere();
+    return this.contact.isConfirmed() ? this.members.routers() : this.members.ownRouters();
   }
 
   private fitness(): duties.Fitness {
--- a/src/control/redirect.ts
+++ b/src/control/redirect.ts
@@ -8,8 +8,8 @@
 
 /** Answered by any node about itself. */
 const STATUS_PATH = "/-/status";
-/** Another node's word that it is confirmed counts for so long: two beats and their way. */
-const WORD_MS = 700;
+/** Another node's beat that says that it is confirmed counts for so long: two beats and their way. */
+const STATUS_FRESH_MS = 700;
 /** A process that has only just started waits so long for its first confirmation, in ms: less than a caller's second of silence. */
 const FIRST_MS = 800;
 const RETRY_AFTER_S = "0.3";
@@ -77,11 +77,11 @@
     };
   }
 
-  /** The nearest one whose recent word was that it is confirmed; it sends nobody back here while that holds. */
+  /** The nearest one whose last beat said so lately; it sends nobody back here while this node isn't confirmed. */
   private confirmedPeer(): dialers.Control | null {
     let nearest: dialers.Control | null = null;
     for (const control of this.controls()) {
-      const isRecent = this.world.now() - control.beatAt < WORD_MS && control.link.isOpen;
+      const isRecent = this.world.now() - control.beatAt < STATUS_FRESH_MS && control.link.isOpen;
       if (!isRecent || !dialers.isConfirmed(control) || control.node.outside === "") continue;
       if (!nearest || control.tripMs < nearest.tripMs) nearest = control;
     }
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -171,7 +171,7 @@
   }
 
   /** The routers heard here on links of their own; all that are believed when there is none (design/hardening/1-cut-off). */
-  heardHere(): doubts.Seen[] {
+  ownRouters(): doubts.Seen[] {
     const heard: doubts.Seen[] = [];
     for (const session of this.own.values()) {
       const node = this.seen(session);
--- a/src/shares/tenure.ts
+++ b/src/shares/tenure.ts
@@ -82,7 +82,7 @@
   }
 
   /** A voter's word; sentAt: when it was asked, on the own clock. */
-  hear(asked: types.Epoch, sentAt: number, reply: leaseSchema.VoterWord): void {
+  hear(asked: types.Epoch, sentAt: number, reply: leaseSchema.FenceState): void {
     if (!this.era || asked !== this.era.epoch || reply.voterEpoch > asked || !this.era.voters.has(reply.disk)) return;
     this.acks.set(reply.disk, Math.max(sentAt, this.acks.get(reply.disk) ?? -Infinity));
     // Whoever knows it for longer shows that it was chosen earlier; an opening only ever moves nearer.
--- a/src/wire/lease-schema.ts
+++ b/src/wire/lease-schema.ts
@@ -91,13 +91,13 @@
 export const fenceAsk = schema.record<FenceAsk>("FenceAsk", [{ name: "voterEpoch", type: "long" }]);
 
 /** The newest voter epoch accepted on that disk, and for how long (ms) the asked one is known as chosen; -1: not. */
-export interface VoterWord {
+export interface FenceState {
   disk: string;
   voterEpoch: types.Epoch;
   knownMs: number;
 }
 /** With it the newest epoch accepted on that disk, and the newest one that is known there as chosen. */
-export interface FenceReply extends VoterWord {
+export interface FenceReply extends FenceState {
   acceptedEpoch: types.Epoch;
   chosenEpoch: types.Epoch;
 }
--- a/tests/contact.test.ts
+++ b/tests/contact.test.ts
@@ -135,8 +135,12 @@
   const system = await systems.start();
   const { clock, network } = system;
   network.cut(["a", "ra", "new"], ["b", "c", "rb", "rc"]);
-  await clock.play(8000);
+  await clock.play(BOUND_MS + 100);
   const a = systems.get(system, "a");
+  // What others told of rb is not too old to be believed, but nobody confirms it now.
+  expect(a.members.routers().map((seen) => seen.node.name)).toContain("rb");
+  expect(a.resolve("b")).toEqual(["ra:2"]);
+  await clock.play(8000);
   expect(a.contact.isConfirmed()).toBe(false);
   expect(a.resolve("a")).toEqual(["ra:2"]);
   const late = new routerNodes.RouterNode(network, "new", "a", systems.NAMES);
--- a/tests/leaving.test.ts
+++ b/tests/leaving.test.ts
@@ -1,13 +1,24 @@
 // A control node that leaves in order, and who takes its duties (design/hardening/1-cut-off).
 import * as duties from "../src/control/duties.js";
+import * as calls from "../src/wire/calls.js";
+import type * as leaseSchema from "../src/wire/lease-schema.js";
+import type * as members from "./sim/members.js";
 import * as systems from "./sim/system.js";
 
+function isGranting(node: members.ControlNode): boolean {
+  const ask: leaseSchema.LeaseAsk = { router: "r", life: "", needs: [], done: [] };
+  const reply = node.handlers.get(calls.lease.code)!(null as never, ask as never) as leaseSchema.LeaseReply;
+  return reply.isGranting;
+}
+
 test("leaving: it says so at once, votes on, sends operators elsewhere, and its duties and routers move", async () => {
   const system = await systems.start();
   const { clock } = system;
   const [a, b] = [systems.get(system, "a"), systems.get(system, "b")];
   expect(b.fitness(a)).toBe(duties.CONFIRMED);
+  expect(isGranting(a)).toBe(true);
   a.leave();
+  expect([isGranting(a), isGranting(b)]).toEqual([false, true]);
   await clock.play(20);
   expect(b.fitness(a)).toBe(duties.LEAVING);
   expect((await systems.answered(system, a.evacuate("z0"))).told.status).toBe(307);
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -99,7 +99,7 @@
     this.core = new cores.Core(world, { life: `${name}/1`, address: addressOf(name), first }, this.dial);
     this.lessor = new leases.Lessor(world, `${name}/1`, BOUNDS, this.core);
     const confirmation = new BrokenConfirmation(world, options.broken ?? "none");
-    this.contact = new contacts.Contact(world, this.core, this.dial, this.lessor.heard.bind(this.lessor), confirmation);
+    this.contact = new contacts.Contact(world, this.core, this.dial, this.lessor.takeReply.bind(this.lessor), confirmation);
     const operator = new operators.Operator(this.core, ZONES, () => ({ contact: this.contact.status() }));
     const peers = (): Iterable<dialers.Control> => this.dial.controls.values();
     this.redirector = new redirects.Redirector(world, this.contact, peers, operator.reply.bind(operator));
@@ -194,7 +194,7 @@
 
   resolve(region: string): string[] {
     const routers = (): ReturnType<sessions.Sessions["routers"]> =>
-      this.contact.isConfirmed() ? this.members.routers() : this.members.heardHere();
+      this.contact.isConfirmed() ? this.members.routers() : this.members.ownRouters();
     const told = directory.resolve({ routers, ttlMostS: 2 }, new URLSearchParams({ region, zone: region }));
     return (told.json as { addresses?: string[] }).addresses ?? [];
   }
