--- /dev/null
+++ b/src/control/endpoints.ts
@@ -0,0 +1,40 @@
+// The control node's servers: the operator's calls and the directory for the outside, links for its own kind (design 6.2, 4.3, 3.1).
+import * as net from "node:net";
+import * as link from "../wire/link.js";
+import * as listening from "../wire/listen.js";
+import type * as types from "../wire/types.js";
+import type * as settings from "../startup/settings.js";
+import type * as supervisor from "../supervisor/tree.js";
+import * as directory from "./directory.js";
+import * as serve from "./serve.js";
+
+const RESOLVE_PATH = "/-/resolve";
+
+export function operatorChild(startup: settings.Settings, reply: serve.Reply): supervisor.Child {
+  return serve.child("operator", startup.bind_addresses.control_plane, reply);
+}
+
+export function directoryChild(startup: settings.Settings, view: directory.DirectoryView): supervisor.Child {
+  return serve.child("directory", startup.bind_addresses.directory, resolve);
+  function resolve(asked: serve.Asked): serve.Told {
+    if (asked.path === RESOLVE_PATH) return directory.resolve(view, asked.query);
+    return { status: 404, json: { message: `no call ${asked.path}; ask ${RESOLVE_PATH}` } };
+  }
+}
+
+/** Where other control nodes and routers open their links. */
+export function internalChild(world: types.World, address: string, handlers: link.Handlers): supervisor.Child {
+  const server = net.createServer(accept);
+  function accept(socket: net.Socket): void {
+    new link.Link(world, socket, handlers);
+  }
+  return {
+    name: "internal",
+    start(): Promise<void> {
+      return listening.listen(server, address);
+    },
+    stop(): void {
+      server.close();
+    },
+  };
+}
--- a/tests/register-membership.test.ts
+++ b/tests/register-membership.test.ts
@@ -7,6 +7,7 @@
 import * as registers from "../src/register/value.js";
 import * as schema from "../src/wire/schema.js";
 import * as core from "./sim/core.js";
+import * as histories from "../src/register/history.js";
 import * as membership from "./sim/membership.js";
 import * as sim from "./sim/world.js";
 
@@ -17,7 +18,7 @@
 
 function setTo(base: number, revision: number): proposers.Step {
   return function step(value): result.Result<schema.Value, errors.CranewindError> {
-    if (value.taken.some((taken) => taken.revision === revision)) return result.ok(value);
+    if (histories.lookUp(value.taken, value.revision, base, `${revision}`) === "taken") return result.ok(value);
     if (value.revision !== base) return result.err(errors.fail("race", "another revision", "read again"));
     return result.ok(registers.withConfig(value, revision, Buffer.alloc(10), `${revision}`));
   };
