--- /dev/null
+++ b/tests/many-changes.test.ts
@@ -0,0 +1,64 @@
+// Hundreds of changes while members restart, are wiped, stall and fill up (design/hardening/4-many-changes).
+import * as log from "../src/startup/log.js";
+import * as days from "./sim/change-day.js";
+
+const FAULT_EVERY = 15;
+const DESCRIBE_EVERY = 4;
+
+async function play(routes: number, changes: number, seed: number): Promise<days.Day> {
+  const day = await days.begin(seed, routes);
+  for (let index = 1; index <= changes; index += 1) {
+    if (index % FAULT_EVERY === 0) {
+      const node = day.nodes[Math.floor(day.clock.random() * day.nodes.length)];
+      days.trouble(day, node, days.FAULTS[(index / FAULT_EVERY) % days.FAULTS.length]);
+    }
+    await days.change(day, routes);
+    if (index % DESCRIBE_EVERY === 0) await days.describe(day);
+    if (MANY && index % SHOW_EVERY === 0) showMemory(index);
+  }
+  await day.clock.play(8000);
+  return day;
+}
+
+/** MANY_CHANGES plays a longer day; figures of 1,000 stand on the page. */
+const MANY = process.env["MANY_CHANGES"];
+const ROWS: [number, number][] = [
+  [600, Number(MANY ?? 250)],
+  [5000, Number(MANY ?? 20)],
+];
+/** How often a long day shows what it holds in memory. */
+const SHOW_EVERY = 250;
+
+function counted(name: string): number {
+  return new Map(log.counted()).get(name) ?? 0;
+}
+
+function showMemory(index: number): void {
+  global.gc?.();
+  process.stderr.write(`after ${index} changes: ${(process.memoryUsage().heapUsed / 2 ** 20).toFixed(0)} MB of heap\n`);
+}
+
+test.each(ROWS)(
+  "%i routes, %i changes: members catch up, nobody serves old state",
+  async (routes, changes) => {
+    const differences = counted("feed.difference");
+    const day = await play(routes, changes, 7919);
+    expect(day.wrong).toEqual([]);
+    expect(day.revision).toBe(changes + 1);
+    const epoch = days.newestEpoch(day);
+    for (const node of day.nodes) expect([node.name, node.life.epoch]).toEqual([node.name, epoch]);
+    const { epochs, config } = day.router;
+    expect(epochs).toEqual([...epochs].sort((left, right) => left - right));
+    expect([epochs[epochs.length - 1], config.revision]).toEqual([epoch, changes + 1]);
+    // The router lived on differences; one that starts now gets a view, and is up to date as soon.
+    expect(counted("feed.difference")).toBeGreaterThan(differences + changes / 2);
+    const views = counted("feed.view");
+    const late = new days.FollowingRouter(day.network, "r2");
+    await day.clock.play(days.CATCH_UP_MS);
+    expect([late.config.revision, late.epochs]).toEqual([changes + 1, [epoch]]);
+    expect(counted("feed.view")).toBeGreaterThan(views);
+    const largest = Math.max(...day.nodes.map((node) => node.disk.largest));
+    process.stderr.write(`${routes} routes: simulated ${(day.clock.now() / 1000).toFixed(0)} s, records up to ${largest} bytes\n`);
+  },
+  1_800_000,
+);
--- /dev/null
+++ b/tests/sim/change-day.ts
@@ -0,0 +1,167 @@
+// A day of many changes: operators' updates one after the other, while members restart, are wiped, stall and fill up.
+import * as configParts from "../../src/config/parts.js";
+import * as followers from "../../src/feed/follower.js";
+import type * as mirrors from "../../src/feed/mirror.js";
+import * as link from "../../src/wire/link.js";
+import type * as types from "../../src/wire/types.js";
+import * as durable from "./durable-node.js";
+import * as fleet from "./fleet.js";
+import * as networks from "./network.js";
+import * as operators from "./operators.js";
+import * as sim from "./world.js";
+
+const NAMES = ["a", "b", "c"];
+const DOWN_MS = 400;
+const TROUBLE_MS = 2500;
+/** A member that is in touch again holds what is chosen after so long. */
+export const CATCH_UP_MS = 2000;
+const CALL_MS = 3000;
+
+export const FAULTS = ["restart", "wipe", "stall", "hang", "full"] as const;
+export type Fault = (typeof FAULTS)[number];
+
+/** A router as far as it follows the configuration. */
+export class FollowingRouter {
+  readonly dial: durable.NetworkDialer;
+  readonly config = new configParts.ConfigParts();
+  readonly epochs: number[] = [];
+  private readonly handlers = new link.Handlers();
+
+  constructor(network: networks.SimNetwork, name: string) {
+    const world = new networks.NodeWorld(network, name);
+    this.dial = new durable.NetworkDialer(world, "", this.handlers, () => fleet.nodeOf(name, "router", "r", ""), link.SILENT_MS);
+    this.dial.reach = (address) => network.connect(name, address, this.handlers, world);
+    const follower = new followers.Follower(world, "r", this.dial, this.handlers, () => [], this);
+    this.dial.know(NAMES.map(durable.addressOf));
+    const turn = (): void => {
+      world.after(100, turn);
+      this.dial.turn();
+      follower.elect();
+      follower.narrow();
+    };
+    world.after(0, turn);
+  }
+
+  take(applied: mirrors.Applied): void {
+    this.epochs.push(applied.stamp);
+    this.config.take(applied);
+  }
+
+  leave(): void {}
+}
+
+export interface Day {
+  clock: sim.SimWorld;
+  network: networks.SimNetwork;
+  nodes: durable.DurableNode[];
+  router: FollowingRouter;
+  /** The newest acknowledged revision. */
+  revision: number;
+  /** What went wrong, with the change at which it did. */
+  wrong: string[];
+}
+
+export async function begin(seed: number, routes: number): Promise<Day> {
+  const clock = new sim.SimWorld(seed);
+  const network = new networks.SimNetwork(clock);
+  const nodes = NAMES.map((name) => new durable.DurableNode(network, name, NAMES));
+  const day: Day = { clock, network, nodes, router: new FollowingRouter(network, "r1"), revision: 0, wrong: [] };
+  await clock.play(3000);
+  const names = Array.from({ length: routes }, (_, index) => `route-${index}`);
+  const body = Buffer.from(JSON.stringify(operators.documentOf(1, names)));
+  await order(day, { path: "/-/Config.Replace", base: 0, body });
+  day.revision = 1;
+  return day;
+}
+
+async function done<T>(day: Day, promise: Promise<T>, mostMs = CALL_MS): Promise<T | null> {
+  let outcome: { of: T } | null = null;
+  void promise.then((of) => (outcome = { of }));
+  for (let spent = 0; !outcome && spent < mostMs; spent += 20) await day.clock.play(20);
+  return (outcome as { of: T } | null)?.of ?? null;
+}
+
+function isReached(day: Day, node: durable.DurableNode): boolean {
+  return !node.life.isOver && !day.network.frozen.has(node.name);
+}
+
+function anyNode(day: Day): durable.DurableNode {
+  const reached = day.nodes.filter((node) => isReached(day, node));
+  return reached[Math.floor(day.clock.random() * reached.length)];
+}
+
+/** Sent again, to any node, until it is taken. */
+async function order(day: Day, { path, base, body }: operators.Order): Promise<void> {
+  for (let attempt = 0; attempt < 20; attempt += 1) {
+    const told = await done(day, anyNode(day).life.call("POST", path, base, body));
+    if (told?.status === 200) return;
+    if (told && told.status < 500) day.wrong.push(`revision ${base + 1}: refused with ${told.status}`);
+    await day.clock.play(100);
+  }
+  day.wrong.push(`revision ${base + 1}: never taken`);
+}
+
+/** One route gets another deadline, one is new, one goes. */
+export async function change(day: Day, routes: number): Promise<void> {
+  const base = day.revision;
+  const at = base - 1;
+  const changed = { ...operators.routeOf(`route-${at + routes - 1}`), deadline_ms: 1000 + base };
+  const upsert = { routes: [changed, operators.routeOf(`route-${at + routes}`)] };
+  const update = { revision: base + 1, upsert, delete: { routes: [`route-${at}`] } };
+  await order(day, { path: "/-/Config.Update", base, body: Buffer.from(JSON.stringify(update)) });
+  day.revision = base + 1;
+}
+
+/** Whoever replies to Describe replies with what was acknowledged before the call, or something newer. */
+export async function describe(day: Day): Promise<void> {
+  const least = day.revision;
+  const node = anyNode(day);
+  const told = await done(day, node.life.call("GET", "/-/Config.Describe"));
+  if (told?.status !== 200) return;
+  const { revision } = told.json as { revision: number };
+  if (revision < least) day.wrong.push(`${node.name} described ${revision} after ${least}`);
+}
+
+function begins(day: Day, node: durable.DurableNode, fault: Fault): void {
+  if (fault === "restart" || fault === "wipe") node.stop();
+  if (fault === "wipe") node.wipe();
+  if (fault === "stall") day.network.frozen.add(node.name);
+  if (fault === "hang") node.disk.isHung = true;
+  if (fault === "full") node.disk.isFull = true;
+}
+
+function ends(day: Day, node: durable.DurableNode, fault: Fault): void {
+  if (fault === "restart" || fault === "wipe") node.up();
+  day.network.frozen.delete(node.name);
+  node.disk.isHung = node.disk.isFull = false;
+}
+
+/** A fault at one member, its end, and a look whether the member has caught up in time. */
+export function trouble(day: Day, node: durable.DurableNode, fault: Fault): void {
+  begins(day, node, fault);
+  day.clock.after(fault === "restart" || fault === "wipe" ? DOWN_MS : TROUBLE_MS, () => {
+    ends(day, node, fault);
+    const contact = inTouch(day, node);
+    void contact.then((epoch) => day.clock.after(CATCH_UP_MS, () => look(day, node, fault, epoch)));
+  });
+}
+
+/** Resolves once the member has a link to another; the newest epoch then. */
+function inTouch(day: Day, node: durable.DurableNode): Promise<types.Epoch> {
+  return new Promise((resolve) => {
+    const ask = (): void => {
+      if (node.life.dial.controls.size > 0) resolve(newestEpoch(day));
+      else day.clock.after(20, ask);
+    };
+    ask();
+  });
+}
+
+function look(day: Day, node: durable.DurableNode, fault: Fault, epoch: types.Epoch): void {
+  if (isReached(day, node) && node.life.epoch < epoch)
+    day.wrong.push(`${node.name} holds epoch ${node.life.epoch}, not ${epoch}, ${CATCH_UP_MS} ms after ${fault}`);
+}
+
+export function newestEpoch(day: Day): types.Epoch {
+  return day.nodes.map((node) => node.life.epoch).reduce((left, right) => (left > right ? left : right));
+}
--- /dev/null
+++ b/tests/sim/durable-node.ts
@@ -0,0 +1,197 @@
+// Control nodes with a disk of their own over a simulated network: restarted, wiped, stalled and filled by a test. The
+// register, its membership and the feed are the program's own.
+import * as parts from "../../src/config/parts.js";
+import * as arrangers from "../../src/control/arranger.js";
+import * as cores from "../../src/control/core.js";
+import * as operators from "../../src/control/operator.js";
+import type * as serve from "../../src/control/serve.js";
+import * as dialers from "../../src/feed/dialer.js";
+import * as feeds from "../../src/feed/feed.js";
+import * as registers from "../../src/register/value.js";
+import * as voters from "../../src/register/voter.js";
+import * as calls from "../../src/wire/calls.js";
+import * as link from "../../src/wire/link.js";
+import * as schema from "../../src/wire/schema.js";
+import * as types from "../../src/wire/types.js";
+import * as fleet from "./fleet.js";
+import * as networks from "./network.js";
+
+const SYNC_MS = 5;
+const TURN_MS = 100;
+const POLL_MS = 20;
+
+export function addressOf(name: string): string {
+  return `${name}:1`;
+}
+
+export class NetworkDialer extends dialers.Dialer {
+  reach: (address: string) => Promise<link.Link | null> = () => Promise.resolve(null);
+  protected override connect(address: string): Promise<link.Link | null> {
+    return this.reach(address);
+  }
+}
+
+/** What outlives a process. */
+class SimDisk {
+  record: Buffer | null = null;
+  isFull = false;
+  isHung = false;
+  wipes = 0;
+  largest = 0;
+
+  constructor(private readonly clock: types.World) {}
+
+  async write(body: Buffer): Promise<void> {
+    await this.wait(SYNC_MS);
+    while (this.isHung) await this.wait(POLL_MS);
+    if (this.isFull) throw new Error("no space left");
+    this.record = body;
+    this.largest = Math.max(this.largest, body.length);
+  }
+
+  private wait(ms: number): Promise<void> {
+    return new Promise((resolve) => this.clock.after(ms, resolve));
+  }
+}
+
+/** One life of a control node's process. */
+export class Life {
+  readonly handlers = new link.Handlers();
+  readonly dial: NetworkDialer;
+  readonly core: cores.Core;
+  readonly feed: feeds.Feed;
+  private readonly operator: operators.Operator;
+  private readonly arranger: arrangers.Arranger;
+  private readonly callers = new Set<link.Link>();
+  isOver = false;
+
+  constructor(
+    private readonly node: DurableNode,
+    private readonly life: string,
+    first: schema.Value,
+  ) {
+    const { world, network, name } = node;
+    this.dial = new NetworkDialer(world, addressOf(name), this.handlers, () => this.describe(), link.SILENT_MS);
+    this.dial.reach = (address) => network.connect(name, address, this.handlers, world);
+    this.dial.know(node.seeds.map(addressOf));
+    this.feed = new feeds.Feed(life);
+    this.core = new cores.Core(world, { life, address: addressOf(name), first }, this.dial);
+    this.operator = new operators.Operator(this.core, new Set(["north"]), () => null);
+    this.arranger = new arrangers.Arranger(world, this.core, () => [this.describe(), ...this.peers()]);
+    this.handle();
+    this.every(TURN_MS, () => this.turn());
+    this.every(link.BEAT_MS, () => this.beat());
+  }
+
+  describe(): schema.NodeInfo {
+    const { name } = this.node;
+    const info = fleet.nodeOf(name, "control", "r", addressOf(name));
+    return { ...info, life: this.life, disk: this.core?.disk ?? "", isCounted: true, epoch: this.epoch };
+  }
+
+  private peers(): schema.NodeInfo[] {
+    return [...this.dial.controls.values()].map((control) => control.node);
+  }
+
+  get epoch(): types.Epoch {
+    return this.core?.chosen?.epoch ?? types.NO_EPOCH;
+  }
+
+  private handle(): void {
+    const { handlers, dial, core, feed } = this;
+    const splitter = new parts.Splitter();
+    core.register(handlers);
+    handlers.on(calls.hello, (from, ask) => {
+      this.callers.add(from);
+      if (ask.node.role === "control") dial.know([ask.node.address]);
+      return { node: this.describe(), controls: [], place: feed.place, isConfirmed: true } as schema.Known;
+    });
+    handlers.on(calls.beat, (from, told) => {
+      dial.heard(from, told);
+      if (told.epoch > this.epoch) void core.catchUp(from, told.epoch);
+      return null;
+    });
+    handlers.on(calls.follow, (from, ask) => {
+      feed.follow(from, ask);
+      return null;
+    });
+    core.on("chosen", (value) => feed.publish(feeds.REGISTER_TOPIC, splitter.split(value), types.small(value.epoch)));
+    this.node.network.listen(this.node.name, handlers);
+  }
+
+  private every(ms: number, run: () => void): void {
+    const again = (): void => {
+      if (this.isOver) return;
+      this.node.world.after(ms, again);
+      run();
+    };
+    this.node.world.after(ms * this.node.world.random(), again);
+  }
+
+  private turn(): void {
+    this.dial.turn();
+    this.core.turn();
+    this.arranger.turn();
+  }
+
+  private beat(): void {
+    const isSettled = this.core.isSettled();
+    this.dial.tellAll({ isReady: true, epoch: this.epoch, isSettled, index: 0, members: 1, silentRegions: [] });
+  }
+
+  call(method: string, path: string, base = 0, body: Buffer = Buffer.alloc(0)): Promise<serve.Told> {
+    const headers = { "x-cranewind-base-version": String(base) };
+    return Promise.resolve(this.operator.reply({ method, path, query: new URLSearchParams(), headers, body }));
+  }
+
+  end(): void {
+    this.isOver = true;
+    this.dial.end();
+    for (const caller of this.callers) caller.end("process ended");
+    this.core.leave();
+    this.node.network.close(this.node.name);
+  }
+}
+
+/** A machine: its disk, and the life of the process that runs on it. */
+export class DurableNode {
+  readonly world: networks.NodeWorld;
+  readonly disk: SimDisk;
+  life!: Life;
+  private lives = 0;
+
+  constructor(
+    readonly network: networks.SimNetwork,
+    readonly name: string,
+    readonly seeds: readonly string[],
+  ) {
+    this.world = new networks.NodeWorld(network, name);
+    this.disk = new SimDisk(this.world);
+    const first = registers.firstValue(seeds.map(addressOf));
+    const accepted = { ballot: registers.NO_BALLOT, value: first };
+    this.start(first, { disk: registers.firstDisk(addressOf(name)), promised: registers.NO_BALLOT, accepted });
+  }
+
+  private start(first: schema.Value, blank: schema.Disk): void {
+    this.lives += 1;
+    this.disk.record ??= schema.disk.toBuffer(blank);
+    const state = voters.Voter.restore(this.disk.record);
+    this.life = new Life(this, `${this.name}/${this.lives}`, first);
+    this.life.core.enter(new voters.Voter(this.disk, state));
+  }
+
+  stop(): void {
+    this.life.end();
+  }
+
+  /** The process comes up again with what its disk holds; bootstrap is false by now. */
+  up(): void {
+    const disk = `disk:${this.name}-${this.disk.wipes}`;
+    this.start(registers.firstValue([]), { disk, promised: registers.NO_BALLOT, accepted: null });
+  }
+
+  wipe(): void {
+    this.disk.record = null;
+    this.disk.wipes += 1;
+  }
+}
