--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -20,6 +20,7 @@
 import * as summaries from "../usage/summary.js";
 import * as watchers from "./watcher.js";
 
+/** Puts together the list, the reports, the signs and the summaries of this control node. */
 export class Cells implements orchestrators.CellsView {
   private readonly regionOf = new Map<string, string>();
   private readonly lists: lists.RegionLists;
@@ -36,6 +37,7 @@
     private readonly feed: feeds.Feed,
     core: cores.Core,
     private readonly members: sessions.Sessions,
+    /** How fit for duty this node is now. */
     private readonly ownFitness: () => duties.Fitness,
   ) {
     for (const [zone, region] of Object.entries(startup.zones)) this.regionOf.set(zone, region);
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -12,6 +12,7 @@
   ttlMostS: number;
 }
 
+/** 200 with up to 64 addresses, or 503 while no router is known. */
 export function resolve(view: DirectoryView, query: URLSearchParams): serve.Told {
   const chosen = nearest(view.routers(), query.get("region") ?? "", query.get("zone") ?? "");
   if (chosen.length === 0) {
--- a/src/control/orchestrator.ts
+++ b/src/control/orchestrator.ts
@@ -34,6 +34,7 @@
   differ(region: string, reports: readonly schema.Report[]): schema.Report[];
 }
 
+/** Reads the reports of each region in which this node ranks first, else stands in for a reader that is silent. */
 export class Orchestrator {
   private readonly watched = new Map<string, Watched>();
   private readonly cells = new Map<string, Cell>();
--- a/src/control/serve.ts
+++ b/src/control/serve.ts
@@ -7,6 +7,7 @@
 
 const MOST_BODY = 16 * 1024 * 1024;
 
+/** A request, its body read whole. */
 export interface Asked {
   method: string;
   path: string;
@@ -15,6 +16,7 @@
   body: Buffer;
 }
 
+/** A response; json is its body. */
 export interface Told {
   status: number;
   headers?: Record<string, string>;
@@ -31,6 +33,7 @@
   ["timeout", 503],
 ]);
 
+/** The response that an error becomes: a 4xx for what a majority refused, 503 while nothing is decided. */
 export function denial(error: errors.CranewindError): Told {
   const status = STATUS.get(error.kind) ?? 500;
   const headers = status === 503 ? { "Retry-After": "0.3" } : undefined;
@@ -43,6 +46,7 @@
   close(): Promise<void>;
 }
 
+/** Listens at the address; a body of over mostBodyBytes gets 413. */
 export async function serve(address: string, mostBodyBytes: number, reply: Reply): Promise<Server> {
   const server = http.createServer(
     { keepAliveTimeout: 10_000, requestTimeout: 30_000, headersTimeout: 5000, connectionsCheckingInterval: 2000 },
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -8,6 +8,7 @@
 import * as doubts from "./doubt.js";
 import * as rosters from "./roster.js";
 
+/** A node that said hello here, and its link. */
 interface Session {
   node: schema.NodeInfo;
   link: link.Link;
@@ -18,16 +19,20 @@
 const VIEW_MS = 100;
 const LEFT_MS = 60_000;
 
-interface Told {
+/** What another control node reported of its roster. */
+interface Reported {
   roster: rosters.ToldRoster;
+  /** When its last report came. */
   at: number;
+  /** When its whole roster was last asked for. */
   askedAt: number;
 }
 
+/** The members as this control node knows them: own sessions, and the rosters that other control nodes report. */
 export class Sessions {
   private readonly own = new Map<string, Session>();
   private readonly byLink = new Map<link.Link, Session>();
-  private readonly told = new Map<string, Told>();
+  private readonly reported = new Map<string, Reported>();
   /** Lives of routers that said they leave: siblings' older word does not bring them back. */
   private readonly left = new Map<string, number>();
   private readonly roster: rosters.Roster;
@@ -47,6 +52,7 @@
     this.doubt = new doubts.Doubt(world);
   }
 
+  /** A node said hello; a newer session of the same name ends the older one. */
   enter(node: schema.NodeInfo, from: link.Link): void {
     const before = this.own.get(node.name);
     const session = { node, link: from };
@@ -66,6 +72,7 @@
     log.state(`session: ${name} left: ${cause}`);
   }
 
+  /** A beat of a node with a session: whether it is ready, and the epoch in force there. */
   beat(from: link.Link, beat: schema.Beat): void {
     const session = this.byLink.get(from);
     if (!session) return;
@@ -81,16 +88,16 @@
   hear(from: link.Link, news: schema.Sessions): void {
     const session = this.byLink.get(from);
     if (!session) return;
-    const sibling = session.node.name;
-    for (const node of news.nodes) if (node.name === sibling) session.node = node;
-    const told = this.told.get(sibling) ?? { roster: new rosters.ToldRoster(), at: 0, askedAt: -ASK_MS };
+    const peer = session.node.name;
+    for (const node of news.nodes) if (node.name === peer) session.node = node;
+    const report = this.reported.get(peer) ?? { roster: new rosters.ToldRoster(), at: 0, askedAt: -ASK_MS };
     const now = this.world.now();
-    told.at = now;
-    this.told.set(sibling, told);
+    report.at = now;
+    this.reported.set(peer, report);
     for (const life of news.leaving) if (!this.left.has(life)) this.left.set(life, now);
     if (news.nodes.length > 0 || news.gone.length > 0 || news.leaving.length > 0) this.viewAt = -1;
-    if (told.roster.hear(news) || now - told.askedAt < ASK_MS) return;
-    told.askedAt = now;
+    if (report.roster.hear(news) || now - report.askedAt < ASK_MS) return;
+    report.askedAt = now;
     log.count("members.gap");
     from.tell(calls.whole, { _: false });
   }
@@ -129,17 +136,19 @@
     for (const session of [...this.own.values()]) {
       if (session.link.silentMs() > this.silentMs) session.link.end("silent");
     }
-    for (const [sibling, told] of this.told) {
-      if (now - told.at > 2 * this.silentMs) this.told.delete(sibling);
+    for (const [peer, report] of this.reported) {
+      if (now - report.at > 2 * this.silentMs) this.reported.delete(peer);
     }
     for (const [life, at] of this.left) if (now - at > LEFT_MS) this.left.delete(life);
     this.routers();
   }
 
+  /** Ends all sessions: this node leaves. */
   end(): void {
     for (const session of [...this.own.values()]) session.link.end("leaving");
   }
 
+  /** Whether this node itself has a session with the node of that name. */
   isHeld(name: string): boolean {
     return this.own.has(name);
   }
@@ -151,7 +160,7 @@
   /** All members by name: the own sessions first, then what siblings told; one that any of them hears is ready. */
   private heard(role: string): schema.NodeInfo[] {
     const all = new Map<string, schema.NodeInfo>();
-    for (const { roster } of this.told.values()) {
+    for (const { roster } of this.reported.values()) {
       for (const node of roster.all()) {
         if (node.role !== role || (all.get(node.name)?.isReady && !node.isReady)) continue;
         all.set(node.name, this.left.has(node.life) ? { ...node, isReady: false } : node);
@@ -180,6 +189,7 @@
     return heard.length > 0 ? heard.sort(bySeenName) : this.routers();
   }
 
+  /** All members of a role, by name. */
   members(role: string): schema.NodeInfo[] {
     return role === "router" ? this.routers().map(nodeOf) : this.heard(role);
   }
--- a/src/control/watcher.ts
+++ b/src/control/watcher.ts
@@ -41,6 +41,10 @@
   return typeof value === "number" && Number.isFinite(value) ? Math.round(value) : otherwise;
 }
 
+/**
+ * Reads the platform's list while this node ranks first, else takes what the reader sends; stands in when that falls
+ * silent. rank: this node's place among the readers, 0 reads.
+ */
 export class Watcher {
   private readonly items = new lists.InstanceItems();
   private heardAt = -1e9;
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -16,6 +16,7 @@
 /** A region whose control nodes were all silent for so long is cut off from here. */
 const CUT_MS = 750;
 
+/** A control node with an open link. */
 export interface Control {
   address: string;
   node: schema.NodeInfo;
@@ -26,6 +27,7 @@
   beatAt: number;
   /** What its hello said; isConfirmed() tells its newest word. */
   wasConfirmed: boolean;
+  /** How long its hello took, there and back, in milliseconds. */
   tripMs: number;
 }
 
@@ -59,6 +61,10 @@
   region: string;
 }
 
+/**
+ * Keeps links to control nodes: dials known addresses, with pauses that grow after failures, and ends links that are
+ * silent. Emits "up" after a hello, "beat" with each beat, "down" when a link has ended.
+ */
 export class Dialer extends events.EventEmitter<DialerEvents> {
   readonly controls = new Map<string, Control>();
   readonly targets = new Map<string, Target>();
@@ -75,6 +81,7 @@
     super();
   }
 
+  /** Addresses that may be control nodes; the own one and known ones are passed over. */
   know(addresses: Iterable<string>): void {
     for (const address of addresses) {
       if (address === this.own || this.targets.has(address) || address === "") continue;
@@ -125,10 +132,12 @@
     return regions;
   }
 
+  /** Addresses of the control nodes with links. */
   addresses(): string[] {
     return [...this.controls.keys()];
   }
 
+  /** Ends silent links and dials what is due; called each 100 ms. */
   turn(): void {
     if (this.isOver) return;
     const now = this.world.now();
@@ -196,6 +205,7 @@
     this.emit("down", control);
   }
 
+  /** A beat came over a link; one over a link that this side did not dial is passed over. */
   heard(from: link.Link, beat: schema.Beat): void {
     for (const control of this.controls.values()) {
       if (control.link !== from) continue;
@@ -206,10 +216,12 @@
     }
   }
 
+  /** Sends a beat to all control nodes with links. */
   tellAll(beat: schema.Beat): void {
     for (const control of this.controls.values()) control.link.tell(calls.beat, beat);
   }
 
+  /** Ends all links for good. */
   end(): void {
     this.isOver = true;
     for (const control of [...this.controls.values()]) control.link.end("leaving");
--- a/src/feed/follower.ts
+++ b/src/feed/follower.ts
@@ -23,6 +23,10 @@
   leave(topic: string, keys: readonly string[]): void;
 }
 
+/**
+ * Keeps a mirror of the followed topics, all from one control node (`main`), and moves to another when that is better:
+ * heard lately first, then confirmed by a majority, then of the own region.
+ */
 export class Follower {
   main: dialers.Control | null = null;
   readonly mirror = new mirrors.Mirror(new Set([feeds.REGISTER_TOPIC]));
--- a/src/shares/tenure.ts
+++ b/src/shares/tenure.ts
@@ -18,6 +18,7 @@
   knownAt: number;
 }
 
+/** Fences one slot: isGranting() holds only while a majority of the voters knows no newer set of voters. */
 export class Tenure {
   private era: Era | null = null;
   private disk = "";
