Links: an unreadable reply no longer leaves its call waiting for good

Cause: settle() took a call out of the table before it read the reply; a reply that could not be read ended the link, but the call had left the table by then, so its promise never resolved. A reply's kind was not compared with its call's, and an id that came round again took the place of a call that still waited.

Change: the reply is read first; a reply of another kind than its call ends the link; ids in use are passed over. link.late_reply counts replies whose call was given up.

--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -46,17 +46,20 @@
   private parts: Buffer[] = [];
   private held = 0;
   private wanted = HEAD_BYTES;
-  private callId = 0;
+  private lastCallId: number;
   private readonly opening: releases.Opening;
   heardAt: types.SteadyMs;
   isOpen = true;
 
+  /** `firstCallId`: of the calls from this side; any will do, since the ids of the two sides are apart. */
   constructor(
     private readonly world: types.World,
     readonly socket: net.Socket,
     private readonly handlers: Handlers,
+    firstCallId = 1,
   ) {
     super();
+    this.lastCallId = (firstCallId - 1) >>> 0;
     this.heardAt = world.now();
     socket.setNoDelay(true);
     this.opening = new releases.Opening(world, socket, SILENT_MS, this.over.bind(this));
@@ -116,21 +119,30 @@
   /** Null when no reply came in time or the link ended: nothing is known then. */
   call<Ask, Reply>(pair: calls.Pair<Ask, Reply>, ask: Ask, withinMs: number): Promise<Reply | null> {
     if (!this.isOpen) return Promise.resolve(null);
-    const id = (this.callId = (this.callId + 1) >>> 0);
-    const waiting = this.waiting;
-    const world = this.world;
+    const { waiting, world } = this;
+    const nextCallId = this.nextCallId.bind(this);
     const write = this.write.bind(this);
     return new Promise(function start(resolve) {
+      const body = pair.ask.toBuffer(ask);
+      const id = nextCallId();
       function late(): void {
         waiting.delete(id);
         resolve(null);
       }
       const tick = world.after(withinMs, late);
-      waiting.set(id, { pair: pair, resolve: resolve, tick });
-      write(CALL, pair.code, id, pair.ask.toBuffer(ask));
+      waiting.set(id, { pair, resolve, tick });
+      write(CALL, pair.code, id, body);
     });
   }
 
+  /** An id that no waiting call of this link has; ids wrap after 2^32 calls. */
+  private nextCallId(): number {
+    do {
+      this.lastCallId = (this.lastCallId + 1) >>> 0;
+    } while (this.waiting.has(this.lastCallId));
+    return this.lastCallId;
+  }
+
   private read(bytes: Buffer): void {
     if (!this.isOpen) return;
     this.heardAt = this.world.now();
@@ -171,19 +183,31 @@
     }
     counts.heard(code, body.length);
     try {
-      if (kind === REPLY) this.settle(id, body);
+      if (kind === REPLY) this.settle(pair, id, body);
       else void this.handle(pair, kind, id, pair.ask.fromBuffer(body));
     } catch {
       this.garbled(`unreadable ${pair.name}`);
     }
   }
 
-  private settle(id: number, body: Buffer): void {
+  /**
+   * A reply whose call was given up, or that was there already, is dropped. A reply of another kind than its call, or
+   * one that can't be read, ends the link, and with it the call, which still waits.
+   */
+  private settle(pair: calls.Pair<unknown, unknown>, id: number, body: Buffer): void {
     const item = this.waiting.get(id);
-    if (!item) return;
+    if (!item) {
+      log.count("link.late_reply");
+      return;
+    }
+    if (item.pair.code !== pair.code) {
+      this.garbled(`a reply of ${pair.name} to a call of ${item.pair.name}`);
+      return;
+    }
+    const reply = pair.reply.fromBuffer(body);
     this.waiting.delete(id);
     item.tick.stop();
-    item.resolve(item.pair.reply.fromBuffer(body));
+    item.resolve(reply);
   }
 
   private async handle(pair: calls.Pair<unknown, unknown>, kind: number, id: number, ask: unknown): Promise<void> {
