--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -8,6 +8,7 @@
 import type * as types from "../wire/types.js";
 import * as cells from "./cells.js";
 import * as judges from "./judge.js";
+import * as lru from "./lru.js";
 import * as paces from "./pace.js";
 import * as pauses from "./pauses.js";
 import * as predictions from "./predict.js";
@@ -15,17 +16,16 @@
 import type * as rooms from "./room.js";
 import * as sizes from "./sizes.js";
 import * as slowness from "./slowness.js";
-import * as spreads from "./spread.js";
 import * as statuses from "./status.js";
 import * as tallies from "./tally.js";
 import * as tickets from "./ticket.js";
-import * as usuals from "./usual.js";
+import * as typicals from "./typical.js";
 
-const MOST_SERVICES = 64;
-const MOST_ROUTES = 256;
+const MAX_SERVICES = 64;
+const MAX_ROUTES = 256;
 const LAG_DECAY = 0.5;
 
-export interface Needs {
+export interface Dependencies {
   /** Of a region. */
   readonly runners: (region: string) => Iterable<fleets.Runner>;
   readonly known: readings.Readings;
@@ -33,10 +33,10 @@
 }
 
 /** What a prediction goes by at one runner. */
-interface Seen {
+interface PredictionInput {
   place: rooms.Place;
   need: predictions.Need;
-  slow: slowness.Slow;
+  slow: slowness.Slowdown;
   waitFactor: number;
 }
 
@@ -48,100 +48,100 @@
   return new sizes.Sizes();
 }
 
-function newUsual(): usuals.Usual {
-  return new usuals.Usual();
+function newTypicalRequest(): typicals.TypicalRequest {
+  return new typicals.TypicalRequest();
 }
 
-export class Admission implements tickets.Teacher, judges.Knowledge {
+export class Admission implements tickets.Learner, judges.Knowledge {
   isOn = true;
   readonly cells: cells.Cells;
   readonly pauses = new pauses.Pauses();
   readonly slowness = new slowness.Slowness();
-  readonly returns = new returns.Returns();
+  readonly recentDenials = new returns.RecentDenials();
   readonly tally: tallies.Tally;
-  private readonly paceByService = new spreads.Bounded<string, paces.Pace>(MOST_SERVICES, newPace);
-  private readonly sizesByRoute = new spreads.Bounded<string, sizes.Sizes>(MOST_ROUTES, newSizes);
-  private readonly usualByRoute = new spreads.Bounded<string, usuals.Usual>(MOST_ROUTES, newUsual);
+  private readonly paceByService = new lru.LruTable<string, paces.Pace>(MAX_SERVICES, newPace);
+  private readonly sizesByRoute = new lru.LruTable<string, sizes.Sizes>(MAX_ROUTES, newSizes);
+  private readonly typicalByRoute = new lru.LruTable<string, typicals.TypicalRequest>(MAX_ROUTES, newTypicalRequest);
   lagMs = 0;
-  private turnedAt = -1;
-  private readonly door = new judges.Judge(this);
+  private lastTimerAt = -1;
+  private readonly doorJudge = new judges.Judge(this);
 
   constructor(
     readonly world: types.World,
-    readonly needs: Needs,
+    readonly dependencies: Dependencies,
   ) {
     this.cells = new cells.Cells(world);
     this.tally = new tallies.Tally(world);
   }
 
   takeReport(report: schema.CellReport): void {
-    this.cells.takeReport(report, this.needs.runners(report.region), this.needs.routers());
+    this.cells.takeReport(report, this.dependencies.runners(report.region), this.dependencies.routers());
   }
 
   forgetAllBut(standing: { has(id: string): boolean }): void {
-    this.slowness.forgetAllBut(standing);
-    this.pauses.forgetAllBut(standing);
-    this.cells.forgetAllBut(standing);
+    this.slowness.retainOnly(standing);
+    this.pauses.retainOnly(standing);
+    this.cells.retainOnly(standing);
   }
 
   /** Called every `everyMs`: what comes later than that is this router's own slowness. */
   turn(everyMs: number): void {
     const now = this.world.now();
-    if (this.turnedAt >= 0) this.lagged(Math.max(0, now - this.turnedAt - everyMs));
-    this.turnedAt = now;
-    this.tally.turn();
+    if (this.lastTimerAt >= 0) this.recordLag(Math.max(0, now - this.lastTimerAt - everyMs));
+    this.lastTimerAt = now;
+    this.tally.onTimer();
   }
 
-  lagged(ms: number): void {
+  recordLag(ms: number): void {
     this.lagMs = Math.max(ms, this.lagMs * LAG_DECAY);
   }
 
   paceOf(service: string): paces.Pace {
-    return this.paceByService.of(service);
+    return this.paceByService.getOrCreate(service);
   }
 
-  usualOf(route: string): usuals.Usual {
-    return this.usualByRoute.of(route);
+  typicalOf(route: string): typicals.TypicalRequest {
+    return this.typicalByRoute.getOrCreate(route);
   }
 
   sizesOf(route: string): sizes.Sizes {
-    return this.sizesByRoute.of(route);
+    return this.sizesByRoute.getOrCreate(route);
   }
 
   needOf(plan: plans.Plan, runner: fleets.Runner): predictions.Need {
     const { prompt, mostOut } = plan.asked;
     return {
-      unread: plan.parts.length > 0 ? this.needs.known.unread(runner.id, plan.parts, plan.keys) : 0,
+      unread: plan.parts.length > 0 ? this.dependencies.known.unread(runner.id, plan.parts, plan.keys) : 0,
       out: mostOut,
       tokens: prompt + mostOut,
     };
   }
 
-  predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slow, waitFactor: number): predictions.Prediction {
+  predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slowdown, waitFactor: number): predictions.Prediction {
     return this.predictAt(plan, runner, { place: this.placeOf(plan, runner), need: this.needOf(plan, runner), slow, waitFactor });
   }
 
   private placeOf(plan: plans.Plan, runner: fleets.Runner): rooms.Place {
-    return this.cells.placeOf(this.needs.known.backlogMs(runner.id, plan.now), runner);
+    return this.cells.placeOf(this.dependencies.known.backlogMs(runner.id, plan.now), runner);
   }
 
-  private predictAt(plan: plans.Plan, runner: fleets.Runner, seen: Seen): predictions.Prediction {
+  private predictAt(plan: plans.Plan, runner: fleets.Runner, seen: PredictionInput): predictions.Prediction {
     const pace = this.paceOf(plan.service);
     const { place, need, slow, waitFactor } = seen;
     return predictions.predict(place, need, {
-      rate: this.needs.known.rate,
+      rate: this.dependencies.known.rate,
       heldMs: pace.heldMs(plan.asked.mostOut > 0),
       tokenMs: pace.tokenMs((place.used + 1) / Math.max(1, place.capacity)),
       waitFactor,
-      slow,
-      fullMs: Math.max(0, runner.fullUntil - plan.now),
+      slowdown: slow,
+      fullForMs: Math.max(0, runner.fullUntil - plan.now),
       lagMs: this.lagMs,
     });
   }
 
   /** Called once per request, after the other policies: null lets it in, see `Judge.judge`. */
   judge(plan: plans.Plan): plans.Denial | null {
-    return this.isOn ? this.door.judge(plan) : null;
+    return this.isOn ? this.doorJudge.judge(plan) : null;
   }
 
   /** It goes to this runner: its part of the room is spent, and its reply will teach. */
@@ -150,26 +150,26 @@
     const place = this.placeOf(plan, runner);
     if (plan.tried.size === 0) {
       log.count("admission.admitted");
-      this.returns.served(plan.returnKey);
-      this.sizesOf(plan.entry.route.name).note(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), true);
+      this.recentDenials.forget(plan.returnKey);
+      this.sizesOf(plan.entry.route.name).record(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), true);
     }
     const tokens = need.unread + need.out;
     const rank = plan.entry.route.priority ?? 1;
     const pace = this.paceOf(plan.service);
-    const waitFactor = pace.usualWait(rank);
+    const waitFactor = pace.typicalWaitFactor(rank);
     const ticket = new tickets.Ticket(this, {
       runner,
       need,
       service: plan.service,
       route: plan.entry.route.name,
       sentAt: plan.now,
-      bare: this.predictAt(plan, runner, { place, need, slow: slowness.NONE, waitFactor }),
+      nominal: this.predictAt(plan, runner, { place, need, slow: slowness.NO_SLOWDOWN, waitFactor }),
       waitFactor,
-      sureMs: this.predictAt(plan, runner, {
+      safeFirstMs: this.predictAt(plan, runner, {
         place,
         need,
-        slow: slowness.NONE,
-        waitFactor: Math.max(waitFactor, pace.margin(rank, plan.now)),
+        slow: slowness.NO_SLOWDOWN,
+        waitFactor: Math.max(waitFactor, pace.waitFactor(rank, plan.now)),
       }).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
       rank,
@@ -184,13 +184,13 @@
     return statuses.statusOf({
       now: this.world.now(),
       isOn: this.isOn,
-      rate: this.needs.known.rate,
+      rate: this.dependencies.known.rate,
       lagMs: this.lagMs,
-      returners: this.returns.size,
+      returners: this.recentDenials.size,
       tally: this.tally.status(),
       cells: this.cells.status(),
       services: this.paceByService.entries(),
-      routes: this.usualByRoute.entries(),
+      routes: this.typicalByRoute.entries(),
     });
   }
 }
--- a/src/admission/cells.ts
+++ b/src/admission/cells.ts
@@ -7,7 +7,7 @@
 /** What was reported longer ago says nothing any more (ours). */
 const STALE_MS = 3000;
 
-export interface Reported {
+export interface RunnerLoad {
   at: number;
   waiting: number;
   kvUsed: number;
@@ -22,7 +22,7 @@
   places: number;
   spent: number;
   /** What the others send for each send from here, a runner. */
-  othersPer: number;
+  othersPerSend: number;
 }
 
 function keyOf(runner: fleets.Runner): string {
@@ -30,7 +30,7 @@
 }
 
 export class Cells {
-  private readonly reported = new Map<string, Reported>();
+  private readonly loads = new Map<string, RunnerLoad>();
   private readonly leases = new Map<string, Lease>();
 
   constructor(private readonly world: types.World) {}
@@ -44,8 +44,8 @@
     return lease && this.isFresh(lease) ? lease : undefined;
   }
 
-  forgetAllBut(standing: { has(id: string): boolean }): void {
-    for (const id of this.reported.keys()) if (!standing.has(id)) this.reported.delete(id);
+  retainOnly(listed: { has(id: string): boolean }): void {
+    for (const id of this.loads.keys()) if (!listed.has(id)) this.loads.delete(id);
     for (const [key, lease] of this.leases) if (!this.isFresh(lease)) this.leases.delete(key);
   }
 
@@ -54,11 +54,11 @@
     const at = this.world.now();
     for (const item of report.reports) {
       if (item.isSpeaking)
-        this.reported.set(item.id, { at, waiting: item.waiting, kvUsed: item.kvUsed, kvCapacity: item.kvCapacity, sentTokens: 0 });
+        this.loads.set(item.id, { at, waiting: item.waiting, kvUsed: item.kvUsed, kvCapacity: item.kvCapacity, sentTokens: 0 });
     }
     const cells = new Map<string, fleets.Runner[]>();
     for (const runner of runners) {
-      if (runner.region !== report.region || !this.reported.has(runner.id)) continue;
+      if (runner.region !== report.region || !this.loads.has(runner.id)) continue;
       const key = keyOf(runner);
       const cell = cells.get(key) ?? [];
       cell.push(runner);
@@ -75,28 +75,28 @@
       all += runner.usage();
     }
     const room = rooms.roomOf(cell.map(this.reportedPlace.bind(this, 0)));
-    const part = rooms.partOf(own, all, routers);
-    return { at: this.world.now(), room, places: rooms.leaseOf(room, part), spent: 0, othersPer: (1 / part - 1) / cell.length };
+    const share = rooms.shareOf(own, all, routers);
+    return { at: this.world.now(), room, places: rooms.leaseOf(room, share), spent: 0, othersPerSend: (1 / share - 1) / cell.length };
   }
 
   /** With what the other routers are expected to have sent there since, going by this one's own sends. */
   placeOf(backlogMs: number, runner: fleets.Runner): rooms.Place {
     const place = this.reportedPlace(backlogMs, runner);
     const lease = this.leaseFor(runner);
-    if (lease) place.used += Math.min(place.capacity, lease.spent * lease.othersPer);
+    if (lease) place.used += Math.min(place.capacity, lease.spent * lease.othersPerSend);
     return place;
   }
 
   reportedPlace(backlogMs: number, runner: fleets.Runner): rooms.Place {
-    const known = this.reported.get(runner.id);
-    const told = known && this.isFresh(known) ? known : undefined;
+    const known = this.loads.get(runner.id);
+    const fresh = known && this.isFresh(known) ? known : undefined;
     return {
       // What others had there by a report that is stale is not known now.
       capacity: runner.instance.capacity,
-      used: known && !told ? runner.inflight : runner.usage(),
-      waiting: told?.waiting ?? 0,
-      kvUsed: (told?.kvUsed ?? 0) + (told?.sentTokens ?? 0),
-      kvCapacity: told?.kvCapacity ?? 0,
+      used: known && !fresh ? runner.inflight : runner.usage(),
+      waiting: fresh?.waiting ?? 0,
+      kvUsed: (fresh?.kvUsed ?? 0) + (fresh?.sentTokens ?? 0),
+      kvCapacity: fresh?.kvCapacity ?? 0,
       backlogMs,
     };
   }
@@ -121,11 +121,11 @@
   spend(runner: fleets.Runner, tokens: number): void {
     const lease = this.leaseFor(runner);
     if (lease) lease.spent += 1;
-    const told = this.reported.get(runner.id);
-    if (told) told.sentTokens += tokens;
+    const load = this.loads.get(runner.id);
+    if (load) load.sentTokens += tokens;
   }
 
-  giveBack(runner: fleets.Runner): void {
+  release(runner: fleets.Runner): void {
     const lease = this.leaseFor(runner);
     if (lease) lease.spent = Math.max(0, lease.spent - 1);
   }
--- a/src/admission/judge.ts
+++ b/src/admission/judge.ts
@@ -34,12 +34,12 @@
   readonly cells: cells.Cells;
   readonly pauses: pauses.Pauses;
   readonly slowness: slowness.Slowness;
-  readonly returns: returns.Returns;
+  readonly recentDenials: returns.RecentDenials;
   readonly tally: tallies.Tally;
   paceOf(service: string): paces.Pace;
   sizesOf(route: string): sizes.Sizes;
   needOf(plan: plans.Plan, runner: fleets.Runner): predictions.Need;
-  predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slow, waitFactor: number): predictions.Prediction;
+  predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slowdown, waitFactor: number): predictions.Prediction;
 }
 
 /** What one request is judged by, whatever the runner. */
@@ -105,7 +105,7 @@
 
   /** A long reading is not added where streams pause almost too long already. */
   private mayAddPrompt(plan: plans.Plan, runner: fleets.Runner): boolean {
-    return !this.known.pauses.isPressed(runner.id, plan.now) || this.known.needOf(plan, runner).unread < LONG_TOKENS;
+    return !this.known.pauses.isNearLimit(runner.id, plan.now) || this.known.needOf(plan, runner).unread < LONG_TOKENS;
   }
 
   private judgeAll(plan: plans.Plan): plans.Denial | null {
@@ -126,7 +126,7 @@
       if (taken) return verdicts.putFirst(plan, taken);
       if (rooms.isHalfEmpty(room)) return null;
     }
-    this.known.tally.roomAt(room);
+    this.known.tally.recordUnusedRoom(room);
     return this.deny(plan, Math.max(survey.leastEndMs - terms.leftMs, survey.leastFirstMs - terms.aimMs));
   }
 
@@ -138,7 +138,7 @@
       leftMs: plan.deadline - plan.now,
       aimMs: hasAim ? (route.target_latency_ms ?? Infinity) : Infinity,
       spareShare: this.spareShareOf(plan),
-      waitFactor: this.known.paceOf(plan.service).margin(rank, plan.now),
+      waitFactor: this.known.paceOf(plan.service).waitFactor(rank, plan.now),
       // What holds long readings back may not starve the large ones of a kind.
       ignoresPauses: this.known.sizesOf(route.name).isStarved(sizeOf(plan)),
     };
@@ -165,7 +165,7 @@
   }
 
   private isReturning(plan: plans.Plan): boolean {
-    return this.known.returns.times(plan.returnKey, plan.now) > 0;
+    return this.known.recentDenials.count(plan.returnKey, plan.now) > 0;
   }
 
   /**
@@ -179,8 +179,8 @@
   }
 
   private deny(plan: plans.Plan, excessMs: number): plans.Denial {
-    this.known.returns.note(plan.returnKey, plan.now);
-    this.known.sizesOf(plan.entry.route.name).note(sizeOf(plan), false);
+    this.known.recentDenials.recordDenial(plan.returnKey, plan.now);
+    this.known.sizesOf(plan.entry.route.name).record(sizeOf(plan), false);
     log.count("admission.denied");
     log.count(`admission.denied_rank_${rankOf(plan)}`);
     return verdicts.denial(plan, excessMs, this.known.world.random());
--- /dev/null
+++ b/src/admission/lru.ts
@@ -0,0 +1,25 @@
+/** A bounded table in memory: the least recently used entry makes room for a new one. */
+
+/** At most `capacity` entries; made on first use, forgotten when unused for longest. */
+export class LruTable<K, V> {
+  private readonly items = new Map<K, V>();
+  constructor(
+    private readonly capacity: number,
+    private readonly make: () => V,
+  ) {}
+
+  getOrCreate(key: K): V {
+    const item = this.items.get(key) ?? this.make();
+    this.items.delete(key);
+    this.items.set(key, item);
+    for (const oldest of this.items.keys()) {
+      if (this.items.size <= this.capacity) break;
+      this.items.delete(oldest);
+    }
+    return item;
+  }
+
+  entries(): Iterable<[K, V]> {
+    return this.items.entries();
+  }
+}
--- a/src/admission/pace.ts
+++ b/src/admission/pace.ts
@@ -1,133 +1,136 @@
 // What the replies of one service teach: time per asked token by fullness of the batch, how long a place is
 // held, and how far predictions were off (design/admission 3). Nothing is known at first, which admits all.
-import * as spreads from "./spread.js";
+import * as histograms from "./histogram.js";
 
-const STEPS = 5;
-const MIDDLE = 50;
-const LOWER = 25;
-const MICRO = 1000;
-const PERCENT = 100;
+const FULLNESS_STEPS = 5;
+const MEDIAN = 50;
+const LOWER_QUARTILE = 25;
+const TOKEN_TIME_SCALE = 1000;
+const RATIO_SCALE = 100;
 /** Beyond these an error says that the model does not hold, not that all must be denied or let in. */
-const NO_MARGIN = 1;
+const NEUTRAL_FACTOR = 1;
 /** Before anything waited, by rank: the less urgent will be overtaken (ours). */
-const FIRST_MARGIN = [1, 1.25, 1.5] as const;
-const LEAST_MARGIN = 0.05;
-const MOST_MARGIN = 20;
+const INITIAL_WAIT_FACTORS = [1, 1.25, 1.5] as const;
+const MIN_WAIT_FACTOR = 0.05;
+const MAX_WAIT_FACTOR = 20;
 /** Shorter waits teach nothing of waits. */
-export const LEAST_WAIT_MS = 50;
+export const MIN_WAIT_MS = 50;
 /** So many waiting requests have to be overdue together (ours). */
-const WITNESSES = 3;
-const LEAST_RECORDS = 20;
+const MIN_OVERDUE_REQUESTS = 3;
+const MIN_RECORDS = 20;
 /** One too late weighs as much as so many in time: caution settles where one in a hundred is too late (ours). */
 const MORE_CAUTION = 1.1;
 const LESS_CAUTION = 0.999;
-const MOST_CAUTION = 4;
-const MARGIN_AT = [75, 90, 95] as const;
+const MAX_CAUTION = 4;
+const WAIT_PERCENTILES = [75, 90, 95] as const;
 
 function stepOf(fullness: number): number {
-  return Math.min(STEPS - 1, Math.max(0, Math.floor(fullness * (STEPS - 1))));
+  return Math.min(FULLNESS_STEPS - 1, Math.max(0, Math.floor(fullness * (FULLNESS_STEPS - 1))));
 }
 
-export interface Open {
+export interface PendingWait {
   /** When it would have begun to be worked on, had it not waited. */
   readonly since: number;
   readonly waitMs: number;
 }
 
 export class Pace {
-  private readonly perToken: (spreads.Spread | null)[] = Array.from({ length: STEPS }, none);
-  private readonly held = new spreads.Spread(1);
+  private readonly perTokenByFullness: (histograms.Histogram | null)[] = Array.from({ length: FULLNESS_STEPS }, none);
+  private readonly holdTimes = new histograms.Histogram(1);
   /** Wait seen / wait predicted, by rank: runners let the more urgent in first. */
-  private readonly errors = MARGIN_AT.map(newSpread);
+  private readonly waitErrors = WAIT_PERCENTILES.map(newSpread);
 
-  private readonly caution = MARGIN_AT.map(one);
+  private readonly caution = WAIT_PERCENTILES.map(one);
 
   /** Those that still wait, by rank, the longest waiting first. */
-  readonly open = MARGIN_AT.map(newSet);
+  readonly pendingWaits = WAIT_PERCENTILES.map(newSet);
 
-  openOf(rank: number): Set<Open> {
-    return this.open[classOf(rank)];
+  pendingWaitsOf(rank: number): Set<PendingWait> {
+    return this.pendingWaits[rankClassOf(rank)];
   }
 
   /** What the longest waiting have waited already, over what was predicted: all of them, so that one silent runner is no proof. */
-  private overdue(rank: number, now: number): number {
+  private overdueFactor(rank: number, now: number): number {
     let least = Infinity;
     let seen = 0;
-    for (const { since, waitMs } of this.openOf(rank)) {
+    for (const { since, waitMs } of this.pendingWaitsOf(rank)) {
       least = Math.min(least, (now - since) / waitMs);
       seen += 1;
-      if (seen === WITNESSES) return Math.min(MOST_MARGIN, least);
+      if (seen === MIN_OVERDUE_REQUESTS) return Math.min(MAX_WAIT_FACTOR, least);
     }
     return 0;
   }
 
   /** Whether one that had to wait was done by its deadline. */
   learnOutcome(rank: number, isInTime: boolean): void {
-    const at = classOf(rank);
-    this.caution[at] = Math.min(MOST_CAUTION, Math.max(1, this.caution[at] * (isInTime ? LESS_CAUTION : MORE_CAUTION)));
+    const at = rankClassOf(rank);
+    this.caution[at] = Math.min(MAX_CAUTION, Math.max(1, this.caution[at] * (isInTime ? LESS_CAUTION : MORE_CAUTION)));
   }
 
   /** From the first event to the end, over the tokens asked for at most. */
   learnTokens(fullness: number, out: number, ms: number): void {
     if (out < 1) return;
     const step = stepOf(fullness);
-    const spread = (this.perToken[step] ??= new spreads.Spread(MICRO));
+    const spread = (this.perTokenByFullness[step] ??= new histograms.Histogram(TOKEN_TIME_SCALE));
     spread.record(ms / out);
   }
 
   /** How long one place was taken. */
   learnHeld(ms: number): void {
-    this.held.record(ms);
+    this.holdTimes.record(ms);
   }
 
   learnWait(rank: number, seenMs: number, predictedMs: number): void {
-    if (predictedMs >= LEAST_WAIT_MS) this.errorOf(rank).record(Math.max(0, seenMs) / predictedMs);
+    if (predictedMs >= MIN_WAIT_MS) this.errorOf(rank).record(Math.max(0, seenMs) / predictedMs);
   }
 
-  errorOf(rank: number): spreads.Spread {
-    return this.errors[classOf(rank)];
+  errorOf(rank: number): histograms.Histogram {
+    return this.waitErrors[rankClassOf(rank)];
   }
 
   /** Milliseconds per asked token; never less in a fuller batch. */
   tokenMs(fullness: number): number {
     let most = 0;
-    for (let step = stepOf(fullness); step >= 0; step -= 1) most = Math.max(most, this.perToken[step]?.at(MIDDLE, 0) ?? 0);
+    for (let step = stepOf(fullness); step >= 0; step -= 1)
+      most = Math.max(most, this.perTokenByFullness[step]?.percentile(MEDIAN, 0) ?? 0);
     return most;
   }
 
   /** Milliseconds a place is taken: the middle for batches, the lower side where waiting cannot be told from work. */
   heldMs(hasTokens: boolean): number {
-    return this.held.at(hasTokens ? MIDDLE : LOWER, 0);
+    return this.holdTimes.percentile(hasTokens ? MEDIAN : LOWER_QUARTILE, 0);
   }
 
   /** What a wait usually takes of what was predicted. */
-  usualWait(rank: number): number {
-    return this.factor(rank, MIDDLE, NO_MARGIN);
+  typicalWaitFactor(rank: number): number {
+    return this.learnedFactor(rank, MEDIAN, NEUTRAL_FACTOR);
   }
 
   /** What a wait is multiplied by to be judged: the less urgent the rank, the surer it must be. */
-  margin(rank: number, now: number): number {
-    const learned = this.caution[classOf(rank)] * this.factor(rank, MARGIN_AT[classOf(rank)], FIRST_MARGIN[classOf(rank)]);
-    return Math.max(learned, this.overdue(rank, now));
+  waitFactor(rank: number, now: number): number {
+    const learned =
+      this.caution[rankClassOf(rank)] *
+      this.learnedFactor(rank, WAIT_PERCENTILES[rankClassOf(rank)], INITIAL_WAIT_FACTORS[rankClassOf(rank)]);
+    return Math.max(learned, this.overdueFactor(rank, now));
   }
 
-  private factor(rank: number, percent: number, first: number): number {
+  private learnedFactor(rank: number, percent: number, first: number): number {
     const error = this.errorOf(rank);
-    if (error.count < LEAST_RECORDS) return first;
-    return Math.min(MOST_MARGIN, Math.max(LEAST_MARGIN, error.at(percent, NO_MARGIN)));
+    if (error.count < MIN_RECORDS) return first;
+    return Math.min(MAX_WAIT_FACTOR, Math.max(MIN_WAIT_FACTOR, error.percentile(percent, NEUTRAL_FACTOR)));
   }
 }
 
 /** Ranks from 2 on are one class. */
-function classOf(rank: number): number {
-  return Math.min(MARGIN_AT.length - 1, Math.max(0, Math.floor(rank)));
+function rankClassOf(rank: number): number {
+  return Math.min(WAIT_PERCENTILES.length - 1, Math.max(0, Math.floor(rank)));
 }
 
-function newSpread(): spreads.Spread {
-  return new spreads.Spread(PERCENT);
+function newSpread(): histograms.Histogram {
+  return new histograms.Histogram(RATIO_SCALE);
 }
 
-function newSet(): Set<Open> {
+function newSet(): Set<PendingWait> {
   return new Set();
 }
 
--- a/src/admission/pauses.ts
+++ b/src/admission/pauses.ts
@@ -3,35 +3,35 @@
 import type * as types from "../wire/types.js";
 
 /** What was seen counts half after so long (ours). */
-const HALF_MS = 500;
+const HALF_LIFE_MS = 500;
 /** From this part of the allowed pause on, a runner takes no further long reading from a newcomer (ours). */
-const MOST = 0.45;
+const PRESSED_SHARE = 0.45;
 
-interface Seen {
+interface RecentPause {
   share: number;
   at: number;
 }
 
 export class Pauses {
-  private readonly runners = new Map<types.RunnerId, Seen>();
+  private readonly byRunner = new Map<types.RunnerId, RecentPause>();
 
   /** A pause of so much of the one allowed has just ended there. */
-  paused(runner: types.RunnerId, share: number, now: number): void {
-    const seen = this.runners.get(runner);
-    if (!seen) this.runners.set(runner, { share, at: now });
+  recordPause(runner: types.RunnerId, share: number, now: number): void {
+    const seen = this.byRunner.get(runner);
+    if (!seen) this.byRunner.set(runner, { share, at: now });
     else if (share >= this.shareAt(runner, now)) Object.assign(seen, { share, at: now });
   }
 
   private shareAt(runner: types.RunnerId, now: number): number {
-    const seen = this.runners.get(runner);
-    return seen ? seen.share * 0.5 ** ((now - seen.at) / HALF_MS) : 0;
+    const seen = this.byRunner.get(runner);
+    return seen ? seen.share * 0.5 ** ((now - seen.at) / HALF_LIFE_MS) : 0;
   }
 
-  isPressed(runner: types.RunnerId, now: number): boolean {
-    return this.shareAt(runner, now) >= MOST;
+  isNearLimit(runner: types.RunnerId, now: number): boolean {
+    return this.shareAt(runner, now) >= PRESSED_SHARE;
   }
 
-  forgetAllBut(standing: { has(id: string): boolean }): void {
-    for (const id of this.runners.keys()) if (!standing.has(id)) this.runners.delete(id);
+  retainOnly(listed: { has(id: string): boolean }): void {
+    for (const id of this.byRunner.keys()) if (!listed.has(id)) this.byRunner.delete(id);
   }
 }
--- a/src/admission/predict.ts
+++ b/src/admission/predict.ts
@@ -10,7 +10,7 @@
   tokens: number;
 }
 
-export interface Known {
+export interface Conditions {
   /** Tokens read a millisecond. */
   rate: number;
   /** Milliseconds a place is held, and per token at the fullness of the batch. */
@@ -19,9 +19,9 @@
   /** What a wait is multiplied by: the less urgent are overtaken while they wait. */
   waitFactor: number;
   /** Seen over predicted at this runner. */
-  slow: slowness.Slow;
+  slowdown: slowness.Slowdown;
   /** It handed a request back a moment ago: so long it counts as full. */
-  fullMs: number;
+  fullForMs: number;
   /** How late this router's own loop runs. */
   lagMs: number;
 }
@@ -39,32 +39,32 @@
 }
 
 /** Until one of the places ahead is given back. */
-function placeMs(place: rooms.Place, known: Known): number {
+function waitForPlaceMs(place: rooms.Place, conditions: Conditions): number {
   const ahead = Math.max(0, place.used + 1 - place.capacity);
-  return (ahead * known.heldMs) / Math.max(1, place.capacity);
+  return (ahead * conditions.heldMs) / Math.max(1, place.capacity);
 }
 
 /** Until running requests have given back the tokens that are short. */
-function memoryMs(place: rooms.Place, need: Need, known: Known): number {
+function waitForMemoryMs(place: rooms.Place, need: Need, conditions: Conditions): number {
   const short = need.unread + need.out - (place.kvCapacity - place.kvUsed);
   if (place.kvCapacity === 0 || short <= 0) return 0;
-  return (short * known.heldMs) / Math.max(1, place.kvUsed);
+  return (short * conditions.heldMs) / Math.max(1, place.kvUsed);
 }
 
-export function predict(place: rooms.Place, need: Need, known: Known): Prediction {
-  const memory = memoryMs(place, need, known);
-  const waitMs = Math.max(placeMs(place, known), memory, known.fullMs);
-  const aheadMs = Math.max(waitMs * known.waitFactor, place.backlogMs);
-  const readMs = aheadMs + need.unread / known.rate;
+export function predict(place: rooms.Place, need: Need, conditions: Conditions): Prediction {
+  const memory = waitForMemoryMs(place, need, conditions);
+  const waitMs = Math.max(waitForPlaceMs(place, conditions), memory, conditions.fullForMs);
+  const aheadMs = Math.max(waitMs * conditions.waitFactor, place.backlogMs);
+  const readMs = aheadMs + need.unread / conditions.rate;
   // A plain request is answered when its work is done; a stream speaks before that.
-  const workMs = need.out > 0 ? need.out * known.tokenMs : known.heldMs;
-  const firstMs = known.lagMs + known.slow.first * (readMs + (need.out > 0 ? known.tokenMs : workMs));
-  const endMs = need.out > 0 ? firstMs + known.slow.stream * workMs : firstMs;
+  const workMs = need.out > 0 ? need.out * conditions.tokenMs : conditions.heldMs;
+  const firstMs = conditions.lagMs + conditions.slowdown.first * (readMs + (need.out > 0 ? conditions.tokenMs : workMs));
+  const endMs = need.out > 0 ? firstMs + conditions.slowdown.stream * workMs : firstMs;
   const isMemoryFree = place.kvCapacity === 0 || need.unread + need.out <= place.kvCapacity - place.kvUsed;
-  const hasPlace = place.used < place.capacity && place.waiting === 0 && isMemoryFree && known.fullMs === 0;
+  const hasPlace = place.used < place.capacity && place.waiting === 0 && isMemoryFree && conditions.fullForMs === 0;
   return {
     waitMs,
-    delayMs: known.slow.first * aheadMs,
+    delayMs: conditions.slowdown.first * aheadMs,
     firstMs,
     endMs,
     hasPlace,
--- a/src/admission/returns.ts
+++ b/src/admission/returns.ts
@@ -1,12 +1,12 @@
 // Who was denied a moment ago finds a better chance on the way back (design/admission 5). Bounded, in memory.
 import * as shares from "../shares/shares.js";
 
-const KEPT_MS = 10_000;
-const MOST = 4096;
-const MOST_TIMES = 4;
+const RETENTION_MS = 10_000;
+const MAX_KEYS = 4096;
+const MAX_COUNT = 4;
 const BODY_BYTES = 128;
 
-interface Denied {
+interface DenialRecord {
   times: number;
   at: number;
 }
@@ -18,31 +18,31 @@
   return body ? shares.hash(`${route}|${body.toString("latin1", 0, BODY_BYTES)}`) : 0;
 }
 
-export class Returns {
-  private readonly denied = new Map<number, Denied>();
+export class RecentDenials {
+  private readonly byKey = new Map<number, DenialRecord>();
 
   /** How often it was denied lately; 0 where the key says nothing. */
-  times(key: number, now: number): number {
-    const found = this.denied.get(key);
-    return found && key !== 0 && now - found.at <= KEPT_MS ? found.times : 0;
+  count(key: number, now: number): number {
+    const found = this.byKey.get(key);
+    return found && key !== 0 && now - found.at <= RETENTION_MS ? found.times : 0;
   }
 
-  note(key: number, now: number): void {
+  recordDenial(key: number, now: number): void {
     if (key === 0) return;
-    const times = Math.min(MOST_TIMES, this.times(key, now) + 1);
-    this.denied.delete(key);
-    this.denied.set(key, { times, at: now });
-    for (const [oldest, { at }] of this.denied) {
-      if (this.denied.size <= MOST && now - at <= KEPT_MS) break;
-      this.denied.delete(oldest);
+    const times = Math.min(MAX_COUNT, this.count(key, now) + 1);
+    this.byKey.delete(key);
+    this.byKey.set(key, { times, at: now });
+    for (const [oldest, { at }] of this.byKey) {
+      if (this.byKey.size <= MAX_KEYS && now - at <= RETENTION_MS) break;
+      this.byKey.delete(oldest);
     }
   }
 
-  served(key: number): void {
-    this.denied.delete(key);
+  forget(key: number): void {
+    this.byKey.delete(key);
   }
 
   get size(): number {
-    return this.denied.size;
+    return this.byKey.size;
   }
 }
--- a/src/admission/room.ts
+++ b/src/admission/room.ts
@@ -27,7 +27,7 @@
 
 const SECOND_MS = 1000;
 /** Under this share of places taken, with nobody waiting, nothing is denied. */
-export const HALF = 0.5;
+export const HALF_FULL = 0.5;
 
 export function roomOf(places: Iterable<Place>): Room {
   const room: Room = { runners: 0, places: 0, freePlaces: 0, waiting: 0, tokens: 0, freeTokens: 0, readMs: 0 };
@@ -44,13 +44,13 @@
 }
 
 export function isHalfEmpty(room: Room): boolean {
-  return room.waiting === 0 && room.places - room.freePlaces < HALF * room.places;
+  return room.waiting === 0 && room.places - room.freePlaces < HALF_FULL * room.places;
 }
 
 /**
  * A router's part of its cell: what it has at work over what all have, never under half of an even split.
  */
-export function partOf(own: number, all: number, routers: number): number {
+export function shareOf(own: number, all: number, routers: number): number {
   const even = 1 / Math.max(1, routers);
   return all > 0 ? Math.min(1, Math.max(own / all, even / 2)) : even;
 }
@@ -61,19 +61,19 @@
 }
 
 /** What one request of a kind takes: tokens of memory, milliseconds of reading, milliseconds of a place. */
-export interface Usual {
+export interface RequestCost {
   tokens: number;
   readMs: number;
   heldMs: number;
 }
 
 /** Requests a second of that kind which still fit, by whatever is short first. */
-export function requestsPerS(room: Room, usual: Usual): number {
+export function requestsPerS(room: Room, cost: RequestCost): number {
   const bounds: number[] = [];
-  if (usual.heldMs > 0) {
-    bounds.push((room.freePlaces * SECOND_MS) / usual.heldMs);
-    if (usual.tokens > 0 && room.tokens > 0) bounds.push((room.freeTokens * SECOND_MS) / (usual.tokens * usual.heldMs));
+  if (cost.heldMs > 0) {
+    bounds.push((room.freePlaces * SECOND_MS) / cost.heldMs);
+    if (cost.tokens > 0 && room.tokens > 0) bounds.push((room.freeTokens * SECOND_MS) / (cost.tokens * cost.heldMs));
   }
-  if (usual.readMs > 0) bounds.push(room.readMs / usual.readMs);
+  if (cost.readMs > 0) bounds.push(room.readMs / cost.readMs);
   return bounds.length === 0 ? Infinity : Math.min(...bounds);
 }
--- a/src/admission/sizes.ts
+++ b/src/admission/sizes.ts
@@ -1,22 +1,22 @@
 // Large requests are served as often as the rest of their kind (design/admission 5): the largest tenth and the
 // fifth below it get a better chance once they were admitted less often.
-import * as spreads from "./spread.js";
+import * as histograms from "./histogram.js";
 
-const TENTH = 90;
-const FIFTH = 70;
+const TOP_TENTH_PERCENTILE = 90;
+const TOP_THIRTY_PERCENTILE = 70;
 const OUT_WEIGHT = 10;
 const DECAY = 0.995;
-const LEAST_ASKED = 10;
-const HELD_BACK = 0.9;
+const MIN_RECORDS = 10;
+const HELD_BACK_RATIO = 0.9;
 /** Served half as often is too little: from here on pauses do not hold it back (ours). */
-const STARVED = 0.65;
+const STARVED_RATIO = 0.65;
 
-interface Count {
+interface AdmissionCount {
   asked: number;
   admitted: number;
 }
 
-function none(): Count {
+function noneAsked(): AdmissionCount {
   return { asked: 0, admitted: 0 };
 }
 
@@ -26,36 +26,36 @@
 
 /** The sizes of one kind of request. */
 export class Sizes {
-  private readonly spread = new spreads.Spread(1);
-  private readonly classes = [none(), none(), none()];
-  private readonly whole = none();
+  private readonly histogram = new histograms.Histogram(1);
+  private readonly classes = [noneAsked(), noneAsked(), noneAsked()];
+  private readonly total = noneAsked();
 
   /** 0: the largest tenth, 1: the fifth below it, 2: the others. */
   classOf(size: number): number {
-    if (this.spread.count < LEAST_ASKED || size <= 0) return 2;
-    if (size > this.spread.at(TENTH, 0)) return 0;
-    return size > this.spread.at(FIFTH, 0) ? 1 : 2;
+    if (this.histogram.count < MIN_RECORDS || size <= 0) return 2;
+    if (size > this.histogram.percentile(TOP_TENTH_PERCENTILE, 0)) return 0;
+    return size > this.histogram.percentile(TOP_THIRTY_PERCENTILE, 0) ? 1 : 2;
   }
 
   /** Its class was admitted clearly less often than the whole. */
   isHeldBack(size: number): boolean {
-    return this.isUnder(HELD_BACK, size);
+    return this.isUnder(HELD_BACK_RATIO, size);
   }
 
   isStarved(size: number): boolean {
-    return this.isUnder(STARVED, size);
+    return this.isUnder(STARVED_RATIO, size);
   }
 
   private isUnder(part: number, size: number): boolean {
-    const mine = this.classes[this.classOf(size)];
-    if (mine.asked < 1 || this.whole.asked < 1) return false;
-    return mine.admitted / mine.asked < part * (this.whole.admitted / this.whole.asked);
+    const ofClass = this.classes[this.classOf(size)];
+    if (ofClass.asked < 1 || this.total.asked < 1) return false;
+    return ofClass.admitted / ofClass.asked < part * (this.total.admitted / this.total.asked);
   }
 
-  note(size: number, isAdmitted: boolean): void {
-    const mine = this.classes[this.classOf(size)];
-    if (size > 0) this.spread.record(size);
-    for (const count of [mine, this.whole]) {
+  record(size: number, isAdmitted: boolean): void {
+    const ofClass = this.classes[this.classOf(size)];
+    if (size > 0) this.histogram.record(size);
+    for (const count of [ofClass, this.total]) {
       count.asked = count.asked * DECAY + 1;
       count.admitted = count.admitted * DECAY + (isAdmitted ? 1 : 0);
     }
--- a/src/admission/status.ts
+++ b/src/admission/status.ts
@@ -3,7 +3,7 @@
  * `cranewind capacity` and by operators: they change only with a note in the docs.
  */
 import type * as paces from "./pace.js";
-import type * as usuals from "./usual.js";
+import type * as typicals from "./typical.js";
 
 /** The ranks that pace is learned for; ranks above the last count as the last. */
 const RANKS = [0, 1, 2] as const;
@@ -22,7 +22,7 @@
   readonly tally: unknown;
   readonly cells: unknown;
   readonly services: Iterable<[string, paces.Pace]>;
-  readonly routes: Iterable<[string, usuals.Usual]>;
+  readonly routes: Iterable<[string, typicals.TypicalRequest]>;
 }
 
 /** The part `admission` of a router's status, as plain JSON. */
@@ -51,11 +51,18 @@
 
 function errorOf(pace: paces.Pace, rank: number, now: number): unknown {
   const error = pace.errorOf(rank);
-  return { rank, replies: error.count, p50: error.at(50, 1), p90: error.at(90, 1), p99: error.at(99, 1), margin: pace.margin(rank, now) };
+  return {
+    rank,
+    replies: error.count,
+    p50: error.percentile(50, 1),
+    p90: error.percentile(90, 1),
+    p99: error.percentile(99, 1),
+    margin: pace.waitFactor(rank, now),
+  };
 }
 
-function kindsOf(routes: Iterable<[string, usuals.Usual]>): unknown[] {
+function kindsOf(routes: Iterable<[string, typicals.TypicalRequest]>): unknown[] {
   const made: unknown[] = [];
-  for (const [route, usual] of routes) made.push({ route, service: usual.service, ...usual.told() });
+  for (const [route, usual] of routes) made.push({ route, service: usual.service, ...usual.status() });
   return made;
 }
--- a/src/admission/tally.ts
+++ b/src/admission/tally.ts
@@ -3,47 +3,52 @@
 import type * as rooms from "./room.js";
 import * as log from "../startup/log.js";
 import type * as types from "../wire/types.js";
-import * as spreads from "./spread.js";
+import * as histograms from "./histogram.js";
 
 /** `late`: at a runner when its deadline passed; `lost`: at a runner, and no whole reply; `left`: the client went first. */
 export type End = "whole" | "late" | "lost" | "left" | "denied";
 
 /** Without a refusal for so long, a shortage is over (ours). */
-const CALM_MS = 3000;
+const SHORTAGE_END_MS = 3000;
 const PER_MS = 10;
 const PERCENT = 100;
 const MIDDLE = 50;
 const TAIL = 99;
 const WORST = 100;
 
-function told(spread: spreads.Spread): { count: number; p50: number; p99: number; worst: number } {
-  return { count: spread.count, p50: spread.exactly(MIDDLE), p99: spread.exactly(TAIL), worst: spread.exactly(WORST) };
+function summaryOf(spread: histograms.Histogram): { count: number; p50: number; p99: number; worst: number } {
+  return {
+    count: spread.count,
+    p50: spread.exactPercentile(MIDDLE),
+    p99: spread.exactPercentile(TAIL),
+    worst: spread.exactPercentile(WORST),
+  };
 }
 
 export class Tally {
   /** Milliseconds from a request's arrival to its refusal; apart for those that no runner had seen. */
-  private readonly atDoor = new spreads.Spread(PER_MS, Infinity);
-  private readonly afterSend = new spreads.Spread(PER_MS, Infinity);
+  private readonly atDoor = new histograms.Histogram(PER_MS, Infinity);
+  private readonly afterSend = new histograms.Histogram(PER_MS, Infinity);
   /** Percent of the allowed runners' places that were free when one was denied. */
-  private readonly unused = new spreads.Spread(PERCENT, Infinity);
+  private readonly unusedRoom = new histograms.Histogram(PERCENT, Infinity);
   private readonly ends = new Map<string, number>();
   private readonly causes = new Map<string, number>();
   /** Something was refused a moment ago. */
   isShort = false;
-  private refusedAt = 0;
+  private lastRefusalAt = 0;
 
   constructor(private readonly world: types.World) {}
 
   refused(ms: number, cause: string, hasBeenSent: boolean): void {
     (hasBeenSent ? this.afterSend : this.atDoor).record(ms);
-    this.refusedAt = this.world.now();
+    this.lastRefusalAt = this.world.now();
     if (!this.isShort) log.state("admission: refusing; room is short");
     this.isShort = true;
     this.causes.set(cause, (this.causes.get(cause) ?? 0) + 1);
   }
 
-  roomAt(room: rooms.Room): void {
-    if (room.places > 0) this.unused.record((PERCENT * room.freePlaces) / room.places);
+  recordUnusedRoom(room: rooms.Room): void {
+    if (room.places > 0) this.unusedRoom.record((PERCENT * room.freePlaces) / room.places);
   }
 
   ended(end: End, rank: number): void {
@@ -52,8 +57,8 @@
   }
 
   /** Called now and then: the end of a shortage is a change of state, and told with what it came to. */
-  turn(): void {
-    if (!this.isShort || this.world.now() - this.refusedAt < CALM_MS) return;
+  onTimer(): void {
+    if (!this.isShort || this.world.now() - this.lastRefusalAt < SHORTAGE_END_MS) return;
     this.isShort = false;
     log.state(this.line());
   }
@@ -61,9 +66,9 @@
   status(): Record<string, unknown> {
     return {
       ends: Object.fromEntries(this.ends),
-      refusedAtDoorMs: told(this.atDoor),
-      refusedAfterSendMs: told(this.afterSend),
-      unusedPercent: told(this.unused),
+      refusedAtDoorMs: summaryOf(this.atDoor),
+      refusedAfterSendMs: summaryOf(this.afterSend),
+      unusedPercent: summaryOf(this.unusedRoom),
       causes: Object.fromEntries(this.causes),
     };
   }
--- a/src/admission/verdict.ts
+++ b/src/admission/verdict.ts
@@ -3,10 +3,10 @@
 import type * as plans from "../router/plan.js";
 import * as log from "../startup/log.js";
 
-const LEAST_RETRY_S = 0.2;
+const MIN_RETRY_S = 0.2;
 /** Clients honour up to this part of the time they have left. */
-const HONOURED = 1 / 3;
-const SPREAD_FROM = 0.6;
+const HONOURED_SHARE = 1 / 3;
+const MIN_JITTER = 0.6;
 
 /** The policy of the runner keeps its order, but for the one that serves in time. */
 export function putFirst(plan: plans.Plan, runner: fleets.Runner): null {
@@ -24,11 +24,11 @@
  * together.
  */
 export function denial(plan: plans.Plan, excessMs: number, random: number): plans.Denial {
-  const waitMs = Math.min(Math.max(0, plan.deadline - plan.now) * HONOURED, Math.max(LEAST_RETRY_S * 1000, excessMs));
-  const spread = SPREAD_FROM + (1 - SPREAD_FROM) * random;
+  const waitMs = Math.min(Math.max(0, plan.deadline - plan.now) * HONOURED_SHARE, Math.max(MIN_RETRY_S * 1000, excessMs));
+  const jitter = MIN_JITTER + (1 - MIN_JITTER) * random;
   return {
     status: 503,
     cause: "the fleet has no room for this request in its time; come back as told",
-    retryAfterS: (waitMs * spread) / 1000,
+    retryAfterS: (waitMs * jitter) / 1000,
   };
 }
--- a/src/cli/capacity.ts
+++ b/src/cli/capacity.ts
@@ -12,7 +12,7 @@
   room: rooms.Room;
 }
 
-interface KindTold {
+interface KindStatus {
   route: string;
   service: string;
   count: number;
@@ -21,10 +21,10 @@
   heldMs: number;
 }
 
-interface Status {
+interface NodeStatus {
   node: schema.NodeInfo;
   cells?: { instances: schema.Instance[]; reports: schema.CellReport[] };
-  admission?: { rate: number; cells: CellRoom[]; kinds: KindTold[] };
+  admission?: { rate: number; cells: CellRoom[]; kinds: KindStatus[] };
 }
 
 export interface Row extends CellRoom {
@@ -58,11 +58,11 @@
   return made;
 }
 
-export function rowsOf(told: readonly Status[]): Row[] {
+export function rowsOf(statuses: readonly NodeStatus[]): Row[] {
   const cells = new Map<string, CellRoom>();
-  const kinds = new Map<string, KindTold>();
+  const kinds = new Map<string, KindStatus>();
   let rate = 0;
-  for (const { cells: control, admission } of told) {
+  for (const { cells: control, admission } of statuses) {
     const found = control ? roomsOf(control.instances, control.reports) : (admission?.cells ?? []);
     for (const cell of found) cells.set(`${cell.region}|${cell.service}`, cell);
     for (const kind of admission?.kinds ?? []) kinds.set(kind.route, kind);
@@ -71,10 +71,10 @@
   return [...cells.values()].map(rowOf);
   function rowOf(cell: CellRoom): Row {
     return { region: cell.region, service: cell.service, room: cell.room, kinds: [...kinds.values()].filter(isHere).map(perS) };
-    function isHere(kind: KindTold): boolean {
+    function isHere(kind: KindStatus): boolean {
       return kind.service === cell.service;
     }
-    function perS(kind: KindTold): { route: string; requests_per_s: number | null } {
+    function perS(kind: KindStatus): { route: string; requests_per_s: number | null } {
       const most = rooms.requestsPerS(cell.room, { tokens: kind.tokens, readMs: rate > 0 ? kind.unread / rate : 0, heldMs: kind.heldMs });
       return { route: kind.route, requests_per_s: Number.isFinite(most) ? Math.round(most * 10) / 10 : null };
     }
@@ -100,18 +100,18 @@
   addresses: readonly string[],
   isJson: boolean,
 ): Promise<number> {
-  const told: Status[] = [];
-  let failure = "no address was given; name one with --control HOST:PORT";
+  const statuses: NodeStatus[] = [];
+  let lastFailure = "no address was given; name one with --control HOST:PORT";
   for (const address of addresses) {
     const outcome = await client.send(world, [address], { method: "GET", path: "/-/status" });
-    if (outcome.isErr) failure = outcome.error.message;
-    else told.push(outcome.value.json as Status);
+    if (outcome.isErr) lastFailure = outcome.error.message;
+    else statuses.push(outcome.value.json as NodeStatus);
   }
-  if (told.length === 0) {
-    output.failure(failure);
+  if (statuses.length === 0) {
+    output.failure(lastFailure);
     return addresses.length === 0 ? 2 : 3;
   }
-  const rows = rowsOf(told);
+  const rows = rowsOf(statuses);
   if (isJson) output.line(JSON.stringify(rows, null, 2));
   else for (const line of lines(rows)) output.line(line);
   return 0;
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -5,61 +5,61 @@
 import * as http from "../wire/http.js";
 import * as types from "../wire/types.js";
 
-const WITHIN_MS = 4000;
-const MOST_REDIRECTS = 2;
+const TIMEOUT_MS = 4000;
+const MAX_REDIRECTS = 2;
 
-export interface Called {
+export interface ClientResponse {
   status: number;
   json: unknown;
 }
 
-type Outcome = result.Result<Called, errors.CranewindError>;
+type Outcome = result.Result<ClientResponse, errors.CranewindError>;
 
-export interface Call {
+export interface ClientRequest {
   method: "GET" | "POST";
   path: string;
   headers?: Record<string, string>;
   body?: Buffer;
 }
 
-async function once(world: types.World, address: string, call: Call): Promise<http.Reply | null> {
-  let at = address;
-  let { path } = call;
-  for (let hop = 0; hop <= MOST_REDIRECTS; hop += 1) {
-    const client = http.open(at, { connectMs: WITHIN_MS, idleMs: 1 });
-    const reply = await http.call(world, client, path, {
-      method: call.method,
-      headers: call.headers,
-      body: call.body,
-      withinMs: WITHIN_MS,
+async function sendFollowingRedirects(world: types.World, address: string, request: ClientRequest): Promise<http.Reply | null> {
+  let currentAddress = address;
+  let { path } = request;
+  for (let hop = 0; hop <= MAX_REDIRECTS; hop += 1) {
+    const client = http.open(currentAddress, { connectMs: TIMEOUT_MS, idleMs: 1 });
+    const response = await http.call(world, client, path, {
+      method: request.method,
+      headers: request.headers,
+      body: request.body,
+      withinMs: TIMEOUT_MS,
     });
     void client.destroy().catch(http.ignore);
-    const location = reply?.status === 307 ? reply.headers.get("location") : undefined;
-    if (!location) return reply;
+    const location = response?.status === 307 ? response.headers.get("location") : undefined;
+    if (!location) return response;
     const url = new URL(location);
-    at = url.host;
+    currentAddress = url.host;
     path = url.pathname + url.search;
   }
   return null;
 }
 
 /** Tries one node after the other; a clear answer, good or bad, ends it. */
-export async function send(world: types.World, addresses: readonly string[], call: Call): Promise<Outcome> {
-  let last: errors.CranewindError | null = null;
+export async function send(world: types.World, addresses: readonly string[], request: ClientRequest): Promise<Outcome> {
+  let lastError: errors.CranewindError | null = null;
   for (const address of addresses) {
-    const reply = await once(world, address, call);
-    if (!reply) {
-      last = errors.fail("timeout", `${address} does not reply`, "check that a node runs there, or name another with --control");
+    const response = await sendFollowingRedirects(world, address, request);
+    if (!response) {
+      lastError = errors.fail("timeout", `${address} does not reply`, "check that a node runs there, or name another with --control");
       continue;
     }
-    const json = parse(reply.body);
-    if (reply.status < 300) return result.ok({ status: reply.status, json });
+    const json = parse(response.body);
+    if (response.status < 300) return result.ok({ status: response.status, json });
     // The node's own message names the remedy already.
-    const message = messageOf(json) ?? `${address} replied ${reply.status}; see its log`;
-    if (reply.status < 500) return result.err(errors.fail(reply.status === 412 ? "race" : "invalid", message, ""));
-    last = errors.fail("no_majority", message, "");
+    const message = messageOf(json) ?? `${address} replied ${response.status}; see its log`;
+    if (response.status < 500) return result.err(errors.fail(response.status === 412 ? "race" : "invalid", message, ""));
+    lastError = errors.fail("no_majority", message, "");
   }
-  return result.err(last ?? errors.fail("usage", "no address was given", "name one with --control HOST:PORT"));
+  return result.err(lastError ?? errors.fail("usage", "no address was given", "name one with --control HOST:PORT"));
 }
 
 function parse(body: Buffer): unknown {
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -19,15 +19,15 @@
   failure(text: string): void;
 }
 
-function codeOf(error: errors.CranewindError): number {
+function exitCodeOf(error: errors.CranewindError): number {
   if (error.kind === "timeout" || error.kind === "no_majority") return EXIT.unreachable;
   if (error.kind === "startup") return EXIT.startup;
   return error.kind === "usage" ? EXIT.usage : EXIT.denied;
 }
 
-function told(output: Output, error: errors.CranewindError): number {
+function reportFailure(output: Output, error: errors.CranewindError): number {
   output.failure(error.message);
-  return codeOf(error);
+  return exitCodeOf(error);
 }
 
 function readFile(file: string): Buffer | errors.CranewindError {
@@ -40,16 +40,16 @@
 
 export function checkSettings(output: Output, file: string): number {
   const read = settings.read(file);
-  if (read.isErr) return told(output, read.error);
+  if (read.isErr) return reportFailure(output, read.error);
   output.line(`${file}: good settings for ${read.value.node_name} in ${read.value.zone}`);
   return EXIT.ok;
 }
 
 export function checkConfig(output: Output, file: string): number {
   const bytes = readFile(file);
-  if (bytes instanceof Error) return told(output, bytes);
+  if (bytes instanceof Error) return reportFailure(output, bytes);
   const checked = check.parseJson(bytes).andThen(check.check);
-  if (checked.isErr) return told(output, checked.error);
+  if (checked.isErr) return reportFailure(output, checked.error);
   output.line(`${file}: good configuration, revision ${checked.value.revision}, ${checked.value.routes.length} routes`);
   return EXIT.ok;
 }
@@ -57,9 +57,9 @@
 /** Plays a described day through the router's policies. */
 export function whatIf(output: Output, file: string, isJson: boolean): number {
   const bytes = readFile(file);
-  if (bytes instanceof Error) return told(output, bytes);
+  if (bytes instanceof Error) return reportFailure(output, bytes);
   const scenario = scenarios.parse(bytes);
-  if (scenario.isErr) return told(output, scenario.error);
+  if (scenario.isErr) return reportFailure(output, scenario.error);
   if (scenario.value.surges.length > 0) {
     const made = outcomes.rows(scenario.value);
     if (isJson) output.line(JSON.stringify(made, null, 2));
@@ -74,7 +74,7 @@
 
 export async function describe(world: types.World, output: Output, controls: string[]): Promise<number> {
   const outcome = await client.send(world, controls, { method: "GET", path: "/-/Config.Describe" });
-  if (outcome.isErr) return told(output, outcome.error);
+  if (outcome.isErr) return reportFailure(output, outcome.error);
   output.line(JSON.stringify(outcome.value.json, null, 2));
   return EXIT.ok;
 }
@@ -89,24 +89,24 @@
   isUpdate: boolean,
 ): Promise<number> {
   if (!/^\d+$/.test(base))
-    return told(output, errors.fail("usage", `--base ${base} is no revision`, "give the revision it builds on, 0 for the first"));
+    return reportFailure(output, errors.fail("usage", `--base ${base} is no revision`, "give the revision it builds on, 0 for the first"));
   const body = readFile(file);
-  if (body instanceof Error) return told(output, body);
+  if (body instanceof Error) return reportFailure(output, body);
   const parsed = isUpdate ? check.parseJson(body) : check.parseJson(body).andThen(check.check);
-  if (parsed.isErr) return told(output, parsed.error);
+  if (parsed.isErr) return reportFailure(output, parsed.error);
   const path = isUpdate ? "/-/Config.Update" : "/-/Config.Replace";
   const headers = { "Content-Type": "application/json", "X-Cranewind-Base-Version": base };
   const outcome = await client.send(world, controls, { method: "POST", path, headers, body });
-  if (outcome.isErr) return told(output, outcome.error);
+  if (outcome.isErr) return reportFailure(output, outcome.error);
   output.line(`taken: revision ${String((outcome.value.json as { revision?: number }).revision)} (${registers.digest(body)})`);
   return EXIT.ok;
 }
 
 export async function evacuate(world: types.World, output: Output, controls: string[], verb: string, zone: string): Promise<number> {
   const call = verb === "start" ? "Start" : verb === "stop" ? "Stop" : null;
-  if (!call) return told(output, errors.fail("usage", `evacuate ${verb} is no order`, "use start or stop"));
+  if (!call) return reportFailure(output, errors.fail("usage", `evacuate ${verb} is no order`, "use start or stop"));
   const outcome = await client.send(world, controls, { method: "POST", path: `/-/Evacuations.${call}/${encodeURIComponent(zone)}` });
-  if (outcome.isErr) return told(output, outcome.error);
+  if (outcome.isErr) return reportFailure(output, outcome.error);
   const { evacuations } = outcome.value.json as { evacuations: string[] };
   output.line(evacuations.length === 0 ? "no zone is under evacuation" : `under evacuation: ${evacuations.join(", ")}`);
   return EXIT.ok;
@@ -114,7 +114,7 @@
 
 export async function status(world: types.World, output: Output, addresses: string[], isJson: boolean): Promise<number> {
   const outcome = await client.send(world, addresses, { method: "GET", path: "/-/status" });
-  if (outcome.isErr) return told(output, outcome.error);
+  if (outcome.isErr) return reportFailure(output, outcome.error);
   const { json } = outcome.value;
   if (isJson) output.line(JSON.stringify(json, null, 2));
   else for (const line of view.lines(json)) output.line(line);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -30,7 +30,7 @@
 }
 
 /** Commands end with their own exit code; roles and `try` run on. */
-function ending(work: Promise<number> | number): Promise<void> {
+function withExitCode(work: Promise<number> | number): Promise<void> {
   return Promise.resolve(work).then(function ended(code) {
     process.exitCode = code;
   });
@@ -51,13 +51,13 @@
   .command("settings <file>")
   .description("check a node's settings file")
   .action(function settings(file: string) {
-    return ending(commands.checkSettings(output, file));
+    return withExitCode(commands.checkSettings(output, file));
   });
 checks
   .command("config <file>")
   .description("check a configuration")
   .action(function config(file: string) {
-    return ending(commands.checkConfig(output, file));
+    return withExitCode(commands.checkConfig(output, file));
   });
 
 program
@@ -65,7 +65,7 @@
   .description("print the newest configuration, read at a majority")
   .requiredOption(...controls)
   .action(function describe(options: Options) {
-    return ending(commands.describe(clock, output, listOf(options.control)));
+    return withExitCode(commands.describe(clock, output, listOf(options.control)));
   });
 
 program
@@ -74,7 +74,7 @@
   .requiredOption(...controls)
   .requiredOption("--base <revision>", "the revision it builds on, 0 for the first")
   .action(function apply(file: string, options: Options) {
-    return ending(commands.apply(clock, output, listOf(options.control), file, options.base, false));
+    return withExitCode(commands.apply(clock, output, listOf(options.control), file, options.base, false));
   });
 
 program
@@ -83,7 +83,7 @@
   .requiredOption(...controls)
   .requiredOption("--base <revision>", "the revision it builds on")
   .action(function update(file: string, options: Options) {
-    return ending(commands.apply(clock, output, listOf(options.control), file, options.base, true));
+    return withExitCode(commands.apply(clock, output, listOf(options.control), file, options.base, true));
   });
 
 program
@@ -91,7 +91,7 @@
   .description("send nothing more to a zone's runners, or take that back")
   .requiredOption(...controls)
   .action(function evacuate(verb: string, zone: string, options: Options) {
-    return ending(commands.evacuate(clock, output, listOf(options.control), verb, zone));
+    return withExitCode(commands.evacuate(clock, output, listOf(options.control), verb, zone));
   });
 
 program
@@ -100,7 +100,7 @@
   .requiredOption(...controls)
   .option("--json", "as the node tells it")
   .action(function status(options: Options) {
-    return ending(commands.status(clock, output, listOf(options.control), options.json === true));
+    return withExitCode(commands.status(clock, output, listOf(options.control), options.json === true));
   });
 
 program
@@ -109,7 +109,7 @@
   .requiredOption(...controls)
   .option("--json", "rows as JSON")
   .action(function more(options: Options) {
-    return ending(capacities.capacity(clock, output, listOf(options.control), options.json === true));
+    return withExitCode(capacities.capacity(clock, output, listOf(options.control), options.json === true));
   });
 
 program
@@ -117,7 +117,7 @@
   .description("play a described day through the router's policies")
   .option("--json", "rows as JSON")
   .action(function whatIf(file: string, options: Options) {
-    return ending(commands.whatIf(output, file, options.json === true));
+    return withExitCode(commands.whatIf(output, file, options.json === true));
   });
 
 program
@@ -128,8 +128,8 @@
   .requiredOption("--path <path>", "path of the request")
   .option("--prompt <id:tokens,...>", "parts of the prompt", "")
   .option("--budget-ms <ms>", "how long to wait", "10000")
-  .action(function ask(options: asks.Ask) {
-    return ending(asks.ask(output, options));
+  .action(function ask(options: asks.AskOptions) {
+    return withExitCode(asks.ask(output, options));
   });
 
 program
@@ -147,7 +147,7 @@
 }
 
 /** Wrong use gets one line with its remedy, like any other failure. */
-function oneLine(text: string): void {
+function reportWrongUse(text: string): void {
   output.failure(
     `${text
       .trim()
@@ -156,12 +156,12 @@
   );
 }
 
-function strict(command: commander.Command): void {
-  command.exitOverride().configureOutput({ outputError: oneLine });
-  for (const child of command.commands) strict(child);
+function applyErrorHandling(command: commander.Command): void {
+  command.exitOverride().configureOutput({ outputError: reportWrongUse });
+  for (const child of command.commands) applyErrorHandling(child);
 }
 
-strict(program);
+applyErrorHandling(program);
 process.stdout.on("error", function closed() {
   process.exit(commands.EXIT.ok);
 });
--- a/src/cli/roles.ts
+++ b/src/cli/roles.ts
@@ -10,27 +10,27 @@
 
 interface Program {
   root: supervisor.Supervisor;
-  resettle(startup: settings.Settings): void;
+  resettle(changed: settings.Settings): void;
   stop(): Promise<void>;
 }
 
-const LOOK_MS = 2000;
+const SETTINGS_CHECK_MS = 2000;
 
-async function run(make: (startup: settings.Settings) => Program): Promise<void> {
+async function run(createProgram: (startup: settings.Settings) => Program): Promise<void> {
   const file = settings.settingsPath();
   const read = settings.read(file);
   if (read.isErr) {
     process.stderr.write(`cranewind: ${read.error.message}\n`);
     process.exit(commands.EXIT.startup);
   }
-  const program = make(read.value);
-  supervisor.catchAll(program.root);
+  const program = createProgram(read.value);
+  supervisor.superviseProcess(program.root);
   let isStopping = false;
-  let seen = markOf(file);
+  let fingerprint = fingerprintOf(file);
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
-  process.on("SIGHUP", reread);
-  program.root.add(program.root.turns("settings", LOOK_MS, look));
+  process.on("SIGHUP", reload);
+  program.root.add(program.root.turns("settings", SETTINGS_CHECK_MS, checkFile));
   await program.root.start();
   log.state(`${read.value.node_name} is up`);
 
@@ -38,30 +38,30 @@
     if (isStopping) return;
     isStopping = true;
     log.state("leaving");
-    void program.stop().finally(end);
+    void program.stop().finally(exit);
   }
-  function end(): void {
+  function exit(): void {
     log.flushNow();
     process.exit(commands.EXIT.ok);
   }
   /** The file may change without a signal. */
-  function look(): void {
-    if (markOf(file) !== seen) reread();
+  function checkFile(): void {
+    if (fingerprintOf(file) !== fingerprint) reload();
   }
-  function reread(): void {
-    seen = markOf(file);
-    const again = settings.read(file);
-    if (again.isErr) {
+  function reload(): void {
+    fingerprint = fingerprintOf(file);
+    const reloaded = settings.read(file);
+    if (reloaded.isErr) {
       log.count("settings.denied");
-      log.state(`settings: the old ones stay in force: ${again.error.message}`);
+      log.state(`settings: the old ones stay in force: ${reloaded.error.message}`);
       return;
     }
     log.count("settings.reread");
-    program.resettle(again.value);
+    program.resettle(reloaded.value);
   }
 }
 
-function markOf(file: string): string {
+function fingerprintOf(file: string): string {
   try {
     const { mtimeMs, size } = fs.statSync(file);
     return `${mtimeMs}/${size}`;
@@ -71,13 +71,13 @@
 }
 
 export function startRouter(): Promise<void> {
-  return run(function make(startup) {
-    return new router.RouterProgram(new world.RealWorld(), startup);
+  return run(function createRouter(initial) {
+    return new router.RouterProgram(new world.RealWorld(), initial);
   });
 }
 
 export function startControl(): Promise<void> {
-  return run(function make(startup) {
-    return new control.ControlProgram(new world.RealWorld(), startup);
+  return run(function createControl(initial) {
+    return new control.ControlProgram(new world.RealWorld(), initial);
   });
 }
--- a/src/cli/try.ts
+++ b/src/cli/try.ts
@@ -13,7 +13,7 @@
 const FRONT_PORT = 9201;
 const READY_PORT = 9202;
 const INTERNAL_PORTS = "9301,9315";
-const AGAIN_MS = 1000;
+const RESTART_DELAY_MS = 1000;
 
 interface Node {
   name: string;
@@ -121,12 +121,12 @@
     fs.closeSync(log);
     children.add(child);
     output.line(`${node.name}: process ${child.pid}, log ${node.name}.log`);
-    child.once("exit", ended);
-    function ended(): void {
+    child.once("exit", restart);
+    function restart(): void {
       children.delete(child);
       if (isOver) return;
       output.line(`${node.name}: process ${child.pid} ended; starting it again`);
-      setTimeout(launch, AGAIN_MS, node, region);
+      setTimeout(launch, RESTART_DELAY_MS, node, region);
     }
   }
 
--- a/src/cli/view.ts
+++ b/src/cli/view.ts
@@ -51,7 +51,7 @@
     made.push(
       `runner    ${item.id} ${item.service} ${item.zone} ${item.address}${item.isDraining ? " draining" : ""}${item.coldMs > 0 ? " cold" : ""}`,
     );
-  return [...made, ...spentLines(status.vitals, status.links), ...counterLines(status.counters)];
+  return [...made, ...resourceLines(status.vitals, status.links), ...counterLines(status.counters)];
 }
 
 function routerLines(status: RouterStatus): string[] {
@@ -64,15 +64,17 @@
     made.push(
       `runner    ${runner.id} ${runner.service} ${runner.zone} ${runner.status}, ${runner.inflight} from here, usage ${runner.usage}`,
     );
-  return [...made, ...spentLines(status.vitals, status.links), ...counterLines(status.counters)];
+  return [...made, ...resourceLines(status.vitals, status.links), ...counterLines(status.counters)];
 }
 
-function spentLines(spent: vitals.Vitals, links: Record<string, counts.LinkCount>): string[] {
+function resourceLines(usage: vitals.Vitals, links: Record<string, counts.LinkCount>): string[] {
   const made = [
-    `process   ${(spent.cpuMs / 1000).toFixed(1)} s of processor time, ${spent.memoryMb.toFixed(0)} MB, loop late ${spent.loopP99Ms.toFixed(1)} ms (99 in 100), ${spent.descriptors} descriptors`,
+    `process   ${(usage.cpuMs / 1000).toFixed(1)} s of processor time, ${usage.memoryMb.toFixed(0)} MB, loop late ${usage.loopP99Ms.toFixed(1)} ms (99 in 100), ${usage.descriptors} descriptors`,
   ];
-  for (const [name, of] of Object.entries(links).sort())
-    made.push(`frames    ${name}: told ${of.framesTold} (${of.bytesTold} bytes), heard ${of.framesHeard} (${of.bytesHeard} bytes)`);
+  for (const [name, count] of Object.entries(links).sort())
+    made.push(
+      `frames    ${name}: told ${count.framesTold} (${count.bytesTold} bytes), heard ${count.framesHeard} (${count.bytesHeard} bytes)`,
+    );
   return made;
 }
 
--- a/src/experiment/changes.ts
+++ b/src/experiment/changes.ts
@@ -84,12 +84,12 @@
     if (leftMs > 0) await world.sleep(this.world, leftMs);
   }
 
-  row(point: rows.Point, taken: readonly (readonly routers.Taken[])[], routerCount: number): rows.ChangeRow {
+  row(point: rows.Point, revisions: readonly (readonly routers.RevisionInForce[])[], routerCount: number): rows.ChangeRow {
     const inForceMs: number[] = [];
     const ackMs: number[] = [];
     for (const { revision, askedMs, atMs } of this.acknowledged) {
       ackMs.push(atMs - askedMs);
-      for (const group of taken) {
+      for (const group of revisions) {
         for (const at of firstAt(group, revision).values()) inForceMs.push(Math.max(0, at - atMs));
       }
     }
@@ -109,9 +109,9 @@
 }
 
 /** When each router first held that revision or a later one. */
-function firstAt(taken: readonly routers.Taken[], revision: number): Map<number, number> {
+function firstAt(revisions: readonly routers.RevisionInForce[], revision: number): Map<number, number> {
   const found = new Map<number, number>();
-  for (const item of taken) {
+  for (const item of revisions) {
     if (item.revision < revision) continue;
     found.set(item.router, Math.min(found.get(item.router) ?? Infinity, item.atMs));
   }
--- a/src/experiment/command.ts
+++ b/src/experiment/command.ts
@@ -54,7 +54,7 @@
   return error.kind === "usage" ? commands.EXIT.usage : commands.EXIT.denied;
 }
 
-async function play(world: types.World, output: commands.Output, places: readonly sweeps.Place[], raw: Raw): Promise<number> {
+async function play(world: types.World, output: commands.Output, places: readonly sweeps.SweepPoint[], raw: Raw): Promise<number> {
   const failure = await sweeps.play(places, {
     world,
     program: process.argv[1],
--- a/src/experiment/hosts.ts
+++ b/src/experiment/hosts.ts
@@ -5,8 +5,8 @@
 import * as routers from "./routers.js";
 import * as runners from "./runners.js";
 
-export type Order =
-  | { kind: "routers"; routers: routers.Wanted[] }
+export type HostCommand =
+  | { kind: "routers"; routers: routers.HollowRouterOptions[] }
   | { kind: "runners"; platform: string; instances: platforms.Listed[]; listChangesPerS: number }
   | { kind: "guard"; pids: number[] }
   | { kind: "census" }
@@ -14,7 +14,7 @@
 
 export interface Host {
   readonly name: string;
-  ask(order: Order): Promise<unknown>;
+  request(order: HostCommand): Promise<unknown>;
 }
 
 /** A control node as a process: lost without a word, or frozen first. */
@@ -24,7 +24,7 @@
   kill(): Promise<void>;
 }
 
-export interface Crew {
+export interface Launcher {
   host(name: string): Promise<Host>;
   control(name: string, settingsFile: string): Promise<ControlHost>;
   /** Ends what it started, and nothing else. */
@@ -32,17 +32,17 @@
 }
 
 /** Takes the orders inside a process. */
-export class Hands {
+export class CommandHandler {
   private routers: routers.RouterGroup | null = null;
   private runners: runners.RunnerGroup | null = null;
-  guarded: number[] = [];
+  guardedPids: number[] = [];
 
   constructor(private readonly world: types.World) {}
 
-  async take(order: Order): Promise<unknown> {
+  async handle(order: HostCommand): Promise<unknown> {
     if (order.kind === "census") return this.routers?.census();
-    if (order.kind === "account") return this.routers?.account();
-    if (order.kind === "guard") this.guarded = order.pids;
+    if (order.kind === "account") return this.routers?.report();
+    if (order.kind === "guard") this.guardedPids = order.pids;
     else if (order.kind === "routers") {
       this.routers = new routers.RouterGroup(this.world);
       await this.routers.start(order.routers);
--- a/src/experiment/crew.ts
+++ b/src/experiment/launcher.ts
@@ -9,7 +9,7 @@
 const REMEDY = "read its log in the folder of the run";
 
 class ProcessHost implements hosts.Host {
-  private readonly waiting = new Map<number, { resolve(reply: unknown): void; reject(cause: Error): void }>();
+  private readonly pending = new Map<number, { resolve(response: unknown): void; reject(cause: Error): void }>();
   private id = 0;
   private isOver = false;
 
@@ -17,36 +17,36 @@
     readonly name: string,
     private readonly child: childProcess.ChildProcess,
   ) {
-    child.on("message", this.take.bind(this));
-    child.on("exit", this.ended.bind(this));
+    child.on("message", this.onMessage.bind(this));
+    child.on("exit", this.onExit.bind(this));
   }
 
-  ask(order: hosts.Order): Promise<unknown> {
-    if (this.isOver) return Promise.reject(this.gone());
+  request(command: hosts.HostCommand): Promise<unknown> {
+    if (this.isOver) return Promise.reject(this.hasEndedError());
     const id = (this.id += 1);
-    const { waiting, child } = this;
+    const { pending, child } = this;
     return new Promise(function start(resolve, reject) {
-      waiting.set(id, { resolve, reject });
-      child.send({ id, order } satisfies worker.Asked);
+      pending.set(id, { resolve, reject });
+      child.send({ id, command } satisfies worker.CommandMessage);
     });
   }
 
-  private take(message: unknown): void {
-    const { id, reply, failure } = message as worker.Replied;
-    const item = this.waiting.get(id);
-    this.waiting.delete(id);
-    if (failure === "") item?.resolve(reply);
+  private onMessage(message: unknown): void {
+    const { id, response, failure } = message as worker.ResponseMessage;
+    const item = this.pending.get(id);
+    this.pending.delete(id);
+    if (failure === "") item?.resolve(response);
     else item?.reject(errors.fail("usage", `${this.name}: ${failure}`, REMEDY));
   }
 
-  private gone(): Error {
+  private hasEndedError(): Error {
     return errors.fail("usage", `${this.name} has ended`, REMEDY);
   }
 
-  private ended(): void {
+  private onExit(): void {
     this.isOver = true;
-    for (const item of this.waiting.values()) item.reject(this.gone());
-    this.waiting.clear();
+    for (const item of this.pending.values()) item.reject(this.hasEndedError());
+    this.pending.clear();
   }
 }
 
@@ -79,7 +79,7 @@
   });
 }
 
-export class ProcessCrew implements hosts.Crew {
+export class ProcessLauncher implements hosts.Launcher {
   private readonly children = new Set<childProcess.ChildProcess>();
   private readonly controls = new Set<childProcess.ChildProcess>();
   private guard: hosts.Host | null = null;
@@ -105,7 +105,7 @@
     const child = this.spawn(name, ["control"], { CRANEWIND_NODE_FILE: settingsFile }, false);
     this.controls.add(child);
     child.once("exit", this.controls.delete.bind(this.controls, child));
-    await this.guard?.ask({ kind: "guard", pids: [...this.controls].map(pidOf) });
+    await this.guard?.request({ kind: "guard", pids: [...this.controls].map(pidOf) });
     return new ProcessControl(name, child);
   }
 
--- a/src/experiment/losses.ts
+++ b/src/experiment/losses.ts
@@ -9,19 +9,19 @@
   lost: string,
   atMs: number,
   followers: number,
-  accounts: readonly routers.Account[],
+  reports: readonly routers.RouterGroupReport[],
 ): rows.LossRow {
   const movedMs: number[] = [];
   const dials = new Map<number, number>();
-  for (const account of accounts) {
+  for (const report of reports) {
     const leaving = new Set<number>();
-    for (const item of account.moved) {
+    for (const item of report.followedChanges) {
       if (item.atMs < atMs) continue;
       if (item.from === lost) leaving.add(item.router);
       if (item.to !== null && item.to !== lost && leaving.delete(item.router)) movedMs.push(item.atMs - atMs);
     }
-    for (const [slot, count] of account.dials) {
-      if ((slot + 1) * routers.DIALS_MS > atMs) dials.set(slot, (dials.get(slot) ?? 0) + count);
+    for (const [slot, count] of report.dials) {
+      if ((slot + 1) * routers.DIAL_SLOT_MS > atMs) dials.set(slot, (dials.get(slot) ?? 0) + count);
     }
   }
   const counts = [...dials.values()];
--- a/src/experiment/routers.ts
+++ b/src/experiment/routers.ts
@@ -8,19 +8,19 @@
 import * as world from "../wire/world.js";
 import * as clock from "./clock.js";
 
-const LOOK_MS = 5;
+const SAMPLE_INTERVAL_MS = 5;
 /** Well within the time for which a region counts as used (design/usage 4.1). */
-const USE_MS = 3000;
-export const DIALS_MS = 50;
+const RECORD_USE_INTERVAL_MS = 3000;
+export const DIAL_SLOT_MS = 50;
 
 /** A router took a revision, or began to follow another control node. Times are of the machine's clock. */
-export interface Taken {
+export interface RevisionInForce {
   router: number;
   revision: number;
   atMs: number;
 }
 
-export interface Moved {
+export interface FollowedNodeChange {
   router: number;
   from: string | null;
   to: string | null;
@@ -33,64 +33,68 @@
   leastRevision: number;
 }
 
-export interface Account {
+export interface RouterGroupReport {
   atMs: number;
   vitals: vitals.Vitals;
   links: [string, counts.LinkCount][];
-  taken: Taken[];
-  moved: Moved[];
+  revisions: RevisionInForce[];
+  followedChanges: FollowedNodeChange[];
   /** Dials begun in each 50 ms of the machine's clock that had any. */
   dials: [number, number][];
 }
 
 /** A router to start: its settings file, and the regions that it acts as if it sent requests to. */
-export interface Wanted {
+export interface HollowRouterOptions {
   settings: string;
   regions: string[];
 }
 
-interface Hollow {
+interface HollowRouter {
   program: router.RouterProgram;
   regions: string[];
-  seen: router.Standing;
+  lastStanding: router.Standing;
 }
 
 export class RouterGroup {
-  private readonly hollows: Hollow[] = [];
-  private taken: Taken[] = [];
-  private moved: Moved[] = [];
+  private readonly hollows: HollowRouter[] = [];
+  private revisions: RevisionInForce[] = [];
+  private followedChanges: FollowedNodeChange[] = [];
   private dials = new Map<number, number>();
   private dialed = 0;
-  private readonly ticks: types.Tick[] = [];
+  private readonly timers: types.Tick[] = [];
 
   constructor(private readonly world: types.World) {}
 
-  async start(all: readonly Wanted[]): Promise<void> {
-    for (const wanted of all) {
-      const startup = settings.parse(wanted.settings);
-      if (startup.isErr) throw startup.error;
-      const program = new router.RouterProgram(this.world, startup.value);
-      this.hollows.push({ program, regions: wanted.regions, seen: program.standing() });
+  async start(all: readonly HollowRouterOptions[]): Promise<void> {
+    for (const options of all) {
+      const parsed = settings.parse(options.settings);
+      if (parsed.isErr) throw parsed.error;
+      const program = new router.RouterProgram(this.world, parsed.value);
+      this.hollows.push({ program, regions: options.regions, lastStanding: program.standing() });
       await program.root.start();
     }
-    this.ticks.push(world.every(this.world, LOOK_MS, this.look.bind(this)), world.every(this.world, USE_MS, this.use.bind(this)));
+    this.timers.push(
+      world.every(this.world, SAMPLE_INTERVAL_MS, this.sample.bind(this)),
+      world.every(this.world, RECORD_USE_INTERVAL_MS, this.recordUse.bind(this)),
+    );
   }
 
-  private use(): void {
+  private recordUse(): void {
     for (const { program, regions } of this.hollows) for (const region of regions) program.usage.sent(region);
   }
 
-  private look(): void {
+  private sample(): void {
     const atMs = clock.machineMs();
     for (const [index, hollow] of this.hollows.entries()) {
       const now = hollow.program.standing();
-      if (now.revision !== hollow.seen.revision) this.taken.push({ router: index, revision: now.revision, atMs });
-      if (now.following !== hollow.seen.following) this.moved.push({ router: index, from: hollow.seen.following, to: now.following, atMs });
-      hollow.seen = now;
+      if (now.revision !== hollow.lastStanding.revision) this.revisions.push({ router: index, revision: now.revision, atMs });
+      if (now.following !== hollow.lastStanding.following)
+        this.followedChanges.push({ router: index, from: hollow.lastStanding.following, to: now.following, atMs });
+      hollow.lastStanding = now;
     }
     const dialed = log.counted().get("link.dials") ?? 0;
     if (dialed === this.dialed) return;
-    const slot = Math.floor(atMs / DIALS_MS);
+    const slot = Math.floor(atMs / DIAL_SLOT_MS);
     this.dials.set(slot, (this.dials.get(slot) ?? 0) + dialed - this.dialed);
     this.dialed = dialed;
   }
@@ -107,27 +111,27 @@
   }
 
   /** What was seen since the last account. */
-  account(): Account {
-    const made = {
+  report(): RouterGroupReport {
+    const report = {
       atMs: clock.machineMs(),
       vitals: vitals.vitals(),
       links: [...counts.linkCounts()],
-      taken: this.taken,
-      moved: this.moved,
+      revisions: this.revisions,
+      followedChanges: this.followedChanges,
       dials: [...this.dials],
     };
-    this.taken = [];
-    this.moved = [];
+    this.revisions = [];
+    this.followedChanges = [];
     this.dials = new Map();
-    return made;
+    return report;
   }
 
   async stop(): Promise<void> {
-    for (const tick of this.ticks) tick.stop();
+    for (const timer of this.timers) timer.stop();
     await Promise.all(this.hollows.map(stopOne));
   }
 }
 
-function stopOne(hollow: Hollow): Promise<void> {
+function stopOne(hollow: HollowRouter): Promise<void> {
   return hollow.program.stop();
 }
--- a/src/experiment/run.ts
+++ b/src/experiment/run.ts
@@ -18,9 +18,9 @@
 import * as rows from "./rows.js";
 import * as windows from "./window.js";
 
-const LOOK_MS = 50;
-const SETTLE_WITHIN_MS = 40_000;
-const MOVE_WITHIN_MS = 10_000;
+const POLL_INTERVAL_MS = 50;
+const SETTLE_TIMEOUT_MS = 40_000;
+const MOVE_TIMEOUT_MS = 10_000;
 const QUIET_MS = 1500;
 const RETURN_MS = 2500;
 
@@ -46,7 +46,7 @@
 
   constructor(
     private readonly world: types.World,
-    private readonly crew: hosts.Crew,
+    private readonly launcher: hosts.Launcher,
     private readonly options: experiment.Options,
     private readonly folder: string,
     private readonly progress: (step: string) => void,
@@ -73,29 +73,29 @@
       }
       return this.outcome;
     } finally {
-      await this.crew.end();
+      await this.launcher.end();
     }
   }
 
   private async startAll(): Promise<void> {
-    const { options, layout, crew } = this;
-    const runners = await crew.host("runners");
-    await runners.ask({
+    const { options, layout, launcher } = this;
+    const runners = await launcher.host("runners");
+    await runners.request({
       kind: "runners",
       platform: layout.platformAddress(),
       instances: layout.instances(),
       listChangesPerS: options.listChangesPerS,
     });
     for (let index = 0; index < options.controls; index += 1) this.controls.push(await this.startControl(index, true));
-    await this.until("the control nodes reach a majority", SETTLE_WITHIN_MS, this.isSettled.bind(this));
+    await this.waitUntil("the control nodes reach a majority", SETTLE_TIMEOUT_MS, this.isSettled.bind(this));
     const workers = experiment.workersOf(options);
     for (let worker = 0; worker < workers; worker += 1) {
-      const wanted: routers.Wanted[] = [];
+      const routers: routers.HollowRouterOptions[] = [];
       for (let index = worker; index < options.routers; index += workers)
-        wanted.push({ settings: layout.routerSettings(index), regions: layout.usedRegions(index) });
-      const host = await crew.host(`routers-${1 + worker}`);
-      await host.ask({ kind: "routers", routers: wanted });
-      this.routerHosts.push({ host, count: wanted.length });
+        routers.push({ settings: layout.routerSettings(index), regions: layout.usedRegions(index) });
+      const host = await launcher.host(`routers-${1 + worker}`);
+      await host.request({ kind: "routers", routers });
+      this.routerHosts.push({ host, count: routers.length });
     }
   }
 
@@ -103,17 +103,17 @@
     const name = this.layout.controlName(index);
     const file = path.join(this.folder, `${name}.conf`);
     fs.writeFileSync(file, this.layout.controlSettings(index, isFirst));
-    return this.crew.control(name, file);
+    return this.launcher.control(name, file);
   }
 
   private async settle(): Promise<void> {
     const failure = await this.changes.first();
     if (failure) throw failure;
-    await this.until("the first configuration is in force at all routers", SETTLE_WITHIN_MS, this.isInForce.bind(this));
+    await this.waitUntil("the first configuration is in force at all routers", SETTLE_TIMEOUT_MS, this.isInForce.bind(this));
     await world.sleep(this.world, QUIET_MS);
   }
 
-  private async until(what: string, withinMs: number, isSo: () => Promise<boolean>): Promise<void> {
+  private async waitUntil(what: string, withinMs: number, isSo: () => Promise<boolean>): Promise<void> {
     const startedMs = this.world.now();
     while (!(await isSo())) {
       if (this.world.now() - startedMs > withinMs) {
@@ -123,7 +123,7 @@
           "give fewer nodes or wait until the machine is less busy",
         );
       }
-      await world.sleep(this.world, LOOK_MS);
+      await world.sleep(this.world, POLL_INTERVAL_MS);
     }
   }
 
@@ -145,7 +145,7 @@
     const following = new Map<string, number>();
     let leastRevision = Infinity;
     for (const { host } of this.routerHosts) {
-      const census = (await host.ask({ kind: "census" })) as routers.Census;
+      const census = (await host.request({ kind: "census" })) as routers.Census;
       leastRevision = Math.min(leastRevision, census.leastRevision);
       for (const [name, count] of census.following) following.set(name, (following.get(name) ?? 0) + count);
     }
@@ -156,9 +156,9 @@
     return (await this.census()).leastRevision >= this.changes.newest;
   }
 
-  private async accounts(): Promise<routers.Account[]> {
-    const found: routers.Account[] = [];
-    for (const { host } of this.routerHosts) found.push((await host.ask({ kind: "account" })) as routers.Account);
+  private async routerReports(): Promise<routers.RouterGroupReport[]> {
+    const found: routers.RouterGroupReport[] = [];
+    for (const { host } of this.routerHosts) found.push((await host.request({ kind: "account" })) as routers.RouterGroupReport);
     return found;
   }
 
@@ -177,8 +177,8 @@
     return readings;
   }
 
-  private async readRouters(): Promise<{ readings: windows.Reading[]; accounts: routers.Account[] }> {
-    const accounts = await this.accounts();
+  private async readRouters(): Promise<{ readings: windows.Reading[]; accounts: routers.RouterGroupReport[] }> {
+    const accounts = await this.routerReports();
     const readings: windows.Reading[] = [];
     for (const account of accounts)
       readings.push({ atMs: account.atMs, vitals: account.vitals, links: new Map(account.links), reports: 0 });
@@ -191,18 +191,18 @@
     await this.changes.play(this.options.seconds);
     const controlsAfter = await this.readControls();
     const after = await this.readRouters();
-    await this.until("the last change is in force at all routers", SETTLE_WITHIN_MS, this.isInForce.bind(this));
-    const rest = await this.accounts();
+    await this.waitUntil("the last change is in force at all routers", SETTLE_TIMEOUT_MS, this.isInForce.bind(this));
+    const rest = await this.routerReports();
     for (const [index, control] of this.controls.entries())
       this.add({ role: "control", node: control.name, sharedBy: 1 }, controlsBefore[index], controlsAfter[index]);
     for (const [index, { host, count }] of this.routerHosts.entries())
       this.add({ role: "router", node: host.name, sharedBy: count }, before.readings[index], after.readings[index]);
-    const taken: routers.Taken[][] = [];
-    for (const [index, account] of after.accounts.entries()) taken.push([...account.taken, ...rest[index].taken]);
-    this.outcome.changes.push(this.changes.row(this.point, taken, this.options.routers));
+    const revisions: routers.RevisionInForce[][] = [];
+    for (const [index, account] of after.accounts.entries()) revisions.push([...account.revisions, ...rest[index].revisions]);
+    this.outcome.changes.push(this.changes.row(this.point, revisions, this.options.routers));
   }
 
-  private add(part: windows.Part, before: windows.Reading, after: windows.Reading): void {
+  private add(part: windows.NodeIdentity, before: windows.Reading, after: windows.Reading): void {
     const links = windows.linkRows(this.point, part, before, after);
     this.outcome.links.push(...links);
     this.outcome.nodes.push(windows.nodeRow(this.point, part, before, after, links));
@@ -214,21 +214,21 @@
     const index = mostFollowed(this.controls, following);
     const lost = this.controls[index];
     const followers = following.get(lost.name) ?? 0;
-    await this.accounts();
+    await this.routerReports();
     const atMs = clock.machineMs();
     if (manner === "frozen") lost.freeze();
     else await lost.kill();
     const census = this.census.bind(this);
-    await this.until(`no router follows ${lost.name}`, MOVE_WITHIN_MS, async function hasMoved() {
+    await this.waitUntil(`no router follows ${lost.name}`, MOVE_TIMEOUT_MS, async function hasMoved() {
       const now = (await census()).following;
       return (now.get(lost.name) ?? 0) === 0 && (now.get("") ?? 0) === 0;
     });
     if (manner === "frozen") await lost.kill();
     this.controls[index] = await this.startControl(index, false);
     await world.sleep(this.world, RETURN_MS);
-    const accounts = await this.accounts();
+    const accounts = await this.routerReports();
     this.outcome.losses.push(losses.lossRow(this.point, manner, lost.name, atMs, followers, accounts));
-    await this.until("the control nodes reach a majority again", SETTLE_WITHIN_MS, this.isSettled.bind(this));
+    await this.waitUntil("the control nodes reach a majority again", SETTLE_TIMEOUT_MS, this.isSettled.bind(this));
   }
 }
 
--- a/src/experiment/runners.ts
+++ b/src/experiment/runners.ts
@@ -15,12 +15,12 @@
 export class RunnerGroup {
   private readonly platform = new platforms.StandInPlatform(PAGE);
   private readonly idAt = new Map<string, string>();
-  private readonly front = nodeHttp.createServer({ keepAliveTimeout: 20_000 }, this.take.bind(this));
+  private readonly front = nodeHttp.createServer({ keepAliveTimeout: 20_000 }, this.onRequest.bind(this));
   private readonly sockets = new Set<net.Socket>();
   private readonly listeners: net.Server[] = [];
   private reports = 0;
   private changed = 0;
-  private tick: types.Tick | null = null;
+  private timer: types.Tick | null = null;
 
   constructor(private readonly world: types.World) {}
 
@@ -33,7 +33,7 @@
     }
     this.platform.instances = instances;
     await this.platform.start(platformAddress);
-    if (listChangesPerS > 0) this.tick = world.every(this.world, 1000 / listChangesPerS, this.changeList.bind(this));
+    if (listChangesPerS > 0) this.timer = world.every(this.world, 1000 / listChangesPerS, this.changeList.bind(this));
   }
 
   private opened(socket: net.Socket): void {
@@ -53,7 +53,7 @@
     item.capacity = item.capacity === CAPACITY ? CAPACITY + 1 : CAPACITY;
   }
 
-  private take(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+  private onRequest(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
     const { localAddress, localPort } = incoming.socket;
     if (incoming.url === "/-/report") this.report(outgoing);
     else
@@ -77,7 +77,7 @@
   }
 
   stop(): void {
-    this.tick?.stop();
+    this.timer?.stop();
     this.platform.stop();
     for (const server of this.listeners) server.close();
     for (const socket of this.sockets) socket.destroy();
--- a/src/experiment/sweep.ts
+++ b/src/experiment/sweep.ts
@@ -6,7 +6,7 @@
 import * as superstruct from "superstruct";
 import * as errors from "../startup/errors.js";
 import type * as types from "../wire/types.js";
-import * as crews from "./crew.js";
+import * as launchers from "./launcher.js";
 import * as experiment from "./options.js";
 import * as panels from "./panels.js";
 import * as plot from "./plot.js";
@@ -29,7 +29,7 @@
   ),
 });
 
-export interface Place {
+export interface SweepPoint {
   sweep: string;
   field: (typeof SWEPT)[number];
   options: experiment.Options;
@@ -38,7 +38,7 @@
 type Checked<T> = result.Result<T, errors.CranewindError>;
 
 /** All places of a plan, each checked before the first run begins. */
-export function places(raw: unknown): Checked<Place[]> {
+export function places(raw: unknown): Checked<SweepPoint[]> {
   const [failure, plan] = superstruct.validate(raw, shape);
   if (failure)
     return result.err(
@@ -48,7 +48,7 @@
         "see docs/experiment.md for the plan's fields",
       ),
     );
-  const found: Place[] = [];
+  const found: SweepPoint[] = [];
   for (const { name, field, values, with: more } of plan.sweeps) {
     for (const value of values) {
       const options = experiment.check({ ...experiment.DEFAULTS, ...plan.base, ...more, [field]: value });
@@ -59,7 +59,7 @@
   return result.ok(found);
 }
 
-export interface Surroundings {
+export interface Environment {
   world: types.World;
   program: string;
   out: string;
@@ -67,23 +67,23 @@
   progress(text: string): void;
 }
 
-async function playOne(place: Place, around: Surroundings, of: string): Promise<rows.Outcome> {
+async function playOne(place: SweepPoint, environment: Environment, of: string): Promise<rows.Outcome> {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-experiment-"));
-  const crew = new crews.ProcessCrew(around.program, folder, place.options.seed);
+  const launcher = new launchers.ProcessLauncher(environment.program, folder, place.options.seed);
   function stop(): void {
-    around.progress("interrupted: ending what was started");
-    void crew.end().finally(leave);
+    environment.progress("interrupted: ending what was started");
+    void launcher.end().finally(leave);
   }
   function progress(step: string): void {
     const { routers, runners, routes, controls, changesPerS } = place.options;
-    around.progress(
+    environment.progress(
       `${of} ${place.sweep}: ${routers} routers, ${runners} runners, ${routes} routes, ${controls} control nodes, ${changesPerS} changes/s: ${step}`,
     );
   }
   process.on("SIGINT", stop);
   process.on("SIGTERM", stop);
   try {
-    const outcome = await new runs.Run(around.world, crew, place.options, folder, progress, place.sweep).play();
+    const outcome = await new runs.Run(environment.world, launcher, place.options, folder, progress, place.sweep).play();
     fs.rmSync(folder, { recursive: true });
     return outcome;
   } finally {
@@ -97,37 +97,37 @@
 }
 
 /** Plays all places; one that fails is told and left out, and the others are still measured. */
-export async function play(all: readonly Place[], around: Surroundings): Promise<errors.CranewindError | null> {
+export async function play(all: readonly SweepPoint[], environment: Environment): Promise<errors.CranewindError | null> {
   for (const { options } of all) {
     const admitted = experiment.admit(options, experiment.machine());
     if (admitted.isErr) return admitted.error;
   }
-  fs.mkdirSync(around.out, { recursive: true });
+  fs.mkdirSync(environment.out, { recursive: true });
   const outcome: rows.Outcome = { nodes: [], links: [], changes: [], losses: [] };
   const failures: string[] = [];
   for (const [index, place] of all.entries()) {
     try {
-      const one = await playOne(place, around, `${index + 1}/${all.length}`);
+      const one = await playOne(place, environment, `${index + 1}/${all.length}`);
       for (const field of ["nodes", "links", "changes", "losses"] as const) (outcome[field] as unknown[]).push(...one[field]);
     } catch (cause) {
       failures.push(`${place.sweep} at ${place.field} ${place.options[place.field]}: ${(cause as Error).message}`);
-      around.progress(`failed: ${failures[failures.length - 1]}`);
+      environment.progress(`failed: ${failures[failures.length - 1]}`);
     }
-    write(all, outcome, around.out);
+    write(all, outcome, environment.out);
   }
-  if (around.hasPlots) await draw(all, outcome, around.out);
+  if (environment.hasPlots) await draw(all, outcome, environment.out);
   if (failures.length === 0) return null;
   return errors.fail("timeout", `${failures.length} of ${all.length} runs failed: ${failures.join(" | ")}`, "");
 }
 
-function fieldsOf(all: readonly Place[]): Map<string, Place["field"]> {
-  const fields = new Map<string, Place["field"]>();
+function fieldsOf(all: readonly SweepPoint[]): Map<string, SweepPoint["field"]> {
+  const fields = new Map<string, SweepPoint["field"]>();
   for (const { sweep, field } of all) fields.set(sweep, field);
   return fields;
 }
 
 /** After each run, so that what was measured stays when a later one fails. */
-function write(all: readonly Place[], outcome: rows.Outcome, out: string): void {
+function write(all: readonly SweepPoint[], outcome: rows.Outcome, out: string): void {
   const slopes: rows.SlopeRow[] = [];
   for (const [sweep, field] of fieldsOf(all)) slopes.push(...rows.slopes(sweep, field, outcome.nodes));
   for (const name of ["nodes", "links", "changes", "losses"] as const)
@@ -135,7 +135,7 @@
   fs.writeFileSync(path.join(out, "slopes.csv"), rows.text(slopes));
 }
 
-async function draw(all: readonly Place[], outcome: rows.Outcome, out: string): Promise<void> {
+async function draw(all: readonly SweepPoint[], outcome: rows.Outcome, out: string): Promise<void> {
   for (const [sweep, field] of fieldsOf(all)) {
     const own: rows.Outcome = {
       nodes: outcome.nodes.filter(isOwn),
--- a/src/experiment/window.ts
+++ b/src/experiment/window.ts
@@ -11,7 +11,7 @@
   reports: number;
 }
 
-export interface Part {
+export interface NodeIdentity {
   role: "control" | "router";
   node: string;
   sharedBy: number;
@@ -19,7 +19,7 @@
 
 const NOTHING: counts.LinkCount = { framesTold: 0, bytesTold: 0, framesHeard: 0, bytesHeard: 0 };
 
-export function linkRows(point: rows.Point, part: Part, before: Reading, after: Reading): rows.LinkRow[] {
+export function linkRows(point: rows.Point, part: NodeIdentity, before: Reading, after: Reading): rows.LinkRow[] {
   const made: rows.LinkRow[] = [];
   const per = ((after.atMs - before.atMs) / 1000) * part.sharedBy;
   for (const [kind, now] of after.links) {
@@ -38,7 +38,13 @@
   return made;
 }
 
-export function nodeRow(point: rows.Point, part: Part, before: Reading, after: Reading, links: readonly rows.LinkRow[]): rows.NodeRow {
+export function nodeRow(
+  point: rows.Point,
+  part: NodeIdentity,
+  before: Reading,
+  after: Reading,
+  links: readonly rows.LinkRow[],
+): rows.NodeRow {
   const passedMs = after.atMs - before.atMs;
   const { vitals: now } = after;
   const sum = { toldFramesPerS: 0, toldBytesPerS: 0, heardFramesPerS: 0, heardBytesPerS: 0 };
--- a/src/experiment/worker.ts
+++ b/src/experiment/worker.ts
@@ -3,38 +3,38 @@
 import * as clock from "./clock.js";
 import * as hosts from "./hosts.js";
 
-export interface Asked {
+export interface CommandMessage {
   id: number;
-  order: hosts.Order;
+  command: hosts.HostCommand;
 }
 
-export interface Replied {
+export interface ResponseMessage {
   id: number;
-  reply: unknown;
+  response: unknown;
   failure: string;
 }
 
 export function run(seed: number): void {
-  const hands = new hosts.Hands(new clock.SeededWorld(seed));
-  process.on("message", take);
-  process.on("disconnect", end);
+  const handler = new hosts.CommandHandler(new clock.SeededWorld(seed));
+  process.on("message", onMessage);
+  process.on("disconnect", onDisconnect);
   // An interrupt at the terminal goes to all: the process that started this one ends it.
   process.on("SIGINT", ignore);
 
-  function take(asked: Asked): void {
-    const { id, order } = asked;
-    void hands.take(order).then(done, failed);
-    function done(reply: unknown): void {
-      tell({ id, reply: reply ?? null, failure: "" });
+  function onMessage(message: CommandMessage): void {
+    const { id, command } = message;
+    void handler.handle(command).then(succeeded, failed);
+    function succeeded(response: unknown): void {
+      respond({ id, response: response ?? null, failure: "" });
     }
     function failed(cause: Error): void {
-      tell({ id, reply: null, failure: cause.message });
+      respond({ id, response: null, failure: cause.message });
     }
   }
 
   /** The process that started this one is gone: so are the control nodes that it named. */
-  function end(): void {
-    for (const pid of hands.guarded) {
+  function onDisconnect(): void {
+    for (const pid of handler.guardedPids) {
       try {
         process.kill(pid, "SIGKILL");
       } catch {
@@ -45,8 +45,8 @@
   }
 }
 
-function tell(replied: Replied): void {
-  process.send?.(replied);
+function respond(message: ResponseMessage): void {
+  process.send?.(message);
 }
 
 function ignore(): void {
--- a/src/signs/batch.ts
+++ b/src/signs/batch.ts
@@ -4,11 +4,11 @@
 import * as log from "../startup/log.js";
 
 /** Entries of one frame, and keys of one entry (*ours*). */
-export const MOST_ENTRIES = 64;
-export const MOST_KEYS = 24;
+export const MAX_ENTRIES = 64;
+export const MAX_KEYS = 24;
 
 /** One frame: the marks of silent runners, and readings that were sent. */
-export interface Told {
+export interface SignFrame {
   silent: number[];
   readings: schema.ReadingSign[];
 }
@@ -32,23 +32,23 @@
     this.readings.set(reading.runner, {
       runner: reading.runner,
       unread: (before?.unread ?? 0) + reading.unread,
-      keys: [...keys].slice(-MOST_KEYS),
+      keys: [...keys].slice(-MAX_KEYS),
     });
     dropOldest(this.readings);
   }
 
-  take(): Told {
-    const told = { silent: [...this.silent], readings: [...this.readings.values()] };
+  drain(): SignFrame {
+    const frame = { silent: [...this.silent], readings: [...this.readings.values()] };
     this.silent.clear();
     this.readings.clear();
-    return told;
+    return frame;
   }
 }
 
-function dropOldest(held: Map<number, unknown> | Set<number>): void {
-  for (const oldest of held.keys()) {
-    if (held.size <= MOST_ENTRIES) return;
-    held.delete(oldest);
+function dropOldest(entries: Map<number, unknown> | Set<number>): void {
+  for (const oldest of entries.keys()) {
+    if (entries.size <= MAX_ENTRIES) return;
+    entries.delete(oldest);
     log.count("signs.dropped");
   }
 }
--- a/src/signs/relay.ts
+++ b/src/signs/relay.ts
@@ -7,36 +7,36 @@
 import * as log from "../startup/log.js";
 import * as batches from "./batch.js";
 import * as marks from "./marks.js";
-import * as paces from "./pace.js";
+import * as throttles from "./throttle.js";
 
 /** What all routers of one control node are told of readings, bytes a second, and the bounds of one router's part (*ours*). */
-const ALL_PER_S = 64_000;
-const LEAST_PER_S = 600;
-const MOST_PER_S = 6000;
+const TOTAL_BYTES_PER_S = 64_000;
+const MIN_BYTES_PER_S = 600;
+const MAX_BYTES_PER_S = 6000;
 /** So many seconds' part is told at once after a quiet while. */
 export const BURST_S = 3;
 
 export function bytesPerS(routers: number): number {
-  return Math.max(LEAST_PER_S, Math.min(MOST_PER_S, ALL_PER_S / Math.max(1, routers)));
+  return Math.max(MIN_BYTES_PER_S, Math.min(MAX_BYTES_PER_S, TOTAL_BYTES_PER_S / Math.max(1, routers)));
 }
 
-type Ear = Pick<link.Link, "tell" | "once">;
+type Peer = Pick<link.Link, "tell" | "once">;
 
-export interface Outlets {
-  siblings(): Iterable<Ear>;
+export interface Targets {
+  siblings(): Iterable<Peer>;
   /** Own routers that follow the region's cell. */
-  followers(region: string): Iterable<Ear>;
+  followers(region: string): Iterable<Peer>;
   /** How many routers follow this control node. */
   routers(): number;
 }
 
-interface Heard {
-  from: Ear;
+interface PendingSigns {
+  from: Peer;
   isRelayed: boolean;
   batch: batches.Batch;
 }
 
-interface Bucket {
+interface TokenBucket {
   bytes: number;
   at: number;
 }
@@ -44,15 +44,15 @@
 export class Relay {
   private readonly marks = new marks.Marks<types.RunnerId>();
   private regions: ReadonlyMap<types.RunnerId, string> = new Map();
-  private readonly heard = new Map<Ear, Heard>();
-  private readonly buckets = new Map<Ear, Bucket>();
-  private readonly pace: paces.Pace;
+  private readonly pending = new Map<Peer, PendingSigns>();
+  private readonly buckets = new Map<Peer, TokenBucket>();
+  private readonly throttle: throttles.Throttle;
 
   constructor(
     private readonly world: types.World,
-    private readonly outlets: Outlets,
+    private readonly targets: Targets,
   ) {
-    this.pace = new paces.Pace(world, this.flush.bind(this));
+    this.throttle = new throttles.Throttle(world, this.flush.bind(this));
   }
 
   /** The regions of the runners listed. */
@@ -61,50 +61,50 @@
     this.marks.takeList(regions.keys());
   }
 
-  hear(from: Ear, told: schema.Signs): void {
-    let heard = this.heard.get(from);
-    if (!heard) {
-      heard = { from, isRelayed: told.isRelayed, batch: new batches.Batch() };
-      this.heard.set(from, heard);
+  hear(from: Peer, signs: schema.Signs): void {
+    let pending = this.pending.get(from);
+    if (!pending) {
+      pending = { from, isRelayed: signs.isRelayed, batch: new batches.Batch() };
+      this.pending.set(from, pending);
     }
-    for (const mark of told.silent) heard.batch.addSilent(mark);
-    for (const reading of told.readings) heard.batch.addReading(reading);
-    this.pace.ask();
+    for (const mark of signs.silent) pending.batch.addSilent(mark);
+    for (const reading of signs.readings) pending.batch.addReading(reading);
+    this.throttle.request();
   }
 
   private flush(): void {
-    const toSiblings = new batches.Batch();
-    const toRouters = new Map<Ear, batches.Batch>();
-    for (const { from, isRelayed, batch } of this.heard.values()) {
-      const told = batch.take();
-      if (!isRelayed) fill(toSiblings, told);
-      this.spread(from, told, toRouters);
+    const toPeers = new batches.Batch();
+    const toRouters = new Map<Peer, batches.Batch>();
+    for (const { from, isRelayed, batch } of this.pending.values()) {
+      const frame = batch.drain();
+      if (!isRelayed) fill(toPeers, frame);
+      this.distribute(from, frame, toRouters);
     }
-    this.heard.clear();
-    if (!toSiblings.isEmpty) {
-      const told = { isRelayed: true, ...toSiblings.take() };
-      for (const sibling of this.outlets.siblings()) sibling.tell(calls.signs, told);
+    this.pending.clear();
+    if (!toPeers.isEmpty) {
+      const told = { isRelayed: true, ...toPeers.drain() };
+      for (const sibling of this.targets.siblings()) sibling.tell(calls.signs, told);
     }
-    const perS = bytesPerS(this.outlets.routers());
-    for (const [router, batch] of toRouters) this.send(router, batch.take(), perS);
+    const perS = bytesPerS(this.targets.routers());
+    for (const [router, batch] of toRouters) this.send(router, batch.drain(), perS);
   }
 
   /** Each sign to the followers of its runner's cell, but not to the one it came from. */
-  private spread(from: Ear, told: batches.Told, toRouters: Map<Ear, batches.Batch>): void {
-    for (const mark of told.silent) for (const batch of this.batchesFor(mark, from, toRouters)) batch.addSilent(mark);
-    for (const reading of told.readings) {
+  private distribute(from: Peer, frame: batches.SignFrame, toRouters: Map<Peer, batches.Batch>): void {
+    for (const mark of frame.silent) for (const batch of this.batchesFor(mark, from, toRouters)) batch.addSilent(mark);
+    for (const reading of frame.readings) {
       for (const batch of this.batchesFor(reading.runner, from, toRouters)) batch.addReading(reading);
     }
   }
 
-  private batchesFor(mark: number, from: Ear, toRouters: Map<Ear, batches.Batch>): batches.Batch[] {
+  private batchesFor(mark: number, from: Peer, toRouters: Map<Peer, batches.Batch>): batches.Batch[] {
     const found: batches.Batch[] = [];
     const region = this.regions.get(this.marks.idOf(mark) ?? types.small(""));
     if (region === undefined) {
       log.count("signs.unknown");
       return found;
     }
-    for (const router of this.outlets.followers(region)) {
+    for (const router of this.targets.followers(region)) {
       if (router === from) continue;
       let batch = toRouters.get(router);
       if (!batch) {
@@ -117,22 +117,22 @@
   }
 
   /** Silences always; of the readings the newest that the router's bytes allow. */
-  private send(router: Ear, told: batches.Told, perS: number): void {
+  private send(router: Peer, frame: batches.SignFrame, perS: number): void {
     const bucket = this.bucketOf(router, perS);
     const readings: schema.ReadingSign[] = [];
-    for (const reading of [...told.readings].reverse()) {
+    for (const reading of [...frame.readings].reverse()) {
       const bytes = batches.bytesOf(reading);
       if (bytes > bucket.bytes) break;
       bucket.bytes -= bytes;
       readings.push(reading);
     }
-    if (readings.length < told.readings.length) log.count("signs.dropped", told.readings.length - readings.length);
-    if (readings.length === 0 && told.silent.length === 0) return;
+    if (readings.length < frame.readings.length) log.count("signs.dropped", frame.readings.length - readings.length);
+    if (readings.length === 0 && frame.silent.length === 0) return;
     log.count("signs.relayed");
-    router.tell(calls.signs, { isRelayed: true, silent: told.silent, readings: readings.reverse() });
+    router.tell(calls.signs, { isRelayed: true, silent: frame.silent, readings: readings.reverse() });
   }
 
-  private bucketOf(router: Ear, perS: number): Bucket {
+  private bucketOf(router: Peer, perS: number): TokenBucket {
     const most = perS * BURST_S;
     const now = this.world.now();
     let bucket = this.buckets.get(router);
@@ -146,16 +146,16 @@
     return bucket;
   }
 
-  private forget(router: Ear): void {
+  private forget(router: Peer): void {
     this.buckets.delete(router);
   }
 
   stop(): void {
-    this.pace.stop();
+    this.throttle.stop();
   }
 }
 
-function fill(batch: batches.Batch, told: batches.Told): void {
-  for (const mark of told.silent) batch.addSilent(mark);
-  for (const reading of told.readings) batch.addReading(reading);
+function fill(batch: batches.Batch, frame: batches.SignFrame): void {
+  for (const mark of frame.silent) batch.addSilent(mark);
+  for (const reading of frame.readings) batch.addReading(reading);
 }
--- a/src/signs/teller.ts
+++ b/src/signs/teller.ts
@@ -4,10 +4,10 @@
 import * as log from "../startup/log.js";
 import * as batches from "./batch.js";
 import type * as marks from "./marks.js";
-import * as paces from "./pace.js";
+import * as throttles from "./throttle.js";
 
 /** Keys of one reading that are told (*ours*). */
-const MOST_KEYS = 8;
+const MAX_KEYS = 8;
 
 export interface Hearer {
   doubted(ids: types.RunnerId[]): void;
@@ -16,23 +16,23 @@
 
 export class Teller {
   private readonly batch = new batches.Batch();
-  private readonly pace: paces.Pace;
+  private readonly throttle: throttles.Throttle;
 
   constructor(
     world: types.World,
     private readonly marks: marks.Marks<types.RunnerId>,
-    private readonly hearer: Hearer,
-    private readonly tell: (told: schema.Signs) => void,
+    private readonly handler: Hearer,
+    private readonly publish: (signs: schema.Signs) => void,
   ) {
-    this.pace = new paces.Pace(world, this.flush.bind(this));
+    this.throttle = new throttles.Throttle(world, this.flush.bind(this));
   }
 
   /** A reading sent from here; `keys` are those of its unread parts: the others were told when they were read. */
   reading(runner: types.RunnerId, unread: number, keys: readonly number[]): void {
     const mark = this.marks.markOf(runner);
     if (mark === null) return;
-    this.batch.addReading({ runner: mark, unread, keys: keys.slice(-MOST_KEYS) });
-    this.pace.ask();
+    this.batch.addReading({ runner: mark, unread, keys: keys.slice(-MAX_KEYS) });
+    this.throttle.request();
   }
 
   silence(runners: readonly types.RunnerId[]): void {
@@ -40,30 +40,30 @@
       const mark = this.marks.markOf(runner);
       if (mark !== null) this.batch.addSilent(mark);
     }
-    if (!this.batch.isEmpty) this.pace.ask();
+    if (!this.batch.isEmpty) this.throttle.request();
   }
 
-  hear(told: schema.Signs): void {
+  hear(signs: schema.Signs): void {
     const silent: types.RunnerId[] = [];
-    for (const mark of told.silent) {
+    for (const mark of signs.silent) {
       const id = this.marks.idOf(mark);
       if (id !== null) silent.push(id);
     }
-    if (silent.length > 0) this.hearer.doubted(silent);
-    for (const reading of told.readings) {
+    if (silent.length > 0) this.handler.doubted(silent);
+    for (const reading of signs.readings) {
       const id = this.marks.idOf(reading.runner);
       if (id === null) log.count("signs.unknown");
-      else this.hearer.read(id, reading.unread, reading.keys);
+      else this.handler.read(id, reading.unread, reading.keys);
     }
   }
 
   private flush(): void {
     if (this.batch.isEmpty) return;
     log.count("signs.frames");
-    this.tell({ isRelayed: false, ...this.batch.take() });
+    this.publish({ isRelayed: false, ...this.batch.drain() });
   }
 
   stop(): void {
-    this.pace.stop();
+    this.throttle.stop();
   }
 }
--- /dev/null
+++ b/src/signs/throttle.ts
@@ -0,0 +1,35 @@
+// At most one frame a period: the first after a quiet while goes at once, what comes meanwhile goes together
+// at the end of the period (design/usage 2.2).
+import * as types from "../wire/types.js";
+
+/** *ours* */
+export const PERIOD_MS = 60;
+
+export class Throttle {
+  private lastRunAt = -Infinity;
+  private timer: types.Tick | null = null;
+
+  constructor(
+    private readonly world: types.World,
+    private readonly run: () => void,
+    private readonly periodMs = PERIOD_MS,
+  ) {}
+
+  request(): void {
+    if (this.timer) return;
+    const waitMs = this.lastRunAt + this.periodMs - this.world.now();
+    if (waitMs <= 0) this.fire();
+    else this.timer = this.world.after(waitMs, this.fire.bind(this));
+  }
+
+  private fire(): void {
+    this.timer = null;
+    this.lastRunAt = this.world.now();
+    this.run();
+  }
+
+  stop(): void {
+    this.timer?.stop();
+    this.timer = null;
+  }
+}
--- a/src/startup/log.ts
+++ b/src/startup/log.ts
@@ -1,10 +1,10 @@
 // Counters first, lines only for changes of state; a full buffer drops lines (design 9.1).
 import * as consola from "consola/basic";
 
-const BUFFER_LINES = 200;
+const MAX_BUFFERED_LINES = 200;
 const counters = new Map<string, number>();
 const buffer: string[] = [];
-let isDraining = false;
+let isFlushScheduled = false;
 
 const out = consola.createConsola({ level: 3, formatOptions: { date: false, colors: false } });
 
@@ -17,20 +17,20 @@
 }
 
 function flush(): void {
-  isDraining = false;
+  isFlushScheduled = false;
   if (buffer.length === 0) return;
   out.info(buffer.splice(0, buffer.length).join("\n"));
 }
 
 /** One line about a change of state. */
 export function state(line: string): void {
-  if (buffer.length >= BUFFER_LINES) {
+  if (buffer.length >= MAX_BUFFERED_LINES) {
     count("log.dropped");
     return;
   }
   buffer.push(line);
-  if (isDraining) return;
-  isDraining = true;
+  if (isFlushScheduled) return;
+  isFlushScheduled = true;
   setImmediate(flush);
 }
 
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -77,7 +77,7 @@
 
 type Tree = { [key: string]: unknown };
 
-function place(tree: Tree, key: string, value: unknown): void {
+function assign(tree: Tree, key: string, value: unknown): void {
   // Zone names may hold dots: only the first part of a key nests.
   const dot = key.indexOf(".");
   if (dot < 0) {
@@ -100,7 +100,7 @@
     }
     const key = bare.slice(0, equals).trim();
     if (key.includes("__proto__")) continue;
-    place(tree, key, valueOf(key, bare.slice(equals + 1).trim()));
+    assign(tree, key, valueOf(key, bare.slice(equals + 1).trim()));
   }
   const [failure, settings] = superstruct.validate(tree, shape, { coerce: true });
   if (failure) {
@@ -113,10 +113,10 @@
 }
 
 /** Where the seeds listen for other nodes: ports are the same on all machines. */
-export function innerSeeds(startup: Settings): string[] {
-  return startup.seed_nodes.map(inner);
-  function inner(seed: string): string {
-    return `${types.hostOf(seed)}:${startup.internal_port_range[0]}`;
+export function innerSeeds(settings: Settings): string[] {
+  return settings.seed_nodes.map(internalAddress);
+  function internalAddress(seed: string): string {
+    return `${types.hostOf(seed)}:${settings.internal_port_range[0]}`;
   }
 }
 
--- a/src/startup/vitals.ts
+++ b/src/startup/vitals.ts
@@ -16,37 +16,37 @@
 
 const RESOLUTION_MS = 10;
 const MEGA = 1024 * 1024;
-const REST_MS = 60_000;
-let delay: perf.IntervalHistogram | null = null;
-let resting: NodeJS.Timeout | null = null;
+const MEASURE_FOR_MS = 60_000;
+let loopDelay: perf.IntervalHistogram | null = null;
+let idleTimer: NodeJS.Timeout | null = null;
 
 /** The loop is watched from an asking on for a minute: nodes that nobody asks don't pay for it. */
 export function vitals(): Vitals {
   const cpu = process.cpuUsage();
   const memory = process.memoryUsage();
-  const before = delay;
-  if (!delay) {
-    delay = perf.monitorEventLoopDelay({ resolution: RESOLUTION_MS });
-    delay.enable();
+  const previousDelay = loopDelay;
+  if (!loopDelay) {
+    loopDelay = perf.monitorEventLoopDelay({ resolution: RESOLUTION_MS });
+    loopDelay.enable();
   }
-  const made = {
+  const measured = {
     cpuMs: (cpu.user + cpu.system) / 1000,
     memoryMb: memory.rss / MEGA,
     heapMb: memory.heapUsed / MEGA,
-    loopP50Ms: before ? lateMs(before.percentile(50)) : 0,
-    loopP99Ms: before ? lateMs(before.percentile(99)) : 0,
-    loopWorstMs: before && before.count > 0 ? lateMs(before.max) : 0,
+    loopP50Ms: previousDelay ? lateMs(previousDelay.percentile(50)) : 0,
+    loopP99Ms: previousDelay ? lateMs(previousDelay.percentile(99)) : 0,
+    loopWorstMs: previousDelay && previousDelay.count > 0 ? lateMs(previousDelay.max) : 0,
     descriptors: openDescriptors(),
   };
-  delay.reset();
-  if (resting) clearTimeout(resting);
-  resting = setTimeout(rest, REST_MS).unref();
-  return made;
+  loopDelay.reset();
+  if (idleTimer) clearTimeout(idleTimer);
+  idleTimer = setTimeout(stopMeasuring, MEASURE_FOR_MS).unref();
+  return measured;
 }
 
-function rest(): void {
-  delay?.disable();
-  delay = null;
+function stopMeasuring(): void {
+  loopDelay?.disable();
+  loopDelay = null;
 }
 
 /** The histogram holds the whole time between its ticks. */
--- a/src/supervisor/tree.ts
+++ b/src/supervisor/tree.ts
@@ -9,8 +9,8 @@
   stop(): Promise<void> | void;
 }
 
-const MOST_FAILURES = 30;
-const WINDOW_MS = 10_000;
+const MAX_FAILURES = 30;
+const FAILURE_WINDOW_MS = 10_000;
 
 export class Supervisor implements Child {
   private readonly started: Child[] = [];
@@ -34,21 +34,21 @@
   }
 
   /** Work done again and again as a child of its own; a turn that throws is logged and taken up again. */
-  turns(name: string, ms: number, turn: () => void): Child {
+  turns(name: string, intervalMs: number, task: () => void): Child {
     const clock = this.clock;
-    const guard = this.guard.bind(this);
-    let tick: types.Tick | null = null;
+    const runGuarded = this.runGuarded.bind(this);
+    let timer: types.Tick | null = null;
     return {
       name,
       start(): void {
-        tick = world.every(clock, ms, guarded);
+        timer = world.every(clock, intervalMs, onTimer);
       },
       stop(): void {
-        tick?.stop();
+        timer?.stop();
       },
     };
-    function guarded(): void {
-      guard(name, turn);
+    function onTimer(): void {
+      runGuarded(name, task);
     }
   }
 
@@ -56,9 +56,9 @@
     this.children.push(child);
   }
 
-  private guard(name: string, turn: () => void): void {
+  private runGuarded(name: string, task: () => void): void {
     try {
-      turn();
+      task();
     } catch (cause) {
       this.failed(name, cause);
     }
@@ -71,9 +71,9 @@
     log.state(`${name} failed: ${cause instanceof Error ? (cause.stack ?? cause.message) : String(cause)}`);
     this.failures = [...this.failures.filter(isRecent), now];
     function isRecent(at: number): boolean {
-      return now - at < WINDOW_MS;
+      return now - at < FAILURE_WINDOW_MS;
     }
-    if (this.failures.length <= MOST_FAILURES) return;
+    if (this.failures.length <= MAX_FAILURES) return;
     log.state("too many failures in a short while; the process ends to start clean");
     log.flushNow();
     process.exit(70);
@@ -81,7 +81,7 @@
 }
 
 /** What no child caught comes to the root. */
-export function catchAll(root: Supervisor): void {
+export function superviseProcess(root: Supervisor): void {
   process.on("uncaughtException", function caught(cause) {
     root.failed("process", cause);
   });
--- a/src/usage/interest.ts
+++ b/src/usage/interest.ts
@@ -2,10 +2,10 @@
 import * as types from "../wire/types.js";
 
 /** *ours* */
-export const KEPT_MS = 10_000;
+export const RETENTION_MS = 10_000;
 
 export class Interest {
-  private readonly usedAt = new Map<string, types.SteadyMs>();
+  private readonly lastUsedAt = new Map<string, types.SteadyMs>();
 
   constructor(
     private readonly world: types.World,
@@ -13,15 +13,15 @@
   ) {}
 
   /** A request went there, or would have gone there first. */
-  use(region: string): void {
-    this.usedAt.set(region, this.world.now());
+  recordUse(region: string): void {
+    this.lastUsedAt.set(region, this.world.now());
   }
 
   regions(): string[] {
     const now = this.world.now();
     const found = [this.ownRegion];
-    for (const [region, at] of this.usedAt) {
-      if (now - at >= KEPT_MS) this.usedAt.delete(region);
+    for (const [region, at] of this.lastUsedAt) {
+      if (now - at >= RETENTION_MS) this.lastUsedAt.delete(region);
       else if (region !== this.ownRegion) found.push(region);
     }
     return found;
@@ -29,7 +29,7 @@
 
   has(region: string): boolean {
     if (region === this.ownRegion) return true;
-    const at = this.usedAt.get(region);
-    return at !== undefined && this.world.now() - at < KEPT_MS;
+    const at = this.lastUsedAt.get(region);
+    return at !== undefined && this.world.now() - at < RETENTION_MS;
   }
 }
--- a/src/usage/publisher.ts
+++ b/src/usage/publisher.ts
@@ -4,7 +4,7 @@
 import * as marks from "../signs/marks.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
-import * as pictures from "./picture.js";
+import * as regionReports from "./region-reports.js";
 import * as quantum from "./quantum.js";
 import * as summaries from "./summary.js";
 
@@ -18,26 +18,26 @@
 }
 
 export class Publisher {
-  private readonly pictures = new Map<string, pictures.Picture>();
+  private readonly regionReports = new Map<string, regionReports.RegionReports>();
   private readonly marks = new marks.Marks<types.RunnerId>();
   private instances: readonly schema.Instance[] = [];
   private regions: ReadonlyMap<types.RunnerId, string> = new Map();
   private readonly capacities = new Map<types.RunnerId, number>();
-  private readonly summed = new Map<string, schema.Summary>();
-  private summedAt = -Infinity;
+  private readonly summaries = new Map<string, schema.Summary>();
+  private summarisedAt = -Infinity;
 
   constructor(
     private readonly world: types.World,
     private readonly feed: Pick<feeds.Feed, "publish" | "amend">,
   ) {}
 
-  private pictureOf(region: string): pictures.Picture {
-    let picture = this.pictures.get(region);
-    if (!picture) {
-      picture = new pictures.Picture(region);
-      this.pictures.set(region, picture);
+  private reportsOf(region: string): regionReports.RegionReports {
+    let reports = this.regionReports.get(region);
+    if (!reports) {
+      reports = new regionReports.RegionReports(region);
+      this.regionReports.set(region, reports);
     }
-    return picture;
+    return reports;
   }
 
   /** The list, and the regions of its runners. */
@@ -47,27 +47,27 @@
     this.marks.takeList(regions.keys());
     this.capacities.clear();
     for (const instance of instances) this.capacities.set(instance.id, instance.capacity);
-    for (const picture of this.pictures.values()) {
-      picture.forgetAllBut(regions);
+    for (const known of this.regionReports.values()) {
+      known.retainOnly(regions);
       // The time of reading stands: a new list is no report.
-      if (Number.isFinite(picture.heardAt))
-        this.feed.publish(feeds.cellTopic(picture.region), this.items([...picture.told.values()]), types.small(picture.heardAt));
+      if (Number.isFinite(known.receivedAt))
+        this.feed.publish(feeds.cellTopic(known.region), this.items([...known.reports.values()]), types.small(known.receivedAt));
     }
   }
 
   /** What the orchestrator of the region tells of what it read. */
   differ(region: string, reports: readonly schema.Report[]): schema.Report[] {
-    return this.pictureOf(region).differ(reports, this.capacities);
+    return this.reportsOf(region).changesIn(reports, this.capacities);
   }
 
   whole(region: string): schema.Report[] {
-    return [...this.pictureOf(region).told.values()];
+    return [...this.reportsOf(region).reports.values()];
   }
 
   /** Told by the orchestrator of the region, here or at a sibling. */
   take(report: schema.CellReport): void {
     const now = this.world.now();
-    this.pictureOf(report.region).take(report.reports, now);
+    this.reportsOf(report.region).apply(report.reports, now);
     this.feed.amend(feeds.cellTopic(report.region), this.items(report.reports), types.small(now));
   }
 
@@ -79,20 +79,20 @@
 
   turn(): void {
     const now = this.world.now();
-    if (now - this.summedAt < SUMMARY_MS) return;
-    this.summedAt = now;
-    const standing = new Map<string, schema.Summary>();
-    for (const picture of this.pictures.values()) {
-      const here = this.instances.filter(isHere.bind(null, this.regions, picture.region));
-      for (const [service, summary] of summaries.summarise(picture, here, now)) {
-        const key = summaries.keyOf(picture.region, service);
-        standing.set(key, summaries.settled(this.summed.get(key), summary));
+    if (now - this.summarisedAt < SUMMARY_MS) return;
+    this.summarisedAt = now;
+    const current = new Map<string, schema.Summary>();
+    for (const known of this.regionReports.values()) {
+      const here = this.instances.filter(isHere.bind(null, this.regions, known.region));
+      for (const [service, summary] of summaries.summarise(known, here, now)) {
+        const key = summaries.keyOf(known.region, service);
+        current.set(key, summaries.withHysteresis(this.summaries.get(key), summary));
       }
     }
-    this.summed.clear();
+    this.summaries.clear();
     const items = new Map<string, Buffer>();
-    for (const [key, summary] of standing) {
-      this.summed.set(key, summary);
+    for (const [key, summary] of current) {
+      this.summaries.set(key, summary);
       items.set(key, schema.summary.toBuffer(summary));
     }
     this.feed.publish(summaries.SUMMARY_TOPIC, items, types.small(now));
@@ -100,7 +100,7 @@
 
   status(): schema.CellReport[] {
     const reports: schema.CellReport[] = [];
-    for (const { region } of this.pictures.values()) reports.push({ region, reports: this.whole(region) });
+    for (const { region } of this.regionReports.values()) reports.push({ region, reports: this.whole(region) });
     return reports;
   }
 }
--- a/src/usage/quantum.ts
+++ b/src/usage/quantum.ts
@@ -18,12 +18,12 @@
 }
 
 /** In quanta: from 1 on the report has moved materially; a change of status always has. */
-export function deviation(told: schema.Report, report: schema.Report, capacity: number): number {
-  if (told.isSpeaking !== report.isSpeaking || told.kvCapacity !== report.kvCapacity) return Infinity;
+export function deviation(published: schema.Report, report: schema.Report, capacity: number): number {
+  if (published.isSpeaking !== report.isSpeaking || published.kvCapacity !== report.kvCapacity) return Infinity;
   if (!report.isSpeaking) return 0;
   const quantum = quantumOf(capacity);
-  const kv = Math.abs(kvShare(told) - kvShare(report)) * KV_PARTS;
-  return Math.max(Math.abs(told.active - report.active) / quantum, Math.abs(told.waiting - report.waiting) / quantum, kv);
+  const kv = Math.abs(kvShare(published) - kvShare(report)) * KV_PARTS;
+  return Math.max(Math.abs(published.active - report.active) / quantum, Math.abs(published.waiting - report.waiting) / quantum, kv);
 }
 
 /** The report as it travels and as every side holds it: kept tokens in steps of the capacity. */
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -12,9 +12,9 @@
 import * as summaries from "./summary.js";
 
 /** What is left after a tenth of a second of stale reports: half a second halves it (*ours*). */
-const FADE = 0.87;
+const FADE_FACTOR = 0.87;
 
-interface Followed {
+interface FollowedRegion {
   stamp: types.Stamp | null;
   movedAt: number;
   isStale: boolean;
@@ -22,13 +22,13 @@
 
 export class Reader {
   private readonly interest: interests.Interest;
-  private listing = 0;
+  private listVersion = 0;
   /** Estimates by summary are renewed when a summary, the list or what is followed has changed. */
   private isEstimateDue = true;
   /** The runners of the lists that this router follows. */
   readonly marks = new marks.Marks<types.RunnerId>();
-  private ids = new Map<string, types.RunnerId>();
-  private readonly followed = new Map<string, Followed>();
+  private idsByKey = new Map<string, types.RunnerId>();
+  private readonly followed = new Map<string, FollowedRegion>();
 
   constructor(
     private readonly world: types.World,
@@ -41,11 +41,11 @@
 
   /** A request went to a runner of the region. */
   sent(region: string): void {
-    this.interest.use(region);
+    this.interest.recordUse(region);
   }
 
   topics(): string[] {
-    for (const region of this.fleet.summaries.takeWanted()) this.interest.use(region);
+    for (const region of this.fleet.summaries.takeWanted()) this.interest.recordUse(region);
     return [summaries.SUMMARY_TOPIC, ...this.interest.regions().map(feeds.cellTopic)];
   }
 
@@ -63,7 +63,7 @@
   private takeItems(region: string, items: ReadonlyMap<string, Buffer>): void {
     const reports: schema.Report[] = [];
     for (const [key, body] of items) {
-      const id = this.ids.get(key);
+      const id = this.idsByKey.get(key);
       if (id !== undefined) reports.push(quantum.reportOf(id, body));
     }
     this.fleet.takeReport({ region, reports });
@@ -71,13 +71,13 @@
 
   /** What was told of runners before they were listed counts from now on. */
   private relist(mirror: mirrors.Mirror): void {
-    this.listing = this.fleet.listing;
+    this.listVersion = this.fleet.listing;
     this.isEstimateDue = true;
     const ids: types.RunnerId[] = [];
     for (const { id } of this.fleet.all()) ids.push(id);
     this.marks.takeList(ids);
-    this.ids = new Map();
-    for (const id of ids) this.ids.set(publishers.keyOf(this.marks, id), id);
+    this.idsByKey = new Map();
+    for (const id of ids) this.idsByKey.set(publishers.keyOf(this.marks, id), id);
     for (const region of this.interest.regions()) {
       if (!this.followed.get(region)?.isStale) this.takeItems(region, mirror.bodies(feeds.cellTopic(region)));
     }
@@ -86,9 +86,9 @@
   /** Each period moves the stamp of a cell; one that stands still is stale, and its usage fades (design/usage 3.4). */
   watch(mirror: mirrors.Mirror): void {
     const now = this.world.now();
-    if (this.listing !== this.fleet.listing) this.relist(mirror);
+    if (this.listVersion !== this.fleet.listing) this.relist(mirror);
     const regions = new Set(this.interest.regions());
-    for (const region of this.followed.keys()) if (!regions.has(region)) this.leave(region);
+    for (const region of this.followed.keys()) if (!regions.has(region)) this.unfollow(region);
     for (const region of regions) {
       const followed = this.followed.get(region) ?? { stamp: null, movedAt: now, isStale: false };
       this.followed.set(region, followed);
@@ -100,21 +100,21 @@
         for (const runner of this.fleet.in(region)) runner.rebase();
         this.onPeriod(region);
       }
-      this.mark(region, followed, now - followed.movedAt > summaries.STALE_MS);
-      if (followed.isStale) for (const runner of this.fleet.in(region)) runner.fade(FADE);
+      this.setStale(region, followed, now - followed.movedAt > summaries.STALE_MS);
+      if (followed.isStale) for (const runner of this.fleet.in(region)) runner.fade(FADE_FACTOR);
     }
     this.fleet.summaries.detailed(regions);
     if (this.isEstimateDue) for (const runner of this.fleet.all()) if (!regions.has(runner.region)) this.estimate(runner);
     this.isEstimateDue = false;
   }
 
-  private mark(region: string, followed: Followed, isStale: boolean): void {
+  private setStale(region: string, followed: FollowedRegion, isStale: boolean): void {
     if (followed.isStale === isStale) return;
     followed.isStale = isStale;
     log.state(`cell ${region}: reports ${isStale ? "are stale" : "come again"}`);
   }
 
-  private leave(region: string): void {
+  private unfollow(region: string): void {
     this.followed.delete(region);
     this.isEstimateDue = true;
     for (const runner of this.fleet.in(region)) runner.forgetReport();
--- /dev/null
+++ b/src/usage/region-reports.ts
@@ -0,0 +1,69 @@
+// The reports of one region as they were told last (design/usage 3): the same at every control node that hears the
+// region's orchestrator, and what differences are taken from.
+import * as schema from "../wire/schema.js";
+import * as types from "../wire/types.js";
+import * as log from "../startup/log.js";
+import * as marks from "../signs/marks.js";
+import * as quantum from "./quantum.js";
+
+/** Each period this part of the runners is told again, moved or not, so that lost knowledge heals (*ours*). */
+export const REFRESH_PARTS = 16;
+/** Runners told in one period for having moved; changes of status are told always (*ours*). */
+export const MAX_CHANGED = 32;
+
+export interface Capacities {
+  get(id: types.RunnerId): number | undefined;
+}
+
+interface ChangedReport {
+  report: schema.Report;
+  deviation: number;
+}
+
+export class RegionReports {
+  readonly reports = new Map<types.RunnerId, schema.Report>();
+  private refreshSlot = 0;
+  /** When the orchestrator was last heard: grows each period although nothing moves. */
+  receivedAt = -Infinity;
+
+  constructor(readonly region: string) {}
+
+  /** What is to be told of these reports: the moved ones, those that moved most first, and a part of the others as told. */
+  changesIn(reports: readonly schema.Report[], capacities: Capacities): schema.Report[] {
+    this.refreshSlot = (this.refreshSlot + 1) % REFRESH_PARTS;
+    const changed: ChangedReport[] = [];
+    const refreshed: schema.Report[] = [];
+    for (const report of reports) {
+      const published = this.reports.get(report.id);
+      const deviation = published ? quantum.deviation(published, report, capacities.get(report.id) ?? 1) : Infinity;
+      if (deviation >= 1) changed.push({ report, deviation });
+      else if (published && (marks.markOf(report.id) >>> 0) % REFRESH_PARTS === this.refreshSlot) refreshed.push(published);
+    }
+    changed.sort(byDeviation);
+    let limit = changed.findIndex(isMeasured);
+    limit = limit < 0 ? changed.length : Math.max(limit, MAX_CHANGED);
+    if (changed.length > limit) log.count("usage.put_off", changed.length - limit);
+    return [...changed.slice(0, limit).map(reportOf), ...refreshed];
+  }
+
+  apply(reports: readonly schema.Report[], now: number): void {
+    this.receivedAt = now;
+    for (const report of reports) this.reports.set(report.id, report);
+  }
+
+  retainOnly(listed: { has(id: types.RunnerId): boolean }): void {
+    for (const id of this.reports.keys()) if (!listed.has(id)) this.reports.delete(id);
+  }
+}
+
+function byDeviation(left: ChangedReport, right: ChangedReport): number {
+  return left.deviation === right.deviation ? 0 : right.deviation - left.deviation;
+}
+
+function isMeasured(moved: ChangedReport): boolean {
+  return Number.isFinite(moved.deviation);
+}
+
+function reportOf(moved: ChangedReport): schema.Report {
+  return quantum.rounded(moved.report);
+}
--- a/src/usage/summary.ts
+++ b/src/usage/summary.ts
@@ -1,7 +1,7 @@
 // A region in a few numbers for routers that send nothing there (design/usage 4.2): per service the runners in good
 // status, all runners, mean usage and room.
 import * as schema from "../wire/schema.js";
-import type * as pictures from "./picture.js";
+import type * as regionReports from "./region-reports.js";
 
 export const SUMMARY_TOPIC = "summary";
 /** Steps of mean usage and of room (*ours*). */
@@ -9,7 +9,7 @@
 /** A picture not heard for so long says nothing of usage. */
 export const STALE_MS = 2000;
 
-interface Sums {
+interface Totals {
   total: number;
   good: number;
   used: number;
@@ -22,79 +22,83 @@
 }
 
 /** Service -> summary of the region's runners. */
-export function summarise(picture: pictures.Picture, instances: Iterable<schema.Instance>, now: number): Map<string, schema.Summary> {
-  const sums = new Map<string, Sums>();
+export function summarise(
+  known: regionReports.RegionReports,
+  instances: Iterable<schema.Instance>,
+  now: number,
+): Map<string, schema.Summary> {
+  const sums = new Map<string, Totals>();
   for (const instance of instances) {
     let sum = sums.get(instance.service);
     if (!sum) {
       sum = { total: 0, good: 0, used: 0, capacity: 0, room: 0 };
       sums.set(instance.service, sum);
     }
-    add(sum, instance, picture.told.get(instance.id));
+    add(sum, instance, known.reports.get(instance.id));
   }
-  const isFresh = now - picture.heardAt <= STALE_MS;
-  const found = new Map<string, schema.Summary>();
+  const isFresh = now - known.receivedAt <= STALE_MS;
+  const summaries = new Map<string, schema.Summary>();
   for (const [service, { total, good, used, capacity, room }] of sums) {
-    found.set(service, { isFresh, total, good, usage: steps(used, capacity), room: steps(room, capacity) });
+    summaries.set(service, { isFresh, total, good, usage: toSteps(used, capacity), room: toSteps(room, capacity) });
   }
-  return found;
+  return summaries;
 }
 
-function add(sum: Sums, instance: schema.Instance, told: schema.Report | undefined): void {
+function add(sum: Totals, instance: schema.Instance, published: schema.Report | undefined): void {
   sum.total += 1;
   sum.capacity += instance.capacity;
-  if (told && !told.isSpeaking) return;
+  if (published && !published.isSpeaking) return;
   if (!instance.isDraining) sum.good += 1;
-  const used = told ? told.active + told.waiting : 0;
+  const used = published ? published.active + published.waiting : 0;
   sum.used += used;
   if (!instance.isDraining) sum.room += Math.max(0, instance.capacity - used);
 }
 
-function steps(part: number, whole: number): number {
+function toSteps(part: number, whole: number): number {
   return whole > 0 ? Math.round((STEPS * part) / whole) : 0;
 }
 
 /** A step to and fro at a border is not told: usage moves by more than one step, or stays. */
-export function settled(told: schema.Summary | undefined, summary: schema.Summary): schema.Summary {
-  if (!told) return summary;
-  return { ...summary, usage: held(told.usage, summary.usage), room: held(told.room, summary.room) };
+export function withHysteresis(published: schema.Summary | undefined, summary: schema.Summary): schema.Summary {
+  if (!published) return summary;
+  return { ...summary, usage: hysteresis(published.usage, summary.usage), room: hysteresis(published.room, summary.room) };
 }
 
-function held(told: number, now: number): number {
-  return Math.abs(told - now) <= 1 && now !== 0 ? told : now;
+function hysteresis(published: number, measured: number): number {
+  return Math.abs(published - measured) <= 1 && measured !== 0 ? published : measured;
 }
 
 /** The router's side: region and service -> summary. */
 export class Summaries {
-  private readonly held = new Map<string, schema.Summary>();
-  private details: ReadonlySet<string> = new Set();
-  private wanted = new Set<string>();
+  private readonly byKey = new Map<string, schema.Summary>();
+  private detailedRegions: ReadonlySet<string> = new Set();
+  private requestedRegions = new Set<string>();
 
   take(key: string, body: Buffer | null): void {
-    if (body) this.held.set(key, schema.summary.fromBuffer(body));
-    else this.held.delete(key);
+    if (body) this.byKey.set(key, schema.summary.fromBuffer(body));
+    else this.byKey.delete(key);
   }
 
   /** A request ranks runners of this region: a summary is not enough. */
   want(region: string): void {
-    this.wanted.add(region);
+    this.requestedRegions.add(region);
   }
 
   takeWanted(): ReadonlySet<string> {
-    const { wanted } = this;
-    if (wanted.size > 0) this.wanted = new Set();
-    return wanted;
+    const { requestedRegions } = this;
+    if (requestedRegions.size > 0) this.requestedRegions = new Set();
+    return requestedRegions;
   }
 
   /** Of these regions more is known than a summary says. */
   detailed(regions: ReadonlySet<string>): void {
-    this.details = regions;
+    this.detailedRegions = regions;
   }
 
   /** Null when nothing fresh is known, or more is known by reports. */
   of(region: string, service: string): schema.Summary | null {
-    if (this.details.has(region)) return null;
-    const found = this.held.get(keyOf(region, service));
+    if (this.detailedRegions.has(region)) return null;
+    const found = this.byKey.get(keyOf(region, service));
     return found?.isFresh ? found : null;
   }
 }
--- a/src/whatif/batch.ts
+++ b/src/whatif/batch.ts
@@ -25,7 +25,7 @@
 const QUEUE_PART = 1;
 
 export class BatchRunner {
-  private readonly kept = new readings.Readings();
+  private readonly cachedPrompts = new readings.Readings();
   private readonly queue: Queued[] = [];
   private readingUntil = 0;
   private order = 0;
@@ -59,7 +59,7 @@
     this.order += 1;
     this.queue.push({ job, order: this.order });
     this.queue.sort(byUrgency);
-    this.pump();
+    this.startQueued();
     return true;
   }
 
@@ -68,7 +68,7 @@
     return this.active < capacity && (memory === 0 || this.kvUsed + this.tokensOf(job) <= memory);
   }
 
-  private pump(): void {
+  private startQueued(): void {
     for (let next = this.queue[0]; next && (this.fits(next.job) || next.job.deadline <= this.world.now()); next = this.queue[0]) {
       this.queue.shift();
       if (next.job.deadline <= this.world.now()) next.job.ended(false);
@@ -79,8 +79,8 @@
   private run(job: Job): void {
     const now = this.world.now();
     const keys = readings.chainKeys(job.parts);
-    const unread = this.kept.unread(this.id, job.parts, keys);
-    this.kept.note(this.id, unread, keys, now);
+    const unread = this.cachedPrompts.unread(this.id, job.parts, keys);
+    this.cachedPrompts.note(this.id, unread, keys, now);
     this.active += 1;
     const tokens = this.tokensOf(job);
     this.kvUsed += tokens;
@@ -95,7 +95,7 @@
       this.active -= 1;
       this.kvUsed -= tokens;
       job.ended(isWhole);
-      this.pump();
+      this.startQueued();
     }
   }
 
--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -8,15 +8,15 @@
 import type * as scenarios from "./scenario.js";
 import * as systems from "./system.js";
 
-const MOST_TRIES = 4;
-const MOST_SENDS = 2;
-const HONOURED = 1 / 3;
-const LEAST_LEFT_MS = 50;
+const MAX_TRIES = 4;
+const MAX_SENDS = 2;
+const HONOURED_SHARE = 1 / 3;
+const MIN_TIME_LEFT_MS = 50;
 
 export type Outcome = "in_aim" | "late" | "too_late" | "refused" | "open";
 
 /** One request of a client, all its tries together. */
-export interface Asked {
+export interface RequestRecord {
   kind: string;
   at: number;
   size: number;
@@ -32,7 +32,7 @@
   session: string;
 }
 
-export interface Day {
+export interface OverloadedFleet {
   readonly world: types.World;
   readonly runners: ReadonlyMap<string, batches.BatchRunner>;
   readonly routers: readonly systems.ModelRouter[];
@@ -43,25 +43,25 @@
 }
 
 /** One request of a client and its returns. */
-export class Try {
+export class ClientRequest {
   private startedAt = 0;
   private readonly deadline: number;
   private ids = 0;
 
   constructor(
-    private readonly day: Day,
+    private readonly day: OverloadedFleet,
     private readonly scenario: scenarios.Scenario,
     private readonly kind: scenarios.Kind,
     private readonly parts: plans.Part[],
     private readonly events: number,
-    private readonly asked: Asked,
+    private readonly record: RequestRecord,
   ) {
     this.deadline = day.world.now() + kind.deadline_ms;
   }
 
   start(): void {
     this.startedAt = this.day.world.now();
-    this.asked.tries += 1;
+    this.record.tries += 1;
     const router = this.day.pickRouter();
     this.day.world.after(this.day.lagOf(router), this.send.bind(this, router, new Set<string>()));
   }
@@ -69,11 +69,11 @@
   private send(router: systems.ModelRouter, tried: Set<string>): void {
     const entry = router.chooser.table!.find("whatif", `/${this.kind.name}/`)!;
     this.ids += 1;
-    const request = systems.requestOf(entry, `r-${this.asked.at}-${this.ids}`, this.parts, this.deadline, this.events);
+    const request = systems.requestOf(entry, `r-${this.record.at}-${this.ids}`, this.parts, this.deadline, this.events);
     router.chooser.countRequest("model");
     const choice = router.chooser.choose(request, tried, tried.size);
     if ("status" in choice) {
-      this.refused(choice.retryAfterS);
+      this.onRefusal(choice.retryAfterS);
       return;
     }
     choice.runner.connections.give(choice.connection, true);
@@ -86,7 +86,7 @@
 
   private submit(
     router: systems.ModelRouter,
-    seen: fleets.Runner,
+    runner: fleets.Runner,
     model: batches.BatchRunner,
     ticket: tickets.Ticket,
     tried: Set<string>,
@@ -94,10 +94,10 @@
     trip: number,
   ): void {
     const { day, kind } = this;
-    const tokens = systems.tellReading(day.world, day.routers, router, model.id, request);
+    const tokens = systems.publishReading(day.world, day.routers, router, model.id, request);
     const sentAt = day.world.now();
-    const first = this.first.bind(this, trip);
-    const ended = this.ended.bind(this);
+    const onFirstEvent = this.first.bind(this, trip);
+    const onEnd = this.ended.bind(this);
     let hasFirst = false;
     const isTaken = model.submit({
       parts: this.parts,
@@ -107,49 +107,49 @@
       first(): void {
         hasFirst = true;
         router.known.learn(tokens, day.world.now() - sentAt);
-        seen.heard(day.world.now());
+        runner.heard(day.world.now());
         ticket.first();
-        first();
+        onFirstEvent();
       },
       ended(isWhole): void {
-        seen.inflight -= 1;
+        runner.inflight -= 1;
         ticket.end(isWhole ? "complete" : "stopped");
-        ended(isWhole && hasFirst);
+        onEnd(isWhole && hasFirst);
       },
     });
     if (isTaken) {
-      this.asked.admitted += 1;
+      this.record.admitted += 1;
       return;
     }
-    seen.inflight -= 1;
+    runner.inflight -= 1;
     ticket.end("not_run");
-    seen.denied(day.world.now(), false);
+    runner.denied(day.world.now(), false);
     tried.add(model.id);
-    if (tried.size < MOST_SENDS) this.send(router, tried);
-    else this.refused(0.3);
+    if (tried.size < MAX_SENDS) this.send(router, tried);
+    else this.onRefusal(0.3);
   }
 
   private first(trip: number): void {
     const firstMs = this.day.world.now() + trip - this.startedAt;
     const isInAim = firstMs <= this.kind.aim_ms;
-    this.asked.outcome = isInAim ? "in_aim" : "late";
-    this.asked.worth = !isInAim ? 0.3 : this.asked.tries === 1 ? 1 : 0.5;
+    this.record.outcome = isInAim ? "in_aim" : "late";
+    this.record.worth = !isInAim ? 0.3 : this.record.tries === 1 ? 1 : 0.5;
   }
 
   private ended(isWhole: boolean): void {
     if (isWhole) return;
-    this.asked.outcome = "too_late";
-    this.asked.worth = 0;
+    this.record.outcome = "too_late";
+    this.record.worth = 0;
   }
 
-  private refused(retryAfterS: number): void {
+  private onRefusal(retryAfterS: number): void {
     const { world } = this.day;
-    this.asked.refusedMs.push(world.now() - this.startedAt);
-    this.asked.retryAfterS.push(retryAfterS);
-    this.asked.unused.push(this.day.unused());
+    this.record.refusedMs.push(world.now() - this.startedAt);
+    this.record.retryAfterS.push(retryAfterS);
+    this.record.unused.push(this.day.unused());
     const left = this.deadline - world.now();
-    const waitMs = Math.min(retryAfterS * 1000, left * HONOURED);
-    if (this.asked.tries >= MOST_TRIES || left - waitMs < LEAST_LEFT_MS) this.asked.outcome = "refused";
+    const waitMs = Math.min(retryAfterS * 1000, left * HONOURED_SHARE);
+    if (this.record.tries >= MAX_TRIES || left - waitMs < MIN_TIME_LEFT_MS) this.record.outcome = "refused";
     else world.after(waitMs, this.start.bind(this));
   }
 }
--- a/src/whatif/outcome.ts
+++ b/src/whatif/outcome.ts
@@ -39,15 +39,15 @@
   return left - right;
 }
 
-function bySize(left: clients.Asked, right: clients.Asked): number {
+function bySize(left: clients.RequestRecord, right: clients.RequestRecord): number {
   return right.size - left.size;
 }
 
-function isServed(item: clients.Asked): boolean {
+function isServed(item: clients.RequestRecord): boolean {
   return item.outcome === "in_aim" || item.outcome === "late";
 }
 
-function shareServed(items: readonly clients.Asked[]): number {
+function shareServed(items: readonly clients.RequestRecord[]): number {
   return items.length === 0 ? 1 : Math.round((1000 * items.filter(isServed).length) / items.length) / 1000;
 }
 
@@ -57,11 +57,11 @@
   return values.length === 0 ? 0 : Math.round((1000 * sum) / values.length) / 1000;
 }
 
-function worthOf(item: clients.Asked): number {
+function worthOf(item: clients.RequestRecord): number {
   return item.worth;
 }
 
-export function rowOf(kind: string, isOn: boolean, items: readonly clients.Asked[]): Row {
+export function rowOf(kind: string, isOn: boolean, items: readonly clients.RequestRecord[]): Row {
   const times = items.flatMap(refusedOf).sort(byNumber);
   const sorted = [...items].sort(bySize);
   const tenth = Math.round(items.length * TENTH);
@@ -94,11 +94,11 @@
   };
 }
 
-function refusedOf(item: clients.Asked): number[] {
+function refusedOf(item: clients.RequestRecord): number[] {
   return item.refusedMs;
 }
 
-function unusedOf(item: clients.Asked): number[] {
+function unusedOf(item: clients.RequestRecord): number[] {
   return item.unused;
 }
 
@@ -106,13 +106,13 @@
 export function rows(scenario: scenarios.Scenario): Row[] {
   const made: Row[] = [];
   for (const isOn of [false, true]) {
-    const asked = new overload.OverloadDay(scenario, isOn).play();
-    for (const kind of scenario.kinds) made.push(rowOf(kind.name, isOn, asked.filter(isOf.bind(null, kind.name))));
+    const records = new overload.OverloadDay(scenario, isOn).play();
+    for (const kind of scenario.kinds) made.push(rowOf(kind.name, isOn, records.filter(isOf.bind(null, kind.name))));
   }
   return made;
 }
 
-function isOf(kind: string, item: clients.Asked): boolean {
+function isOf(kind: string, item: clients.RequestRecord): boolean {
   return item.kind === kind;
 }
 
--- a/src/whatif/overload.ts
+++ b/src/whatif/overload.ts
@@ -10,17 +10,17 @@
 
 const REPORT_MS = 600;
 const DEAL_MS = 500;
-const TURN_MS = 100;
+const TIMER_MS = 100;
 const LONGEST_SIZE = 3;
 
-export class OverloadDay implements clients.Day {
-  readonly asked: clients.Asked[] = [];
+export class OverloadDay implements clients.OverloadedFleet {
+  readonly records: clients.RequestRecord[] = [];
   readonly world: worlds.PlannedWorld;
   readonly runners = new Map<string, batches.BatchRunner>();
   readonly routers: systems.ModelRouter[] = [];
   private readonly lags = new Map<systems.ModelRouter, number>();
   private readonly owner: owners.SoleOwner;
-  private lives = 0;
+  private runnersStarted = 0;
   /** Chance of its own, so that the same clients come whatever the routers do. */
   private readonly chance: worlds.PlannedWorld;
 
@@ -35,8 +35,8 @@
     const regions = scenario.regions.map(nameOf);
     for (const region of scenario.regions) {
       for (let count = 0; count < region.runners; count += 1) {
-        this.lives += 1;
-        const runner = new batches.BatchRunner(`${region.name}-${this.lives}`, region.name, scenario.runner, this.world);
+        this.runnersStarted += 1;
+        const runner = new batches.BatchRunner(`${region.name}-${this.runnersStarted}`, region.name, scenario.runner, this.world);
         this.runners.set(runner.id, runner);
       }
       for (let count = 0; count < region.routers; count += 1)
@@ -49,18 +49,18 @@
     this.routers.push(router);
   }
 
-  play(): clients.Asked[] {
+  play(): clients.RequestRecord[] {
     const list = systems.instancesOf([...this.runners.values()].map(standing), this.scenario.runner.capacity, new Map());
     for (const router of this.routers) router.fleet.takeList(list);
     this.deal();
     this.report();
-    this.turn();
-    for (const fault of this.scenario.faults) this.world.after(fault.at_s * 1000, this.strike.bind(this, fault));
+    this.onTimer();
+    for (const fault of this.scenario.faults) this.world.after(fault.at_s * 1000, this.injectFault.bind(this, fault));
     for (const kind of this.scenario.kinds) this.world.after(this.gap(kind), this.arrive.bind(this, kind));
     this.world.play(this.scenario.length_s * 1000);
     // What is at work at the end is played to its end; nobody new arrives.
     this.world.play(this.scenario.length_s * 2000 + 60_000);
-    return this.asked;
+    return this.records;
   }
 
   private isOver(): boolean {
@@ -89,18 +89,18 @@
     this.world.after(REPORT_MS, this.report.bind(this));
   }
 
-  private turn(): void {
-    for (const [router, ms] of this.lags) router.chooser.admission.lagged(ms);
-    this.world.after(TURN_MS, this.turn.bind(this));
+  private onTimer(): void {
+    for (const [router, ms] of this.lags) router.chooser.admission.recordLag(ms);
+    this.world.after(TIMER_MS, this.onTimer.bind(this));
   }
 
-  private strike(fault: scenarios.Fault): void {
+  private injectFault(fault: scenarios.Fault): void {
     const end = fault.for_s * 1000;
     const { lags } = this;
     if (fault.kind === "slow_router") {
       const router = this.routers.find(isThere);
       if (!router) return;
-      lags.set(router, fault.factor * TURN_MS);
+      lags.set(router, fault.factor * TIMER_MS);
       this.world.after(end, quick);
       function quick(): void {
         lags.delete(router!);
@@ -140,10 +140,10 @@
     const parts: plans.Part[] = [
       { id: `c-${kind.name}`, tokens: kind.common_tokens },
       { id: `s-${session}`, tokens: kind.session_tokens },
-      { id: `t-${this.asked.length}`, tokens: Math.max(1, Math.round(kind.turn_tokens * size)) },
+      { id: `t-${this.records.length}`, tokens: Math.max(1, Math.round(kind.turn_tokens * size)) },
     ];
     const events = Math.max(1, Math.round(kind.events * size));
-    const asked: clients.Asked = {
+    const record: clients.RequestRecord = {
       kind: kind.name,
       at: this.world.now(),
       size,
@@ -156,8 +156,8 @@
       worth: 0,
       session,
     };
-    this.asked.push(asked);
-    new clients.Try(this, this.scenario, kind, parts, events, asked).start();
+    this.records.push(record);
+    new clients.ClientRequest(this, this.scenario, kind, parts, events, record).start();
   }
 
   pickRouter(): systems.ModelRouter {
--- a/src/whatif/play.ts
+++ b/src/whatif/play.ts
@@ -9,7 +9,7 @@
 
 export type Phase = "before" | "during" | "after";
 
-export interface Counted {
+export interface RequestRecord {
   phase: Phase;
   kind: string;
   isFirstTurn: boolean;
@@ -20,10 +20,10 @@
 }
 
 const DEAL_MS = 100;
-const FOUND_MS = 600;
+const LOSS_DETECTED_MS = 600;
 
 export class Day {
-  readonly counted: Counted[] = [];
+  readonly records: RequestRecord[] = [];
   private readonly world: worlds.PlannedWorld;
   private readonly runners = new Map<string, models.ModelRunner>();
   private readonly routers: systems.ModelRouter[] = [];
@@ -32,7 +32,7 @@
   private readonly coldMs = new Map<string, number>();
   private readonly evacuated = new Set<string>();
   private requests = 0;
-  private lives = 0;
+  private runnersStarted = 0;
 
   constructor(private readonly scenario: scenarios.Scenario) {
     this.world = new worlds.PlannedWorld(scenario.seed);
@@ -47,19 +47,19 @@
   }
 
   private addRunner(region: string): models.ModelRunner {
-    this.lives += 1;
-    const runner = new models.ModelRunner(`${region}-${this.lives}`, region, this.scenario.runner);
+    this.runnersStarted += 1;
+    const runner = new models.ModelRunner(`${region}-${this.runnersStarted}`, region, this.scenario.runner);
     this.runners.set(runner.id, runner);
     return runner;
   }
 
-  play(): Counted[] {
+  play(): RequestRecord[] {
     this.pushList();
     this.deal();
-    for (const fault of this.scenario.faults) this.world.after(fault.at_s * 1000, this.strike.bind(this, fault));
+    for (const fault of this.scenario.faults) this.world.after(fault.at_s * 1000, this.injectFault.bind(this, fault));
     for (const kind of this.scenario.kinds) this.world.after(this.gap(kind), this.arrive.bind(this, kind));
     this.world.play(this.scenario.length_s * 1000);
-    return this.counted;
+    return this.records;
   }
 
   private pushList(): void {
@@ -76,7 +76,7 @@
     this.world.after(DEAL_MS, this.deal.bind(this));
   }
 
-  private strike(fault: scenarios.Fault): void {
+  private injectFault(fault: scenarios.Fault): void {
     const end = fault.for_s * 1000;
     if (fault.kind === "drain") {
       this.evacuated.add(fault.region);
@@ -91,7 +91,7 @@
       if (fault.kind === "lose_runner") break;
     }
     // Routers hear of it when the report stays out; until then sends there fail and go on.
-    this.world.after(FOUND_MS, this.pushList.bind(this));
+    this.world.after(LOSS_DETECTED_MS, this.pushList.bind(this));
   }
 
   private takeBack(region: string): void {
@@ -152,7 +152,7 @@
       this.world.after(2 * this.trip(router, model), again);
       return;
     }
-    systems.tellReading(this.world, this.routers, router, model.id, request);
+    systems.publishReading(this.world, this.routers, router, model.id, request);
     this.run(kind, session, router, choice.runner, model, parts, startedAt);
   }
 
@@ -164,7 +164,7 @@
     kind: scenarios.Kind,
     session: string,
     router: systems.ModelRouter,
-    seen: fleets.Runner,
+    runner: fleets.Runner,
     model: models.ModelRunner,
     parts: plans.Part[],
     startedAt: number,
@@ -173,13 +173,13 @@
     const trip = this.trip(router, model);
     const { firstMs, endMs, unread } = model.run(parts, kind.events, now);
     model.active += 1;
-    seen.inflight += 1;
-    seen.heard(now);
+    runner.inflight += 1;
+    runner.heard(now);
     this.count(kind, session, parts, now - startedAt + 2 * trip + firstMs, unread, model.id);
     this.world.after(endMs, ended);
     function ended(): void {
       model.active -= 1;
-      seen.inflight -= 1;
+      runner.inflight -= 1;
     }
   }
 
@@ -203,7 +203,7 @@
   ): void {
     const last = this.lastRunner.get(session);
     if (runner !== "") this.lastRunner.set(session, runner);
-    this.counted.push({
+    this.records.push({
       phase: this.phase(),
       kind: kind.name,
       isFirstTurn: last === undefined,
--- a/src/whatif/runner.ts
+++ b/src/whatif/runner.ts
@@ -11,7 +11,7 @@
 }
 
 export class ModelRunner {
-  private readonly kept = new readings.Readings();
+  private readonly cachedPrompts = new readings.Readings();
   private readingUntil = 0;
   active = 0;
   isUp = true;
@@ -29,8 +29,8 @@
   /** When the first and the last event leave, from now on. */
   run(parts: readonly plans.Part[], events: number, nowMs: number): Run {
     const keys = readings.chainKeys(parts);
-    const unread = this.kept.unread(this.id, parts, keys);
-    this.kept.note(this.id, unread, keys, nowMs);
+    const unread = this.cachedPrompts.unread(this.id, parts, keys);
+    this.cachedPrompts.note(this.id, unread, keys, nowMs);
     this.readingUntil = Math.max(nowMs, this.readingUntil) + unread / this.figures.tokens_per_ms;
     const eventMs = this.figures.event_ms * (1 + this.active / this.figures.capacity);
     const firstMs = this.readingUntil - nowMs + eventMs;
@@ -40,7 +40,7 @@
   /** A new life keeps nothing. */
   lose(): void {
     this.isUp = false;
-    this.kept.forgetAllBut(new Set());
+    this.cachedPrompts.forgetAllBut(new Set());
     this.readingUntil = 0;
   }
 }
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -121,7 +121,7 @@
 }
 
 /** Notes a reading where it is sent from, and tells the other routers a moment later, as signs do. */
-export function tellReading(
+export function publishReading(
   world: types.World,
   routers: readonly ModelRouter[],
   from: ModelRouter,
@@ -130,9 +130,9 @@
 ): number {
   const unread = Math.round(from.known.unread(runner, request.parts, request.keys));
   from.read(runner, unread, request.keys, world.now());
-  world.after(SIGN_MS, tell);
+  world.after(SIGN_MS, deliver);
   return unread;
-  function tell(): void {
+  function deliver(): void {
     for (const router of routers) if (router !== from) router.read(runner, unread, request.keys, world.now());
   }
 }
--- a/src/whatif/table.ts
+++ b/src/whatif/table.ts
@@ -15,14 +15,14 @@
   moved: number;
 }
 
-export function rows(counted: readonly play.Counted[]): Row[] {
+export function rows(records: readonly play.RequestRecord[]): Row[] {
   const made: Row[] = [];
-  const kinds = new Set(counted.map(kindOf));
+  const kinds = new Set(records.map(kindOf));
   for (const kind of kinds) {
     for (const phase of PHASES) {
       for (const isFirst of [true, false]) {
-        const items = counted.filter(isIn);
-        function isIn(item: play.Counted): boolean {
+        const items = records.filter(isIn);
+        function isIn(item: play.RequestRecord): boolean {
           return item.kind === kind && item.phase === phase && item.isFirstTurn === isFirst;
         }
         if (items.length > 0) made.push(rowOf(kind, phase, isFirst ? "first" : "later", items));
@@ -32,7 +32,7 @@
   return made;
 }
 
-function rowOf(kind: string, phase: play.Phase, turns: string, items: readonly play.Counted[]): Row {
+function rowOf(kind: string, phase: play.Phase, turns: string, items: readonly play.RequestRecord[]): Row {
   const times: number[] = [];
   let tokens = 0;
   let unread = 0;
@@ -65,7 +65,7 @@
   return left - right;
 }
 
-function kindOf(item: play.Counted): string {
+function kindOf(item: play.RequestRecord): string {
   return item.kind;
 }
 
--- a/src/whatif/world.ts
+++ b/src/whatif/world.ts
@@ -1,7 +1,7 @@
 // A clock that jumps from one planned thing to the next, and chance by seed (design 11.2).
 import * as types from "../wire/types.js";
 
-interface Planned {
+interface ScheduledEvent {
   at: number;
   order: number;
   run: (() => void) | null;
@@ -10,7 +10,7 @@
 export class PlannedWorld implements types.World {
   private clock = 0;
   private order = 0;
-  private readonly heap: Planned[] = [];
+  private readonly heap: ScheduledEvent[] = [];
   private state: number;
 
   constructor(seed: number) {
@@ -29,9 +29,9 @@
   }
 
   after(ms: number, run: () => void): types.Tick {
-    const item: Planned = { at: this.clock + Math.max(0, ms), order: (this.order += 1), run };
+    const item: ScheduledEvent = { at: this.clock + Math.max(0, ms), order: (this.order += 1), run };
     this.heap.push(item);
-    this.rise(this.heap.length - 1);
+    this.siftUp(this.heap.length - 1);
     return {
       stop(): void {
         item.run = null;
@@ -59,7 +59,7 @@
     this.heap[right] = item;
   }
 
-  private rise(index: number): void {
+  private siftUp(index: number): void {
     for (let at = index; at > 0;) {
       const parent = (at - 1) >> 1;
       if (!this.isBefore(at, parent)) return;
--- a/tests/admission-judge.test.ts
+++ b/tests/admission-judge.test.ts
@@ -102,7 +102,7 @@
   }
 
   pause(id: string, share: number): void {
-    this.admission.pauses.paused(types.small(id), share, this.clock.now());
+    this.admission.pauses.recordPause(types.small(id), share, this.clock.now());
   }
 }
 
@@ -137,7 +137,7 @@
   const door = new Door(2);
   door.report([8, 8]);
   for (const id of ["i-1", "i-2"]) door.fill(id, backlogMs);
-  if (key > 0) door.admission.returns.note(key, door.clock.now());
+  if (key > 0) door.admission.recentDenials.recordDenial(key, door.clock.now());
   expect(door.admission.judge(door.plan(rank, key)) === null).toBe(isIn);
 });
 
@@ -154,7 +154,7 @@
 test("readings ahead count as a wait: the lesser rank may spend half of its spare time on them", () => {
   const door = new Door(1);
   door.report([8]);
-  door.admission.returns.note(7, 0);
+  door.admission.recentDenials.recordDenial(7, 0);
   door.fill("i-1", 3200);
   expect(door.admission.judge(door.plan(1, 7))).toMatchObject({ status: 503 });
   expect(door.admission.judge(door.plan(0))).toBeNull();
@@ -187,7 +187,7 @@
     const isLarge = made.classOf(size) === 0;
     const turn = Math.floor(count / 100);
     const isIn = every === 1 || (every === 2 && turn % 2 === 0) || (every === 5 && turn % 5 > 0);
-    made.note(size, !isLarge || isIn);
+    made.record(size, !isLarge || isIn);
   }
   expect([made.isHeldBack(100), made.isStarved(100), made.isStarved(10)]).toEqual([isHeldBack, isStarved, false]);
 });
@@ -204,11 +204,11 @@
 test("pauses: the longest lately counts, and half as much after a while", () => {
   const made = new pauses.Pauses();
   const id: types.RunnerId = types.small("i-1");
-  made.paused(id, 1, 0);
-  made.paused(id, 0.2, 10);
-  expect([made.isPressed(id, 100), made.isPressed(id, 600)]).toEqual([true, false]);
-  made.forgetAllBut(new Set<string>());
-  expect(made.isPressed(id, 0)).toBe(false);
+  made.recordPause(id, 1, 0);
+  made.recordPause(id, 0.2, 10);
+  expect([made.isNearLimit(id, 100), made.isNearLimit(id, 600)]).toEqual([true, false]);
+  made.retainOnly(new Set<string>());
+  expect(made.isNearLimit(id, 0)).toBe(false);
 });
 
 test("Retry-After: the excess, at least 0.2 s, at most a third of the time left, spread by chance", () => {
@@ -226,7 +226,7 @@
   tally.refused(300, "handed back", true);
   tally.ended("whole", 0);
   tally.ended("late", 1);
-  tally.roomAt({ runners: 1, places: 8, freePlaces: 2, waiting: 0, tokens: 0, freeTokens: 0, readMs: 0 });
+  tally.recordUnusedRoom({ runners: 1, places: 8, freePlaces: 2, waiting: 0, tokens: 0, freeTokens: 0, readMs: 0 });
   expect(tally.status()).toMatchObject({
     ends: { whole_rank_0: 1, late_rank_1: 1 },
     causes: { "no room": 100, "handed back": 1 },
@@ -240,9 +240,9 @@
     unusedPercent: { p50: number };
   };
   expect([Math.round(atDoor.worst), Math.round(unused.p50)]).toEqual([40, 25]);
-  tally.turn();
+  tally.onTimer();
   expect(tally.isShort).toBe(true);
   await clock.play(3100);
-  tally.turn();
+  tally.onTimer();
   expect(tally.isShort).toBe(false);
 });
--- a/tests/experiment.test.ts
+++ b/tests/experiment.test.ts
@@ -141,7 +141,7 @@
 });
 
 test("a lost control node: each follower's first move to another, and the most dials at once", () => {
-  const account = { atMs: 0, vitals: vitals.vitals(), links: [], taken: [] };
+  const account = { atMs: 0, vitals: vitals.vitals(), links: [], revisions: [] };
   const accounts = [
     {
       ...account,
@@ -150,7 +150,7 @@
         [20, 2],
         [30, 1],
       ] as [number, number][],
-      moved: [
+      followedChanges: [
         { router: 0, from: "a", to: "b", atMs: 990 },
         { router: 1, from: "a", to: null, atMs: 1010 },
         { router: 1, from: null, to: "b", atMs: 1030 },
@@ -158,7 +158,7 @@
         { router: 2, from: "b", to: "c", atMs: 1040 },
       ],
     },
-    { ...account, dials: [[30, 3]] as [number, number][], moved: [{ router: 0, from: "a", to: "c", atMs: 1010 }] },
+    { ...account, dials: [[30, 3]] as [number, number][], followedChanges: [{ router: 0, from: "a", to: "c", atMs: 1010 }] },
   ];
   expect(losses.lossRow(rows.pointOf("s", options()), "killed", "a", 1000, 2, accounts)).toMatchObject({
     manner: "killed",
@@ -188,13 +188,13 @@
 });
 
 /** Control nodes and hosts in this very process. */
-class LocalCrew implements hosts.Crew {
+class LocalLauncher implements hosts.Launcher {
   readonly world = new clock.SeededWorld(1);
   readonly ends: (() => Promise<void>)[] = [];
   async host(name: string): Promise<hosts.Host> {
-    const hands = new hosts.Hands(this.world);
+    const hands = new hosts.CommandHandler(this.world);
     this.ends.unshift(() => hands.stop());
-    return { name, ask: (order) => hands.take(order) };
+    return { name, request: (order) => hands.handle(order) };
   }
   async control(name: string, file: string): Promise<hosts.ControlHost> {
     const program = new control.ControlProgram(
@@ -228,15 +228,15 @@
 
 test("a small run measures all there is and ends by itself", async () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-hollow-"));
-  const crew = new LocalCrew();
+  const launcher = new LocalLauncher();
   const small = options({ routers: 2, runners: 4, routes: 3, tenants: 2, controls: 1, changesPerS: 3, seconds: 1, loseControl: true });
   const steps: string[] = [];
   const used = jest.spyOn(usages.Reader.prototype, "sent");
-  const outcome = await new runs.Run(crew.world, crew, small, folder, (step) => steps.push(step), "small").play();
+  const outcome = await new runs.Run(launcher.world, launcher, small, folder, (step) => steps.push(step), "small").play();
   fs.rmSync(folder, { recursive: true });
   expect(new Set(used.mock.calls.map(([region]) => region))).toEqual(new Set(["region-1", "region-2", "region-3"]));
   expect(steps).toEqual(["starting", "settling", "measuring"]);
-  expect(crew.ends).toEqual([]);
+  expect(launcher.ends).toEqual([]);
   expect(outcome.nodes.map((row) => [row.role, row.node, row.sharedBy])).toEqual([
     ["control", "control-1", 1],
     ["router", "routers-1", 2],
--- a/tests/pictures.test.ts
+++ b/tests/pictures.test.ts
@@ -2,7 +2,7 @@
 import * as orchestrators from "../src/control/orchestrator.js";
 import type * as dialer from "../src/feed/dialer.js";
 import * as feeds from "../src/feed/feed.js";
-import * as pictures from "../src/usage/picture.js";
+import * as regionReports from "../src/usage/region-reports.js";
 import * as publishers from "../src/usage/publisher.js";
 import type * as schema from "../src/wire/schema.js";
 import type * as types from "../src/wire/types.js";
@@ -57,7 +57,7 @@
     region.turn();
     turn(clock.random() < 0.3);
   }
-  for (let index = 0; index < pictures.REFRESH_PARTS; index += 1) turn();
+  for (let index = 0; index < regionReports.REFRESH_PARTS; index += 1) turn();
   expect(heldBy(sibling)).toEqual(heldBy(reader));
   expect(heldBy(sibling)).toHaveLength(40);
 });
--- a/tests/signs.test.ts
+++ b/tests/signs.test.ts
@@ -3,7 +3,7 @@
 import * as log from "../src/startup/log.js";
 import * as batches from "../src/signs/batch.js";
 import * as marks from "../src/signs/marks.js";
-import * as paces from "../src/signs/pace.js";
+import * as throttles from "../src/signs/throttle.js";
 import * as relays from "../src/signs/relay.js";
 import * as tellers from "../src/signs/teller.js";
 import * as schema from "../src/wire/schema.js";
@@ -48,8 +48,8 @@
 ])("pace: %s", async (_name, asks, expected) => {
   const clock = new sim.SimWorld(1);
   const ran: number[] = [];
-  const pace = new paces.Pace(clock, () => ran.push(clock.now()));
-  for (const at of asks) clock.after(at, () => pace.ask());
+  const pace = new throttles.Throttle(clock, () => ran.push(clock.now()));
+  for (const at of asks) clock.after(at, () => pace.request());
   await clock.play(1000);
   expect(ran).toEqual(expected);
 });
@@ -75,7 +75,7 @@
     clock.after((index * 1000) / perS, () => teller.reading(types.small(runner), 2000, [index]));
   }
   await clock.play(1100);
-  expect(told.length).toBeLessThanOrEqual(Math.ceil(1000 / paces.PERIOD_MS) + 1);
+  expect(told.length).toBeLessThanOrEqual(Math.ceil(1000 / throttles.PERIOD_MS) + 1);
   // Nothing of the backlog is lost by telling it together.
   expect(told.flatMap((frame) => frame.readings).reduce((sum, item) => sum + item.unread, 0)).toBe(2000 * perS);
 });
@@ -186,7 +186,7 @@
   const { links, hear } = relayTo(clock);
   for (let index = 0; index < perS; index += 1) clock.after((index * 1000) / perS, () => hear("r1", signs(reading("n", 1000, [index]))));
   await clock.play(1100);
-  const most = Math.ceil(1000 / paces.PERIOD_MS) + 1;
+  const most = Math.ceil(1000 / throttles.PERIOD_MS) + 1;
   for (const name of ["r2", "r3", "s1", "s2"]) expect(links.get(name)!.told.length).toBeLessThanOrEqual(most);
   expect(links.get("r1")!.told).toEqual([]);
 });
@@ -202,13 +202,13 @@
 test("a batch keeps the newest within its bound and counts what it drops", () => {
   const before = counted("signs.dropped");
   const batch = new batches.Batch();
-  for (let index = 0; index < batches.MOST_ENTRIES + 10; index += 1) batch.addReading({ runner: index, unread: 1, keys: [] });
-  const told = batch.take();
-  expect([told.readings.length, told.readings[0].runner, counted("signs.dropped") - before]).toEqual([batches.MOST_ENTRIES, 10, 10]);
+  for (let index = 0; index < batches.MAX_ENTRIES + 10; index += 1) batch.addReading({ runner: index, unread: 1, keys: [] });
+  const told = batch.drain();
+  expect([told.readings.length, told.readings[0].runner, counted("signs.dropped") - before]).toEqual([batches.MAX_ENTRIES, 10, 10]);
   expect(batch.isEmpty).toBe(true);
   batch.addReading({ runner: 1, unread: 5, keys: [1, 2] });
   batch.addReading({ runner: 1, unread: 6, keys: [2, 3] });
-  expect(batch.take().readings).toEqual([{ runner: 1, unread: 11, keys: [1, 2, 3] }]);
+  expect(batch.drain().readings).toEqual([{ runner: 1, unread: 11, keys: [1, 2, 3] }]);
 });
 
 test.each([
--- /dev/null
+++ b/tests/summary.test.ts
@@ -0,0 +1,79 @@
+// Summaries of regions: what they count, when they are fresh, and how routers judge a region by them (design/usage 4).
+import * as usages from "./sim/usage.js";
+import * as cells from "../src/router/policies/cells.js";
+import * as regionReports from "../src/usage/region-reports.js";
+import * as summaries from "../src/usage/summary.js";
+import * as schema from "../src/wire/schema.js";
+import * as sims from "./sim/world.js";
+
+const { report, instance } = usages;
+
+test("a summary counts good runners, usage and room; a stale region's says nothing", () => {
+  const picture = new regionReports.RegionReports("r");
+  const instances = ["a", "b", "c", "d"].map((id) => ({ ...instance(id, "r", 16), isDraining: id === "d" }));
+  picture.apply(
+    [
+      report("a", { active: 16, waiting: 4 }),
+      report("b", { isSpeaking: false, active: 9 }),
+      report("c", { active: 4 }),
+      report("d", { active: 8 }),
+    ],
+    100,
+  );
+  const expected = { isFresh: true, total: 4, good: 2, usage: 8, room: 3 };
+  expect(summaries.summarise(picture, instances, 100).get("s")).toEqual(expected);
+  expect(summaries.summarise(picture, instances, 2200).get("s")!.isFresh).toBe(false);
+  expect(summaries.withHysteresis(expected, { ...expected, usage: 9, room: 2 })).toEqual(expected);
+  expect(summaries.withHysteresis(expected, { ...expected, usage: 10, room: 0, good: 1 })).toEqual({
+    ...expected,
+    usage: 10,
+    room: 0,
+    good: 1,
+  });
+  const known = new summaries.Summaries();
+  known.take("r/s", schema.summary.toBuffer(expected));
+  expect(known.of("r", "s")).toEqual(expected);
+  known.take("r/s", schema.summary.toBuffer({ ...expected, isFresh: false }));
+  expect(known.of("r", "s")).toBeNull();
+});
+
+test("a region that a summary shows to be lost is tried last, though no report of it is followed", () => {
+  const clock = new sims.SimWorld(1);
+  const runner = (id: string, region: string): unknown => ({ id, region, isDoubtful: () => false, instance: instance(id, region) });
+  const known = new summaries.Summaries();
+  const policy = new cells.CellPolicy("a", known);
+  const order = (): string[] => {
+    const plan = {
+      requestId: "q",
+      service: "s",
+      shared: [],
+      sharedTokens: 0,
+      now: clock.now(),
+      cells: [],
+      candidates: [runner("1", "a"), runner("2", "b"), runner("3", "c")],
+    };
+    policy.apply(plan as never);
+    return plan.cells;
+  };
+  expect(order()).toEqual(["a", "b", "c"]);
+  known.take("b/s", schema.summary.toBuffer({ isFresh: true, total: 3, good: 0, usage: 0, room: 0 }));
+  expect(order()).toEqual(["a", "c", "b"]);
+  known.detailed(new Set(["b"]));
+  expect(known.of("b", "s")).toBeNull();
+});
+
+test.each([
+  ["no prompt to keep", 0, ["a", "b", "c"], []],
+  ["a long prompt at home", 5000, ["a"], ["a"]],
+  ["a long prompt anywhere", 5000, ["a", "b", "c"], ["a", "b", "c"]],
+])("cells that requests rank by key are followed: %s", (_name, tokens, regions, expected) => {
+  const known = new summaries.Summaries();
+  const policy = new cells.CellPolicy("a", known);
+  for (let index = 0; index < 50; index += 1) {
+    const shared = [{ id: `p${index}`, tokens }];
+    const candidates = regions.map((region) => ({ id: region, region, isDoubtful: () => false }));
+    policy.apply({ requestId: "q", service: "s", shared, sharedTokens: tokens, now: 0, cells: [], candidates } as never);
+  }
+  expect([...known.takeWanted()].sort()).toEqual(expected);
+  expect(known.takeWanted().size).toBe(0);
+});
--- a/tests/usage.test.ts
+++ b/tests/usage.test.ts
@@ -1,15 +1,11 @@
 // What is told of runners' usage, to whom, and how much it is (design/usage 3, 4).
-import * as cells from "../src/router/policies/cells.js";
 import * as quantum from "../src/usage/quantum.js";
-import * as pictures from "../src/usage/picture.js";
-import * as summaries from "../src/usage/summary.js";
+import * as regionReports from "../src/usage/region-reports.js";
 import * as interests from "../src/usage/interest.js";
 import * as relays from "../src/signs/relay.js";
 import * as marks from "../src/signs/marks.js";
 import * as publishers from "../src/usage/publisher.js";
-import * as schema from "../src/wire/schema.js";
 import * as types from "../src/wire/types.js";
-import * as sims from "./sim/world.js";
 import * as usages from "./sim/usage.js";
 
 const { report, instance } = usages;
@@ -56,25 +52,25 @@
 const CAPACITY_64 = { get: () => 64 };
 
 test("at a border nothing flickers: to and fro within a quantum is told once", () => {
-  const picture = new pictures.Picture("r");
+  const picture = new regionReports.RegionReports("r");
   let told = 0;
   for (let turn = 0; turn < 100; turn += 1) {
     const reports = [report("a", { active: turn % 2 === 0 ? 31 : 33 })];
-    const news = picture.differ(reports, CAPACITY_64).filter((item) => picture.told.get(item.id) !== item);
+    const news = picture.changesIn(reports, CAPACITY_64).filter((item) => picture.reports.get(item.id) !== item);
     told += news.length;
-    picture.take(news, turn);
+    picture.apply(news, turn);
   }
   expect(told).toBe(1);
 });
 
 test("each runner is told again within the rolling refresh, as it was told, so that lost knowledge heals", () => {
-  const picture = new pictures.Picture("r");
+  const picture = new regionReports.RegionReports("r");
   const reports = Array.from({ length: 200 }, (_item, index) => report(`i-${index}`, { active: 20 }));
-  picture.take(picture.differ(reports, CAPACITY_64), 0);
+  picture.apply(picture.changesIn(reports, CAPACITY_64), 0);
   const moved = reports.map((item) => ({ ...item, active: 21 }));
   const seen = new Map<string, number>();
-  for (let turn = 0; turn < pictures.REFRESH_PARTS; turn += 1) {
-    const told = picture.differ(moved, CAPACITY_64);
+  for (let turn = 0; turn < regionReports.REFRESH_PARTS; turn += 1) {
+    const told = picture.changesIn(moved, CAPACITY_64);
     expect(told.length).toBeLessThan(40);
     for (const item of told) seen.set(item.id, item.active);
   }
@@ -82,20 +78,20 @@
 });
 
 test("past the bound of a period those that moved most go first, the others later, and status always", () => {
-  const picture = new pictures.Picture("r");
+  const picture = new regionReports.RegionReports("r");
   const reports = Array.from({ length: 300 }, (_item, index) => report(`i-${index}`));
-  picture.take(picture.differ(reports, CAPACITY_64), 0);
+  picture.apply(picture.changesIn(reports, CAPACITY_64), 0);
   const moved = reports.map((item, index) => report(item.id, { active: index < 10 ? 40 : 8, isSpeaking: index < 250 }));
-  const told = picture.differ(moved, CAPACITY_64).filter((item) => item.active > 0);
+  const told = picture.changesIn(moved, CAPACITY_64).filter((item) => item.active > 0);
   expect(told.filter((item) => !item.isSpeaking)).toHaveLength(50);
   expect(told).toHaveLength(50);
-  picture.take(told, 1);
-  const next = picture.differ(moved, CAPACITY_64).filter((item) => item.active > 0 && item.isSpeaking);
-  expect(next).toHaveLength(pictures.MOST_MOVED);
+  picture.apply(told, 1);
+  const next = picture.changesIn(moved, CAPACITY_64).filter((item) => item.active > 0 && item.isSpeaking);
+  expect(next).toHaveLength(regionReports.MAX_CHANGED);
   expect(next.slice(0, 10).every((item) => item.active === 40)).toBe(true);
   let turns = 0;
-  for (; turns < 20 && [...picture.told.values()].some((item) => item.active === 0); turns += 1)
-    picture.take(picture.differ(moved, CAPACITY_64), 2);
+  for (; turns < 20 && [...picture.reports.values()].some((item) => item.active === 0); turns += 1)
+    picture.apply(picture.changesIn(moved, CAPACITY_64), 2);
   expect(turns).toBeLessThanOrEqual(8);
 });
 
@@ -126,7 +122,7 @@
   expect(router.cells()).toEqual(["cell:a", "cell:b", "cell:c"]);
   const runner = [...router.fleet.all()].find((item) => item.region === "b")!;
   expect(runner.kvCapacity).toBe(100_000);
-  for (let turn = 0; turn < interests.KEPT_MS / usages.PERIOD_MS + 1; turn += 1) {
+  for (let turn = 0; turn < interests.RETENTION_MS / usages.PERIOD_MS + 1; turn += 1) {
     router.reader.sent("c");
     await system.turn(router);
   }
@@ -164,71 +160,6 @@
   expect(used()).toBe(before);
 }, 20_000);
 
-test("a summary counts good runners, usage and room; a stale region's says nothing", () => {
-  const picture = new pictures.Picture("r");
-  const instances = ["a", "b", "c", "d"].map((id) => ({ ...instance(id, "r", 16), isDraining: id === "d" }));
-  picture.take(
-    [
-      report("a", { active: 16, waiting: 4 }),
-      report("b", { isSpeaking: false, active: 9 }),
-      report("c", { active: 4 }),
-      report("d", { active: 8 }),
-    ],
-    100,
-  );
-  const expected = { isFresh: true, total: 4, good: 2, usage: 8, room: 3 };
-  expect(summaries.summarise(picture, instances, 100).get("s")).toEqual(expected);
-  expect(summaries.summarise(picture, instances, 2200).get("s")!.isFresh).toBe(false);
-  expect(summaries.settled(expected, { ...expected, usage: 9, room: 2 })).toEqual(expected);
-  expect(summaries.settled(expected, { ...expected, usage: 10, room: 0, good: 1 })).toEqual({ ...expected, usage: 10, room: 0, good: 1 });
-  const known = new summaries.Summaries();
-  known.take("r/s", schema.summary.toBuffer(expected));
-  expect(known.of("r", "s")).toEqual(expected);
-  known.take("r/s", schema.summary.toBuffer({ ...expected, isFresh: false }));
-  expect(known.of("r", "s")).toBeNull();
-});
-
-test("a region that a summary shows to be lost is tried last, though no report of it is followed", () => {
-  const clock = new sims.SimWorld(1);
-  const runner = (id: string, region: string): unknown => ({ id, region, isDoubtful: () => false, instance: instance(id, region) });
-  const known = new summaries.Summaries();
-  const policy = new cells.CellPolicy("a", known);
-  const order = (): string[] => {
-    const plan = {
-      requestId: "q",
-      service: "s",
-      shared: [],
-      sharedTokens: 0,
-      now: clock.now(),
-      cells: [],
-      candidates: [runner("1", "a"), runner("2", "b"), runner("3", "c")],
-    };
-    policy.apply(plan as never);
-    return plan.cells;
-  };
-  expect(order()).toEqual(["a", "b", "c"]);
-  known.take("b/s", schema.summary.toBuffer({ isFresh: true, total: 3, good: 0, usage: 0, room: 0 }));
-  expect(order()).toEqual(["a", "c", "b"]);
-  known.detailed(new Set(["b"]));
-  expect(known.of("b", "s")).toBeNull();
-});
-
-test.each([
-  ["no prompt to keep", 0, ["a", "b", "c"], []],
-  ["a long prompt at home", 5000, ["a"], ["a"]],
-  ["a long prompt anywhere", 5000, ["a", "b", "c"], ["a", "b", "c"]],
-])("cells that requests rank by key are followed: %s", (_name, tokens, regions, expected) => {
-  const known = new summaries.Summaries();
-  const policy = new cells.CellPolicy("a", known);
-  for (let index = 0; index < 50; index += 1) {
-    const shared = [{ id: `p${index}`, tokens }];
-    const candidates = regions.map((region) => ({ id: region, region, isDoubtful: () => false }));
-    policy.apply({ requestId: "q", service: "s", shared, sharedTokens: tokens, now: 0, cells: [], candidates } as never);
-  }
-  expect([...known.takeWanted()].sort()).toEqual(expected);
-  expect(known.takeWanted().size).toBe(0);
-});
-
 test("items are named by marks, by the id where two runners share a mark", () => {
   const made = new marks.Marks<types.RunnerId>((id) => (id === "c" ? 40 : 7));
   made.takeList([types.small("a"), types.small("b"), types.small("c")]);
