--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -1,5 +1,10 @@
-// Fleet-wide admission at one router: it judges a request against all allowed runners, and learns from what
-// became of those it let in (design/admission).
+/**
+ * Fleet-wide admission at one router: it judges a request against all allowed runners, and learns from what became of
+ * those it let in (design/admission).
+ *
+ * This class owns the state; `judge.ts` decides, `predict.ts` computes, `ticket.ts` feeds back what each response
+ * showed. Made once per router by the chooser. Nothing here waits or does I/O, and no call throws.
+ */
 import type * as fleets from "../router/fleet.js";
 import type * as plans from "../router/plan.js";
 import type * as readings from "../router/readings.js";
@@ -21,18 +26,23 @@
 import * as tickets from "./ticket.js";
 import * as typicals from "./typical.js";
 
+/** Services and routes whose learned figures are held; the least recently used make room. */
 const MAX_SERVICES = 64;
 const MAX_ROUTES = 256;
+/** What is left of a measured lag after the next measurement. */
 const LAG_DECAY = 0.5;
 
+/** What admission reads of the router around it. */
 export interface Dependencies {
-  /** Of a region. */
+  /** The runners of a region. */
   readonly runners: (region: string) => Iterable<fleets.Runner>;
+  /** Which prompts the runners hold, what they are reading, and how fast they read. */
   readonly known: readings.Readings;
+  /** Routers of the fleet, this one included; 1 at least. */
   readonly routers: () => number;
 }
 
-/** What a prediction goes by at one runner. */
+/** What a prediction at one runner is made from. */
 interface PredictionInput {
   place: rooms.Place;
   need: predictions.Need;
@@ -52,7 +62,9 @@
   return new typicals.TypicalRequest();
 }
 
+/** The admission of one router; all methods are called from its event loop. */
 export class Admission implements tickets.Learner, judges.Knowledge {
+  /** False lets every request in; learning goes on. Follows the setting `admission`. */
   isOn = true;
   readonly cells: cells.Cells;
   readonly pauses = new pauses.Pauses();
@@ -62,6 +74,7 @@
   private readonly paceByService = new lru.LruTable<string, paces.Pace>(MAX_SERVICES, newPace);
   private readonly sizesByRoute = new lru.LruTable<string, sizes.Sizes>(MAX_ROUTES, newSizes);
   private readonly typicalByRoute = new lru.LruTable<string, typicals.TypicalRequest>(MAX_ROUTES, newTypicalRequest);
+  /** How late this router's own loop ran lately, in milliseconds. */
   lagMs = 0;
   private lastTimerAt = -1;
   private readonly doorJudge = new judges.Judge(this);
@@ -74,17 +87,19 @@
     this.tally = new tallies.Tally(world);
   }
 
+  /** Takes the runner reports of one region; called after the fleet has taken the same. */
   takeReport(report: schema.CellReport): void {
     this.cells.takeReport(report, this.dependencies.runners(report.region), this.dependencies.routers());
   }
 
-  forgetAllBut(standing: { has(id: string): boolean }): void {
-    this.slowness.retainOnly(standing);
-    this.pauses.retainOnly(standing);
-    this.cells.retainOnly(standing);
+  /** Drops what is known of runners that are no longer listed; called with each new list. */
+  forgetAllBut(listed: { has(id: string): boolean }): void {
+    this.slowness.retainOnly(listed);
+    this.pauses.retainOnly(listed);
+    this.cells.retainOnly(listed);
   }
 
-  /** Called every `everyMs`: what comes later than that is this router's own slowness. */
+  /** Called by the router's timer every `everyMs` milliseconds: what comes later than that is this router's own lag. */
   turn(everyMs: number): void {
     const now = this.world.now();
     if (this.lastTimerAt >= 0) this.recordLag(Math.max(0, now - this.lastTimerAt - everyMs));
@@ -92,22 +107,27 @@
     this.tally.onTimer();
   }
 
+  /** A measured lag in milliseconds: up at once, halved with each smaller one. */
   recordLag(ms: number): void {
     this.lagMs = Math.max(ms, this.lagMs * LAG_DECAY);
   }
 
+  /** The learned timing of a service; empty, which admits all, until responses taught it. */
   paceOf(service: string): paces.Pace {
     return this.paceByService.getOrCreate(service);
   }
 
+  /** What a request of a route usually takes. */
   typicalOf(route: string): typicals.TypicalRequest {
     return this.typicalByRoute.getOrCreate(route);
   }
 
+  /** How often requests of a route were admitted, by size. */
   sizesOf(route: string): sizes.Sizes {
     return this.sizesByRoute.getOrCreate(route);
   }
 
+  /** What the request would take at this runner: tokens to read, to produce, and to hold. */
   needOf(plan: plans.Plan, runner: fleets.Runner): predictions.Need {
     const { prompt, mostOut } = plan.asked;
     return {
@@ -117,6 +137,7 @@
     };
   }
 
+  /** When the request would be done at this runner, with waits multiplied by `waitFactor`. */
   predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slowdown, waitFactor: number): predictions.Prediction {
     return this.predictAt(plan, runner, { place: this.placeOf(plan, runner), need: this.needOf(plan, runner), slow, waitFactor });
   }
@@ -125,9 +146,9 @@
     return this.cells.placeOf(this.dependencies.known.backlogMs(runner.id, plan.now), runner);
   }
 
-  private predictAt(plan: plans.Plan, runner: fleets.Runner, seen: PredictionInput): predictions.Prediction {
+  private predictAt(plan: plans.Plan, runner: fleets.Runner, input: PredictionInput): predictions.Prediction {
     const pace = this.paceOf(plan.service);
-    const { place, need, slow, waitFactor } = seen;
+    const { place, need, slow, waitFactor } = input;
     return predictions.predict(place, need, {
       rate: this.dependencies.known.rate,
       heldMs: pace.heldMs(plan.asked.mostOut > 0),
@@ -144,7 +165,10 @@
     return this.isOn ? this.doorJudge.judge(plan) : null;
   }
 
-  /** It goes to this runner: its part of the room is spent, and its reply will teach. */
+  /**
+   * The request goes to this runner: its part of the room is spent, and the ticket returned must be ended exactly
+   * once by whoever follows the response.
+   */
   sent(plan: plans.Plan, runner: fleets.Runner): tickets.Ticket {
     const need = this.needOf(plan, runner);
     const place = this.placeOf(plan, runner);
@@ -180,6 +204,7 @@
     return ticket;
   }
 
+  /** The part `admission` of the router's `status`. */
   status(): unknown {
     return statuses.statusOf({
       now: this.world.now(),
--- a/src/admission/cells.ts
+++ b/src/admission/cells.ts
@@ -1,4 +1,10 @@
-// The runners' reports as rooms of cells, and what this router spent of its parts since (design/admission 4).
+/**
+ * Runner reports as room per cell and service, and what this router has spent of its part since the last report
+ * (design/admission 4).
+ *
+ * Between two reports each router may spend only its lease of the free places, so that all routers together do not
+ * fill the same places twice. Times are milliseconds of the steady clock.
+ */
 import type * as fleets from "../router/fleet.js";
 import type * as schema from "../wire/schema.js";
 import type * as types from "../wire/types.js";
@@ -7,21 +13,25 @@
 /** What was reported longer ago says nothing any more (ours). */
 const STALE_MS = 3000;
 
+/** The last report of one runner, and what was sent there since. */
 export interface RunnerLoad {
+  /** When the report was taken. */
   at: number;
   waiting: number;
+  /** Tokens held in the runner's memory; a capacity of 0 is unknown. */
   kvUsed: number;
   kvCapacity: number;
   /** Tokens that this router sent there since. */
   sentTokens: number;
 }
 
+/** The part of a cell's free places that this router may spend until the next report. */
 interface Lease {
   at: number;
   room: rooms.Room;
   places: number;
   spent: number;
-  /** What the others send for each send from here, a runner. */
+  /** Sends of all other routers to one runner that are expected for each send from here. */
   othersPerSend: number;
 }
 
@@ -29,6 +39,7 @@
   return `${runner.region}|${runner.instance.service}`;
 }
 
+/** Load and leases of all cells; used by `Admission` alone. */
 export class Cells {
   private readonly loads = new Map<string, RunnerLoad>();
   private readonly leases = new Map<string, Lease>();
@@ -44,12 +55,13 @@
     return lease && this.isFresh(lease) ? lease : undefined;
   }
 
+  /** Drops the loads of runners that are not listed, and leases that have expired. */
   retainOnly(listed: { has(id: string): boolean }): void {
     for (const id of this.loads.keys()) if (!listed.has(id)) this.loads.delete(id);
     for (const [key, lease] of this.leases) if (!this.isFresh(lease)) this.leases.delete(key);
   }
 
-  /** Taken after the fleet has taken the same report. */
+  /** Takes a report and renews the leases of its region; called after the fleet has taken the same report. */
   takeReport(report: schema.CellReport, runners: Iterable<fleets.Runner>, routers: number): void {
     const at = this.world.now();
     for (const item of report.reports) {
@@ -79,7 +91,10 @@
     return { at: this.world.now(), room, places: rooms.leaseOf(room, share), spent: 0, othersPerSend: (1 / share - 1) / cell.length };
   }
 
-  /** With what the other routers are expected to have sent there since, going by this one's own sends. */
+  /**
+   * The runner's place with what the other routers are expected to have sent there since, going by this one's own
+   * sends.
+   */
   placeOf(backlogMs: number, runner: fleets.Runner): rooms.Place {
     const place = this.reportedPlace(backlogMs, runner);
     const lease = this.leaseFor(runner);
@@ -87,6 +102,7 @@
     return place;
   }
 
+  /** The runner's place by its last report and this router's own requests. A stale report counts as none. */
   reportedPlace(backlogMs: number, runner: fleets.Runner): rooms.Place {
     const known = this.loads.get(runner.id);
     const fresh = known && this.isFresh(known) ? known : undefined;
@@ -118,6 +134,7 @@
     return lease === undefined || lease.spent < lease.places;
   }
 
+  /** A request of so many tokens goes to this runner. */
   spend(runner: fleets.Runner, tokens: number): void {
     const lease = this.leaseFor(runner);
     if (lease) lease.spent += 1;
@@ -125,11 +142,13 @@
     if (load) load.sentTokens += tokens;
   }
 
+  /** A request sent there is over, whatever became of it. */
   release(runner: fleets.Runner): void {
     const lease = this.leaseFor(runner);
     if (lease) lease.spent = Math.max(0, lease.spent - 1);
   }
 
+  /** The leases for `status`: region, service, room, places leased and spent. */
   status(): unknown {
     const made: unknown[] = [];
     for (const [key, lease] of this.leases) {
--- a/src/admission/histogram.ts
+++ b/src/admission/histogram.ts
@@ -1,4 +1,4 @@
-// Quantiles of what was seen lately, by the HDR histograms that come with Node.js (design/admission 3).
+/** Percentiles of recent values, by the HDR histograms that come with Node.js (design/admission 3). */
 import * as perf from "node:perf_hooks";
 
 const SIGNIFICANT_FIGURES = 2;
@@ -25,10 +25,12 @@
     private readonly window = WINDOW_RECORDS,
   ) {}
 
+  /** All values recorded so far, also the forgotten ones. */
   get count(): number {
     return this.recorded;
   }
 
+  /** Records a value; one that is negative or not finite is ignored. */
   record(value: number): void {
     if (!Number.isFinite(value) || value < 0) return;
     if (this.current.count >= this.window) {
@@ -46,12 +48,15 @@
     }
   }
 
-  /** The same of all records of the window so far, read anew. */
+  /** The same over the current window alone, computed anew; 0 without a record. */
   exactPercentile(percent: number): number {
     return this.current.count === 0 ? 0 : this.current.percentile(percent) / this.scale;
   }
 
-  /** The value that `percent` of the records do not exceed; `none` without a record. */
+  /**
+   * The value that `percent` of the recent records do not exceed; `fallback` without a record. Cached over a few
+   * records.
+   */
   percentile(percent: number, fallback: number): number {
     if (this.recorded === 0) return fallback;
     let value = this.cached.get(percent);
--- a/src/admission/judge.ts
+++ b/src/admission/judge.ts
@@ -36,9 +36,13 @@
   readonly slowness: slowness.Slowness;
   readonly recentDenials: returns.RecentDenials;
   readonly tally: tallies.Tally;
+  /** Learned timing of a service. */
   paceOf(service: string): paces.Pace;
+  /** Admission of a route's requests by size. */
   sizesOf(route: string): sizes.Sizes;
+  /** Tokens that the request takes at the runner. */
   needOf(plan: plans.Plan, runner: fleets.Runner): predictions.Need;
+  /** When it would be done there, with waits multiplied by `waitFactor`. */
   predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slowdown, waitFactor: number): predictions.Prediction;
 }
 
@@ -76,6 +80,7 @@
   return sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut);
 }
 
+/** The decision for one request; it holds no state of its own. */
 export class Judge {
   constructor(private readonly known: Knowledge) {}
 
--- a/src/admission/lru.ts
+++ b/src/admission/lru.ts
@@ -8,6 +8,7 @@
     private readonly make: () => V,
   ) {}
 
+  /** The entry of this key, which becomes the most recently used. */
   getOrCreate(key: K): V {
     const item = this.items.get(key) ?? this.make();
     this.items.delete(key);
@@ -19,6 +20,7 @@
     return item;
   }
 
+  /** All entries, the least recently used first. */
   entries(): Iterable<[K, V]> {
     return this.items.entries();
   }
--- a/src/admission/pace.ts
+++ b/src/admission/pace.ts
@@ -1,10 +1,14 @@
-// What the replies of one service teach: time per asked token by fullness of the batch, how long a place is
-// held, and how far predictions were off (design/admission 3). Nothing is known at first, which admits all.
+/**
+ * What the responses of one service teach: time per requested token by fullness of the batch, how long a place is
+ * held, and how far predicted waits were off (design/admission 3). Nothing is known at first, which admits all.
+ */
 import * as histograms from "./histogram.js";
 
+/** Classes of batch fullness that token times are learned for. */
 const FULLNESS_STEPS = 5;
 const MEDIAN = 50;
 const LOWER_QUARTILE = 25;
+/** Steps of the histograms: microseconds for token times, hundredths for ratios. */
 const TOKEN_TIME_SCALE = 1000;
 const RATIO_SCALE = 100;
 /** Beyond these an error says that the model does not hold, not that all must be denied or let in. */
@@ -17,6 +21,7 @@
 export const MIN_WAIT_MS = 50;
 /** So many waiting requests have to be overdue together (ours). */
 const MIN_OVERDUE_REQUESTS = 3;
+/** Fewer waits than these say nothing of waits. */
 const MIN_RECORDS = 20;
 /** One too late weighs as much as so many in time: caution settles where one in a hundred is too late (ours). */
 const MORE_CAUTION = 1.1;
@@ -28,23 +33,27 @@
   return Math.min(FULLNESS_STEPS - 1, Math.max(0, Math.floor(fullness * (FULLNESS_STEPS - 1))));
 }
 
+/** A request that was predicted to wait, and has not had its first event yet. */
 export interface PendingWait {
   /** When it would have begun to be worked on, had it not waited. */
   readonly since: number;
+  /** The predicted wait. */
   readonly waitMs: number;
 }
 
+/** Learned timing of one service at one router. All times are milliseconds. */
 export class Pace {
   private readonly perTokenByFullness: (histograms.Histogram | null)[] = Array.from({ length: FULLNESS_STEPS }, none);
   private readonly holdTimes = new histograms.Histogram(1);
   /** Wait seen / wait predicted, by rank: runners let the more urgent in first. */
-  private readonly waitErrors = WAIT_PERCENTILES.map(newSpread);
+  private readonly waitErrors = WAIT_PERCENTILES.map(newHistogram);
 
   private readonly caution = WAIT_PERCENTILES.map(one);
 
   /** Those that still wait, by rank, the longest waiting first. */
   readonly pendingWaits = WAIT_PERCENTILES.map(newSet);
 
+  /** The requests of this rank that still wait, the longest waiting first. */
   pendingWaitsOf(rank: number): Set<PendingWait> {
     return this.pendingWaits[rankClassOf(rank)];
   }
@@ -71,19 +80,21 @@
   learnTokens(fullness: number, out: number, ms: number): void {
     if (out < 1) return;
     const step = stepOf(fullness);
-    const spread = (this.perTokenByFullness[step] ??= new histograms.Histogram(TOKEN_TIME_SCALE));
-    spread.record(ms / out);
+    const histogram = (this.perTokenByFullness[step] ??= new histograms.Histogram(TOKEN_TIME_SCALE));
+    histogram.record(ms / out);
   }
 
-  /** How long one place was taken. */
+  /** How long one place was taken, in milliseconds. */
   learnHeld(ms: number): void {
     this.holdTimes.record(ms);
   }
 
+  /** A wait is over, or has lasted so long already. */
   learnWait(rank: number, seenMs: number, predictedMs: number): void {
     if (predictedMs >= MIN_WAIT_MS) this.errorOf(rank).record(Math.max(0, seenMs) / predictedMs);
   }
 
+  /** Waits seen over waits predicted, for this rank. */
   errorOf(rank: number): histograms.Histogram {
     return this.waitErrors[rankClassOf(rank)];
   }
@@ -96,17 +107,19 @@
     return most;
   }
 
-  /** Milliseconds a place is taken: the middle for batches, the lower side where waiting cannot be told from work. */
+  /**
+   * Milliseconds a place is taken: the median for batches, the lower quartile where waiting cannot be told from work.
+   */
   heldMs(hasTokens: boolean): number {
     return this.holdTimes.percentile(hasTokens ? MEDIAN : LOWER_QUARTILE, 0);
   }
 
-  /** What a wait usually takes of what was predicted. */
+  /** What a wait usually takes of what was predicted; 1 until enough was learned. */
   typicalWaitFactor(rank: number): number {
     return this.learnedFactor(rank, MEDIAN, NEUTRAL_FACTOR);
   }
 
-  /** What a wait is multiplied by to be judged: the less urgent the rank, the surer it must be. */
+  /** What a predicted wait is multiplied by to be judged: the less urgent the rank, the surer it must be. */
   waitFactor(rank: number, now: number): number {
     const learned =
       this.caution[rankClassOf(rank)] *
@@ -126,7 +139,7 @@
   return Math.min(WAIT_PERCENTILES.length - 1, Math.max(0, Math.floor(rank)));
 }
 
-function newSpread(): histograms.Histogram {
+function newHistogram(): histograms.Histogram {
   return new histograms.Histogram(RATIO_SCALE);
 }
 
--- a/src/admission/pauses.ts
+++ b/src/admission/pauses.ts
@@ -1,5 +1,8 @@
-// Pauses between the events of this router's streams, by runner, over what their routes allow (design/admission 12).
-// Long readings hold up every stream of their runner: where its streams pause almost too long, none is added.
+/**
+ * Pauses between the events of this router's streams, by runner, over what their routes allow (design/admission 12).
+ *
+ * Long readings hold up every stream of their runner: where its streams pause almost too long, none is added.
+ */
 import type * as types from "../wire/types.js";
 
 /** What was seen counts half after so long (ours). */
@@ -12,6 +15,7 @@
   at: number;
 }
 
+/** The longest recent pause of each runner, as a share of the pause allowed; it decays by half-lives. */
 export class Pauses {
   private readonly byRunner = new Map<types.RunnerId, RecentPause>();
 
@@ -27,10 +31,12 @@
     return seen ? seen.share * 0.5 ** ((now - seen.at) / HALF_LIFE_MS) : 0;
   }
 
+  /** Whether streams there pause too long for another long prompt. */
   isNearLimit(runner: types.RunnerId, now: number): boolean {
     return this.shareAt(runner, now) >= PRESSED_SHARE;
   }
 
+  /** Drops runners that are not listed. */
   retainOnly(listed: { has(id: string): boolean }): void {
     for (const id of this.byRunner.keys()) if (!listed.has(id)) this.byRunner.delete(id);
   }
--- a/src/admission/predict.ts
+++ b/src/admission/predict.ts
@@ -1,40 +1,51 @@
-// When one request would be done at one runner (design/admission 2). Pure; each step errs to the early side.
+/**
+ * When one request would be done at one runner (design/admission 2). Pure functions; each step errs to the early
+ * side, so that an error admits rather than denies.
+ */
 import type * as rooms from "./room.js";
 import type * as slowness from "./slowness.js";
 
+/** What the request takes at one runner, in tokens. */
 export interface Need {
   /** Tokens to be read there, and the most to come out. */
   unread: number;
+  /** Tokens to be produced at most; 0 for a plain response. */
   out: number;
   /** Prompt and most out together: what has to fit into a runner's memory at all. */
   tokens: number;
 }
 
+/** What is known of the runner, its service and this router when the prediction is made. */
 export interface Conditions {
   /** Tokens read a millisecond. */
   rate: number;
-  /** Milliseconds a place is held, and per token at the fullness of the batch. */
+  /** Milliseconds that a place is held. */
   heldMs: number;
+  /** Milliseconds per requested token at the fullness of the batch. */
   tokenMs: number;
   /** What a wait is multiplied by: the less urgent are overtaken while they wait. */
   waitFactor: number;
   /** Seen over predicted at this runner. */
   slowdown: slowness.Slowdown;
-  /** It handed a request back a moment ago: so long it counts as full. */
+  /** It handed a request back a moment ago: for so many milliseconds it still counts as full. */
   fullForMs: number;
   /** How late this router's own loop runs. */
   lagMs: number;
 }
 
+/** All times are milliseconds from now. */
 export interface Prediction {
   /** For a place or memory, before any factor. */
   waitMs: number;
   /** All that is waited for, also readings ahead, as it was judged: by the wait's factor and the runner's slowness. */
   delayMs: number;
+  /** Until the first event of a stream, or the whole of a plain response. */
   firstMs: number;
+  /** Until the whole response. */
   endMs: number;
   /** A place and its memory are free, and nobody waits. */
   hasPlace: boolean;
+  /** The request is larger than the runner's whole memory. */
   neverFits: boolean;
 }
 
@@ -51,6 +62,7 @@
   return (short * conditions.heldMs) / Math.max(1, place.kvUsed);
 }
 
+/** Predicts one request at one runner; called for each candidate, so it allocates one object only. */
 export function predict(place: rooms.Place, need: Need, conditions: Conditions): Prediction {
   const memory = waitForMemoryMs(place, need, conditions);
   const waitMs = Math.max(waitForPlaceMs(place, conditions), memory, conditions.fullForMs);
--- a/src/admission/returns.ts
+++ b/src/admission/returns.ts
@@ -1,4 +1,4 @@
-// Who was denied a moment ago finds a better chance on the way back (design/admission 5). Bounded, in memory.
+/** Requests denied a moment ago find a better chance on the way back (design/admission 5). Bounded, in memory. */
 import * as shares from "../shares/shares.js";
 
 const RETENTION_MS = 10_000;
@@ -18,6 +18,7 @@
   return body ? shares.hash(`${route}|${body.toString("latin1", 0, BODY_BYTES)}`) : 0;
 }
 
+/** How often requests were denied lately, by their key. At most 4,096 keys, for 10 s each. */
 export class RecentDenials {
   private readonly byKey = new Map<number, DenialRecord>();
 
@@ -27,21 +28,24 @@
     return found && key !== 0 && now - found.at <= RETENTION_MS ? found.times : 0;
   }
 
+  /** It was denied now; key 0 is not recorded. */
   recordDenial(key: number, now: number): void {
     if (key === 0) return;
-    const times = Math.min(MAX_COUNT, this.count(key, now) + 1);
+    const count = Math.min(MAX_COUNT, this.count(key, now) + 1);
     this.byKey.delete(key);
-    this.byKey.set(key, { times, at: now });
+    this.byKey.set(key, { times: count, at: now });
     for (const [oldest, { at }] of this.byKey) {
       if (this.byKey.size <= MAX_KEYS && now - at <= RETENTION_MS) break;
       this.byKey.delete(oldest);
     }
   }
 
+  /** It was admitted: the next of this key is a newcomer again. */
   forget(key: number): void {
     this.byKey.delete(key);
   }
 
+  /** Keys held now. */
   get size(): number {
     return this.byKey.size;
   }
--- a/src/admission/room.ts
+++ b/src/admission/room.ts
@@ -1,11 +1,15 @@
-// Room of cells and services in units of work, and the part of it that one router may spend until the next
-// report (design/admission 4). Pure functions: routers, the capacity command and the simulator use the same.
+/**
+ * Room of cells and services in units of work, and the part of it that one router may spend until the next report
+ * (design/admission 4). Pure functions: routers, the capacity command and the simulator use the same.
+ */
 
+/** Load and capacity of one runner. */
 export interface Place {
   /** Requests run at once. */
   capacity: number;
   /** Running and waiting there. */
   used: number;
+  /** Requests queued there by its last report. */
   waiting: number;
   /** Tokens; a capacity of 0 is unknown. */
   kvUsed: number;
@@ -14,11 +18,14 @@
   backlogMs: number;
 }
 
+/** The sum of the places of a cell, shown in `status`: its names are read by `cranewind capacity`. */
 export interface Room {
   runners: number;
+  /** Requests that run at once, and how many more could. */
   places: number;
   freePlaces: number;
   waiting: number;
+  /** Tokens of memory, and how many are free. */
   tokens: number;
   freeTokens: number;
   /** Milliseconds of reading that fit into the next second. */
@@ -29,6 +36,7 @@
 /** Under this share of places taken, with nobody waiting, nothing is denied. */
 export const HALF_FULL = 0.5;
 
+/** The sum over these places. */
 export function roomOf(places: Iterable<Place>): Room {
   const room: Room = { runners: 0, places: 0, freePlaces: 0, waiting: 0, tokens: 0, freeTokens: 0, readMs: 0 };
   for (const place of places) {
@@ -43,6 +51,7 @@
   return room;
 }
 
+/** Under half of the places are taken and nobody waits: nothing is denied then. */
 export function isHalfEmpty(room: Room): boolean {
   return room.waiting === 0 && room.places - room.freePlaces < HALF_FULL * room.places;
 }
@@ -62,8 +71,11 @@
 
 /** What one request of a kind takes: tokens of memory, milliseconds of reading, milliseconds of a place. */
 export interface RequestCost {
+  /** Tokens of memory. */
   tokens: number;
+  /** Milliseconds of reading. */
   readMs: number;
+  /** Milliseconds that a place is held. */
   heldMs: number;
 }
 
--- a/src/admission/slowness.ts
+++ b/src/admission/slowness.ts
@@ -1,24 +1,31 @@
-// How much slower a runner is than predicted: up at once, down slowly (design/admission 3). What is still
-// without a reply counts as soon as it is overdue.
+/**
+ * How much slower a runner is than predicted: up at once, down slowly (design/admission 3). What is still without a
+ * response counts as soon as it is overdue.
+ */
 import type * as types from "../wire/types.js";
 
 const RISE_WEIGHT = 0.7;
 const DECAY_WEIGHT = 0.15;
+/** A runner counts as no slower than this. */
 const MAX_RATIO = 8;
 /** Times under this are noise of the way, not of the runner (ours). */
 const NOISE_MS = 100;
 
+/** A request at a runner; compared by identity. */
 export interface PendingRequest {
+  /** Milliseconds of the steady clock. */
   readonly sentAt: number;
+  /** Until its first event, were the runner as quick as the others. */
   readonly predictedMs: number;
 }
 
-/** Seen over predicted: until the first event, and from there to the end. */
+/** Times seen over times predicted, never under 1: until the first event, and from there to the end. */
 export interface Slowdown {
   readonly first: number;
   readonly stream: number;
 }
 
+/** As quick as predicted. */
 export const NO_SLOWDOWN: Slowdown = { first: 1, stream: 1 };
 /** A first event that came a little late says nothing of the events after it (ours). */
 const CLEARLY_SLOW = 2;
@@ -40,31 +47,34 @@
   return Math.min(MAX_RATIO, (seenMs + NOISE_MS) / (predictedMs + NOISE_MS));
 }
 
+/** Slowdowns of all runners that this router has sent to. */
 export class Slowness {
   private readonly runners = new Map<types.RunnerId, RunnerRecord>();
 
   private recordOf(runner: types.RunnerId): RunnerRecord {
-    let watched = this.runners.get(runner);
-    if (!watched) {
-      watched = new RunnerRecord();
-      this.runners.set(runner, watched);
+    let record = this.runners.get(runner);
+    if (!record) {
+      record = new RunnerRecord();
+      this.runners.set(runner, record);
     }
-    return watched;
+    return record;
   }
 
+  /** Drops runners that are not listed. */
   retainOnly(listed: { has(id: string): boolean }): void {
     for (const id of this.runners.keys()) if (!listed.has(id)) this.runners.delete(id);
   }
 
+  /** It is on its way; responseStarted or requestDropped must follow. */
   requestSent(runner: types.RunnerId, request: PendingRequest): void {
     this.recordOf(runner).pending.add(request);
   }
 
   /** The first event or the whole reply is here; predictions were made with slowness 1. */
   responseStarted(runner: types.RunnerId, request: PendingRequest, now: number): void {
-    const watched = this.recordOf(runner);
-    if (!watched.pending.delete(request)) return;
-    watched.first = smoothed(watched.first, ratio(now - request.sentAt, request.predictedMs));
+    const record = this.recordOf(runner);
+    if (!record.pending.delete(request)) return;
+    record.first = smoothed(record.first, ratio(now - request.sentAt, request.predictedMs));
   }
 
   /** Ended without a reply: it says nothing of its pace. */
@@ -74,19 +84,20 @@
 
   /** A whole stream is here; the pace was predicted by the fullness of its batch. */
   streamEnded(runner: types.RunnerId, seenMs: number, predictedMs: number): void {
-    const watched = this.recordOf(runner);
-    if (predictedMs > 0) watched.stream = smoothed(watched.stream, ratio(seenMs, predictedMs));
+    const record = this.recordOf(runner);
+    if (predictedMs > 0) record.stream = smoothed(record.stream, ratio(seenMs, predictedMs));
   }
 
+  /** The slowdown of a runner now, overdue requests included. */
   at(runner: types.RunnerId, now: number): Slowdown {
-    const watched = this.runners.get(runner);
-    if (!watched) return NO_SLOWDOWN;
-    let { first } = watched;
-    for (const oldest of watched.pending) {
+    const record = this.runners.get(runner);
+    if (!record) return NO_SLOWDOWN;
+    let { first } = record;
+    for (const oldest of record.pending) {
       first = Math.max(first, ratio(now - oldest.sentAt, oldest.predictedMs));
       break;
     }
-    const stream = watched.stream >= STREAM_TOLERANCE ? watched.stream : 1;
+    const stream = record.stream >= STREAM_TOLERANCE ? record.stream : 1;
     return { first, stream: first >= CLEARLY_SLOW ? Math.max(first, stream) : stream };
   }
 }
--- a/src/admission/status.ts
+++ b/src/admission/status.ts
@@ -63,6 +63,6 @@
 
 function kindsOf(routes: Iterable<[string, typicals.TypicalRequest]>): unknown[] {
   const made: unknown[] = [];
-  for (const [route, usual] of routes) made.push({ route, service: usual.service, ...usual.status() });
+  for (const [route, typical] of routes) made.push({ route, service: typical.service, ...typical.status() });
   return made;
 }
--- a/src/admission/tally.ts
+++ b/src/admission/tally.ts
@@ -1,5 +1,7 @@
-// What this router's judgments came to, over its whole life: how long each refusal took, what became of each
-// request by rank, and how much room was left unused when one was denied (design/admission 10).
+/**
+ * What this router's judgments came to, over its whole life: how long each refusal took, what became of each request
+ * by rank, and how much room was left unused when one was denied (design/admission 10).
+ */
 import type * as rooms from "./room.js";
 import * as log from "../startup/log.js";
 import type * as types from "../wire/types.js";
@@ -16,15 +18,16 @@
 const TAIL = 99;
 const WORST = 100;
 
-function summaryOf(spread: histograms.Histogram): { count: number; p50: number; p99: number; worst: number } {
+function summaryOf(histogram: histograms.Histogram): { count: number; p50: number; p99: number; worst: number } {
   return {
-    count: spread.count,
-    p50: spread.exactPercentile(MIDDLE),
-    p99: spread.exactPercentile(TAIL),
-    worst: spread.exactPercentile(WORST),
+    count: histogram.count,
+    p50: histogram.exactPercentile(MIDDLE),
+    p99: histogram.exactPercentile(TAIL),
+    worst: histogram.exactPercentile(WORST),
   };
 }
 
+/** Counts and histograms for `status` and the log; nothing is decided by them. */
 export class Tally {
   /** Milliseconds from a request's arrival to its refusal; apart for those that no runner had seen. */
   private readonly atDoor = new histograms.Histogram(PER_MS, Infinity);
@@ -39,6 +42,7 @@
 
   constructor(private readonly world: types.World) {}
 
+  /** A request was refused `ms` milliseconds after its arrival; `hasBeenSent`: a runner had seen it. */
   refused(ms: number, cause: string, hasBeenSent: boolean): void {
     (hasBeenSent ? this.afterSend : this.atDoor).record(ms);
     this.lastRefusalAt = this.world.now();
@@ -47,22 +51,25 @@
     this.causes.set(cause, (this.causes.get(cause) ?? 0) + 1);
   }
 
+  /** The room of the allowed runners when a request was denied. */
   recordUnusedRoom(room: rooms.Room): void {
     if (room.places > 0) this.unusedRoom.record((PERCENT * room.freePlaces) / room.places);
   }
 
+  /** A request is over. */
   ended(end: End, rank: number): void {
     const name = `${end}_rank_${rank}`;
     this.ends.set(name, (this.ends.get(name) ?? 0) + 1);
   }
 
-  /** Called now and then: the end of a shortage is a change of state, and told with what it came to. */
+  /** Called now and then: the end of a shortage is a change of state, logged with what it came to. */
   onTimer(): void {
     if (!this.isShort || this.world.now() - this.lastRefusalAt < SHORTAGE_END_MS) return;
     this.isShort = false;
     log.state(this.line());
   }
 
+  /** The part `tally` of the admission's status; its names are read by operators. */
   status(): Record<string, unknown> {
     return {
       ends: Object.fromEntries(this.ends),
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -1,4 +1,4 @@
-// One admitted send: what was predicted for it, and what its reply teaches (design/admission 3).
+/** One admitted send: what was predicted for it, and what its response teaches (design/admission 3). */
 import type * as fleets from "../router/fleet.js";
 import type * as types from "../wire/types.js";
 import type * as cells from "./cells.js";
@@ -8,6 +8,7 @@
 import type * as slowness from "./slowness.js";
 import type * as typicals from "./typical.js";
 
+/** What is known of a request when it is sent; times are milliseconds, points in time of the steady clock. */
 export interface SentRequest {
   readonly runner: fleets.Runner;
   readonly need: predictions.Need;
@@ -16,9 +17,11 @@
   readonly sentAt: number;
   /** Predicted as if the runner were as quick as the others. */
   readonly nominal: predictions.Prediction;
+  /** What the wait in `nominal` was multiplied by. */
   readonly waitFactor: number;
   /** Its first event, were the runner as quick as the others and the wait a long one. */
   readonly safeFirstMs: number;
+  /** Requests at the runner over its capacity. */
   readonly fullness: number;
   readonly rank: number;
   /** The pause that its route allows between two events; Infinity without one. */
@@ -26,6 +29,7 @@
   readonly deadline: number;
 }
 
+/** What a ticket feeds its observations to; the router's `Admission` is it. */
 export interface Learner {
   readonly world: types.World;
   readonly slowness: slowness.Slowness;
@@ -35,13 +39,22 @@
   typicalOf(route: string): typicals.TypicalRequest;
 }
 
+/**
+ * How a send ended: the whole response came, it broke off or was given up, or the runner said that it did not run it.
+ */
 export type Ending = "complete" | "stopped" | "not_run";
 
+/**
+ * Follows one send. `first`, `event` and `end` are called by the attempt that reads the response; after `end` nothing
+ * counts any more.
+ */
 export class Ticket implements slowness.PendingRequest {
   private firstEventAt = 0;
   private lastEventAt = 0;
   private isOver = false;
+  /** Milliseconds of the steady clock. */
   readonly sentAt: number;
+  /** Until the first event, for the overdue check. */
   readonly predictedMs: number;
   private readonly pendingWait: paces.PendingWait;
 
@@ -84,6 +97,7 @@
     pace.learnWait(this.sent.rank, now - this.pendingWait.since, this.pendingWait.waitMs);
   }
 
+  /** The send is over; further calls are ignored. */
   end(ending: Ending): void {
     if (this.isOver) return;
     if (ending === "complete") this.first();
--- a/src/admission/typical.ts
+++ b/src/admission/typical.ts
@@ -1,24 +1,28 @@
-// What a request of one route usually takes, for "how many more" (design/admission 6).
+/** What a request of one route usually takes, for "how many more" (design/admission 6). */
 import type * as predictions from "./predict.js";
 
 const LEARNING_RATE = 0.05;
 
+/** Moving means over the route's completed requests. */
 export class TypicalRequest {
+  /** The service that served the last one; empty before the first. */
   service = "";
   private count = 0;
   private tokens = 0;
   private unread = 0;
   private heldMs = 0;
 
+  /** One request was served and held a place for `heldMs` milliseconds. */
   learn(service: string, need: predictions.Need, heldMs: number): void {
     this.service = service;
     this.count += 1;
-    const part = Math.max(LEARNING_RATE, 1 / this.count);
-    this.tokens += part * (need.tokens - this.tokens);
-    this.unread += part * (need.unread - this.unread);
-    this.heldMs += part * (heldMs - this.heldMs);
+    const rate = Math.max(LEARNING_RATE, 1 / this.count);
+    this.tokens += rate * (need.tokens - this.tokens);
+    this.unread += rate * (need.unread - this.unread);
+    this.heldMs += rate * (heldMs - this.heldMs);
   }
 
+  /** The means, rounded; these names are read by `cranewind capacity`. */
   status(): { count: number; tokens: number; unread: number; heldMs: number } {
     return { count: this.count, tokens: Math.round(this.tokens), unread: Math.round(this.unread), heldMs: Math.round(this.heldMs) };
   }
--- a/src/cli/ask.ts
+++ b/src/cli/ask.ts
@@ -1,17 +1,23 @@
-// One request through a router, as a client would send it (design 10.2).
+/** `cranewind ask`: one request through a router, as a client would send it (design 10.2). */
 import * as crypto from "node:crypto";
 import * as nodeHttp from "node:http";
 import * as types from "../wire/types.js";
 import * as commands from "./commands.js";
 
+/** The options of the command, as text. */
 export interface AskOptions {
+  /** Address of the router's front, HOST:PORT. */
   router: string;
+  /** Host and path of the route. */
   host: string;
   path: string;
+  /** Parts of the prompt as ID:TOKENS pairs; empty for a plain request. */
   prompt: string;
+  /** The client's time budget in milliseconds. */
   budgetMs: string;
 }
 
+/** Sends the request and prints one line on its end; resolves to the exit code and never rejects. */
 export function ask(output: commands.Output, options: AskOptions): Promise<number> {
   const startedMs = Date.now();
   const headers: nodeHttp.OutgoingHttpHeaders = {
--- a/src/cli/capacity.ts
+++ b/src/cli/capacity.ts
@@ -1,5 +1,7 @@
-// How much more the running fleet can take, a cell and service a row (design/admission 6). Rooms come from any
-// node; what a request of a kind usually takes comes from routers.
+/**
+ * `cranewind capacity`: how much more the running fleet can take, a cell and service a row (design/admission 6).
+ * Rooms come from any node; what a request of a kind usually takes comes from routers.
+ */
 import type * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as rooms from "../admission/room.js";
@@ -27,6 +29,7 @@
   admission?: { rate: number; cells: CellRoom[]; kinds: KindStatus[] };
 }
 
+/** A row of the output; with --json these names are printed. */
 export interface Row extends CellRoom {
   /** Requests a second that still fit, were all of this kind; null where nothing bounds it yet. */
   kinds: { route: string; requests_per_s: number | null }[];
@@ -58,6 +61,7 @@
   return made;
 }
 
+/** Rows from the statuses of several nodes: a later one replaces what an earlier one says of the same cell. */
 export function rowsOf(statuses: readonly NodeStatus[]): Row[] {
   const cells = new Map<string, CellRoom>();
   const kinds = new Map<string, KindStatus>();
@@ -81,6 +85,7 @@
   }
 }
 
+/** The rows as lines for people. */
 export function lines(rows: readonly Row[]): string[] {
   const made: string[] = [];
   for (const { region, service, room, kinds } of rows) {
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -1,5 +1,7 @@
-// Calls to a running system, for the commands (design 10.2): redirects followed, other nodes tried, and every
-// failure told in one line with its remedy.
+/**
+ * Calls to a running system, for the commands (design 10.2): redirects followed, other nodes tried, and every failure
+ * in one line with its remedy.
+ */
 import * as result from "true-myth/result";
 import * as errors from "../startup/errors.js";
 import * as http from "../wire/http.js";
@@ -8,6 +10,7 @@
 const TIMEOUT_MS = 4000;
 const MAX_REDIRECTS = 2;
 
+/** A response under 300; `json` is null where the body is none. */
 export interface ClientResponse {
   status: number;
   json: unknown;
@@ -15,6 +18,7 @@
 
 type Outcome = result.Result<ClientResponse, errors.CranewindError>;
 
+/** A call of a node's published interface. */
 export interface ClientRequest {
   method: "GET" | "POST";
   path: string;
@@ -43,7 +47,10 @@
   return null;
 }
 
-/** Tries one node after the other; a clear answer, good or bad, ends it. */
+/**
+ * Tries one node after the other; a clear answer, good or bad, ends it. An error is of kind timeout or no_majority
+ * where trying again may help, else race or invalid.
+ */
 export async function send(world: types.World, addresses: readonly string[], request: ClientRequest): Promise<Outcome> {
   let lastError: errors.CranewindError | null = null;
   for (const address of addresses) {
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -1,4 +1,6 @@
-// What the commands do (design 10.2). Each returns its exit code.
+/**
+ * What the commands do (design 10.2). Each prints its result or one line with the remedy, and returns its exit code.
+ */
 import * as fs from "node:fs";
 import * as check from "../config/check.js";
 import * as errors from "../startup/errors.js";
@@ -12,8 +14,10 @@
 import * as client from "./client.js";
 import * as view from "./view.js";
 
+/** Exit codes; docs/operating.md lists them. */
 export const EXIT = { ok: 0, denied: 1, usage: 2, unreachable: 3, startup: 78 } as const;
 
+/** Where commands print: results to one side, failures to the other. */
 export interface Output {
   line(text: string): void;
   failure(text: string): void;
@@ -38,6 +42,7 @@
   }
 }
 
+/** Checks a node's settings file without a running system. */
 export function checkSettings(output: Output, file: string): number {
   const read = settings.read(file);
   if (read.isErr) return reportFailure(output, read.error);
@@ -45,6 +50,7 @@
   return EXIT.ok;
 }
 
+/** Checks a configuration file without a running system. */
 export function checkConfig(output: Output, file: string): number {
   const bytes = readFile(file);
   if (bytes instanceof Error) return reportFailure(output, bytes);
@@ -72,6 +78,7 @@
   return EXIT.ok;
 }
 
+/** Prints the newest configuration, read at a majority. */
 export async function describe(world: types.World, output: Output, controls: string[]): Promise<number> {
   const outcome = await client.send(world, controls, { method: "GET", path: "/-/Config.Describe" });
   if (outcome.isErr) return reportFailure(output, outcome.error);
@@ -102,6 +109,7 @@
   return EXIT.ok;
 }
 
+/** Starts or stops the evacuation of a zone; any other verb is wrong use. */
 export async function evacuate(world: types.World, output: Output, controls: string[], verb: string, zone: string): Promise<number> {
   const call = verb === "start" ? "Start" : verb === "stop" ? "Stop" : null;
   if (!call) return reportFailure(output, errors.fail("usage", `evacuate ${verb} is no order`, "use start or stop"));
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,4 +1,7 @@
-// The command line behind the launcher (design 10.1): the roles of a node, and the commands of an operator.
+/**
+ * The command line behind the launcher (design 10.1): the roles of a node, and the commands of an operator. Running
+ * this file parses the arguments of the process.
+ */
 import * as commander from "commander";
 import * as experiment from "../experiment/command.js";
 import * as world from "../wire/world.js";
--- a/src/cli/roles.ts
+++ b/src/cli/roles.ts
@@ -1,4 +1,9 @@
-// Runs one role as this process: settings, signals, the supervisor's root (design 10.1, 2.2).
+/**
+ * Runs one role as this process: settings, signals, the supervisor's root (design 10.1, 2.2).
+ *
+ * SIGTERM and SIGINT let the program leave in order; SIGHUP, or a change of the file, reads the settings again, and a
+ * bad file leaves the old ones in force.
+ */
 import * as fs from "node:fs";
 import * as control from "../control/program.js";
 import * as router from "../router/program.js";
@@ -70,12 +75,14 @@
   }
 }
 
+/** Runs a router until it is told to stop; ends the process with code 78 where the settings are bad. */
 export function startRouter(): Promise<void> {
   return run(function createRouter(initial) {
     return new router.RouterProgram(new world.RealWorld(), initial);
   });
 }
 
+/** Runs a control node, in the same way. */
 export function startControl(): Promise<void> {
   return run(function createControl(initial) {
     return new control.ControlProgram(new world.RealWorld(), initial);
--- a/src/cli/try.ts
+++ b/src/cli/try.ts
@@ -1,4 +1,6 @@
-// A small system on loopback, each node a process of its own, against stand-ins (design 10.3, 11.1).
+/**
+ * `cranewind try`: a small system on loopback, each node a process of its own, against stand-ins (design 10.3, 11.1).
+ */
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as path from "node:path";
--- a/src/cli/view.ts
+++ b/src/cli/view.ts
@@ -1,4 +1,4 @@
-// A node's own account as lines for people (design 10.2).
+/** A node's status as lines for people (design 10.2). The interfaces name what is read of its JSON. */
 import type * as counts from "../wire/counts.js";
 import type * as schema from "../wire/schema.js";
 import type * as vitals from "../startup/vitals.js";
@@ -25,6 +25,7 @@
   links: Record<string, counts.LinkCount>;
 }
 
+/** The status of a control node or a router, a line an item. */
 export function lines(json: unknown): string[] {
   const { node } = json as { node: schema.NodeInfo };
   return node.role === "control" ? controlLines(json as ControlStatus) : routerLines(json as RouterStatus);
--- a/src/experiment/changes.ts
+++ b/src/experiment/changes.ts
@@ -9,9 +9,9 @@
 import * as routers from "./routers.js";
 import * as rows from "./rows.js";
 
-interface Acknowledged {
+interface AcknowledgedChange {
   revision: number;
-  askedMs: number;
+  sentMs: number;
   atMs: number;
 }
 
@@ -21,7 +21,7 @@
   private revision = 0;
   private sent = 0;
   private bytes = 0;
-  private acknowledged: Acknowledged[] = [];
+  private acknowledged: AcknowledgedChange[] = [];
 
   constructor(
     private readonly world: types.World,
@@ -38,7 +38,7 @@
     const start = this.sent % controls.length;
     const body = Buffer.from(JSON.stringify(document));
     const headers = { "Content-Type": "application/json", "X-Cranewind-Base-Version": String(this.revision) };
-    const askedMs = clock.machineMs();
+    const sentMs = clock.machineMs();
     this.sent += 1;
     const outcome = await client.send(this.world, [...controls.slice(start), ...controls.slice(0, start)], {
       method: "POST",
@@ -49,7 +49,7 @@
     if (outcome.isErr) return outcome.error;
     this.revision = revision;
     this.bytes = body.length;
-    this.acknowledged.push({ revision, askedMs, atMs: clock.machineMs() });
+    this.acknowledged.push({ revision, sentMs, atMs: clock.machineMs() });
     return null;
   }
 
@@ -87,8 +87,8 @@
   row(point: rows.Point, revisions: readonly (readonly routers.RevisionInForce[])[], routerCount: number): rows.ChangeRow {
     const inForceMs: number[] = [];
     const ackMs: number[] = [];
-    for (const { revision, askedMs, atMs } of this.acknowledged) {
-      ackMs.push(atMs - askedMs);
+    for (const { revision, sentMs, atMs } of this.acknowledged) {
+      ackMs.push(atMs - sentMs);
       for (const group of revisions) {
         for (const at of firstAt(group, revision).values()) inForceMs.push(Math.max(0, at - atMs));
       }
--- a/src/experiment/command.ts
+++ b/src/experiment/command.ts
@@ -81,7 +81,7 @@
   } catch (cause) {
     return denied(output, errors.fail("usage", `cannot read ${file}: ${(cause as Error).message}`, "name a readable plan with --plan"));
   }
-  const places = check.parseJson(bytes).andThen(sweeps.places);
+  const places = check.parseJson(bytes).andThen(sweeps.pointsOf);
   if (places.isErr) return denied(output, places.error);
   return play(world, output, places.value, raw);
 }
--- a/src/experiment/sweep.ts
+++ b/src/experiment/sweep.ts
@@ -38,7 +38,7 @@
 type Checked<T> = result.Result<T, errors.CranewindError>;
 
 /** All places of a plan, each checked before the first run begins. */
-export function places(raw: unknown): Checked<SweepPoint[]> {
+export function pointsOf(raw: unknown): Checked<SweepPoint[]> {
   const [failure, plan] = superstruct.validate(raw, shape);
   if (failure)
     return result.err(
@@ -67,23 +67,23 @@
   progress(text: string): void;
 }
 
-async function playOne(place: SweepPoint, environment: Environment, of: string): Promise<rows.Outcome> {
+async function playOne(point: SweepPoint, environment: Environment, of: string): Promise<rows.Outcome> {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-experiment-"));
-  const launcher = new launchers.ProcessLauncher(environment.program, folder, place.options.seed);
+  const launcher = new launchers.ProcessLauncher(environment.program, folder, point.options.seed);
   function stop(): void {
     environment.progress("interrupted: ending what was started");
-    void launcher.end().finally(leave);
+    void launcher.end().finally(exitInterrupted);
   }
   function progress(step: string): void {
-    const { routers, runners, routes, controls, changesPerS } = place.options;
+    const { routers, runners, routes, controls, changesPerS } = point.options;
     environment.progress(
-      `${of} ${place.sweep}: ${routers} routers, ${runners} runners, ${routes} routes, ${controls} control nodes, ${changesPerS} changes/s: ${step}`,
+      `${of} ${point.sweep}: ${routers} routers, ${runners} runners, ${routes} routes, ${controls} control nodes, ${changesPerS} changes/s: ${step}`,
     );
   }
   process.on("SIGINT", stop);
   process.on("SIGTERM", stop);
   try {
-    const outcome = await new runs.Run(environment.world, launcher, place.options, folder, progress, place.sweep).play();
+    const outcome = await new runs.Run(environment.world, launcher, point.options, folder, progress, point.sweep).play();
     fs.rmSync(folder, { recursive: true });
     return outcome;
   } finally {
@@ -92,7 +92,7 @@
   }
 }
 
-function leave(): void {
+function exitInterrupted(): void {
   process.exit(130);
 }
 
@@ -105,12 +105,12 @@
   fs.mkdirSync(environment.out, { recursive: true });
   const outcome: rows.Outcome = { nodes: [], links: [], changes: [], losses: [] };
   const failures: string[] = [];
-  for (const [index, place] of all.entries()) {
+  for (const [index, point] of all.entries()) {
     try {
-      const one = await playOne(place, environment, `${index + 1}/${all.length}`);
+      const one = await playOne(point, environment, `${index + 1}/${all.length}`);
       for (const field of ["nodes", "links", "changes", "losses"] as const) (outcome[field] as unknown[]).push(...one[field]);
     } catch (cause) {
-      failures.push(`${place.sweep} at ${place.field} ${place.options[place.field]}: ${(cause as Error).message}`);
+      failures.push(`${point.sweep} at ${point.field} ${point.options[point.field]}: ${(cause as Error).message}`);
       environment.progress(`failed: ${failures[failures.length - 1]}`);
     }
     write(all, outcome, environment.out);
--- a/src/experiment/window.ts
+++ b/src/experiment/window.ts
@@ -19,15 +19,15 @@
 
 const NOTHING: counts.LinkCount = { framesTold: 0, bytesTold: 0, framesHeard: 0, bytesHeard: 0 };
 
-export function linkRows(point: rows.Point, part: NodeIdentity, before: Reading, after: Reading): rows.LinkRow[] {
+export function linkRows(point: rows.Point, identity: NodeIdentity, before: Reading, after: Reading): rows.LinkRow[] {
   const made: rows.LinkRow[] = [];
-  const per = ((after.atMs - before.atMs) / 1000) * part.sharedBy;
+  const per = ((after.atMs - before.atMs) / 1000) * identity.sharedBy;
   for (const [kind, now] of after.links) {
     const then = before.links.get(kind) ?? NOTHING;
     made.push({
       ...point,
-      role: part.role,
-      node: part.node,
+      role: identity.role,
+      node: identity.node,
       kind,
       toldFramesPerS: (now.framesTold - then.framesTold) / per,
       toldBytesPerS: (now.bytesTold - then.bytesTold) / per,
@@ -40,7 +40,7 @@
 
 export function nodeRow(
   point: rows.Point,
-  part: NodeIdentity,
+  identity: NodeIdentity,
   before: Reading,
   after: Reading,
   links: readonly rows.LinkRow[],
@@ -56,16 +56,16 @@
   }
   return {
     ...point,
-    role: part.role,
-    node: part.node,
-    sharedBy: part.sharedBy,
+    role: identity.role,
+    node: identity.node,
+    sharedBy: identity.sharedBy,
     seconds: passedMs / 1000,
-    cpuPercent: (100 * (now.cpuMs - before.vitals.cpuMs)) / passedMs / part.sharedBy,
-    memoryMb: now.memoryMb / part.sharedBy,
+    cpuPercent: (100 * (now.cpuMs - before.vitals.cpuMs)) / passedMs / identity.sharedBy,
+    memoryMb: now.memoryMb / identity.sharedBy,
     loopP50Ms: now.loopP50Ms,
     loopP99Ms: now.loopP99Ms,
     loopWorstMs: now.loopWorstMs,
-    descriptors: now.descriptors / part.sharedBy,
+    descriptors: now.descriptors / identity.sharedBy,
     ...sum,
     reportsReadPerS: (1000 * (after.reports - before.reports)) / passedMs,
   };
--- a/src/signs/batch.ts
+++ b/src/signs/batch.ts
@@ -1,5 +1,7 @@
-// Signs gathered for one frame (design/usage 2.2): readings of one runner from one side are one entry, and
-// the oldest entries are dropped beyond the bound. Signs are hints.
+/**
+ * Signs gathered for one frame (design/usage 2.2): readings of one runner from one side are one entry, and the oldest
+ * entries are dropped beyond the bound. Signs are hints.
+ */
 import * as schema from "../wire/schema.js";
 import * as log from "../startup/log.js";
 
@@ -9,23 +11,29 @@
 
 /** One frame: the marks of silent runners, and readings that were sent. */
 export interface SignFrame {
+  /** Marks of runners that fell silent while at work. */
   silent: number[];
+  /** Long prompts sent to a runner: its mark, tokens to read, and keys of the parts. */
   readings: schema.ReadingSign[];
 }
 
+/** Signs until the next frame, bounded in entries and keys. */
 export class Batch {
   private readonly silent = new Set<number>();
   private readonly readings = new Map<number, schema.ReadingSign>();
 
+  /** Nothing to send. */
   get isEmpty(): boolean {
     return this.silent.size === 0 && this.readings.size === 0;
   }
 
+  /** A runner is silent. */
   addSilent(mark: number): void {
     this.silent.add(mark);
     dropOldest(this.silent);
   }
 
+  /** A prompt was sent to a runner; it is added to the runner's earlier ones. */
   addReading(reading: schema.ReadingSign): void {
     const before = this.readings.get(reading.runner);
     const keys = new Set([...(before?.keys ?? []), ...reading.keys]);
@@ -37,6 +45,7 @@
     dropOldest(this.readings);
   }
 
+  /** All signs as one frame; the batch is empty afterwards. */
   drain(): SignFrame {
     const frame = { silent: [...this.silent], readings: [...this.readings.values()] };
     this.silent.clear();
--- a/src/signs/marks.ts
+++ b/src/signs/marks.ts
@@ -1,17 +1,20 @@
-// Runners named by 32 bits: a hash of the id. Marks that two runners share name nobody (design/usage 2.1).
+/** Runners named by 32 bits: a hash of the id. Marks that two runners share name nobody (design/usage 2.1). */
 import * as log from "../startup/log.js";
 import * as shares from "../shares/shares.js";
 
+/** The mark of an id, a signed 32-bit number. */
 export function markOf(id: string): number {
   return shares.hash(id) | 0;
 }
 
+/** Ids by mark over the runners listed; rebuilt with each list. */
 export class Marks<Id extends string> {
   private readonly ids = new Map<number, Id>();
   private readonly shared = new Set<number>();
 
   constructor(private readonly hash: (id: string) => number = markOf) {}
 
+  /** The runners that marks may name from now on. */
   takeList(ids: Iterable<Id>): void {
     this.ids.clear();
     this.shared.clear();
--- a/src/signs/relay.ts
+++ b/src/signs/relay.ts
@@ -1,5 +1,7 @@
-// The control node's side of signs (design/usage 2.3): what its routers tell goes to each sibling once, and
-// from each control node to those of its routers that follow the runner's cell; never back where it came from.
+/**
+ * The control node's side of signs (design/usage 2.3): what its routers send goes to each other control node once,
+ * and from each control node to those of its routers that follow the runner's cell; never back where it came from.
+ */
 import type * as link from "../wire/link.js";
 import * as calls from "../wire/calls.js";
 import * as schema from "../wire/schema.js";
@@ -16,13 +18,16 @@
 /** So many seconds' part is told at once after a quiet while. */
 export const BURST_S = 3;
 
+/** The bytes a second that one of so many routers may be sent of readings. */
 export function bytesPerS(routers: number): number {
   return Math.max(MIN_BYTES_PER_S, Math.min(MAX_BYTES_PER_S, TOTAL_BYTES_PER_S / Math.max(1, routers)));
 }
 
 type Peer = Pick<link.Link, "tell" | "once">;
 
+/** Where signs can go; the control node's `Cells` is it. */
 export interface Targets {
+  /** Links to the other control nodes. */
   siblings(): Iterable<Peer>;
   /** Own routers that follow the region's cell. */
   followers(region: string): Iterable<Peer>;
@@ -41,6 +46,10 @@
   at: number;
 }
 
+/**
+ * Gathers signs and passes them on at most once a period. Signs of silence always go; readings within a token bucket
+ * per router.
+ */
 export class Relay {
   private readonly marks = new marks.Marks<types.RunnerId>();
   private regions: ReadonlyMap<types.RunnerId, string> = new Map();
@@ -61,6 +70,7 @@
     this.marks.takeList(regions.keys());
   }
 
+  /** Signs came by this link, from a router or from another control node. */
   hear(from: Peer, signs: schema.Signs): void {
     let pending = this.pending.get(from);
     if (!pending) {
@@ -82,8 +92,8 @@
     }
     this.pending.clear();
     if (!toPeers.isEmpty) {
-      const told = { isRelayed: true, ...toPeers.drain() };
-      for (const sibling of this.targets.siblings()) sibling.tell(calls.signs, told);
+      const frame = { isRelayed: true, ...toPeers.drain() };
+      for (const peer of this.targets.siblings()) peer.tell(calls.signs, frame);
     }
     const perS = bytesPerS(this.targets.routers());
     for (const [router, batch] of toRouters) this.send(router, batch.drain(), perS);
@@ -150,6 +160,7 @@
     this.buckets.delete(router);
   }
 
+  /** Nothing is sent any more. */
   stop(): void {
     this.throttle.stop();
   }
--- a/src/signs/teller.ts
+++ b/src/signs/teller.ts
@@ -1,4 +1,4 @@
-// The router's side of signs (design/usage 2): what it tells others, and how it takes what others tell.
+/** The router's side of signs (design/usage 2): what it sends to others, and how it takes what others send. */
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
@@ -9,11 +9,15 @@
 /** Keys of one reading that are told (*ours*). */
 const MAX_KEYS = 8;
 
+/** What takes the signs of other routers; the router's program is it. */
 export interface Hearer {
+  /** Others found these runners silent. */
   doubted(ids: types.RunnerId[]): void;
+  /** A prompt with so many unread tokens was sent to the runner by another router. */
   read(runner: types.RunnerId, unread: number, keys: readonly number[]): void;
 }
 
+/** Sends and takes the signs of one router. Runners whose mark is shared are left out. */
 export class Teller {
   private readonly batch = new batches.Batch();
   private readonly throttle: throttles.Throttle;
@@ -35,6 +39,7 @@
     this.throttle.request();
   }
 
+  /** These runners fell silent while at work for this router. */
   silence(runners: readonly types.RunnerId[]): void {
     for (const runner of runners) {
       const mark = this.marks.markOf(runner);
@@ -43,6 +48,7 @@
     if (!this.batch.isEmpty) this.throttle.request();
   }
 
+  /** Signs of other routers are here; unknown marks are counted and passed over. */
   hear(signs: schema.Signs): void {
     const silent: types.RunnerId[] = [];
     for (const mark of signs.silent) {
@@ -63,6 +69,7 @@
     this.publish({ isRelayed: false, ...this.batch.drain() });
   }
 
+  /** Nothing is sent any more. */
   stop(): void {
     this.throttle.stop();
   }
--- a/src/signs/throttle.ts
+++ b/src/signs/throttle.ts
@@ -1,10 +1,13 @@
-// At most one frame a period: the first after a quiet while goes at once, what comes meanwhile goes together
-// at the end of the period (design/usage 2.2).
+/**
+ * At most one run a period: the first after a quiet while goes at once, what comes meanwhile goes together at the end
+ * of the period (design/usage 2.2).
+ */
 import * as types from "../wire/types.js";
 
-/** *ours* */
+/** The period of signs (*ours*). */
 export const PERIOD_MS = 60;
 
+/** Runs a function at most once a period, on request. */
 export class Throttle {
   private lastRunAt = -Infinity;
   private timer: types.Tick | null = null;
@@ -15,6 +18,7 @@
     private readonly periodMs = PERIOD_MS,
   ) {}
 
+  /** Asks for a run: now, or once at the end of the period. */
   request(): void {
     if (this.timer) return;
     const waitMs = this.lastRunAt + this.periodMs - this.world.now();
@@ -28,6 +32,7 @@
     this.run();
   }
 
+  /** A run that was put off is dropped. */
   stop(): void {
     this.timer?.stop();
     this.timer = null;
--- a/src/startup/log.ts
+++ b/src/startup/log.ts
@@ -1,4 +1,4 @@
-// Counters first, lines only for changes of state; a full buffer drops lines (design 9.1).
+/** Counters first, lines only for changes of state; a full buffer drops lines and counts them (design 9.1). */
 import * as consola from "consola/basic";
 
 const MAX_BUFFERED_LINES = 200;
@@ -8,10 +8,12 @@
 
 const out = consola.createConsola({ level: 3, formatOptions: { date: false, colors: false } });
 
+/** Adds to the counter of this name; all counters are shown by `status`. */
 export function count(name: string, by = 1): void {
   counters.set(name, (counters.get(name) ?? 0) + by);
 }
 
+/** All counters of the process, by name. */
 export function counted(): ReadonlyMap<string, number> {
   return counters;
 }
@@ -34,6 +36,7 @@
   setImmediate(flush);
 }
 
+/** Writes what is buffered; called before the process ends. */
 export function flushNow(): void {
   flush();
 }
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -1,4 +1,7 @@
-// The settings file: lines a.b=value, lists with commas, unknown fields ignored (design 2.1).
+/**
+ * The settings file: lines a.b=value, lists with commas, unknown fields ignored (design 2.1). docs/operating.md names
+ * each field.
+ */
 import * as fs from "node:fs";
 import * as superstruct from "superstruct";
 import * as result from "true-myth/result";
@@ -53,6 +56,7 @@
   }),
 });
 
+/** Checked settings with their defaults; names are those of the file. */
 export type Settings = superstruct.Infer<typeof shape>;
 
 const LISTS = new Set(["internal_port_range", "seed_nodes", "serves", "guarantees", "cloud_api.duties"]);
@@ -89,6 +93,7 @@
   if (typeof branch === "object") branch[key.slice(dot + 1)] = value;
 }
 
+/** Settings of a file's text; the error names the line or field and the remedy. */
 export function parse(content: string): result.Result<Settings, errors.CranewindError> {
   const tree: Tree = { bounds: {}, bind_addresses: {}, cloud_api: {} };
   for (const [index, line] of content.split(/\r?\n/).entries()) {
@@ -120,10 +125,12 @@
   }
 }
 
+/** Where the settings are read from: CRANEWIND_NODE_FILE, else the platform's place. */
 export function settingsPath(): string {
   return process.env["CRANEWIND_NODE_FILE"] ?? "/etc/cranewind/boot.conf";
 }
 
+/** Reads and parses a file; a file that cannot be read is an error like any other. */
 export function read(path: string): result.Result<Settings, errors.CranewindError> {
   try {
     return parse(fs.readFileSync(path, "utf8"));
--- a/src/startup/vitals.ts
+++ b/src/startup/vitals.ts
@@ -1,16 +1,19 @@
-// What this process spends: processor time, memory, the loop's delay, descriptors (design 9.1).
+/** What this process spends: processor time, memory, the loop's delay, descriptors (design 9.1). */
 import * as fs from "node:fs";
 import * as perf from "node:perf_hooks";
 
+/** Shown by `status` under these names. */
 export interface Vitals {
   /** Processor time since the process began, user and system together. */
   cpuMs: number;
+  /** Resident memory, and the part that is heap in use. */
   memoryMb: number;
   heapMb: number;
   /** How late the loop ran since these figures were asked for the last time; zeros when that is long ago. */
   loopP50Ms: number;
   loopP99Ms: number;
   loopWorstMs: number;
+  /** Open file descriptors; 0 where the machine does not say. */
   descriptors: number;
 }
 
--- a/src/supervisor/tree.ts
+++ b/src/supervisor/tree.ts
@@ -1,17 +1,24 @@
-// A supervisor tree: children start in order, stop in reverse, and a failing one is started anew (design 9.2).
+/**
+ * A supervisor tree: children start in order, stop in reverse, and one that fails is logged and goes on (design 9.2).
+ */
 import * as log from "../startup/log.js";
 import * as types from "../wire/types.js";
 import * as world from "../wire/world.js";
 
+/** A part of a process that can be started and stopped. */
 export interface Child {
+  /** For the log. */
   readonly name: string;
+  /** Rejects or throws where it can't start: the start of the whole tree fails then. */
   start(): Promise<void> | void;
+  /** Frees what it holds; called once, after those started later have stopped. */
   stop(): Promise<void> | void;
 }
 
 const MAX_FAILURES = 30;
 const FAILURE_WINDOW_MS = 10_000;
 
+/** Starts and stops its children, and counts failures. One at the root of each process. */
 export class Supervisor implements Child {
   private readonly started: Child[] = [];
   private failures: number[] = [];
@@ -22,6 +29,7 @@
     private readonly children: Child[],
   ) {}
 
+  /** Starts the children one after the other, in order. */
   async start(): Promise<void> {
     for (const child of this.children) {
       await child.start();
@@ -29,11 +37,15 @@
     }
   }
 
+  /** Stops those that were started, in reverse order. */
   async stop(): Promise<void> {
     for (let child = this.started.pop(); child; child = this.started.pop()) await child.stop();
   }
 
-  /** Work done again and again as a child of its own; a turn that throws is logged and taken up again. */
+  /**
+   * A child that runs `task` every `intervalMs` milliseconds; a run that throws counts as a failure, and the next one
+   * follows.
+   */
   turns(name: string, intervalMs: number, task: () => void): Child {
     const clock = this.clock;
     const runGuarded = this.runGuarded.bind(this);
@@ -52,6 +64,7 @@
     }
   }
 
+  /** Adds a child at the end; to be called before `start`. */
   add(child: Child): void {
     this.children.push(child);
   }
--- a/src/usage/interest.ts
+++ b/src/usage/interest.ts
@@ -1,9 +1,10 @@
-// Which regions' details a router follows (design/usage 4.1): its own, and those it used lately.
+/** Which regions' details a router follows (design/usage 4.1): its own, and those it used lately. */
 import * as types from "../wire/types.js";
 
-/** *ours* */
+/** A region counts as used for so long after a request (*ours*). */
 export const RETENTION_MS = 10_000;
 
+/** The regions that one router is interested in. */
 export class Interest {
   private readonly lastUsedAt = new Map<string, types.SteadyMs>();
 
@@ -17,6 +18,7 @@
     this.lastUsedAt.set(region, this.world.now());
   }
 
+  /** The own region first, then those used within the retention time; the others are dropped. */
   regions(): string[] {
     const now = this.world.now();
     const found = [this.ownRegion];
@@ -27,6 +29,7 @@
     return found;
   }
 
+  /** Whether the region is followed now. */
   has(region: string): boolean {
     if (region === this.ownRegion) return true;
     const at = this.lastUsedAt.get(region);
--- a/src/usage/publisher.ts
+++ b/src/usage/publisher.ts
@@ -1,5 +1,7 @@
-// The control node's side of usage (design/usage 3, 4): pictures of the regions, told as differences in the topics
-// `cell:REGION`, and in short in the topic `summary`.
+/**
+ * The control node's side of usage (design/usage 3, 4): the reports of all regions, published as differences in the
+ * topics `cell:REGION`, and in short in the topic `summary`.
+ */
 import * as feeds from "../feed/feed.js";
 import * as marks from "../signs/marks.js";
 import * as schema from "../wire/schema.js";
@@ -17,6 +19,7 @@
   return mark === null ? `=${id}` : (mark >>> 0).toString(36);
 }
 
+/** Owned by the control node's `Cells`; it publishes by the feed and sends nothing itself. */
 export class Publisher {
   private readonly regionReports = new Map<string, regionReports.RegionReports>();
   private readonly marks = new marks.Marks<types.RunnerId>();
@@ -55,16 +58,17 @@
     }
   }
 
-  /** What the orchestrator of the region tells of what it read. */
+  /** Of the reports that this orchestrator has read, what is to be published. */
   differ(region: string, reports: readonly schema.Report[]): schema.Report[] {
     return this.reportsOf(region).changesIn(reports, this.capacities);
   }
 
+  /** All reports of a region as published last. */
   whole(region: string): schema.Report[] {
     return [...this.reportsOf(region).reports.values()];
   }
 
-  /** Told by the orchestrator of the region, here or at a sibling. */
+  /** Published by the orchestrator of the region, here or at another control node. */
   take(report: schema.CellReport): void {
     const now = this.world.now();
     this.reportsOf(report.region).apply(report.reports, now);
@@ -77,6 +81,7 @@
     return items;
   }
 
+  /** Called by the control node's timer: publishes the summaries when their period is over. */
   turn(): void {
     const now = this.world.now();
     if (now - this.summarisedAt < SUMMARY_MS) return;
@@ -98,6 +103,7 @@
     this.feed.publish(summaries.SUMMARY_TOPIC, items, types.small(now));
   }
 
+  /** All regions with their reports, for `status`. */
   status(): schema.CellReport[] {
     const reports: schema.CellReport[] = [];
     for (const { region } of this.regionReports.values()) reports.push({ region, reports: this.whole(region) });
--- a/src/usage/quantum.ts
+++ b/src/usage/quantum.ts
@@ -1,5 +1,8 @@
-// How exactly runners' reports are told (design/usage 3.1). A report is told again when it is a quantum away from
-// what was told last: differences from the told value, not steps, so that a value at a border does not flicker.
+/**
+ * How exactly runner reports are published (design/usage 3.1). A report is published again when it is a quantum away
+ * from what was published last: differences from the published value, not steps, so that a value at a border does not
+ * flicker.
+ */
 import * as schema from "../wire/schema.js";
 
 /** Parts of the capacity, and of the kept tokens (*ours*). */
@@ -41,6 +44,7 @@
   return schema.usage.toBuffer({ isSpeaking, active, waiting, kvStep: stepOf(report), kvCapacity });
 }
 
+/** The report of an item; throws what the decoder throws on bytes that are none. */
 export function reportOf(id: schema.Report["id"], body: Buffer): schema.Report {
   const { isSpeaking, active, waiting, kvStep, kvCapacity } = schema.usage.fromBuffer(body);
   return { id, isSpeaking, active, waiting, kvUsed: Math.round((kvStep / KV_STEPS) * kvCapacity), kvCapacity };
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -1,4 +1,4 @@
-// The router's side of usage (design/usage 3, 4): which topics it follows, and what it takes from them.
+/** The router's side of usage (design/usage 3, 4): which topics it follows, and what it takes from them. */
 import * as feeds from "../feed/feed.js";
 import type * as mirrors from "../feed/mirror.js";
 import type * as fleets from "../router/fleet.js";
@@ -20,6 +20,7 @@
   isStale: boolean;
 }
 
+/** Keeps the load of the fleet's runners by what control nodes publish. Owned by the router's program. */
 export class Reader {
   private readonly interest: interests.Interest;
   private listVersion = 0;
@@ -44,11 +45,13 @@
     this.interest.recordUse(region);
   }
 
+  /** The topics to follow now: the summaries, and the cells of the regions of interest. */
   topics(): string[] {
     for (const region of this.fleet.summaries.takeWanted()) this.interest.recordUse(region);
     return [summaries.SUMMARY_TOPIC, ...this.interest.regions().map(feeds.cellTopic)];
   }
 
+  /** Takes what the mirror has just applied of a topic. */
   take(applied: mirrors.Applied): void {
     if (applied.topic === summaries.SUMMARY_TOPIC) {
       for (const [key, body] of applied.changed) this.fleet.summaries.take(key, body);
--- a/src/usage/region-reports.ts
+++ b/src/usage/region-reports.ts
@@ -1,5 +1,7 @@
-// The reports of one region as they were told last (design/usage 3): the same at every control node that hears the
-// region's orchestrator, and what differences are taken from.
+/**
+ * The reports of one region as published last (design/usage 3): the same at every control node that receives from the
+ * region's orchestrator, and what differences are taken from.
+ */
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
@@ -11,6 +13,7 @@
 /** Runners told in one period for having moved; changes of status are told always (*ours*). */
 export const MAX_CHANGED = 32;
 
+/** Requests that each runner takes at once; undefined for an unknown one. */
 export interface Capacities {
   get(id: types.RunnerId): number | undefined;
 }
@@ -20,6 +23,7 @@
   deviation: number;
 }
 
+/** The published reports of one region, by runner. */
 export class RegionReports {
   readonly reports = new Map<types.RunnerId, schema.Report>();
   private refreshSlot = 0;
@@ -28,7 +32,10 @@
 
   constructor(readonly region: string) {}
 
-  /** What is to be told of these reports: the moved ones, those that moved most first, and a part of the others as told. */
+  /**
+   * Of reports just read, what is to be published: those that changed, the most changed first, and a part of the
+   * others as published, so that lost knowledge heals.
+   */
   changesIn(reports: readonly schema.Report[], capacities: Capacities): schema.Report[] {
     this.refreshSlot = (this.refreshSlot + 1) % REFRESH_PARTS;
     const changed: ChangedReport[] = [];
@@ -46,11 +53,13 @@
     return [...changed.slice(0, limit).map(reportOf), ...refreshed];
   }
 
+  /** Published reports are here, from this node or another; `now` in milliseconds of the steady clock. */
   apply(reports: readonly schema.Report[], now: number): void {
     this.receivedAt = now;
     for (const report of reports) this.reports.set(report.id, report);
   }
 
+  /** Drops the reports of runners that are not listed. */
   retainOnly(listed: { has(id: types.RunnerId): boolean }): void {
     for (const id of this.reports.keys()) if (!listed.has(id)) this.reports.delete(id);
   }
--- a/src/usage/reported.ts
+++ b/src/usage/reported.ts
@@ -1,7 +1,11 @@
-// What is known of a runner's usage: its report as told last, and what this router has there (design/usage 3.3).
+/**
+ * What is known of a runner's load: its report as published last, and what this router has there (design/usage 3.3).
+ */
 import type * as schema from "../wire/schema.js";
 
+/** Base of the router's `Runner`: requests and tokens at one runner. */
 export class Reported {
+  /** False: the last reading of it failed. */
   isSpeaking = true;
   /** As told last; requests and tokens. They fade while the reports of the region are stale. */
   active = 0;
@@ -12,14 +16,17 @@
   inflight = 0;
   others = 0;
 
+  /** Requests there, from all routers. */
   usage(): number {
     return this.inflight + this.others;
   }
 
+  /** Tokens held over the capacity, 0 to 1; 0 where it is unknown. */
   get kvShare(): number {
     return this.kvCapacity > 0 ? this.kvUsed / this.kvCapacity : 0;
   }
 
+  /** Takes a published report. */
   takeReport(report: schema.Report): void {
     this.isSpeaking = report.isSpeaking;
     if (!report.isSpeaking) return;
@@ -35,7 +42,7 @@
     if (this.isSpeaking) this.others = Math.max(0, this.active + this.waiting - this.inflight);
   }
 
-  /** Nothing new was told: part by part it counts as unknown. */
+  /** Nothing new was published: what it has from others counts less and less, by this factor. */
   fade(by: number): void {
     this.active *= by;
     this.waiting *= by;
@@ -43,6 +50,7 @@
     this.others *= by;
   }
 
+  /** The region is no longer followed. */
   forgetReport(): void {
     this.fade(0);
     this.isSpeaking = true;
--- a/src/usage/summary.ts
+++ b/src/usage/summary.ts
@@ -1,8 +1,11 @@
-// A region in a few numbers for routers that send nothing there (design/usage 4.2): per service the runners in good
-// status, all runners, mean usage and room.
+/**
+ * A region in a few numbers for routers that send nothing there (design/usage 4.2): per service the runners in good
+ * status, all runners, mean usage and room.
+ */
 import * as schema from "../wire/schema.js";
 import type * as regionReports from "./region-reports.js";
 
+/** The topic of the feed that holds all summaries. */
 export const SUMMARY_TOPIC = "summary";
 /** Steps of mean usage and of room (*ours*). */
 export const STEPS = 16;
@@ -17,6 +20,7 @@
   room: number;
 }
 
+/** The key of a summary's item in the topic. */
 export function keyOf(region: string, service: string): string {
   return `${region}/${service}`;
 }
@@ -74,6 +78,7 @@
   private detailedRegions: ReadonlySet<string> = new Set();
   private requestedRegions = new Set<string>();
 
+  /** An item of the topic: its body, or null where it is gone. */
   take(key: string, body: Buffer | null): void {
     if (body) this.byKey.set(key, schema.summary.fromBuffer(body));
     else this.byKey.delete(key);
@@ -84,6 +89,7 @@
     this.requestedRegions.add(region);
   }
 
+  /** The regions asked for since the last call. */
   takeWanted(): ReadonlySet<string> {
     const { requestedRegions } = this;
     if (requestedRegions.size > 0) this.requestedRegions = new Set();
--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -49,21 +49,21 @@
   private ids = 0;
 
   constructor(
-    private readonly day: OverloadedFleet,
+    private readonly fleet: OverloadedFleet,
     private readonly scenario: scenarios.Scenario,
     private readonly kind: scenarios.Kind,
     private readonly parts: plans.Part[],
     private readonly events: number,
     private readonly record: RequestRecord,
   ) {
-    this.deadline = day.world.now() + kind.deadline_ms;
+    this.deadline = fleet.world.now() + kind.deadline_ms;
   }
 
   start(): void {
-    this.startedAt = this.day.world.now();
+    this.startedAt = this.fleet.world.now();
     this.record.tries += 1;
-    const router = this.day.pickRouter();
-    this.day.world.after(this.day.lagOf(router), this.send.bind(this, router, new Set<string>()));
+    const router = this.fleet.pickRouter();
+    this.fleet.world.after(this.fleet.lagOf(router), this.send.bind(this, router, new Set<string>()));
   }
 
   private send(router: systems.ModelRouter, tried: Set<string>): void {
@@ -77,11 +77,11 @@
       return;
     }
     choice.runner.connections.give(choice.connection, true);
-    const model = this.day.runners.get(choice.runner.id)!;
+    const model = this.fleet.runners.get(choice.runner.id)!;
     choice.runner.inflight += 1;
     const trip = router.region === model.region ? 0.5 : this.scenario.trip_ms;
     const arrive = this.submit.bind(this, router, choice.runner, model, choice.ticket, tried, request, trip);
-    this.day.world.after(trip, arrive);
+    this.fleet.world.after(trip, arrive);
   }
 
   private submit(
@@ -93,11 +93,11 @@
     request: transactions.Request,
     trip: number,
   ): void {
-    const { day, kind } = this;
-    const tokens = systems.publishReading(day.world, day.routers, router, model.id, request);
-    const sentAt = day.world.now();
-    const onFirstEvent = this.first.bind(this, trip);
-    const onEnd = this.ended.bind(this);
+    const { fleet, kind } = this;
+    const tokens = systems.publishReading(fleet.world, fleet.routers, router, model.id, request);
+    const sentAt = fleet.world.now();
+    const recordFirstEvent = this.first.bind(this, trip);
+    const recordEnd = this.ended.bind(this);
     let hasFirst = false;
     const isTaken = model.submit({
       parts: this.parts,
@@ -106,15 +106,15 @@
       deadline: this.deadline,
       first(): void {
         hasFirst = true;
-        router.known.learn(tokens, day.world.now() - sentAt);
-        runner.heard(day.world.now());
+        router.known.learn(tokens, fleet.world.now() - sentAt);
+        runner.heard(fleet.world.now());
         ticket.first();
-        onFirstEvent();
+        recordFirstEvent();
       },
       ended(isWhole): void {
         runner.inflight -= 1;
         ticket.end(isWhole ? "complete" : "stopped");
-        onEnd(isWhole && hasFirst);
+        recordEnd(isWhole && hasFirst);
       },
     });
     if (isTaken) {
@@ -123,14 +123,14 @@
     }
     runner.inflight -= 1;
     ticket.end("not_run");
-    runner.denied(day.world.now(), false);
+    runner.denied(fleet.world.now(), false);
     tried.add(model.id);
     if (tried.size < MAX_SENDS) this.send(router, tried);
     else this.onRefusal(0.3);
   }
 
   private first(trip: number): void {
-    const firstMs = this.day.world.now() + trip - this.startedAt;
+    const firstMs = this.fleet.world.now() + trip - this.startedAt;
     const isInAim = firstMs <= this.kind.aim_ms;
     this.record.outcome = isInAim ? "in_aim" : "late";
     this.record.worth = !isInAim ? 0.3 : this.record.tries === 1 ? 1 : 0.5;
@@ -143,10 +143,10 @@
   }
 
   private onRefusal(retryAfterS: number): void {
-    const { world } = this.day;
+    const { world } = this.fleet;
     this.record.refusedMs.push(world.now() - this.startedAt);
     this.record.retryAfterS.push(retryAfterS);
-    this.record.unused.push(this.day.unused());
+    this.record.unused.push(this.fleet.unused());
     const left = this.deadline - world.now();
     const waitMs = Math.min(retryAfterS * 1000, left * HONOURED_SHARE);
     if (this.record.tries >= MAX_TRIES || left - waitMs < MIN_TIME_LEFT_MS) this.record.outcome = "refused";
--- a/tests/experiment.test.ts
+++ b/tests/experiment.test.ts
@@ -81,10 +81,10 @@
 
 test("a plan names all its places, and one bad place refuses the whole", () => {
   const plan = JSON.parse(fs.readFileSync("docs/capacity/plan.json", "utf8")) as { sweeps: { values: number[] }[] };
-  const good = sweeps.places(plan);
+  const good = sweeps.pointsOf(plan);
   expect(good.isOk && good.value.length).toBe(plan.sweeps.reduce((sum, sweep) => sum + sweep.values.length, 0));
   plan.sweeps[3].values.push(51);
-  const bad = sweeps.places(plan);
+  const bad = sweeps.pointsOf(plan);
   expect(bad.isErr && bad.error.message).toBe("changesPerS 51 is out of range; give 0 to 50");
 });
 
