--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -49,7 +49,7 @@
 
 /**
  * Tries one node after the other; a clear answer, good or bad, ends it. An error is of kind timeout or no_majority
- * where trying again may help, else race or invalid.
+ * where trying again may help, else race, invalid, or usage where no address was given.
  */
 export async function send(world: types.World, addresses: readonly string[], request: ClientRequest): Promise<Outcome> {
   let lastError: errors.CranewindError | null = null;
--- a/src/experiment/chain.ts
+++ b/src/experiment/chain.ts
@@ -1,4 +1,4 @@
-// What one choice of the chain (design 7.2) costs a router, by the runners of the service (docs/experiment.md).
+/** What one choice of the chain (design 7.2) costs a router, by the runners of the service (docs/experiment.md). */
 import * as admissions from "../admission/admission.js";
 import * as fleets from "../router/fleet.js";
 import * as plans from "../router/plan.js";
@@ -53,6 +53,7 @@
   { regions: 13, runnersEach: 35 },
 ];
 
+/** The one route of the experiment. */
 export const ENTRY = {
   route: {
     name: "chain",
@@ -82,6 +83,7 @@
   };
 }
 
+/** A router's policies over a fleet of the given size, without links. */
 export class Chain {
   private readonly fleet: fleets.Fleet;
   private readonly known = new readings.Readings();
@@ -181,6 +183,7 @@
   return total;
 }
 
+/** Times `times` choices at one fleet. */
 export function measure(world: types.World, size: Fleet, prompt: ChainRow["prompt"], times: number): ChainRow {
   const chain = new Chain(world, size);
   for (let index = 0; index < WARM_TIMES; index += 1) chain.once(prompt);
@@ -210,6 +213,7 @@
   };
 }
 
+/** All fleets, with and without shared prompts. */
 export function table(world: types.World, times: number): ChainRow[] {
   const found: ChainRow[] = [];
   for (const size of FLEETS) for (const prompt of ["none", "shared"] as const) found.push(measure(world, size, prompt, times));
--- a/src/experiment/changes.ts
+++ b/src/experiment/changes.ts
@@ -1,4 +1,4 @@
-// The operator of an experiment: one change after the other, each on top of the one before (design/experiment 3).
+/** The operator of an experiment: one change after the other, each on top of the one before (design/experiment 3). */
 import * as client from "../cli/client.js";
 import * as errors from "../startup/errors.js";
 import * as types from "../wire/types.js";
@@ -9,6 +9,7 @@
 import * as routers from "./routers.js";
 import * as rows from "./rows.js";
 
+/** A change that was confirmed; times are milliseconds of the machine's clock. */
 interface AcknowledgedChange {
   revision: number;
   sentMs: number;
@@ -17,6 +18,7 @@
 
 const DEADLINES_MS = [10_000, 20_000];
 
+/** Sends changes and keeps the times of those acknowledged. */
 export class Changes {
   private revision = 0;
   private sent = 0;
@@ -84,6 +86,7 @@
     if (leftMs > 0) await world.sleep(this.world, leftMs);
   }
 
+  /** The row of this run: from each acknowledgement until the revision was in force at each router. */
   row(point: rows.Point, revisions: readonly (readonly routers.RevisionInForce[])[], routerCount: number): rows.ChangeRow {
     const inForceMs: number[] = [];
     const ackMs: number[] = [];
--- a/src/experiment/clock.ts
+++ b/src/experiment/clock.ts
@@ -1,5 +1,7 @@
-// The machine's steady clock, the same in all of its processes, for measuring between them alone; and a world
-// whose chance comes from a seed (design/experiment 3).
+/**
+ * The machine's steady clock, the same in all of its processes, for measuring between them alone; and a world with
+ * random numbers by seed (design/experiment 3).
+ */
 import * as world from "../wire/world.js";
 
 const NANOSECONDS = 1_000_000n;
@@ -11,7 +13,7 @@
   return Number(now / NANOSECONDS) + Number(now % NANOSECONDS) / 1e6;
 }
 
-/** Mulberry32. */
+/** Real time, and Mulberry32 in place of the system's random numbers. */
 export class SeededWorld extends world.RealWorld {
   constructor(private seed: number) {
     super();
--- a/src/experiment/command.ts
+++ b/src/experiment/command.ts
@@ -1,4 +1,4 @@
-// The commands `experiment` and `experiment sweep` (design/experiment 1).
+/** `cranewind experiment`: its options, and what each subcommand runs (design/experiment 1). */
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as commander from "commander";
@@ -98,6 +98,7 @@
   return commands.EXIT.ok;
 }
 
+/** Adds the command to the program. */
 export function add(program: commander.Command, world: types.World, output: commands.Output): void {
   const command = program
     .command("experiment")
--- a/src/experiment/hosts.ts
+++ b/src/experiment/hosts.ts
@@ -1,10 +1,15 @@
-// What a run asks of the processes that hold hollow nodes, whether they are processes of their own or, in
-// tests, this one (design/experiment 2).
+/**
+ * What a run asks of the processes that hold hollow nodes, whether they are processes of their own or, in tests, this
+ * one (design/experiment 2).
+ */
 import type * as platforms from "../standin/platform.js";
 import type * as types from "../wire/types.js";
 import * as routers from "./routers.js";
 import * as runners from "./runners.js";
 
+/**
+ * A command to a host: start routers or runners, name the control nodes to end with it, count the routers, or report.
+ */
 export type HostCommand =
   | { kind: "routers"; routers: routers.HollowRouterOptions[] }
   | { kind: "runners"; platform: string; instances: platforms.Listed[]; listChangesPerS: number }
@@ -12,33 +17,42 @@
   | { kind: "census" }
   | { kind: "account" };
 
+/** A process that holds hollow nodes. */
 export interface Host {
   readonly name: string;
+  /** Resolves to the command's response; rejects where it failed or the process has ended. */
   request(order: HostCommand): Promise<unknown>;
 }
 
 /** A control node as a process: lost without a word, or frozen first. */
 export interface ControlHost {
   readonly name: string;
+  /** Stops the process without ending it. */
   freeze(): void;
+  /** Ends the process; resolves when it is gone. */
   kill(): Promise<void>;
 }
 
+/** Starts the processes of a run. */
 export interface Launcher {
+  /** Starts a host of hollow nodes. */
   host(name: string): Promise<Host>;
+  /** Starts a control node from a settings file. */
   control(name: string, settingsFile: string): Promise<ControlHost>;
   /** Ends what it started, and nothing else. */
   end(): Promise<void>;
 }
 
-/** Takes the orders inside a process. */
+/** Carries out the commands inside a host. */
 export class CommandHandler {
   private routers: routers.RouterGroup | null = null;
   private runners: runners.RunnerGroup | null = null;
+  /** Control nodes that are to end with this host. */
   guardedPids: number[] = [];
 
   constructor(private readonly world: types.World) {}
 
+  /** One command; the response is plain data. */
   async handle(order: HostCommand): Promise<unknown> {
     if (order.kind === "census") return this.routers?.census();
     if (order.kind === "account") return this.routers?.report();
@@ -53,6 +67,7 @@
     return null;
   }
 
+  /** Stops all nodes held here. */
   async stop(): Promise<void> {
     await this.routers?.stop();
     this.runners?.stop();
--- a/src/experiment/launcher.ts
+++ b/src/experiment/launcher.ts
@@ -1,4 +1,4 @@
-// The processes of an experiment: each is started here, known by its handle, and ended by it (design/experiment 2).
+/** The processes of an experiment: each is started here, known by its handle, and ended by it (design/experiment 2). */
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
 import * as path from "node:path";
@@ -8,6 +8,7 @@
 
 const REMEDY = "read its log in the folder of the run";
 
+/** A host as a child process; commands and responses travel by its channel. */
 class ProcessHost implements hosts.Host {
   private readonly pending = new Map<number, { resolve(response: unknown): void; reject(cause: Error): void }>();
   private id = 0;
@@ -79,6 +80,7 @@
   });
 }
 
+/** Starts processes of this program, with logs in the folder of the run. */
 export class ProcessLauncher implements hosts.Launcher {
   private readonly children = new Set<childProcess.ChildProcess>();
   private readonly controls = new Set<childProcess.ChildProcess>();
@@ -121,6 +123,7 @@
     return child;
   }
 
+  /** Ends what was started here, and nothing else. */
   async end(): Promise<void> {
     await Promise.all([...this.children].map(finish));
   }
--- a/src/experiment/layout.ts
+++ b/src/experiment/layout.ts
@@ -1,4 +1,4 @@
-// Where the nodes of an experiment stand on loopback, their settings, and the configuration (design/experiment 2).
+/** Addresses, names, settings and the configuration of an experiment's nodes (design/experiment 2). */
 import * as path from "node:path";
 import type * as platforms from "../standin/platform.js";
 import * as shares from "../shares/shares.js";
@@ -38,6 +38,7 @@
   return `${kind}-${shares.hash(`${kind}/${index}`).toString(36)}`;
 }
 
+/** All names and addresses of one run; `net` keeps runs of several processes apart on loopback. */
 export class Layout {
   constructor(
     private readonly options: experiment.Options,
@@ -57,6 +58,7 @@
     return `127.${this.net + NETS}.254.1:${RUNNER_PORT}`;
   }
 
+  /** Addresses of the control nodes for operators' calls. */
   controls(): string[] {
     const addresses: string[] = [];
     for (let index = 0; index < this.options.controls; index += 1) addresses.push(`${this.controlIp(index)}:${CONTROL_PORT}`);
@@ -116,6 +118,7 @@
     return used;
   }
 
+  /** The platform's list of hollow runners. */
   instances(): platforms.Listed[] {
     const listed: platforms.Listed[] = [];
     for (let index = 0; index < this.options.runners; index += 1) {
@@ -134,6 +137,7 @@
     return listed;
   }
 
+  /** A route of the configuration; its names are unlike each other. */
   route(index: number, deadlineMs: number): unknown {
     return {
       name: nameOf("route", index),
@@ -152,6 +156,7 @@
     };
   }
 
+  /** The whole configuration at a revision. */
   configuration(revision: number): unknown {
     const { routes, tenants } = this.options;
     const made = { revision, routes: [] as unknown[], services: [] as unknown[], tenants: [] as unknown[] };
--- a/src/experiment/losses.ts
+++ b/src/experiment/losses.ts
@@ -1,8 +1,11 @@
-// A control node is lost: how long until all routers that followed it follow another, and how many dial at
-// once meanwhile and at its return (design/experiment 3).
+/**
+ * A control node is lost: how long until all routers that followed it follow another, and how many dial at once
+ * meanwhile and at its return (design/experiment 3).
+ */
 import * as routers from "./routers.js";
 import * as rows from "./rows.js";
 
+/** The row of one loss at `atMs` of the machine's clock, from the reports of all router groups. */
 export function lossRow(
   point: rows.Point,
   manner: "killed" | "frozen",
--- a/src/experiment/options.ts
+++ b/src/experiment/options.ts
@@ -1,4 +1,4 @@
-// What an experiment is asked for, checked before anything starts (design/experiment 1).
+/** What an experiment is asked for, checked before anything starts (design/experiment 1). */
 import * as os from "node:os";
 import * as result from "true-myth/result";
 import * as superstruct from "superstruct";
@@ -20,7 +20,9 @@
   loseControl: superstruct.boolean(),
 });
 
+/** Checked options of one run. */
 export type Options = superstruct.Infer<typeof shape>;
+/** The options that are numbers. */
 export type CountField = Exclude<keyof Options, "loseControl">;
 
 interface Range {
@@ -46,6 +48,7 @@
   ["seed", { least: 0, most: 0x7fffffff }],
 ]);
 
+/** A small run. */
 export const DEFAULTS: Options = {
   routers: 15,
   runners: 50,
@@ -62,6 +65,7 @@
 };
 
 const ROUTERS_EACH = 120;
+/** More processes are refused. */
 export const MOST_PROCESSES = 300;
 const MEGA = 1024 * 1024;
 
@@ -71,6 +75,7 @@
   return result.err(errors.fail("usage", message, remedy));
 }
 
+/** Checks shape and ranges; the error names the field and the range. */
 export function check(raw: unknown): Checked<Options> {
   const [failure, options] = superstruct.validate(raw, shape);
   if (failure)
@@ -82,6 +87,7 @@
   return result.ok(options);
 }
 
+/** Processes that share the hollow routers. */
 export function workersOf(options: Options): number {
   return options.workers > 0 ? Math.min(options.workers, options.routers) : Math.ceil(options.routers / ROUTERS_EACH);
 }
@@ -98,11 +104,13 @@
   return processesOf(options) * 90 + controls * (runners * 0.06 + routers * 0.1 + routes * 0.01) + routers * eachRouter + runners * 0.06;
 }
 
+/** Memory of this machine, in megabytes. */
 export interface Machine {
   memoryMb: number;
   freeMb: number;
 }
 
+/** The memory of this machine now. */
 export function machine(): Machine {
   return { memoryMb: os.totalmem() / MEGA, freeMb: os.freemem() / MEGA };
 }
--- a/src/experiment/panels.ts
+++ b/src/experiment/panels.ts
@@ -1,4 +1,4 @@
-// What a sweep's sheet shows (design/experiment 4).
+/** What a sweep's sheet shows (design/experiment 4). */
 import type * as plot from "./plot.js";
 import * as rows from "./rows.js";
 
@@ -25,6 +25,7 @@
   return { title, yTitle, series };
 }
 
+/** The panels of one sweep over `field`, for `plot.svg`. */
 export function panelsOf(field: keyof rows.Point, outcome: rows.Outcome): plot.Panel[] {
   const { nodes } = outcome;
   const inForce: plot.Panel = { title: "A change: acknowledged until in force", yTitle: "ms", series: [] };
--- a/src/experiment/plot.ts
+++ b/src/experiment/plot.ts
@@ -1,14 +1,19 @@
-// Plots of a sweep as SVG. The library is a development dependency, loaded when a plot is asked for (design/experiment 4).
+/**
+ * Plots of a sweep as SVG. The library is a development dependency, loaded when a plot is asked for
+ * (design/experiment 4).
+ */
 import type * as vega from "vega";
 import type * as vegaLite from "vega-lite";
 import * as errors from "../startup/errors.js";
 
+/** One point of a line. */
 export interface Series {
   x: number;
   y: number;
   line: string;
 }
 
+/** One plot of the sheet. */
 export interface Panel {
   title: string;
   yTitle: string;
@@ -60,6 +65,7 @@
   }
 }
 
+/** The sheet as SVG; rejects with the remedy where the library is not installed. */
 export async function svg(panels: readonly Panel[], xTitle: string): Promise<string> {
   const { drawing, compiling } = await load();
   const compiled = compiling.compile(sheet(panels, xTitle) as unknown as vegaLite.TopLevelSpec);
--- a/src/experiment/routers.ts
+++ b/src/experiment/routers.ts
@@ -1,4 +1,4 @@
-// Hollow routers: whole router programs without clients, many in one process (design/experiment 2).
+/** Hollow routers: whole router programs without clients, many in one process (design/experiment 2). */
 import * as router from "../router/program.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
@@ -11,15 +11,17 @@
 const SAMPLE_INTERVAL_MS = 5;
 /** Well within the time for which a region counts as used (design/usage 4.1). */
 const RECORD_USE_INTERVAL_MS = 3000;
+/** Dials are counted in slots of so many milliseconds. */
 export const DIAL_SLOT_MS = 50;
 
-/** A router took a revision, or began to follow another control node. Times are of the machine's clock. */
+/** A router put a revision in force. Times are of the machine's clock. */
 export interface RevisionInForce {
   router: number;
   revision: number;
   atMs: number;
 }
 
+/** A router began to follow another control node, or none. */
 export interface FollowedNodeChange {
   router: number;
   from: string | null;
@@ -27,12 +29,14 @@
   atMs: number;
 }
 
+/** What the routers of a process stand at. */
 export interface Census {
   /** Routers by the control node that they follow; "" for none. */
   following: [string, number][];
   leastRevision: number;
 }
 
+/** What a process of routers saw since its last report. */
 export interface RouterGroupReport {
   atMs: number;
   vitals: vitals.Vitals;
@@ -55,6 +59,7 @@
   lastStanding: router.Standing;
 }
 
+/** The hollow routers of one process. */
 export class RouterGroup {
   private readonly hollows: HollowRouter[] = [];
   private revisions: RevisionInForce[] = [];
@@ -65,6 +70,7 @@
 
   constructor(private readonly world: types.World) {}
 
+  /** Starts the routers one after the other; throws on bad settings. */
   async start(all: readonly HollowRouterOptions[]): Promise<void> {
     for (const options of all) {
       const parsed = settings.parse(options.settings);
@@ -99,6 +105,7 @@
     this.dialed = dialed;
   }
 
+  /** Counts the routers by what they follow and hold. */
   census(): Census {
     const following = new Map<string, number>();
     let leastRevision = Infinity;
@@ -110,7 +117,7 @@
     return { following: [...following], leastRevision };
   }
 
-  /** What was seen since the last account. */
+  /** What was seen since the last report. */
   report(): RouterGroupReport {
     const report = {
       atMs: clock.machineMs(),
@@ -126,6 +133,7 @@
     return report;
   }
 
+  /** Stops all routers. */
   async stop(): Promise<void> {
     for (const timer of this.timers) timer.stop();
     await Promise.all(this.hollows.map(stopOne));
--- a/src/experiment/rows.ts
+++ b/src/experiment/rows.ts
@@ -1,4 +1,7 @@
-// The measured rows, their files, and the slopes fitted to them (design/experiment 3).
+/**
+ * The measured rows, their files, and the slopes fitted to them (design/experiment 3). Names of fields are columns of
+ * the files: they change only with docs/experiment.md.
+ */
 import * as csv from "csv-stringify/sync";
 import * as statistics from "simple-statistics";
 import type * as experiment from "./options.js";
@@ -73,6 +76,7 @@
   mostDialsIn50Ms: number;
 }
 
+/** All rows of a run or sweep. */
 export interface Outcome {
   nodes: NodeRow[];
   links: LinkRow[];
@@ -80,6 +84,7 @@
   losses: LossRow[];
 }
 
+/** A measure fitted against the swept field, by least squares. */
 export interface SlopeRow {
   sweep: string;
   role: string;
@@ -90,6 +95,7 @@
   rSquared: number;
 }
 
+/** The columns that say what a row was measured at. */
 export function pointOf(sweep: string, options: experiment.Options): Point {
   const { routers, runners, routes, tenants, controls, changesPerS, listChangesPerS, regionsUsed, seed } = options;
   return { sweep, routers, runners, routes, tenants, controls, changesPerS, listChangesPerS, regionsUsed, seed };
--- a/src/experiment/run.ts
+++ b/src/experiment/run.ts
@@ -1,5 +1,7 @@
-// One run: the nodes come up, settle, are measured over a window of changes, and may lose a control node
-// (design/experiment 2, 3). It is bounded by time and ends what it started.
+/**
+ * One run: the nodes come up, settle, are measured over a window of changes, and may lose a control node
+ * (design/experiment 2, 3). It is bounded by time and ends what it started.
+ */
 import * as fs from "node:fs";
 import * as path from "node:path";
 import * as client from "../cli/client.js";
@@ -57,6 +59,7 @@
     this.point = rows.pointOf(sweep, options);
   }
 
+  /** Plays the run; rejects where a step does not happen in its time. */
   async play(): Promise<rows.Outcome> {
     try {
       this.progress("starting");
--- a/src/experiment/runners.ts
+++ b/src/experiment/runners.ts
@@ -1,5 +1,7 @@
-// Hollow runners: reports and health answers without work, all behind one process, and the platform that lists
-// them. Each report differs from the one before, as those of busy runners do (design/experiment 2).
+/**
+ * Hollow runners: reports and health answers without work, all behind one process, and the platform that lists them.
+ * Each report differs from the one before, as those of busy runners do (design/experiment 2).
+ */
 import * as nodeHttp from "node:http";
 import * as net from "node:net";
 import * as platforms from "../standin/platform.js";
@@ -12,6 +14,7 @@
 const CAPACITY = 16;
 const KV_TOKENS = 100_000;
 
+/** All hollow runners and the platform of a run. */
 export class RunnerGroup {
   private readonly platform = new platforms.StandInPlatform(PAGE);
   private readonly idAt = new Map<string, string>();
@@ -24,6 +27,7 @@
 
   constructor(private readonly world: types.World) {}
 
+  /** Listens at each runner's address, then at the platform's. */
   async start(platformAddress: string, instances: platforms.Listed[], listChangesPerS: number): Promise<void> {
     for (const instance of instances) {
       const server = net.createServer(this.opened.bind(this));
@@ -76,6 +80,7 @@
     outgoing.writeHead(200, { "Content-Type": "application/json", "Content-Length": body.length }).end(body);
   }
 
+  /** Closes all listeners and connections. */
   stop(): void {
     this.timer?.stop();
     this.platform.stop();
--- a/src/experiment/sweep.ts
+++ b/src/experiment/sweep.ts
@@ -1,4 +1,4 @@
-// Runs one after the other over the places of a plan (design/experiment 4).
+/** Runs one after the other over the points of a plan (design/experiment 4). */
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -29,6 +29,7 @@
   ),
 });
 
+/** One run of a sweep: which field is swept, and the options at this point. */
 export interface SweepPoint {
   sweep: string;
   field: (typeof SWEPT)[number];
@@ -37,7 +38,7 @@
 
 type Checked<T> = result.Result<T, errors.CranewindError>;
 
-/** All places of a plan, each checked before the first run begins. */
+/** All points of a plan, each checked before the first run begins. */
 export function pointsOf(raw: unknown): Checked<SweepPoint[]> {
   const [failure, plan] = superstruct.validate(raw, shape);
   if (failure)
@@ -59,6 +60,7 @@
   return result.ok(found);
 }
 
+/** What the runs work with: where results go, and where progress is printed. */
 export interface Environment {
   world: types.World;
   program: string;
@@ -96,7 +98,7 @@
   process.exit(130);
 }
 
-/** Plays all places; one that fails is told and left out, and the others are still measured. */
+/** Plays all points; one that fails is reported and left out, and the others are still measured. */
 export async function play(all: readonly SweepPoint[], environment: Environment): Promise<errors.CranewindError | null> {
   for (const { options } of all) {
     const admitted = experiment.admit(options, experiment.machine());
--- a/src/experiment/window.ts
+++ b/src/experiment/window.ts
@@ -1,8 +1,9 @@
-// Two readings of a process and the row that lies between them (design/experiment 3).
+/** Two readings of a process, and the rows of the window between them (design/experiment 3). */
 import type * as vitals from "../startup/vitals.js";
 import type * as counts from "../wire/counts.js";
 import type * as rows from "./rows.js";
 
+/** What a process said of itself at one moment of the machine's clock. */
 export interface Reading {
   atMs: number;
   vitals: vitals.Vitals;
@@ -11,6 +12,7 @@
   reports: number;
 }
 
+/** Which process a row is about; figures of a process of many routers are divided by `sharedBy`. */
 export interface NodeIdentity {
   role: "control" | "router";
   node: string;
@@ -19,6 +21,7 @@
 
 const NOTHING: counts.LinkCount = { framesTold: 0, bytesTold: 0, framesHeard: 0, bytesHeard: 0 };
 
+/** One row a kind of frame. */
 export function linkRows(point: rows.Point, identity: NodeIdentity, before: Reading, after: Reading): rows.LinkRow[] {
   const made: rows.LinkRow[] = [];
   const per = ((after.atMs - before.atMs) / 1000) * identity.sharedBy;
@@ -38,6 +41,7 @@
   return made;
 }
 
+/** The row of the process as a whole. */
 export function nodeRow(
   point: rows.Point,
   identity: NodeIdentity,
--- a/src/experiment/worker.ts
+++ b/src/experiment/worker.ts
@@ -1,19 +1,24 @@
-// A process that holds hollow nodes: orders come by the channel from the process that started it, and it ends
-// with that (design/experiment 2).
+/**
+ * A process that holds hollow nodes: commands come by the channel from the process that started it, and it ends with
+ * that (design/experiment 2).
+ */
 import * as clock from "./clock.js";
 import * as hosts from "./hosts.js";
 
+/** A command with its number on the channel. */
 export interface CommandMessage {
   id: number;
   command: hosts.HostCommand;
 }
 
+/** The response to it; `failure` is empty where it was carried out. */
 export interface ResponseMessage {
   id: number;
   response: unknown;
   failure: string;
 }
 
+/** Serves commands until the channel closes. */
 export function run(seed: number): void {
   const handler = new hosts.CommandHandler(new clock.SeededWorld(seed));
   process.on("message", onMessage);
--- a/src/whatif/batch.ts
+++ b/src/whatif/batch.ts
@@ -1,16 +1,20 @@
-// A runner under more than it can take (design/admission 7): batch places, a bounded queue by priority, memory
-// for tokens, prompts read one after the other, and work that stops at its deadline.
+/**
+ * A model of a runner under more than it can take (design/admission 7): batch places, a bounded queue by priority,
+ * memory for tokens, prompts read one after the other, and work that stops at its deadline.
+ */
 import type * as plans from "../router/plan.js";
 import * as readings from "../router/readings.js";
 import type * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import type * as scenarios from "./scenario.js";
 
+/** One request as the runner sees it; its deadline in milliseconds of the planned clock. */
 export interface Job {
   readonly parts: readonly plans.Part[];
   readonly events: number;
   readonly priority: number;
   readonly deadline: number;
+  /** Called when the first event leaves. */
   first(): void;
   /** False: the deadline passed before its last event. */
   ended(isWhole: boolean): void;
@@ -24,6 +28,7 @@
 /** A queue as long as the batch, if the scenario tells none. */
 const QUEUE_PART = 1;
 
+/** One runner of an overload day; it acts at the times of the planned world alone. */
 export class BatchRunner {
   private readonly cachedPrompts = new readings.Readings();
   private readonly queue: Queued[] = [];
@@ -47,6 +52,7 @@
     return sum;
   }
 
+  /** Places of the batch that are free; 0 while anybody queues. */
   freePlaces(): number {
     return this.queue.length > 0 ? 0 : Math.max(0, this.figures.capacity - this.active);
   }
@@ -99,6 +105,7 @@
     }
   }
 
+  /** What the runner would report now. */
   report(): schema.Report {
     return {
       id: types.small(this.id),
--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -1,4 +1,4 @@
-// A client of an overload day: a deadline, returns as told, one router a try (design/admission 7).
+/** A client of an overload day: a deadline, retries as told by Retry-After, one router a try (design/admission 7). */
 import type * as fleets from "../router/fleet.js";
 import type * as plans from "../router/plan.js";
 import type * as tickets from "../admission/ticket.js";
@@ -8,17 +8,21 @@
 import type * as scenarios from "./scenario.js";
 import * as systems from "./system.js";
 
+/** Tries of one request, and sends to runners within a try. */
 const MAX_TRIES = 4;
 const MAX_SENDS = 2;
+/** A client waits for at most this share of the time it has left. */
 const HONOURED_SHARE = 1 / 3;
 const MIN_TIME_LEFT_MS = 50;
 
+/** How a request ended; `open`: neither a response nor a refusal. */
 export type Outcome = "in_aim" | "late" | "too_late" | "refused" | "open";
 
 /** One request of a client, all its tries together. */
 export interface RequestRecord {
   kind: string;
   at: number;
+  /** Over the usual size of its kind. */
   size: number;
   outcome: Outcome;
   tries: number;
@@ -28,15 +32,19 @@
   unused: number[];
   /** Times that a runner took it in; a second is never needed for what is not repeated. */
   admitted: number;
+  /** What the outcome was worth, 0 to 1. */
   worth: number;
   session: string;
 }
 
+/** What the clients meet; the overload day is it. */
 export interface OverloadedFleet {
   readonly world: types.World;
   readonly runners: ReadonlyMap<string, batches.BatchRunner>;
   readonly routers: readonly systems.ModelRouter[];
+  /** The router of one try, by chance. */
   pickRouter(): systems.ModelRouter;
+  /** Milliseconds by which the router's loop is late. */
   lagOf(router: systems.ModelRouter): number;
   /** The part of all places that is free. */
   unused(): number;
@@ -59,6 +67,7 @@
     this.deadline = fleet.world.now() + kind.deadline_ms;
   }
 
+  /** Begins a try; called again by the request itself after a refusal. */
   start(): void {
     this.startedAt = this.fleet.world.now();
     this.record.tries += 1;
--- a/src/whatif/outcome.ts
+++ b/src/whatif/outcome.ts
@@ -1,8 +1,9 @@
-// An overload day counted a kind at a time, with and without admission (design/admission 7).
+/** An overload day counted a kind at a time, with and without admission (design/admission 7). */
 import type * as clients from "./client.js";
 import * as overload from "./overload.js";
 import type * as scenarios from "./scenario.js";
 
+/** A row of the output; with --json these names are printed. Times are milliseconds, shares 0 to 1. */
 export interface Row {
   kind: string;
   admission: "on" | "off";
@@ -61,6 +62,7 @@
   return item.worth;
 }
 
+/** Counts the requests of one kind. */
 export function rowOf(kind: string, isOn: boolean, items: readonly clients.RequestRecord[]): Row {
   const times = items.flatMap(refusedOf).sort(byNumber);
   const sorted = [...items].sort(bySize);
@@ -135,6 +137,7 @@
   "served",
 ];
 
+/** The rows as lines for people, the first with the columns' names. */
 export function lines(made: readonly Row[]): string[] {
   const head = `${"kind".padEnd(16)}${"admission".padEnd(10)}${COLUMNS.map(padded).join("")}`;
   return [head, ...made.map(lineOf)];
--- a/src/whatif/overload.ts
+++ b/src/whatif/overload.ts
@@ -1,5 +1,7 @@
-// Plays a day that asks for more than the fleet can take, through the router's own policies and its admission
-// (design/admission 7): clients with deadlines that return as told, surges, slowed runners and routers.
+/**
+ * Plays a day that asks for more than the fleet can take, through the router's own policies and its admission
+ * (design/admission 7): clients with deadlines that return as told, surges, slowed runners and routers.
+ */
 import * as plans from "../router/plan.js";
 import * as batches from "./batch.js";
 import * as clients from "./client.js";
@@ -13,7 +15,9 @@
 const TIMER_MS = 100;
 const LONGEST_SIZE = 3;
 
+/** One day; to be played once. The same scenario and seed give the same records. */
 export class OverloadDay implements clients.OverloadedFleet {
+  /** One record a request, in the order of arrival. */
   readonly records: clients.RequestRecord[] = [];
   readonly world: worlds.PlannedWorld;
   readonly runners = new Map<string, batches.BatchRunner>();
@@ -49,6 +53,7 @@
     this.routers.push(router);
   }
 
+  /** Plays the day to the end of its last request. */
   play(): clients.RequestRecord[] {
     const list = systems.instancesOf([...this.runners.values()].map(standing), this.scenario.runner.capacity, new Map());
     for (const router of this.routers) router.fleet.takeList(list);
--- a/src/whatif/owner.ts
+++ b/src/whatif/owner.ts
@@ -1,4 +1,4 @@
-// One owner of all bounds for the routers of a simulated day (design/shares 3, design 11.2).
+/** One owner of all bounds for the routers of a simulated day (design/shares 3, design 11.2). */
 import * as registers from "../register/value.js";
 import * as leaseSchema from "../wire/lease-schema.js";
 import * as types from "../wire/types.js";
@@ -9,6 +9,7 @@
 const LIFE = "whatif";
 const ADDRESS = "127.0.0.1:9";
 
+/** Grants leases at once, with no link and no voter between. */
 export class SoleOwner {
   private readonly owner: owners.LeaseOwner;
 
--- a/src/whatif/play.ts
+++ b/src/whatif/play.ts
@@ -1,4 +1,4 @@
-// Plays a what-if day and counts it by phase: before, during and after the faults (design 11.2).
+/** Plays a what-if day and counts it by phase: before, during and after the faults (design 11.2). */
 import * as plans from "../router/plan.js";
 import type * as fleets from "../router/fleet.js";
 import * as owners from "./owner.js";
@@ -7,8 +7,10 @@
 import * as systems from "./system.js";
 import * as worlds from "./world.js";
 
+/** Where a request lies to the faults of the day. */
 export type Phase = "before" | "during" | "after";
 
+/** One request; `firstMs` is null where it was denied, tokens are those of the earlier turns. */
 export interface RequestRecord {
   phase: Phase;
   kind: string;
@@ -20,8 +22,10 @@
 }
 
 const DEAL_MS = 100;
+/** How long routers go on sending to lost runners. */
 const LOSS_DETECTED_MS = 600;
 
+/** One day; to be played once. The same scenario and seed give the same records. */
 export class Day {
   readonly records: RequestRecord[] = [];
   private readonly world: worlds.PlannedWorld;
@@ -53,6 +57,7 @@
     return runner;
   }
 
+  /** Plays the day and returns its records. */
   play(): RequestRecord[] {
     this.pushList();
     this.deal();
--- a/src/whatif/runner.ts
+++ b/src/whatif/runner.ts
@@ -1,15 +1,19 @@
-// A simple model of a runner: prompts are read one after the other, events come slower in a fuller batch, and
-// what was read is kept (design 11.2).
+/**
+ * A simple model of a runner: prompts are read one after the other, events come slower in a fuller batch, and what
+ * was read is cached (design 11.2).
+ */
 import * as plans from "../router/plan.js";
 import * as readings from "../router/readings.js";
 import type * as scenarios from "./scenario.js";
 
+/** Milliseconds from now, and tokens that had to be read. */
 export interface Run {
   firstMs: number;
   endMs: number;
   unread: number;
 }
 
+/** One runner of a what-if day. */
 export class ModelRunner {
   private readonly cachedPrompts = new readings.Readings();
   private readingUntil = 0;
@@ -22,6 +26,7 @@
     private readonly figures: scenarios.Scenario["runner"],
   ) {}
 
+  /** It hands requests back. */
   isFull(): boolean {
     return this.active >= this.figures.capacity * 2;
   }
@@ -37,7 +42,7 @@
     return { firstMs, endMs: firstMs + (events - 1) * eventMs, unread };
   }
 
-  /** A new life keeps nothing. */
+  /** The runner is lost with all it had cached. */
   lose(): void {
     this.isUp = false;
     this.cachedPrompts.forgetAllBut(new Set());
--- a/src/whatif/scenario.ts
+++ b/src/whatif/scenario.ts
@@ -1,4 +1,4 @@
-// What a what-if day is made of, checked (design 11.2).
+/** What a what-if day is made of, checked (design 11.2). Fields are explained in docs/whatif.md. */
 import * as result from "true-myth/result";
 import * as superstruct from "superstruct";
 import * as check from "../config/check.js";
@@ -55,10 +55,14 @@
   surges: superstruct.defaulted(superstruct.array(surge), []),
 });
 
+/** A checked scenario with its defaults. */
 export type Scenario = superstruct.Infer<typeof scenario>;
+/** One kind of request. */
 export type Kind = superstruct.Infer<typeof kind>;
+/** Something that goes wrong for a while. */
 export type Fault = superstruct.Infer<typeof fault>;
 
+/** A scenario from a file's bytes; the error names the field and the remedy. */
 export function parse(bytes: Buffer): result.Result<Scenario, errors.CranewindError> {
   const parsed = check.parseJson(bytes);
   if (parsed.isErr) return result.err(parsed.error);
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -1,4 +1,4 @@
-// The very policies of the router, several routers of them, over a planned world and model runners (design 11.2).
+/** The router's own policies, several routers of them, over a planned world and model runners (design 11.2). */
 import * as check from "../config/check.js";
 import * as routes from "../config/routes.js";
 import * as choosers from "../router/chooser.js";
@@ -14,8 +14,10 @@
 import * as worlds from "./world.js";
 
 const SIGN_MS = 5;
+/** Bounds on retries and warm-up, as in a usual settings file. */
 export const BOUNDS = { retry_ratio: 0.2, retry_window_s: 10, retry_extra: 50, warmup_overshoot: 1.5, warmup_tolerance: 5 };
 
+/** One router: its policies are those of the real one, its links are calls. */
 export class ModelRouter {
   readonly known = new readings.Readings();
   readonly fleet: fleets.Fleet;
@@ -47,6 +49,7 @@
   return [region, region];
 }
 
+/** The routes of a scenario: one per kind. */
 export function tableOf(scenario: scenarios.Scenario): routes.RouteTable {
   const { capacity, warmup_s, warmup_per_s } = scenario.runner;
   const config = check.check({
@@ -75,12 +78,14 @@
   };
 }
 
+/** A runner as the list of the platform shows it. */
 export interface Standing {
   readonly id: string;
   readonly region: string;
   readonly isUp: boolean;
 }
 
+/** The list of the runners that are up; `coldMs` says how long a new one warms up. */
 export function instancesOf(runners: Iterable<Standing>, capacity: number, coldMs: ReadonlyMap<string, number>): schema.Instance[] {
   const made: schema.Instance[] = [];
   for (const runner of runners) {
@@ -99,6 +104,7 @@
   return made;
 }
 
+/** A request as the router's front would make it. */
 export function requestOf(
   entry: routes.RouteEntry,
   requestId: string,
--- a/src/whatif/table.ts
+++ b/src/whatif/table.ts
@@ -1,8 +1,9 @@
-// A what-if day as lines for people (design 11.2).
+/** A what-if day as rows, and as lines for people (design 11.2). */
 import type * as play from "./play.js";
 
 const PHASES: readonly play.Phase[] = ["before", "during", "after"];
 
+/** A row of the output; with --json these names are printed. Times are milliseconds. */
 export interface Row {
   kind: string;
   phase: play.Phase;
@@ -15,6 +16,7 @@
   moved: number;
 }
 
+/** One row a kind, phase and whether it was the session's first turn. */
 export function rows(records: readonly play.RequestRecord[]): Row[] {
   const made: Row[] = [];
   const kinds = new Set(records.map(kindOf));
@@ -69,6 +71,7 @@
   return item.kind;
 }
 
+/** The rows as lines, the first with the columns' names. */
 export function lines(made: readonly Row[]): string[] {
   const head = "kind            phase   turns   count  denied  p50 ms  p99 ms  kept %  moved";
   return [head, ...made.map(lineOf)];
--- a/src/whatif/world.ts
+++ b/src/whatif/world.ts
@@ -1,4 +1,4 @@
-// A clock that jumps from one planned thing to the next, and chance by seed (design 11.2).
+/** Simulated time that jumps from one scheduled event to the next, and random numbers by seed (design 11.2). */
 import * as types from "../wire/types.js";
 
 interface ScheduledEvent {
@@ -7,6 +7,7 @@
   run: (() => void) | null;
 }
 
+/** A `World` whose events run in order of time, then of scheduling; the same seed gives the same run. */
 export class PlannedWorld implements types.World {
   private clock = 0;
   private order = 0;
@@ -17,10 +18,12 @@
     this.state = seed >>> 0 || 1;
   }
 
+  /** Simulated milliseconds. */
   now(): types.SteadyMs {
     return types.small(this.clock);
   }
 
+  /** Mulberry32, from 0 up to 1. */
   random(): number {
     let value = (this.state = (this.state + 0x6d2b79f5) >>> 0);
     value = Math.imul(value ^ (value >>> 15), value | 1);
@@ -28,6 +31,7 @@
     return ((value ^ (value >>> 14)) >>> 0) / 4294967296;
   }
 
+  /** Schedules a run; one that is stopped is skipped. */
   after(ms: number, run: () => void): types.Tick {
     const item: ScheduledEvent = { at: this.clock + Math.max(0, ms), order: (this.order += 1), run };
     this.heap.push(item);
@@ -39,6 +43,7 @@
     };
   }
 
+  /** Runs all events up to this time, those included that they schedule. */
   play(untilMs: number): void {
     for (let next = this.heap[0]; next && next.at <= untilMs; next = this.heap[0]) {
       this.pop();
