--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -170,38 +170,40 @@
    * once by whoever follows the response.
    */
   sent(plan: plans.Plan, runner: fleets.Runner): tickets.Ticket {
+    if (plan.tried.size === 0) this.recordAdmitted(plan);
     const need = this.needOf(plan, runner);
-    const place = this.placeOf(plan, runner);
-    if (plan.tried.size === 0) {
-      log.count("admission.admitted");
-      this.recentDenials.forget(plan.returnKey);
-      this.sizesOf(plan.entry.route.name).record(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), true);
-    }
-    const tokens = need.unread + need.out;
-    const rank = plan.entry.route.priority ?? 1;
+    const ticket = new tickets.Ticket(this, this.sentRequestOf(plan, runner, need));
+    this.cells.spend(runner, need.unread + need.out);
+    return ticket;
+  }
+
+  private recordAdmitted(plan: plans.Plan): void {
+    log.count("admission.admitted");
+    this.recentDenials.forget(plan.returnKey);
+    this.sizesOf(plan.entry.route.name).record(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), true);
+  }
+
+  private sentRequestOf(plan: plans.Plan, runner: fleets.Runner, need: predictions.Need): tickets.SentRequest {
+    const { route } = plan.entry;
+    const rank = route.priority ?? judges.DEFAULT_RANK;
     const pace = this.paceOf(plan.service);
     const waitFactor = pace.typicalWaitFactor(rank);
-    const ticket = new tickets.Ticket(this, {
+    const safeWaitFactor = Math.max(waitFactor, pace.waitFactor(rank, plan.now));
+    const input = { place: this.placeOf(plan, runner), need, slow: slowness.NO_SLOWDOWN };
+    return {
       runner,
       need,
       service: plan.service,
-      route: plan.entry.route.name,
+      route: route.name,
       sentAt: plan.now,
-      nominal: this.predictAt(plan, runner, { place, need, slow: slowness.NO_SLOWDOWN, waitFactor }),
+      nominal: this.predictAt(plan, runner, { ...input, waitFactor }),
       waitFactor,
-      safeFirstMs: this.predictAt(plan, runner, {
-        place,
-        need,
-        slow: slowness.NO_SLOWDOWN,
-        waitFactor: Math.max(waitFactor, pace.waitFactor(rank, plan.now)),
-      }).firstMs,
+      safeFirstMs: this.predictAt(plan, runner, { ...input, waitFactor: safeWaitFactor }).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
       rank,
       deadline: plan.deadline,
-      gapMs: plan.entry.route.target_gap_ms ?? Infinity,
-    });
-    this.cells.spend(runner, tokens);
-    return ticket;
+      gapMs: route.target_gap_ms ?? Infinity,
+    };
   }
 
   /** The part `admission` of the router's `status`. */
--- a/src/admission/judge.ts
+++ b/src/admission/judge.ts
@@ -26,7 +26,8 @@
 const HOPELESS = 1.2;
 /** A prompt with at least so many unread tokens holds up the streams of its runner (ours). */
 const LONG_TOKENS = 1000;
-const DEFAULT_RANK = 1;
+/** The rank of a route that names no priority; 0 is the most urgent. */
+export const DEFAULT_RANK = 1;
 
 /** What the judge knows; the router's `Admission` is it. */
 export interface Knowledge {
--- a/src/experiment/hosts.ts
+++ b/src/experiment/hosts.ts
@@ -15,7 +15,7 @@
   | { kind: "runners"; platform: string; instances: platforms.Listed[]; listChangesPerS: number }
   | { kind: "guard"; pids: number[] }
   | { kind: "census" }
-  | { kind: "account" };
+  | { kind: "report" };
 
 /** A process that holds hollow nodes. */
 export interface Host {
@@ -55,7 +55,7 @@
   /** One command; the response is plain data. */
   async handle(order: HostCommand): Promise<unknown> {
     if (order.kind === "census") return this.routers?.census();
-    if (order.kind === "account") return this.routers?.report();
+    if (order.kind === "report") return this.routers?.report();
     if (order.kind === "guard") this.guardedPids = order.pids;
     else if (order.kind === "routers") {
       this.routers = new routers.RouterGroup(this.world);
--- a/src/experiment/run.ts
+++ b/src/experiment/run.ts
@@ -160,9 +160,9 @@
   }
 
   private async routerReports(): Promise<routers.RouterGroupReport[]> {
-    const found: routers.RouterGroupReport[] = [];
-    for (const { host } of this.routerHosts) found.push((await host.request({ kind: "account" })) as routers.RouterGroupReport);
-    return found;
+    const reports: routers.RouterGroupReport[] = [];
+    for (const { host } of this.routerHosts) reports.push((await host.request({ kind: "report" })) as routers.RouterGroupReport);
+    return reports;
   }
 
   private async readControls(): Promise<windows.Reading[]> {
@@ -180,12 +180,11 @@
     return readings;
   }
 
-  private async readRouters(): Promise<{ readings: windows.Reading[]; accounts: routers.RouterGroupReport[] }> {
+  private async readRouters(): Promise<{ readings: windows.Reading[]; reports: routers.RouterGroupReport[] }> {
     const accounts = await this.routerReports();
     const readings: windows.Reading[] = [];
-    for (const account of accounts)
-      readings.push({ atMs: account.atMs, vitals: account.vitals, links: new Map(account.links), reports: 0 });
-    return { readings, accounts };
+    for (const report of accounts) readings.push({ atMs: report.atMs, vitals: report.vitals, links: new Map(report.links), reports: 0 });
+    return { readings, reports: accounts };
   }
 
   private async measure(): Promise<void> {
@@ -201,14 +200,14 @@
     for (const [index, { host, count }] of this.routerHosts.entries())
       this.add({ role: "router", node: host.name, sharedBy: count }, before.readings[index], after.readings[index]);
     const revisions: routers.RevisionInForce[][] = [];
-    for (const [index, account] of after.accounts.entries()) revisions.push([...account.revisions, ...rest[index].revisions]);
+    for (const [index, report] of after.reports.entries()) revisions.push([...report.revisions, ...rest[index].revisions]);
     this.outcome.changes.push(this.changes.row(this.point, revisions, this.options.routers));
   }
 
-  private add(part: windows.NodeIdentity, before: windows.Reading, after: windows.Reading): void {
-    const links = windows.linkRows(this.point, part, before, after);
+  private add(identity: windows.NodeIdentity, before: windows.Reading, after: windows.Reading): void {
+    const links = windows.linkRows(this.point, identity, before, after);
     this.outcome.links.push(...links);
-    this.outcome.nodes.push(windows.nodeRow(this.point, part, before, after, links));
+    this.outcome.nodes.push(windows.nodeRow(this.point, identity, before, after, links));
   }
 
   /** The node that most routers follow is lost, and started again when none follows it any more. */
--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -14,6 +14,11 @@
 /** A client waits for at most this share of the time it has left. */
 const HONOURED_SHARE = 1 / 3;
 const MIN_TIME_LEFT_MS = 50;
+const SAME_REGION_TRIP_MS = 0.5;
+/** What a client is told when all runners tried have handed its request back. */
+const HANDED_BACK_RETRY_S = 0.3;
+/** Worth of a response within its aim at the first try, at a later one, and past its aim. */
+const WORTH = { inAim: 1, inAimAfterRetry: 0.5, late: 0.3 } as const;
 
 /** How a request ended; `open`: neither a response nor a refusal. */
 export type Outcome = "in_aim" | "late" | "too_late" | "refused" | "open";
@@ -50,6 +55,20 @@
   unused(): number;
 }
 
+/** A request on its way from a router to a runner. */
+interface Send {
+  readonly router: systems.ModelRouter;
+  /** The runner as the router sees it, and the model that does the work. */
+  readonly runner: fleets.Runner;
+  readonly model: batches.BatchRunner;
+  readonly ticket: tickets.Ticket;
+  readonly request: transactions.Request;
+  /** Ids of the runners that handed this try back. */
+  readonly tried: Set<string>;
+  /** Milliseconds between the two, one way. */
+  readonly tripMs: number;
+}
+
 /** One request of a client and its returns. */
 export class ClientRequest {
   private startedAt = 0;
@@ -88,24 +107,17 @@
     choice.runner.connections.give(choice.connection, true);
     const model = this.fleet.runners.get(choice.runner.id)!;
     choice.runner.inflight += 1;
-    const trip = router.region === model.region ? 0.5 : this.scenario.trip_ms;
-    const arrive = this.submit.bind(this, router, choice.runner, model, choice.ticket, tried, request, trip);
-    this.fleet.world.after(trip, arrive);
+    const tripMs = router.region === model.region ? SAME_REGION_TRIP_MS : this.scenario.trip_ms;
+    const send: Send = { router, runner: choice.runner, model, ticket: choice.ticket, request, tried, tripMs };
+    this.fleet.world.after(tripMs, this.submit.bind(this, send));
   }
 
-  private submit(
-    router: systems.ModelRouter,
-    runner: fleets.Runner,
-    model: batches.BatchRunner,
-    ticket: tickets.Ticket,
-    tried: Set<string>,
-    request: transactions.Request,
-    trip: number,
-  ): void {
+  private submit(send: Send): void {
     const { fleet, kind } = this;
-    const tokens = systems.publishReading(fleet.world, fleet.routers, router, model.id, request);
+    const { router, runner, model, ticket } = send;
+    const tokens = systems.publishReading(fleet.world, fleet.routers, router, model.id, send.request);
     const sentAt = fleet.world.now();
-    const recordFirstEvent = this.first.bind(this, trip);
+    const recordFirstEvent = this.first.bind(this, send.tripMs);
     const recordEnd = this.ended.bind(this);
     let hasFirst = false;
     const isTaken = model.submit({
@@ -133,16 +145,17 @@
     runner.inflight -= 1;
     ticket.end("not_run");
     runner.denied(fleet.world.now(), false);
-    tried.add(model.id);
-    if (tried.size < MAX_SENDS) this.send(router, tried);
-    else this.onRefusal(0.3);
+    send.tried.add(model.id);
+    if (send.tried.size < MAX_SENDS) this.send(router, send.tried);
+    else this.onRefusal(HANDED_BACK_RETRY_S);
   }
 
-  private first(trip: number): void {
-    const firstMs = this.fleet.world.now() + trip - this.startedAt;
+  private first(tripMs: number): void {
+    const firstMs = this.fleet.world.now() + tripMs - this.startedAt;
     const isInAim = firstMs <= this.kind.aim_ms;
     this.record.outcome = isInAim ? "in_aim" : "late";
-    this.record.worth = !isInAim ? 0.3 : this.record.tries === 1 ? 1 : 0.5;
+    if (!isInAim) this.record.worth = WORTH.late;
+    else this.record.worth = this.record.tries === 1 ? WORTH.inAim : WORTH.inAimAfterRetry;
   }
 
   private ended(isWhole: boolean): void {
--- a/src/whatif/play.ts
+++ b/src/whatif/play.ts
@@ -21,6 +21,20 @@
   isMoved: boolean;
 }
 
+/** One turn of a session, through all its sends. */
+interface Turn {
+  readonly kind: scenarios.Kind;
+  readonly session: string;
+  readonly router: systems.ModelRouter;
+  /** Common part, session's part, and the turn's own. */
+  readonly parts: plans.Part[];
+  readonly startedAt: number;
+  /** Ids of the runners that were lost or full. */
+  readonly tried: Set<string>;
+}
+
+const DEADLINE_MS = 60_000;
+const SAME_REGION_TRIP_MS = 0.5;
 const DEAL_MS = 100;
 /** How long routers go on sending to lost runners. */
 const LOSS_DETECTED_MS = 600;
@@ -129,23 +143,17 @@
       { id: `s-${session}`, tokens: kind.session_tokens },
       { id: `t-${this.requests}`, tokens: kind.turn_tokens },
     ];
-    this.send(kind, session, router, parts, this.world.now(), new Set());
+    this.send({ kind, session, router, parts, startedAt: this.world.now(), tried: new Set() });
   }
 
-  private send(
-    kind: scenarios.Kind,
-    session: string,
-    router: systems.ModelRouter,
-    parts: plans.Part[],
-    startedAt: number,
-    tried: Set<string>,
-  ): void {
+  private send(turn: Turn): void {
+    const { kind, router, tried } = turn;
     const entry = router.chooser.table!.find("whatif", `/${kind.name}/`)!;
-    const request = systems.requestOf(entry, `r-${this.requests}`, parts, startedAt + 60_000);
+    const request = systems.requestOf(entry, `r-${this.requests}`, turn.parts, turn.startedAt + DEADLINE_MS);
     router.chooser.countRequest("model");
     const choice = router.chooser.choose(request, tried, tried.size);
     if ("status" in choice) {
-      this.count(kind, session, parts, null, 0, "");
+      this.count(turn, null, 0, "");
       return;
     }
     choice.runner.connections.give(choice.connection, true);
@@ -153,34 +161,25 @@
     if (!model.isUp || model.isFull()) {
       tried.add(model.id);
       choice.runner.suspect(this.world.now());
-      const again = this.send.bind(this, kind, session, router, parts, startedAt, tried);
-      this.world.after(2 * this.trip(router, model), again);
+      this.world.after(2 * this.tripMs(router, model), this.send.bind(this, turn));
       return;
     }
     systems.publishReading(this.world, this.routers, router, model.id, request);
-    this.run(kind, session, router, choice.runner, model, parts, startedAt);
+    this.run(turn, choice.runner, model);
   }
 
-  private trip(router: systems.ModelRouter, model: models.ModelRunner): number {
-    return router.region === model.region ? 0.5 : this.scenario.trip_ms;
+  private tripMs(router: systems.ModelRouter, model: models.ModelRunner): number {
+    return router.region === model.region ? SAME_REGION_TRIP_MS : this.scenario.trip_ms;
   }
 
-  private run(
-    kind: scenarios.Kind,
-    session: string,
-    router: systems.ModelRouter,
-    runner: fleets.Runner,
-    model: models.ModelRunner,
-    parts: plans.Part[],
-    startedAt: number,
-  ): void {
+  private run(turn: Turn, runner: fleets.Runner, model: models.ModelRunner): void {
     const now = this.world.now();
-    const trip = this.trip(router, model);
-    const { firstMs, endMs, unread } = model.run(parts, kind.events, now);
+    const tripMs = this.tripMs(turn.router, model);
+    const { firstMs, endMs, unread } = model.run(turn.parts, turn.kind.events, now);
     model.active += 1;
     runner.inflight += 1;
     runner.heard(now);
-    this.count(kind, session, parts, now - startedAt + 2 * trip + firstMs, unread, model.id);
+    this.count(turn, now - turn.startedAt + 2 * tripMs + firstMs, unread, model.id);
     this.world.after(endMs, ended);
     function ended(): void {
       model.active -= 1;
@@ -198,14 +197,8 @@
     return phase;
   }
 
-  private count(
-    kind: scenarios.Kind,
-    session: string,
-    parts: readonly plans.Part[],
-    firstMs: number | null,
-    unread: number,
-    runner: string,
-  ): void {
+  /** Records the turn's outcome; `firstMs` is null and the runner empty where it was denied. */
+  private count({ kind, session, parts }: Turn, firstMs: number | null, unread: number, runner: string): void {
     const last = this.lastRunner.get(session);
     if (runner !== "") this.lastRunner.set(session, runner);
     this.records.push({
