--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -189,16 +189,17 @@
     const pace = this.paceOf(plan.service);
     const waitFactor = pace.typicalWaitFactor(rank);
     const safeWaitFactor = Math.max(waitFactor, pace.waitFactor(rank, plan.now));
-    const input = { place: this.placeOf(plan, runner), need, slow: slowness.NO_SLOWDOWN };
+    const place = this.placeOf(plan, runner);
+    const slow = slowness.NO_SLOWDOWN;
     return {
       runner,
       need,
       service: plan.service,
       route: route.name,
       sentAt: plan.now,
-      nominal: this.predictAt(plan, runner, { ...input, waitFactor }),
+      nominal: this.predictAt(plan, runner, { place, need, slow, waitFactor }),
       waitFactor,
-      safeFirstMs: this.predictAt(plan, runner, { ...input, waitFactor: safeWaitFactor }).firstMs,
+      safeFirstMs: this.predictAt(plan, runner, { place, need, slow, waitFactor: safeWaitFactor }).firstMs,
       fullness: runner.usage() / Math.max(1, runner.instance.capacity),
       rank,
       deadline: plan.deadline,
