--- a/build.mjs
+++ b/build.mjs
@@ -4,7 +4,7 @@
 const common = {
   bundle: true,
   platform: "node",
-  target: "node20",
+  target: "node18",
   format: "cjs",
   minifySyntax: true,
   minifyWhitespace: true,
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -53,7 +53,7 @@
 
   /**
    * The newest voter epoch that may be in force as far as this disk can tell. An accepted value no newer than the
-   * chosen one is its ancestor or can never be chosen (design/hardening/0-register 4), so that the chosen one's counts.
+   * chosen one is its ancestor or can never be chosen (hardening 0), so that the chosen one's counts.
    */
   get acceptedVoterEpoch(): types.Epoch {
     const { accepted } = this;
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -1,5 +1,5 @@
 // Membership policy: which disks should vote next, and the steps that change the voters (design 5.5,
-// design/hardening/3-membership). Pure functions over the chosen value and the control nodes in touch.
+// hardening 3). Pure functions over the chosen value and the control nodes in touch.
 import * as result from "true-myth/result";
 import * as schema from "../wire/schema.js";
 import * as registers from "../register/value.js";
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -1,5 +1,5 @@
 // Proposer of the register: changes the value in two phases at a majority of the voters, with no log and no leader.
-// Every control node runs one (design 5.2). Safety argument: docs/design/hardening/0-register.md.
+// Every control node runs one (design 5.2). Why it is safe: hardening 0.
 import * as result from "true-myth/result";
 import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
--- a/tests/register-joint.test.ts
+++ b/tests/register-joint.test.ts
@@ -1,5 +1,5 @@
 // Joint sets of voters that may never have been chosen: nothing may be concluded from them (design 5.5,
-// design/hardening/0-register).
+// hardening 0).
 import * as result from "true-myth/result";
 import * as errors from "../src/startup/errors.js";
 import * as policy from "../src/control/voters.js";
--- a/tests/register-membership.test.ts
+++ b/tests/register-membership.test.ts
@@ -1,5 +1,5 @@
 // Changes of voters by the real policy over the simulated core: losses, replacements, leaving, and the time to full
-// strength (design/hardening/3-membership).
+// strength (hardening 3).
 import * as result from "true-myth/result";
 import * as errors from "../src/startup/errors.js";
 import * as policy from "../src/control/voters.js";
