--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -57,7 +57,7 @@
   /** Takes a value that some voter has accepted and that need not be chosen: it only widens whom to ask. */
   learnAccepted(value: schema.Value): void {
     if (this.known.voters.length > 0 && value.epoch <= this.known.epoch) return;
-    if (!this.hint || isNewer(value, this.hint)) this.hint = value;
+    if (!this.hint || registers.isNewer(value, this.hint)) this.hint = value;
   }
 
   /** Runs the step on the newest value until it is chosen or denied; one change at a time. Times count from this call. */
@@ -200,7 +200,7 @@
     const isSetChosen = proposed.former.length === 0 && (read.former.length === 0 || this.isSetChosen(read));
     const votes = new rounds.Votes();
     const others = this.targets(read, proposed);
-    const joiners = joinersOf(read, proposed);
+    const joiners = registers.joinersOf(read, proposed);
     for (const voter of joiners) others.delete(voter.disk);
     // A former voter accepts new voters only once each joiner has them on its synced disk.
     if (joiners.length > 0) {
@@ -243,16 +243,3 @@
 function renewed(read: schema.Value): Outcome {
   return result.ok({ ...read });
 }
-
-function isNewer(left: schema.Value, right: schema.Value): boolean {
-  return left.voterEpoch > right.voterEpoch || (left.voterEpoch === right.voterEpoch && left.epoch > right.epoch);
-}
-
-/** Voters of the proposed value that had no vote in the one read. */
-function joinersOf(read: schema.Value, proposed: schema.Value): schema.Voter[] {
-  const before = registers.allVoters(read);
-  return proposed.voters.filter(isNew);
-  function isNew(voter: schema.Voter): boolean {
-    return !before.has(voter.disk);
-  }
-}
--- a/src/register/value.ts
+++ b/src/register/value.ts
@@ -111,3 +111,17 @@
   if (!isMajority(value.voters, granted)) return false;
   return value.former.length === 0 || isMajority(value.former, granted);
 }
+
+/** Order of values by voter epoch, then by epoch. */
+export function isNewer(left: schema.Value, right: schema.Value): boolean {
+  return left.voterEpoch > right.voterEpoch || (left.voterEpoch === right.voterEpoch && left.epoch > right.epoch);
+}
+
+/** Voters of the proposed value that had no vote in the one read. */
+export function joinersOf(read: schema.Value, proposed: schema.Value): schema.Voter[] {
+  const before = allVoters(read);
+  return proposed.voters.filter(isNew);
+  function isNew(voter: schema.Voter): boolean {
+    return !before.has(voter.disk);
+  }
+}
--- a/tests/register-faults.test.ts
+++ b/tests/register-faults.test.ts
@@ -3,6 +3,7 @@
 import * as result from "true-myth/result";
 import * as errors from "../src/startup/errors.js";
 import * as proposers from "../src/register/proposer.js";
+import * as histories from "../src/register/history.js";
 import * as registers from "../src/register/value.js";
 import * as schema from "../src/wire/schema.js";
 import * as core from "./sim/core.js";
@@ -20,7 +21,7 @@
 
 function setTo(base: number, mark: string): proposers.Step {
   return function step(value): result.Result<schema.Value, errors.CranewindError> {
-    if (value.taken.some((taken) => taken.digest === mark)) return result.ok(value);
+    if (histories.lookUp(value.taken, value.revision, base, mark) === "taken") return result.ok(value);
     if (value.revision !== base) return result.err(errors.fail("race", "another revision", "read again"));
     return result.ok(registers.withConfig(value, base + 1, Buffer.from(mark), mark));
   };
@@ -104,12 +105,11 @@
   private verdict(): string | null {
     const bases = new Set<number>();
     const newest = this.fleet.newest();
-    const first = Math.min(...newest.taken.map((taken) => taken.revision));
     for (const { base, mark } of this.acknowledged) {
       if (bases.has(base)) return `two changes confirmed on base ${base}`;
       bases.add(base);
-      const isRemembered = base + 1 >= first;
-      if (isRemembered && !newest.taken.some((taken) => taken.digest === mark)) return `confirmed change ${mark} is gone`;
+      const found = histories.lookUp(newest.taken, newest.revision, base, mark);
+      if (found === "not_taken") return `confirmed change ${mark} is gone`;
     }
     return this.acknowledged.length > 0 ? null : "nothing was confirmed";
   }
--- a/tests/sim/durable-node.ts
+++ b/tests/sim/durable-node.ts
@@ -104,7 +104,7 @@
     handlers.on(calls.hello, (from, ask) => {
       this.callers.add(from);
       if (ask.node.role === "control") dial.know([ask.node.address]);
-      return { node: this.describe(), controls: [], place: feed.place, isConfirmed: true } as schema.Known;
+      return { node: this.describe(), controls: [], place: feed.place, isConfirmed: true };
     });
     handlers.on(calls.beat, (from, told) => {
       dial.heard(from, told);
