--- a/tests/disk-faults.test.ts
+++ b/tests/disk-faults.test.ts
@@ -1,7 +1,5 @@
 // The voter's disk under cuts, losses of power, short and refused writes and failed syncs (design 5.3).
 import * as fc from "fast-check";
-import * as schema from "../src/wire/schema.js";
-import * as types from "../src/wire/types.js";
 import type * as voters from "../src/register/voter.js";
 import * as simulated from "./sim/disk.js";
 import * as simWorld from "./sim/disk-world.js";
@@ -59,7 +57,7 @@
     this.identity = voter.disk;
     const answered = this.answered.get(voter.disk) ?? 0;
     if (answered === 0) return;
-    const vote = await voter.prepare(prepareOf(voter.disk, 0));
+    const vote = await simWorld.prepare(voter, 0);
     expect(vote).toMatchObject({ isGranted: false });
     expect(vote!.ballot.n).toBeGreaterThanOrEqual(answered);
     // What a voter shows counts like an answer.
@@ -69,15 +67,11 @@
   private async promise(voter: voters.Voter): Promise<void> {
     const number = this.nextBallot;
     this.nextBallot += 1;
-    const vote = await voter.prepare(prepareOf(voter.disk, number));
+    const vote = await simWorld.prepare(voter, number);
     if (vote?.isGranted) this.answered.set(voter.disk, number);
   }
 }
 
-function prepareOf(disk: string, number: number): schema.Prepare {
-  return { disk, ballot: { n: number, by: "p" }, voterEpoch: types.FIRST_EPOCH };
-}
-
 async function playHistory(disk: simulated.SimulatedDisk, history: Life[], isBootstrap: boolean): Promise<void> {
   const checker = new Checker(disk, isBootstrap);
   for (const life of history) await checker.play(life);
--- a/tests/disk-start.test.ts
+++ b/tests/disk-start.test.ts
@@ -3,15 +3,12 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import * as log from "../src/startup/log.js";
-import * as types from "../src/wire/types.js";
 import * as disks from "../src/control/disk.js";
 import * as files from "../src/store/files.js";
 import * as format from "../src/store/format.js";
 import * as owner from "../src/store/owner.js";
 import * as remedies from "../src/store/remedies.js";
 import * as world from "../src/wire/world.js";
-import type * as voters from "../src/register/voter.js";
-import type * as schema from "../src/wire/schema.js";
 import * as simulated from "./sim/disk.js";
 import * as simWorld from "./sim/disk-world.js";
 
@@ -23,15 +20,11 @@
   return simWorld.startDisk(simWorld.machineOf(disk.mount()), isBootstrap);
 }
 
-function prepare(voter: voters.Voter, number: number): Promise<schema.Vote | null> {
-  return voter.prepare({ disk: voter.disk, ballot: { n: number, by: "p" }, voterEpoch: types.FIRST_EPOCH });
-}
-
 async function diskWithPromises(count = 6): Promise<simulated.SimulatedDisk> {
   const disk = new simulated.SimulatedDisk();
   const voter = await start(disk, true).voter;
   expect(voter.disk).toBe(FIRST_IDENTITY);
-  for (let number = 1; number <= count; number += 1) expect(await prepare(voter, number)).toMatchObject({ isGranted: true });
+  for (let number = 1; number <= count; number += 1) expect(await simWorld.prepare(voter, number)).toMatchObject({ isGranted: true });
   return disk;
 }
 
@@ -90,24 +83,15 @@
 test("a larger record than any before is taken by a disk that has filled up, up to twice the last one", async function full() {
   const disk = new simulated.SimulatedDisk();
   const voter = await start(disk).voter;
-  async function acceptOf(number: number, bytes: number): Promise<schema.Vote | null> {
-    const value = { ...largeValue(), config: Buffer.alloc(bytes, number) };
-    return voter.accept({ disk: voter.disk, ballot: { n: number, by: "p" }, voterEpoch: types.FIRST_EPOCH, value });
-  }
-  expect(await acceptOf(1, 100_000)).toMatchObject({ isGranted: true });
+  expect(await simWorld.accept(voter, 1, 100_000)).toMatchObject({ isGranted: true });
   await until(() => disk.files.get("register-3")!.unsynced.length === 0 && disk.files.get("register-3")!.current.length > 200_000);
   disk.isFull = true;
-  expect(await acceptOf(2, 190_000)).toMatchObject({ isGranted: true });
-  expect(await acceptOf(3, 190_000)).toBeNull();
+  expect(await simWorld.accept(voter, 2, 190_000)).toMatchObject({ isGranted: true });
+  expect(await simWorld.accept(voter, 3, 190_000)).toBeNull();
   disk.isFull = false;
-  expect(await acceptOf(4, 190_000)).toMatchObject({ isGranted: true });
+  expect(await simWorld.accept(voter, 4, 190_000)).toMatchObject({ isGranted: true });
 });
 
-function largeValue(): schema.Value {
-  const epoch = types.FIRST_EPOCH;
-  return { epoch, revision: 1, config: Buffer.alloc(0), taken: [], evacuations: [], voterEpoch: epoch, voters: [], former: [] };
-}
-
 test("a disk that refuses writes makes a silent voter that says so once, and votes again by itself", async function refusing() {
   const written = jest.spyOn(process.stdout, "write").mockReturnValue(true);
   function linesOfTheDisk(): string[] {
@@ -122,13 +106,13 @@
   linesOfTheDisk();
   written.mockClear();
   disk.refusal = "ENOSPC";
-  for (let number = 1; number < 9; number += 1) expect(await prepare(voter, number)).toBeNull();
+  for (let number = 1; number < 9; number += 1) expect(await simWorld.prepare(voter, number)).toBeNull();
   expect(voterDisk.status()).toMatchObject({ state: "refusing", error: expect.stringMatching(/ENOSPC.*free space/) });
   expect(linesOfTheDisk()).toEqual([expect.stringMatching(/ENOSPC.*free space.*does not vote/)]);
   disk.refusal = null;
   await until(() => voterDisk.status().state === "ready");
   expect(linesOfTheDisk()).toHaveLength(2);
-  expect(await prepare(voter, 9)).toMatchObject({ isGranted: true });
+  expect(await simWorld.prepare(voter, 9)).toMatchObject({ isGranted: true });
   written.mockRestore();
 });
 
@@ -214,7 +198,7 @@
     const name = path.join(folder, "a", "b", "data");
     const first = simWorld.startDisk(machineOf(name), true);
     const voter = await first.voter;
-    expect(await prepare(voter, 1)).toMatchObject({ isGranted: true });
+    expect(await simWorld.prepare(voter, 1)).toMatchObject({ isGranted: true });
     const other = { ...owner.realProcesses, own: async () => ({ boot: "b", pid: process.pid + 1, startTicks: "1" }) };
     const second = simWorld.startDisk(machineOf(name, other), true);
     while (second.disk.status().state === "opening") await new Promise((resolve) => setImmediate(resolve));
--- a/tests/sim/disk-world.ts
+++ b/tests/sim/disk-world.ts
@@ -2,6 +2,7 @@
 import * as disks from "../../src/control/disk.js";
 import type * as voters from "../../src/register/voter.js";
 import type * as owner from "../../src/store/owner.js";
+import type * as schema from "../../src/wire/schema.js";
 import * as types from "../../src/wire/types.js";
 import type * as simulated from "./disk.js";
 
@@ -76,6 +77,19 @@
   return { disk, voter: opened.promise };
 }
 
+/** Asks a voter for a promise. */
+export function prepare(voter: voters.Voter, number: number): Promise<schema.Vote | null> {
+  return voter.prepare({ disk: voter.disk, ballot: { n: number, by: "p" }, voterEpoch: types.FIRST_EPOCH });
+}
+
+/** Asks a voter to accept a value with a configuration of so many bytes. */
+export function accept(voter: voters.Voter, number: number, bytes: number): Promise<schema.Vote | null> {
+  const epoch = types.FIRST_EPOCH;
+  const config = Buffer.alloc(bytes, number);
+  const value: schema.Value = { epoch, revision: 1, config, taken: [], evacuations: [], voterEpoch: epoch, voters: [], former: [] };
+  return voter.accept({ disk: voter.disk, ballot: { n: number, by: "p" }, voterEpoch: epoch, value });
+}
+
 function deferred<T>(): { promise: Promise<T>; resolve: (value: T) => void } {
   let settle: (value: T) => void = ignore;
   const promise = new Promise<T>(function keep(resolve) {
