--- a/src/register/contention.ts
+++ b/src/register/contention.ts
@@ -19,13 +19,13 @@
 /** The newest measurement's part in the mean. */
 const NEWEST_SHARE = 0.3;
 /** A round that lasts longer than this many usual changes was given up, or only read. */
-const PATIENCE_CHANGES = 1.5;
+const PATIENCE_CHANGES = 0.9;
 /** The longest wait after a round of others: this, and so many usual changes; the last part of it is left to chance. */
 const SPREAD_MS = 100;
-const SPREAD_CHANGES = 0.5;
+const SPREAD_CHANGES = 0.4;
 const JITTER = 0.3;
-/** Others count as active for so long after their last prepare. */
-const ACTIVE_MS = 3000;
+/** Others count as active for so many usual changes after their last prepare. */
+const ACTIVE_CHANGES = 8;
 const LISTEN_MS = 10;
 
 interface Round {
@@ -35,8 +35,6 @@
 
 export class Contention {
   private round: Round | null = null;
-  /** The highest ballot number that this node's voter was asked with. */
-  highestSeen = 0;
   private changeMs = FIRST_CHANGE_MS;
   private otherAt: number = Number.NEGATIVE_INFINITY;
   private ownAt: number = Number.NEGATIVE_INFINITY;
@@ -48,7 +46,6 @@
 
   /** This node's voter is asked to prepare. */
   sawPrepare(ballot: schema.Ballot): void {
-    this.highestSeen = Math.max(this.highestSeen, ballot.n);
     if (ballot.by === this.own) return;
     this.otherAt = this.clock.now();
     if (this.round && registers.compareBallots(ballot, this.round.ballot) <= 0) return;
@@ -69,7 +66,7 @@
 
   /** Whether another proposer was at work lately. */
   isActive(): boolean {
-    return this.clock.now() - this.otherAt < ACTIVE_MS;
+    return this.clock.now() - this.otherAt < this.changeMs * ACTIVE_CHANGES;
   }
 
   private isBusy(): boolean {
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -116,7 +116,7 @@
 
   /** Null: not decided in this round, which is run again with a higher ballot. */
   private async round(step: Step): Promise<Outcome | null> {
-    this.highestBallot = Math.max(this.highestBallot, this.contention.highestSeen, this.reach.promised?.() ?? 0) + 1;
+    this.highestBallot = Math.max(this.highestBallot, this.reach.promised?.() ?? 0) + 1;
     const ballot = { n: this.highestBallot, by: this.life };
     const promises = await this.prepare(ballot);
     const read = this.readFrom(promises);
