Router: standard names for what is received, timed and reported

No change of behaviour: heardAt, waits, told, toldMs, tick and their like become receivedAt, awaitFirstByte, reportedByOther, keepAliveMs, timer. Wire, settings and metric names stay.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -42,10 +42,10 @@
 export class Attempt {
   isSent = false;
   isOver = false;
-  heardAt = 0;
+  receivedAt = 0;
   head: answers.Head | null = null;
   isPassing = false;
-  private connecting: types.Tick | null = null;
+  private connectTimer: types.Tick | null = null;
   private startedAt = 0;
   private tokens = 0;
   private pieces = 0;
@@ -67,13 +67,13 @@
   /** `tokens`: of its prompt, those that the runner has to read. */
   start(tokens = 0): void {
     this.isFirst = this.connection.isFresh;
-    if (this.isFirst) this.connecting = this.world.after(CONNECT_MS, this.tooLate.bind(this));
+    if (this.isFirst) this.connectTimer = this.world.after(CONNECT_MS, this.tooLate.bind(this));
     this.runner.inflight += 1;
-    this.heardAt = this.startedAt = this.world.now();
+    this.receivedAt = this.startedAt = this.world.now();
     this.tokens = tokens;
     this.runner.outcomes.sent(this.startedAt);
-    this.runner.waits(this, this.startedAt + this.runner.outcomes.overdueMs(this.work(), tokens));
-    if (this.runner.inflight === 1) this.runner.sentAt = this.heardAt;
+    this.runner.awaitFirstByte(this, this.startedAt + this.runner.outcomes.overdueMs(this.work(), tokens));
+    if (this.runner.inflight === 1) this.runner.sentAt = this.receivedAt;
     const { method, path, headers, body } = this.what;
     try {
       this.connection.client.dispatch(
@@ -102,13 +102,13 @@
       return;
     }
     this.isSent = true;
-    this.connecting?.stop();
+    this.connectTimer?.stop();
     this.abortSend = abort;
   }
 
   onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
     if (this.isOver || status < 200) return true;
-    this.hear();
+    this.received();
     this.resumeRead = resume;
     const head = { status, raw, headers: http.headerMap(raw) };
     if (!answers.isOf(head, this.what.requestId)) {
@@ -133,10 +133,10 @@
   }
 
   /** A head alone proves nothing: a failure may follow, or be in it. */
-  private hear(): void {
-    this.heardAt = this.world.now();
-    this.runner.heard(this.heardAt);
-    this.runner.waitsNoMore(this);
+  private received(): void {
+    this.receivedAt = this.world.now();
+    this.runner.received(this.receivedAt);
+    this.runner.firstByteArrived(this);
   }
 
   private failure(): signs.Sign | null {
@@ -150,19 +150,19 @@
   private time(): void {
     const status = this.head?.status ?? 0;
     if (status < 200 || status >= 300) return;
-    const { runner, heardAt } = this;
+    const { runner, receivedAt } = this;
     this.pieces += 1;
     if (this.pieces === 1) {
-      this.firstAt = heardAt;
-      runner.outcomes.took(this.work(), this.tokens, heardAt - this.startedAt, heardAt, runner.isLoaded(heardAt));
+      this.firstAt = receivedAt;
+      runner.outcomes.took(this.work(), this.tokens, receivedAt - this.startedAt, receivedAt, runner.isLoaded(receivedAt));
     } else if (this.what.isStream && this.pieces === GAP_PIECES + 1) {
-      runner.outcomes.took("gap", 0, (heardAt - this.firstAt) / GAP_PIECES, heardAt, runner.isLoaded(heardAt));
+      runner.outcomes.took("gap", 0, (receivedAt - this.firstAt) / GAP_PIECES, receivedAt, runner.isLoaded(receivedAt));
     }
   }
 
   onData(chunk: Buffer): boolean {
     if (this.isOver) return true;
-    this.hear();
+    this.received();
     if (this.isHandedBack) return true;
     this.time();
     this.what.ticket.event();
@@ -218,8 +218,8 @@
   private end(ending: Ending, isClean: boolean): void {
     if (this.isOver) return;
     this.isOver = true;
-    this.connecting?.stop();
-    this.runner.waitsNoMore(this);
+    this.connectTimer?.stop();
+    this.runner.firstByteArrived(this);
     this.runner.inflight -= 1;
     this.what.ticket.end(ending === "complete" ? "complete" : ending === "broken" ? "stopped" : "not_run");
     if (this.isStreaming) this.runner.streaming -= 1;
--- a/src/router/connections.ts
+++ b/src/router/connections.ts
@@ -12,7 +12,7 @@
   hasFailed = false;
   /** Since when it is idle, for how long it may be, and how long it was before its present use; -1 at its first. */
   idleSince = 0;
-  toldMs = Infinity;
+  keepAliveMs = Infinity;
   idleMs = -1;
   takenAt = 0;
   constructor(readonly client: http.Client) {}
@@ -40,7 +40,7 @@
     for (let connection = this.idle.pop(); connection; connection = this.idle.pop()) {
       if (connection.isClosed) continue;
       const idleMs = now - connection.idleSince;
-      if (idleMs > connection.toldMs) {
+      if (idleMs > connection.keepAliveMs) {
         this.lost(connection);
         continue;
       }
@@ -93,7 +93,7 @@
   give(connection: Connection, isClean: boolean, keepAlive?: string): void {
     if (connection.isClosed) return;
     connection.idleSince = this.limit.world.now();
-    connection.toldMs = idle.toldMs(keepAlive);
+    connection.keepAliveMs = idle.keepAliveMs(keepAlive);
     if (isClean) this.idle.push(connection);
     else this.lost(connection);
   }
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -141,7 +141,7 @@
   }
 
   takeDoubt(ids: readonly string[]): void {
-    for (const id of ids) this.runners.get(id)?.outcomes.told(this.world.now());
+    for (const id of ids) this.runners.get(id)?.outcomes.reportedByOther(this.world.now());
   }
 
   doubtRegion(region: string): void {
--- a/src/router/idle.ts
+++ b/src/router/idle.ts
@@ -14,7 +14,7 @@
 const RESETS: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
 
 /** The bound in ms that a reply's Keep-Alive sets on idleness; Infinity when it tells none. */
-export function toldMs(keepAlive: string | undefined): number {
+export function keepAliveMs(keepAlive: string | undefined): number {
   const seconds = keepAlive === undefined ? null : /timeout=(\d+)/i.exec(keepAlive);
   return seconds ? Math.max(0, Number(seconds[1]) * 1000 - MARGIN_MS) : Infinity;
 }
--- a/src/router/outcomes.ts
+++ b/src/router/outcomes.ts
@@ -28,9 +28,9 @@
 const ANY_PERCENT = 50;
 const DOUBT_MS = 700;
 const MOST_DOUBT_MS = 4000;
-const TOLD_WINDOW_MS = 900;
+const REPORTS_WINDOW_MS = 900;
 /** A router tells one runner no more often: two tellings within the window are of two routers. */
-export const TELL_MS = 1000;
+export const REPORT_INTERVAL_MS = 1000;
 const PENALTY_MS = 120;
 const MOST_PENALTY = 3;
 const ONCE_TIMES = 2;
@@ -56,7 +56,7 @@
   private signAt = -Infinity;
   private witnesses = 0;
   private windowAt = -Infinity;
-  private toldAt = -Infinity;
+  private reportedAt = -Infinity;
   private hasNews = false;
   succeededAt = -Infinity;
 
@@ -139,8 +139,8 @@
   }
 
   /** A sign of another router. */
-  told(now: number): void {
-    if (now - this.windowAt >= TOLD_WINDOW_MS) {
+  reportedByOther(now: number): void {
+    if (now - this.windowAt >= REPORTS_WINDOW_MS) {
       this.windowAt = now;
       this.witnesses = 0;
     }
@@ -215,11 +215,11 @@
 
   /** Whether others should hear of it now, of failures or of silence; asked a few times a second. */
   takeNews(now: number, isQuiet: boolean): boolean {
-    if ((!this.hasNews && !isQuiet) || now - this.toldAt < TELL_MS) return false;
+    if ((!this.hasNews && !isQuiet) || now - this.reportedAt < REPORT_INTERVAL_MS) return false;
     this.hasNews = false;
     // What most siblings show has its cause elsewhere, perhaps here.
     if (this.cohort.isBroad()) return false;
-    this.toldAt = now;
+    this.reportedAt = now;
     return true;
   }
 
--- a/src/router/runner.ts
+++ b/src/router/runner.ts
@@ -25,7 +25,7 @@
   coldUntil = 0;
   leavesAt = Infinity;
   streaming = 0;
-  heardAt = 0;
+  receivedAt = 0;
   sentAt = 0;
   fullUntil = 0;
   private readingUntil = -Infinity;
@@ -33,7 +33,7 @@
   private silentUntil = 0;
   private unreportedAt = Infinity;
   /** Sends without a first byte, and when each is overdue. */
-  private readonly awaited = new Map<object, number>();
+  private readonly awaitingFirstByte = new Map<object, number>();
   readonly outcomes: outcomes.Outcomes;
   readonly connections: connections.Connections;
   /** A fixed place in the order of runners, the same at every router. */
@@ -86,18 +86,18 @@
     this.outcomes.sign(sign, now, this.isLoaded(now), sign === "unreached" && this.isSpeaking);
   }
 
-  waits(send: object, overdueAt: number): void {
-    this.awaited.set(send, overdueAt);
+  awaitFirstByte(send: object, overdueAt: number): void {
+    this.awaitingFirstByte.set(send, overdueAt);
   }
 
-  waitsNoMore(send: object): void {
-    this.awaited.delete(send);
+  firstByteArrived(send: object): void {
+    this.awaitingFirstByte.delete(send);
   }
 
   private signOverdue(now: number): void {
-    for (const [send, overdueAt] of this.awaited) {
+    for (const [send, overdueAt] of this.awaitingFirstByte) {
       if (now < overdueAt) continue;
-      this.awaited.delete(send);
+      this.awaitingFirstByte.delete(send);
       this.sign("overdue", now);
     }
   }
@@ -108,14 +108,14 @@
     else this.fullUntil = now + FULL_MS;
   }
 
-  heard(now: number): void {
-    this.heardAt = now;
+  received(now: number): void {
+    this.receivedAt = now;
     this.silentUntil = 0;
   }
 
   /** Nothing came from it for so long, although it has work from here. */
   quietMs(now: number): number {
-    return this.inflight === 0 ? 0 : now - Math.max(this.heardAt, this.sentAt);
+    return this.inflight === 0 ? 0 : now - Math.max(this.receivedAt, this.sentAt);
   }
 
   isQuiet(now: number): boolean {
@@ -129,7 +129,7 @@
 
   /** A report that stays out is one sign: a reply that came well since then outweighs it. */
   isUnproved(now: number): boolean {
-    return !this.isSpeaking && this.outcomes.succeededAt <= this.unreportedAt && now - this.heardAt > QUIET_STREAM_MS;
+    return !this.isSpeaking && this.outcomes.succeededAt <= this.unreportedAt && now - this.receivedAt > QUIET_STREAM_MS;
   }
 
   isDoubtful(now: number): boolean {
@@ -145,7 +145,7 @@
 
   /** What is out of reach from here counts as silent unless this router hears it. */
   doubt(now: number): void {
-    if (now - this.heardAt > QUIET_STREAM_MS) this.silentUntil = Math.max(this.silentUntil, now + SUSPECT_MS);
+    if (now - this.receivedAt > QUIET_STREAM_MS) this.silentUntil = Math.max(this.silentUntil, now + SUSPECT_MS);
   }
 
   isCold(now: number): boolean {
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -22,7 +22,7 @@
   private sends = 0;
   private unsent = 0;
   private attempt: attempts.Attempt | null = null;
-  private deadlineTick: types.Tick | null = null;
+  private deadlineTimer: types.Tick | null = null;
   private reading: { tokens: number; since: number } | null = null;
   private hasRun = false;
   private nextLookAt = 0;
@@ -43,12 +43,12 @@
     this.state = states.moved(this.state, to);
     if (!end) return;
     this.context.chooser.admission.tally.ended(end, this.request.entry.route.priority ?? 1);
-    this.deadlineTick?.stop();
+    this.deadlineTimer?.stop();
     this.context.finished();
   }
 
   start(): void {
-    this.deadlineTick = this.context.world.after(Math.max(0, this.request.deadline - this.context.world.now()), this.expired.bind(this));
+    this.deadlineTimer = this.context.world.after(Math.max(0, this.request.deadline - this.context.world.now()), this.expired.bind(this));
     this.context.chooser.countRequest(this.request.service);
     this.move("choosing");
     this.choose();
@@ -209,7 +209,7 @@
   watch(now: number): void {
     const { attempt, context } = this;
     if (!attempt?.isSent || attempt.isOver || now < this.nextLookAt || !this.canGoOn()) return;
-    const quiet = now - attempt.heardAt;
+    const quiet = now - attempt.receivedAt;
     if (quiet < context.chooser.patienceMs(this.request.entry, this.state === "passing", attempt.runner, now)) return;
     if (this.nextLookAt === 0) attempt.runner.suspect(now);
     this.nextLookAt = now + LOOK_MS;
--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -107,7 +107,7 @@
       first(): void {
         hasFirst = true;
         router.known.learn(tokens, day.world.now() - sentAt);
-        seen.heard(day.world.now());
+        seen.received(day.world.now());
         ticket.first();
         first();
       },
--- a/src/whatif/play.ts
+++ b/src/whatif/play.ts
@@ -174,7 +174,7 @@
     const { firstMs, endMs, unread } = model.run(parts, kind.events, now);
     model.active += 1;
     seen.inflight += 1;
-    seen.heard(now);
+    seen.received(now);
     this.count(kind, session, parts, now - startedAt + 2 * trip + firstMs, unread, model.id);
     this.world.after(endMs, ended);
     function ended(): void {
--- a/tests/idle.test.ts
+++ b/tests/idle.test.ts
@@ -49,7 +49,7 @@
     ["max=9", Infinity],
     [undefined, Infinity],
   ])("Keep-Alive %s allows %d ms", (told, ms) => {
-    expect(idle.toldMs(told)).toBe(ms);
+    expect(idle.keepAliveMs(told)).toBe(ms);
   });
 
   test.each([
--- a/tests/outcomes.test.ts
+++ b/tests/outcomes.test.ts
@@ -146,14 +146,14 @@
 
 test("one telling ejects nobody, two of different routers do, and many good replies of its own outweigh them", () => {
   const [told, alone, known] = cohortOf(9);
-  alone.told(0);
-  alone.told(1000);
+  alone.reportedByOther(0);
+  alone.reportedByOther(1000);
   expect(alone.state(1001)).toBe("suspected");
-  told.told(0);
-  told.told(50);
+  told.reportedByOther(0);
+  told.reportedByOther(50);
   expect(told.state(51)).toBe("ejected");
   for (let at = 0; at < 20; at += 1) known.succeed(at);
-  for (let at = 20; at < 80; at += 20) known.told(at);
+  for (let at = 20; at < 80; at += 20) known.reportedByOther(at);
   expect(known.state(80)).toBe("suspected");
 });
 
