--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -128,7 +128,7 @@
       first(): void {
         hasFirst = true;
         router.known.learn(tokens, fleet.world.now() - sentAt);
-        runner.heard(fleet.world.now());
+        runner.received(fleet.world.now());
         ticket.first();
         recordFirstEvent();
       },
--- a/src/whatif/play.ts
+++ b/src/whatif/play.ts
@@ -178,7 +178,7 @@
     const { firstMs, endMs, unread } = model.run(turn.parts, turn.kind.events, now);
     model.active += 1;
     runner.inflight += 1;
-    runner.heard(now);
+    runner.received(now);
     this.count(turn, now - turn.startedAt + 2 * tripMs + firstMs, unread, model.id);
     this.world.after(endMs, ended);
     function ended(): void {
