Proposers that meet draw wider pauses; a learner does not drive what it holds

Cause: five proposers outbid each other for up to 3 s after two of five voters were wiped: pauses of 8 to 32 ms against rounds of some 250 ms, and disks without a vote that read at once after a start.

Change: pauses begin at 8 to 72 ms and double; the next node in order follows after 250 ms; a disk without a vote waits 1 s.

--- a/src/register/driver.ts
+++ b/src/register/driver.ts
@@ -2,6 +2,7 @@
 // proposer may be gone, and brings a voter's disk up to date that missed an accept (design 5.5).
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
+import * as registers from "./value.js";
 
 const ACCEPTED_AFTER_MS = 350;
 /** A joint set that may not be chosen stands in the way of others: whoever holds it ends it soon. */
@@ -9,7 +10,6 @@
 const BLANK_AFTER_MS = 1000;
 const LAGGING_AFTER_MS = 300;
 const RANK_MS = 250;
-const SHORT_RANK_MS = 100;
 const DRIVE_WITHIN_MS = 1500;
 
 export interface Register {
@@ -64,27 +64,32 @@
     if (!register.isConfirmed) return { isSpread: false, patienceMs: this.startMs() + rank * RANK_MS };
     if (accepted && (!chosen || accepted.epoch > chosen.epoch)) {
       const isJoint = accepted.former.length > 0;
-      const patienceMs = isJoint ? JOINT_AFTER_MS + rank * SHORT_RANK_MS : ACCEPTED_AFTER_MS + rank * RANK_MS;
+      const patienceMs = isJoint ? JOINT_AFTER_MS + rank * RANK_MS : ACCEPTED_AFTER_MS + rank * RANK_MS;
       return { isSpread: false, patienceMs };
     }
-    return this.isLagging() ? { isSpread: true, patienceMs: LAGGING_AFTER_MS + rank * SHORT_RANK_MS } : null;
+    return this.isLagging() ? { isSpread: true, patienceMs: LAGGING_AFTER_MS + rank * RANK_MS } : null;
   }
 
   /**
    * After a start of all, nobody knows what is chosen: the first in order reads it at once, the others give it time. A
-   * blank disk has no vote; it hears what is chosen from those that have, and asks only if it doesn't.
+   * blank disk and a learner have no vote; they hear what is chosen from those that have, and ask only if they don't.
    */
   private startMs(): number {
-    return this.register.accepted ? 0 : BLANK_AFTER_MS;
+    return this.hasVote(this.register.accepted) ? 0 : BLANK_AFTER_MS;
   }
 
   /** A voter whose disk holds less than what it knows to be chosen. */
   private isLagging(): boolean {
-    const { accepted, chosen, disk } = this.register;
-    if (!chosen || !chosen.voters.some((voter) => voter.disk === disk)) return false;
+    const { accepted, chosen } = this.register;
+    if (!chosen || !this.hasVote(chosen)) return false;
     return !accepted || accepted.epoch < chosen.epoch;
   }
 
+  private hasVote(value: schema.Value | null): boolean {
+    const { disk } = this.register;
+    return value !== null && registers.allVoters(value).has(disk);
+  }
+
   private async drive(need: Need): Promise<void> {
     await (need.isSpread ? this.register.spread(DRIVE_WITHIN_MS) : this.register.read(DRIVE_WITHIN_MS));
     this.isBusy = false;
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -22,7 +22,7 @@
 export type Step = (read: schema.Value) => result.Result<schema.Value, errors.CranewindError>;
 export type Outcome = result.Result<schema.Value, errors.CranewindError>;
 
-const FIRST_PAUSE_MS = 25;
+const FIRST_PAUSE_MS = 40;
 const MOST_PAUSE_MS = 600;
 /** While others propose: `contention` keeps them apart, so that a longer pause would only let newcomers pass. */
 const MOST_CONTENDED_PAUSE_MS = 50;
@@ -108,7 +108,7 @@
         return outcome;
       }
       log.count("register.again");
-      await world.sleep(this.clock, pause * (0.3 + this.clock.random()));
+      await world.sleep(this.clock, pause * (0.2 + 1.6 * this.clock.random()));
       pause = Math.min(this.contention.isActive() ? MOST_CONTENDED_PAUSE_MS : MOST_PAUSE_MS, pause * 2);
     }
     return result.err(errors.fail("no_majority", "no majority of the core replied in time", "send the call again, to any control node"));
