--- /dev/null
+++ b/tests/register-core.test.ts
@@ -0,0 +1,105 @@
+// What a control node concludes from its own disk and its links: the fence of leases, and losses that can be borne
+// (hardening 0 and 3).
+import * as cores from "../src/control/core.js";
+import * as dialers from "../src/feed/dialer.js";
+import * as registers from "../src/register/value.js";
+import * as voters from "../src/register/voter.js";
+import * as link from "../src/wire/link.js";
+import * as schema from "../src/wire/schema.js";
+import * as types from "../src/wire/types.js";
+import * as sim from "./sim/world.js";
+
+const ADDRESSES = ["a:1", "b:1", "c:1"];
+const first = registers.firstValue(ADDRESSES);
+
+function nodeAt(address: string, disk: string): schema.NodeInfo {
+  const place = { zone: "z", region: "r", outside: "", life: "" };
+  return { ...place, name: address, role: "control", address, disk, isCounted: true, isReady: true, epoch: types.NO_EPOCH };
+}
+
+interface Made {
+  core: cores.Core;
+  dial: dialers.Dialer;
+}
+
+/** The core of a:1 with its first disk, on which the value given was accepted last. */
+function make(accepted: schema.Value): Made {
+  const clock = new sim.SimWorld();
+  const describe = (): schema.NodeInfo => nodeAt("a:1", "");
+  const dial = new dialers.Dialer(clock, "a:1", new link.Handlers(), describe, link.SILENT_MS);
+  const core = new cores.Core(clock, { life: "life", address: "a:1", first }, dial);
+  const disk = {
+    disk: registers.firstDisk("a:1"),
+    promised: registers.NO_BALLOT,
+    accepted: { ballot: registers.NO_BALLOT, value: accepted },
+  };
+  core.enter(new voters.Voter({ write: () => Promise.resolve() }, disk));
+  return { core, dial };
+}
+
+function meet({ dial }: Made, address: string, disk = registers.firstDisk(address)): void {
+  const control = {
+    address,
+    node: nodeAt(address, disk),
+    place: "",
+    link: {} as link.Link,
+    beat: null,
+    wasConfirmed: false,
+    beatAt: 0,
+    tripMs: 0,
+  };
+  dial.controls.set(address, control);
+}
+
+function changed(value: schema.Value, times: number): schema.Value {
+  let next = value;
+  for (let count = 0; count < times; count += 1) next = registers.withConfig(next, next.revision + 1, Buffer.alloc(1), `${count}`);
+  return next;
+}
+
+test("the fence counts a joint set accepted here until a chosen value shows that it can never be chosen", () => {
+  const joint = registers.withVoters(first, [...first.voters]);
+  const { core } = make(joint);
+  expect(core.acceptedVoterEpoch).toBe(1);
+  core.learn(first);
+  expect(core.acceptedVoterEpoch).toBe(1);
+  core.learn(changed(first, 1));
+  expect(core.acceptedVoterEpoch).toBe(0);
+});
+
+test("the fence never falls below a set that was chosen with this disk's vote", () => {
+  const joint = registers.withVoters(first, [...first.voters]);
+  const { core } = make(joint);
+  core.learn(changed(registers.settled(joint), 3));
+  expect(core.acceptedVoterEpoch).toBe(1);
+});
+
+test("losses that can be borne: voters in touch by their disks, beyond a majority of each set", () => {
+  const made = make(first);
+  const { core } = made;
+  expect(core.lossesBorne()).toBe(0);
+  core.learn(first);
+  expect([core.isSettled(), core.lossesBorne()]).toEqual([false, 0]);
+  meet(made, "b:1");
+  expect([core.isSettled(), core.lossesBorne()]).toEqual([true, 0]);
+  meet(made, "c:1");
+  expect(core.lossesBorne()).toBe(1);
+  meet(made, "c:1", "disk:wiped");
+  expect(core.lossesBorne()).toBe(0);
+  const five = ["d:1", "e:1"].map((address) => ({ disk: address, node: address, address }));
+  core.learn(registers.withVoters(first, [...first.voters, ...five]));
+  for (const { address, disk } of five) meet(made, address, disk);
+  expect(core.lossesBorne()).toBe(0);
+  meet(made, "c:1");
+  expect(core.lossesBorne()).toBe(1);
+});
+
+test("a voter whose disk runs in another machine is in touch there, and not at its old address", () => {
+  const made = make(first);
+  made.core.learn(first);
+  meet(made, "b:1", registers.firstDisk("c:1"));
+  expect([made.core.isSettled(), made.core.voterRank()]).toEqual([true, 0]);
+  made.dial.controls.clear();
+  meet(made, "b:1", "disk:other");
+  expect(made.core.isSettled()).toBe(false);
+});
