A control node that is cut off sends operators to nodes that were confirmed before

Change: it remembers who said they were confirmed and sends calls there in turn, leaving out those it hears and that say they are not. A redirect decides nothing.

--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -117,6 +117,7 @@
     const { root, startup } = this;
     const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this));
     const redirector = new redirects.Redirector(this.world, this.contact, this.peers.bind(this), operator.reply.bind(operator));
+    this.dial.on("beat", redirector.remember.bind(redirector));
     const view = { routers: this.resolvable.bind(this), ttlMostS: startup.bounds.ttl_max_s };
     root.add(endpoints.internalChild(this.world, this.address, this.handlers));
     root.add(endpoints.operatorChild(startup, redirector.reply.bind(redirector)));
--- a/src/control/redirect.ts
+++ b/src/control/redirect.ts
@@ -13,8 +13,22 @@
 /** A process that has only just started waits so long for its first confirmation, in ms: less than a caller's second of silence. */
 const FIRST_MS = 800;
 const RETRY_AFTER_S = "0.3";
+/** At most so many nodes are remembered as confirmed before. */
+const MOST_REMEMBERED = 16;
+
+/** Where a call may be sent on to. */
+interface Destination {
+  name: string;
+  /** Address of its operator's calls, host:port. */
+  outside: string;
+}
 
 export class Redirector {
+  /** Nodes that said they were confirmed, by name, the newest word last; kept after their links went down. */
+  private readonly remembered = new Map<string, Destination>();
+  /** Moves on with each call that is sent to a remembered node, so that a caller that tries again reaches another one. */
+  private attempts = 0;
+
   constructor(
     private readonly world: types.World,
     private readonly contact: contacts.Contact,
@@ -61,7 +75,7 @@
   }
 
   private elsewhere(asked: serve.Asked): serve.Told {
-    const peer = this.confirmedPeer();
+    const peer = this.confirmedPeer() ?? this.rememberedPeer();
     if (!peer) {
       log.count("operator.unconfirmed");
       const message = "no majority of the core is in contact with this node; send the call again, to any control node";
@@ -69,22 +83,54 @@
     }
     log.count("operator.redirected");
     const query = asked.query.toString();
-    const location = `http://${peer.node.outside}${asked.path}${query === "" ? "" : `?${query}`}`;
+    const location = `http://${peer.outside}${asked.path}${query === "" ? "" : `?${query}`}`;
     return {
       status: 307,
       headers: { Location: location },
-      json: { message: `${peer.node.name} is in contact with a majority: ${location}` },
+      json: { message: `send the call to ${peer.name}, which is or was in contact with a majority: ${location}` },
     };
   }
 
+  /** Notes who is confirmed now; called with each heartbeat. */
+  remember(): void {
+    for (const control of this.controls()) if (this.isConfirmedNow(control)) this.note(control.node.name, control.node.outside);
+  }
+
+  private note(name: string, outside: string): void {
+    this.remembered.delete(name);
+    this.remembered.set(name, { name, outside });
+    if (this.remembered.size > MOST_REMEMBERED) this.remembered.delete(this.remembered.keys().next().value!);
+  }
+
+  private isConfirmedNow(control: dialers.Control): boolean {
+    const isRecent = this.world.now() - control.beatAt < STATUS_FRESH_MS && control.link.isOpen;
+    return isRecent && dialers.isConfirmed(control) && control.node.outside !== "";
+  }
+
   /** The nearest one whose last beat said so lately; it sends nobody back here while this node isn't confirmed. */
-  private confirmedPeer(): dialers.Control | null {
+  private confirmedPeer(): Destination | null {
     let nearest: dialers.Control | null = null;
     for (const control of this.controls()) {
-      const isRecent = this.world.now() - control.beatAt < STATUS_FRESH_MS && control.link.isOpen;
-      if (!isRecent || !dialers.isConfirmed(control) || control.node.outside === "") continue;
+      if (!this.isConfirmedNow(control)) continue;
       if (!nearest || control.tripMs < nearest.tripMs) nearest = control;
     }
-    return nearest;
+    return nearest && nearest.node;
+  }
+
+  /**
+   * One that was confirmed before and is heard no more: this node may be the one that is cut off, and the caller need
+   * not be. Nodes that are heard and say that they aren't confirmed are left out. A redirect decides nothing, so a wrong
+   * one costs the caller one step.
+   */
+  private rememberedPeer(): Destination | null {
+    const heard = new Set<string>();
+    for (const control of this.controls()) if (this.world.now() - control.beatAt < STATUS_FRESH_MS) heard.add(control.node.name);
+    const candidates = [...this.remembered.values()].filter(isUnheard).reverse();
+    function isUnheard(destination: Destination): boolean {
+      return !heard.has(destination.name);
+    }
+    if (candidates.length === 0) return null;
+    this.attempts += 1;
+    return candidates[(this.attempts - 1) % candidates.length];
   }
 }
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -103,6 +103,7 @@
     const operator = new operators.Operator(this.core, ZONES, () => ({ contact: this.contact.status() }));
     const peers = (): Iterable<dialers.Control> => this.dial.controls.values();
     this.redirector = new redirects.Redirector(world, this.contact, peers, operator.reply.bind(operator));
+    this.dial.on("beat", () => this.redirector.remember());
     this.handle();
     if (options.isVoter !== false) this.vote(first);
     this.run();
