Only operators' orders listen for other proposers; the core's own changes never wait

Change: Core.order is for operators' orders and listens; Core.change and Core.read, of the core's own, are urgent: while one waits, its batch does not listen.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -194,7 +194,13 @@
     if (reply?.value) this.learn(reply.value);
   }
 
+  /** A change of the core's own, such as of its voters: it waits for nobody. */
   change(step: proposers.Step, withinMs: number): Promise<proposers.Outcome> {
+    return this.queue.change(step, withinMs, true);
+  }
+
+  /** An operator's order: in one batch with the others that wait, and after other proposers' rounds. */
+  order(step: proposers.Step, withinMs: number): Promise<proposers.Outcome> {
     return this.queue.change(step, withinMs);
   }
 
@@ -210,7 +216,7 @@
 
   /** Reads at a majority; never a local guess. */
   read(withinMs: number): Promise<proposers.Outcome> {
-    return this.queue.change(unchanged, withinMs);
+    return this.queue.change(unchanged, withinMs, true);
   }
 
   /** Whether there is anybody to ask: another node, or itself as a core of one. */
--- a/src/control/operator.ts
+++ b/src/control/operator.ts
@@ -32,7 +32,7 @@
   }
 
   private async run(step: proposers.Step, told: (value: schema.Value) => unknown): Promise<serve.Told> {
-    const outcome = await this.register.change(step, CHANGE_MS);
+    const outcome = await this.register.order(step, CHANGE_MS);
     log.count(outcome.isOk ? "operator.taken" : `operator.${outcome.error.kind}`);
     return outcome.isOk ? { status: 200, json: told(outcome.value) } : serve.denial(outcome.error);
   }
--- a/src/register/batch.ts
+++ b/src/register/batch.ts
@@ -12,12 +12,22 @@
 import type * as types from "../wire/types.js";
 import type * as proposers from "./proposer.js";
 
-/** Has one step's result chosen, or says within the time that no majority replied (`Proposer.change`). */
-export type Propose = (step: proposers.Step, withinMs: number) => Promise<proposers.Outcome>;
+/**
+ * Has one step's result chosen, or says within the time that no majority replied (`Proposer.change`). While isPatient,
+ * the proposer lets others end their rounds first.
+ */
+export type Propose = (step: proposers.Step, withinMs: number, isPatient: () => boolean) => Promise<proposers.Outcome>;
+
+interface Request {
+  step: proposers.Step;
+  withinMs: number;
+  isUrgent: boolean;
+}
 
 interface Waiting {
   step: proposers.Step;
   until: number;
+  isUrgent: boolean;
   timer: types.Tick;
   isAnswered: boolean;
   resolve(outcome: proposers.Outcome): void;
@@ -39,16 +49,18 @@
   /**
    * The chosen value that holds the step's result, or the step's own error, judged by what is chosen. `no_majority`
    * after `withinMs`: the step may have been applied or not, and may still be by the change that is under way.
+   * `isUrgent`: while this step waits, its batch does not listen for other proposers (contention.ts).
    */
-  change(step: proposers.Step, withinMs: number): Promise<proposers.Outcome> {
-    const outcome = new Promise<proposers.Outcome>(this.enter.bind(this, step, withinMs));
+  change(step: proposers.Step, withinMs: number, isUrgent = false): Promise<proposers.Outcome> {
+    const outcome = new Promise<proposers.Outcome>(this.enter.bind(this, { step, withinMs, isUrgent }));
     if (!this.isRunning) void this.run();
     return outcome;
   }
 
-  private enter(step: proposers.Step, withinMs: number, resolve: Waiting["resolve"], reject: Waiting["reject"]): void {
+  private enter({ step, withinMs, isUrgent }: Request, resolve: Waiting["resolve"], reject: Waiting["reject"]): void {
     const item: Waiting = {
       step,
+      isUrgent,
       until: this.clock.now() + withinMs,
       timer: this.clock.after(withinMs, expire),
       isAnswered: false,
@@ -84,13 +96,17 @@
     while (this.waiting.length > 0) {
       const present = [...this.waiting];
       const judged: Judged = new Map();
-      const outcome = await this.propose(this.applyAll.bind(this, judged), this.longestMs()).catch(failed);
+      const outcome = await this.propose(this.applyAll.bind(this, judged), this.longestMs(), this.isPatient.bind(this)).catch(failed);
       if (outcome.isErr) for (const item of present) this.answer(item, outcome);
       else for (const [item, own] of judged) this.answer(item, own.isErr ? own : outcome);
     }
     this.isRunning = false;
   }
 
+  private isPatient(): boolean {
+    return !this.waiting.some(isUrgent);
+  }
+
   /** Those that wait longest decide how long a change is tried; each caller has a timer of its own besides. */
   private longestMs(): number {
     let until = 0;
@@ -125,6 +141,10 @@
   }
 }
 
+function isUrgent(item: Waiting): boolean {
+  return item.isUrgent;
+}
+
 function hasOtherVoters(next: schema.Value, value: schema.Value): boolean {
   return next.voterEpoch !== value.voterEpoch || next.voters !== value.voters || next.former !== value.former;
 }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -60,10 +60,13 @@
     if (!this.hint || registers.isNewer(value, this.hint)) this.hint = value;
   }
 
-  /** Runs the step on the newest value until it is chosen or denied; one change at a time. Times count from this call. */
-  change(step: Step, withinMs: number): Promise<Outcome> {
+  /**
+   * Runs the step on the newest value until it is chosen or denied; one change at a time. Times count from this call.
+   * While isPatient, each round waits until no other proposer is in the middle of one.
+   */
+  change(step: Step, withinMs: number, isPatient: () => boolean = () => false): Promise<Outcome> {
     const until = this.clock.now() + withinMs;
-    const run = this.attempt.bind(this, step, until);
+    const run = this.attempt.bind(this, step, until, isPatient);
     const outcome = this.last.then(run, run);
     this.last = outcome;
     return outcome;
@@ -96,11 +99,11 @@
     return votes;
   }
 
-  private async attempt(step: Step, until: number): Promise<Outcome> {
+  private async attempt(step: Step, until: number, isPatient: () => boolean): Promise<Outcome> {
     let pause = FIRST_PAUSE_MS;
     const since = this.clock.now();
     while (this.clock.now() < until) {
-      await this.contention.clear(since, until);
+      if (isPatient()) await this.contention.clear(since, until);
       const startedAt = this.clock.now();
       const outcome = await this.round(step);
       if (outcome) {
--- a/tests/batch.test.ts
+++ b/tests/batch.test.ts
@@ -13,8 +13,10 @@
 class Register {
   readonly steps: proposers.Step[] = [];
   private readonly ends: ((outcome: proposers.Outcome) => void)[] = [];
-  propose(step: proposers.Step): Promise<proposers.Outcome> {
+  isPatient = (): boolean => false;
+  propose(step: proposers.Step, _withinMs: number, isPatient: () => boolean): Promise<proposers.Outcome> {
     this.steps.push(step);
+    this.isPatient = isPatient;
     return new Promise((resolve) => this.ends.push(resolve));
   }
   /** One round of the newest change: the value that it would have accepted. */
@@ -139,3 +141,17 @@
   expect(all.map((item) => item.outcome)).toEqual(["a", "a", "waiting"]);
   expect(register.round(second).evacuations).toEqual(["a", "b"]);
 });
+
+test("a batch listens for others, but not while an urgent step waits in it", async () => {
+  const { register, queue } = sceneOf();
+  void queue.change(start("a"), 1000);
+  await sim.settle();
+  expect(register.isPatient()).toBe(true);
+  void queue.change(start("b"), 1000, true);
+  expect(register.isPatient()).toBe(false);
+  register.end(result.ok(register.round(FIRST)));
+  await sim.settle();
+  void queue.change(start("c"), 1000);
+  await sim.settle();
+  expect(register.isPatient()).toBe(true);
+});
--- a/tests/sim/operators.ts
+++ b/tests/sim/operators.ts
@@ -59,7 +59,7 @@
   constructor(clock: sim.SimWorld, proposer: proposers.Proposer) {
     this.queue = new batch.StepQueue(clock, proposer.change.bind(proposer));
   }
-  change(step: proposers.Step, withinMs: number): Promise<proposers.Outcome> {
+  order(step: proposers.Step, withinMs: number): Promise<proposers.Outcome> {
     return this.queue.change(step, withinMs);
   }
   read(withinMs: number): Promise<proposers.Outcome> {
