--- a/tests/link-calls.test.ts
+++ b/tests/link-calls.test.ts
@@ -159,7 +159,7 @@
 
 test.each([
   ["that can't be read", calls.ask.code, Buffer.from([255, 255, 255])],
-  ["of another kind", calls.beat.code, Buffer.alloc(0)],
+  ["of another kind", calls.lease.code, calls.lease.reply.toBuffer({ life: "l", isGranting: true, grants: [] })],
 ])("a reply %s ends the link, and its call with it", async (_name, code, body) => {
   const ends = joined();
   const before = log.counted().get("link.garbled") ?? 0;
--- a/tests/once.test.ts
+++ b/tests/once.test.ts
@@ -1,5 +1,7 @@
 // What may not run twice reaches a runner once, at whatever byte of the request or of the answer something fails: the
 // bytes are counted at the runners. No library sends again by itself (design 7.8).
+import * as diagnostics from "node:diagnostics_channel";
+import type * as net from "node:net";
 import * as fc from "fast-check";
 import * as edges from "./sim/edge.js";
 import * as raws from "./sim/raw-runner.js";
@@ -164,3 +166,24 @@
     edge.stop();
   }
 });
+
+/** What the library does with a request at work when its connection ends by an error of its own: it sends it again. */
+test("the library's own way to send again is closed: its client ends with its connection", async () => {
+  const sockets: net.Socket[] = [];
+  const connected = (message: unknown): void => void sockets.push((message as { socket: net.Socket }).socket);
+  diagnostics.subscribe("undici:client:connected", connected);
+  const clock = new sims.SimWorld();
+  const silent: raws.Script = { answer: raws.FINE, part: "answer", byte: 0, fault: "silent" };
+  const edge = await edges.Edge.over(clock, [new raws.RawRunner("i-1", [silent])]);
+  const reply = edge.send(textOf("q1", { method: "GET", bodyBytes: 0, isChunked: false }));
+  while (!edge.runners[0].isSilent) await sims.settle();
+  sockets[0].destroy(Object.assign(new Error("the library's own"), { code: "UND_ERR_INFO" }));
+  const ended = new Promise((resolve) => edge.runners[0].sockets[0].once("close", resolve));
+  await ended;
+  for (let turn = 0; turn < 20; turn += 1) await sims.settle();
+  await clock.play(DEADLINE_MS);
+  await reply;
+  edge.stop();
+  diagnostics.unsubscribe("undici:client:connected", connected);
+  expect([sockets.length, edge.runners[0].streams.length]).toEqual([1, 1]);
+});
