Model of the register: random histories of the real core under faults, checked for linearizability

Cause: the register was tried with few kinds of faults, and by a checker that looked at the end of each history alone.

Change: tests/model plays the real core, arranger, proposer, voter and ring over a simulated machine and network. fast-check draws scenarios (orders, races, resends, reads; crashes, losses of power, freezes, cuts, lost, late and doubled messages; stalled, failing, short and torn writes; wipes, replacements, leavings; membership steps and settles at any moment) and makes failing ones smaller. The checker explains what operators saw by one order of the changes. `npm run model` plays many.

--- /dev/null
+++ b/tests/model/mutations.ts
@@ -0,0 +1,128 @@
+// Guards that a run of the model takes out on purpose, to prove that the checker sees each of them missing.
+import * as calls from "../../src/wire/calls.js";
+import * as cores from "../../src/control/core.js";
+import * as policy from "../../src/control/voters.js";
+import type * as dialer from "../../src/feed/dialer.js";
+import type * as proposers from "../../src/register/proposer.js";
+import * as registers from "../../src/register/value.js";
+import * as rounds from "../../src/register/round.js";
+import * as result from "true-myth/result";
+import * as voters from "../../src/register/voter.js";
+import * as schema from "../../src/wire/schema.js";
+import type * as types from "../../src/wire/types.js";
+import type * as disks from "./disk.js";
+
+export type Guard =
+  | "none"
+  | "settle_unchosen"
+  | "empty_joiner_blocks"
+  | "forget_promise"
+  | "wipe_keeps_identity"
+  | "any_quorum"
+  | "short_write_counts"
+  | "forget_orders";
+
+/** The proposer's inner steps that mutations replace; private in the sources. */
+interface ProposerParts {
+  reach: proposers.Reach;
+  isSetChosen(value: schema.Value): boolean;
+  accept(ballot: schema.Ballot, read: schema.Value, proposed: schema.Value): Promise<boolean>;
+}
+
+function settleAnything(read: schema.Value): proposers.Outcome {
+  return result.ok(registers.settled(read));
+}
+
+/** Takes every joint set that was read for chosen: it is built on and settled as it stands. */
+function trustJointSets(proposer: proposers.Proposer): void {
+  const parts = proposer as unknown as ProposerParts;
+  parts.isSetChosen = function always() {
+    return true;
+  };
+}
+
+/** Sends new voters to all at once: former ones may accept them before any joiner has. */
+function acceptAtOnce(proposer: proposers.Proposer, world: types.World): void {
+  const parts = proposer as unknown as ProposerParts;
+  const isSetChosen = parts.isSetChosen.bind(proposer);
+  parts.accept = async function accept(ballot, read, proposed) {
+    const isProven = proposed.former.length === 0 && (read.former.length === 0 || isSetChosen(read));
+    const votes = new rounds.Votes();
+    function send(voter: schema.Voter): Promise<schema.Vote | null> {
+      return parts.reach.accept(voter, { disk: voter.disk, ballot, isSetChosen: isProven, value: proposed });
+    }
+    function isPossible(disks: ReadonlySet<string>): boolean {
+      return registers.isQuorum(proposed, disks);
+    }
+    function isEnough(): boolean {
+      return isPossible(votes.granted);
+    }
+    await rounds.run(world, { voters: registers.allVoters(read, proposed).values(), send, votes, isEnough, isPossible });
+    return isEnough();
+  };
+}
+
+/** Writes records that lack their promise. */
+function forgetful(records: voters.Keep): voters.Keep {
+  return {
+    write(body: Buffer): Promise<void> {
+      const state = schema.disk.fromBuffer(body);
+      return records.write(schema.disk.toBuffer({ ...state, promised: registers.NO_BALLOT }));
+    },
+  };
+}
+
+/** The parts of the model with at most one guard missing. */
+export class Mutations implements disks.DiskMutations {
+  readonly isShortWriteCounted: boolean;
+  readonly isIdentityKept: boolean;
+  /** Orders that the register remembers; with the guard in place, as many as the sources say. */
+  readonly mostOrders: number;
+
+  constructor(readonly missing: Guard) {
+    this.isShortWriteCounted = missing === "short_write_counts";
+    this.isIdentityKept = missing === "wipe_keeps_identity";
+    this.mostOrders = missing === "forget_orders" ? 4 : Infinity;
+  }
+
+  makeCore(world: types.World, options: cores.CoreOptions, dial: dialer.Dialer): cores.Core {
+    const core = new cores.Core(world, options, dial);
+    if (this.missing === "settle_unchosen") trustJointSets(core.proposer);
+    if (this.missing === "empty_joiner_blocks") acceptAtOnce(core.proposer, world);
+    return core;
+  }
+
+  makeVoter(records: voters.Keep, state: schema.Disk): voters.Voter {
+    return new voters.Voter(this.missing === "forget_promise" ? forgetful(records) : records, state);
+  }
+
+  /** What a node settles that saw this joint value chosen. */
+  settleStep(joint: schema.Value): proposers.Step {
+    return this.missing === "settle_unchosen" ? settleAnything : policy.settleStep(joint);
+  }
+
+  /** The voters that a node proposes; without the guard on joiners also an even core, as the policy once did. */
+  nextVoters(value: schema.Value, alive: readonly policy.Alive[], silentMs: policy.SilentMs): schema.Voter[] | null {
+    const joiner = alive.find((item) => !value.voters.some((voter) => voter.disk === item.disk));
+    if (this.missing !== "empty_joiner_blocks" || !joiner) return policy.nextVoters(value, alive, silentMs);
+    return [...value.voters, { disk: joiner.disk, node: joiner.node, address: joiner.address }];
+  }
+
+  /** The step of an order; without its guard the register knows the last few orders only. */
+  orderStep(step: proposers.Step): proposers.Step {
+    const most = this.mostOrders;
+    if (most === Infinity) return step;
+    return function forgetting(read) {
+      return step({ ...read, taken: read.taken.slice(-most) });
+    };
+  }
+
+  /** What a proposer makes of a voter that did not reply: nothing, unless any quorum counts. */
+  replyOfSilence(pair: { readonly code: number }, ask: unknown): unknown {
+    if (this.missing !== "any_quorum") return null;
+    const code = pair.code;
+    if (code !== calls.prepare.code && code !== calls.accept.code) return null;
+    const { disk, ballot } = ask as schema.Prepare;
+    return { isGranted: true, disk, ballot, accepted: null };
+  }
+}
--- /dev/null
+++ b/tests/model/node.ts
@@ -0,0 +1,213 @@
+// One control node of the model: the real core, voter, ring, proposer and membership over a simulated machine.
+import * as arrangers from "../../src/control/arranger.js";
+import * as cores from "../../src/control/core.js";
+import * as dialer from "../../src/feed/dialer.js";
+import * as proposers from "../../src/register/proposer.js";
+import * as registers from "../../src/register/value.js";
+import * as voters from "../../src/register/voter.js";
+import * as ring from "../../src/store/ring.js";
+import * as link from "../../src/wire/link.js";
+import * as schema from "../../src/wire/schema.js";
+import * as types from "../../src/wire/types.js";
+import * as disks from "./disk.js";
+import * as mutations from "./mutations.js";
+import type * as networks from "./network.js";
+import * as network from "./network.js";
+
+const UPKEEP_MS = 100;
+const OPEN_AGAIN_MS = 500;
+
+/** Timers of one process: they wait while it is frozen and are gone once it has ended. */
+class NodeWorld implements types.World {
+  constructor(private readonly node: ModelNode) {}
+
+  now(): types.SteadyMs {
+    return this.node.network.clock.now();
+  }
+
+  random(): number {
+    return this.node.network.clock.random();
+  }
+
+  after(ms: number, run: () => void): types.Tick {
+    const { node } = this;
+    return node.network.clock.after(ms, node.deliver.bind(node, node.generation, run));
+  }
+}
+
+export class ModelNode {
+  isUp = false;
+  isFrozen = false;
+  /** Counts the processes of this machine. */
+  generation = 0;
+  disk: disks.ModelDisk;
+  handlers = new link.Handlers();
+  readonly links = new Map<string, network.ModelLink>();
+  readonly world: types.World = new NodeWorld(this);
+  core: cores.Core | null = null;
+  voter: voters.Voter | null = null;
+  private dial: dialer.Dialer | null = null;
+  private arranger: arrangers.Arranger | null = null;
+  private held: (() => void)[] = [];
+  private identities = 0;
+
+  constructor(
+    readonly network: networks.Network,
+    readonly address: string,
+    private readonly seeds: readonly string[],
+    readonly mutations: mutations.Mutations,
+    private readonly onChosen: (value: schema.Value) => void,
+  ) {
+    this.disk = new disks.ModelDisk(network.clock, mutations);
+  }
+
+  /** Runs in this process: later if it is frozen, never if it has ended. */
+  deliver(generation: number, run: () => void): void {
+    if (generation !== this.generation || !this.isUp) return;
+    if (this.isFrozen) this.held.push(run);
+    else run();
+  }
+
+  thaw(): void {
+    this.isFrozen = false;
+    const { held } = this;
+    this.held = [];
+    for (const run of held) run();
+  }
+
+  crash(): void {
+    if (!this.isUp) return;
+    this.isUp = this.isFrozen = false;
+    this.generation += 1;
+    this.held = [];
+    this.core = this.voter = null;
+    for (const held of this.links.values()) held.isOpen = false;
+    this.links.clear();
+    this.disk.crash();
+  }
+
+  wipe(): void {
+    this.crash();
+    this.disk = new disks.ModelDisk(this.network.clock, this.mutations);
+  }
+
+  async start(isBootstrap: boolean): Promise<void> {
+    if (this.isUp) return;
+    this.isUp = true;
+    const { generation } = this;
+    this.handlers = new link.Handlers();
+    const life = `${this.address}/${generation}`;
+    this.dial = new dialer.Dialer(this.world, this.address, this.handlers, this.describe.bind(this), link.SILENT_MS);
+    this.dial.know(this.seeds);
+    const first = registers.firstValue(isBootstrap ? this.seeds : []);
+    this.core = this.mutations.makeCore(this.world, { life, address: this.address, first }, this.dial);
+    this.core.on("chosen", this.onChosen);
+    this.core.register(this.handlers);
+    this.arranger = new arrangers.Arranger(this.world, this.core, this.members.bind(this));
+    this.world.after(UPKEEP_MS * this.world.random(), this.upkeep.bind(this));
+    await this.readDisk(isBootstrap);
+  }
+
+  /** Until the disk can be read and takes its first record, the node runs without a vote. */
+  private async readDisk(isBootstrap: boolean): Promise<void> {
+    const { generation } = this;
+    try {
+      const { ring: records, newest } = await ring.Ring.open(this.disk.open(this.world), "");
+      const state = newest ? voters.Voter.restore(newest) : this.blank(isBootstrap);
+      if (!newest) await records.write(schema.disk.toBuffer(state));
+      if (!this.isAlive(generation)) return;
+      this.voter = this.mutations.makeVoter(records, state);
+      this.core?.enter(this.voter);
+    } catch {
+      this.world.after(OPEN_AGAIN_MS, this.readDiskAgain.bind(this, isBootstrap));
+    }
+  }
+
+  private readDiskAgain(isBootstrap: boolean): void {
+    void this.readDisk(isBootstrap);
+  }
+
+  private isAlive(generation: number): boolean {
+    return this.isUp && this.generation === generation;
+  }
+
+  private blank(isBootstrap: boolean): schema.Disk {
+    const isFirst = isBootstrap || (this.mutations.isIdentityKept && this.seeds.includes(this.address));
+    this.identities += 1;
+    const disk = isFirst ? registers.firstDisk(this.address) : `disk:${this.address}:${this.identities}`;
+    const accepted = isBootstrap ? { ballot: registers.NO_BALLOT, value: registers.firstValue(this.seeds) } : null;
+    return { disk, promised: registers.NO_BALLOT, accepted };
+  }
+
+  describe(): schema.NodeInfo {
+    return {
+      name: this.address,
+      role: "control",
+      life: `${this.address}/${this.generation}`,
+      zone: "",
+      region: "",
+      address: this.address,
+      outside: "",
+      disk: this.core?.disk ?? "",
+      isCounted: true,
+      isReady: true,
+      epoch: this.core?.chosen?.epoch ?? types.NO_EPOCH,
+    };
+  }
+
+  private members(): schema.NodeInfo[] {
+    const members = [this.describe()];
+    for (const control of this.dial?.controls.values() ?? []) members.push(control.node);
+    return members;
+  }
+
+  private upkeep(): void {
+    this.world.after(UPKEEP_MS, this.upkeep.bind(this));
+    const peers = new Set(this.network.nodes.values());
+    for (const held of this.links.values()) peers.add(held.to);
+    for (const peer of peers) if (peer !== this) this.keepLink(peer);
+    this.core?.turn();
+    this.arranger?.turn();
+  }
+
+  /** Opens, beats on, or ends the link to one peer, as the dialer and the beats do. */
+  private keepLink(peer: ModelNode): void {
+    const dial = this.dial as dialer.Dialer;
+    let held = this.links.get(peer.address);
+    const isReached = this.network.isConnected(this.address, peer.address) && !peer.isFrozen;
+    if (held && (held.silentMs() > link.SILENT_MS || held.generation !== peer.generation || !held.isOpen)) {
+      held.isOpen = false;
+      this.links.delete(peer.address);
+      dial.controls.delete(peer.address);
+      held = undefined;
+    }
+    if (!isReached || this.world.random() < this.network.weather.lost) return;
+    if (!held) {
+      held = new network.ModelLink(this.network, this, peer);
+      this.links.set(peer.address, held);
+    }
+    const node = peer.describe();
+    held.heardMs = this.world.now();
+    const made = held.asLink();
+    dial.controls.set(peer.address, {
+      address: peer.address,
+      node,
+      place: "",
+      link: made,
+      beat: null,
+      beatAt: this.world.now(),
+      tripMs: 1,
+    });
+    void this.core?.catchUp(made, node.epoch);
+  }
+
+  /** The process is told to stop: it hands over before it does. */
+  handOver(withinMs: number): Promise<void> | null {
+    return this.arranger ? this.arranger.handOver(withinMs) : null;
+  }
+
+  /** One change through this node's core, as the operator's call does it. */
+  change(step: proposers.Step, withinMs: number): Promise<proposers.Outcome> | null {
+    return this.core ? this.core.change(step, withinMs) : null;
+  }
+}
--- /dev/null
+++ b/tests/model/player.ts
@@ -0,0 +1,247 @@
+// Plays one scenario on a simulated core and gives the verdict on what operators saw.
+import * as policy from "../../src/control/voters.js";
+import type * as schema from "../../src/wire/schema.js";
+import * as clocks from "./clock.js";
+import * as histories from "./history.js";
+import * as ending from "./ending.js";
+import * as losses from "./losses.js";
+import * as mutations from "./mutations.js";
+import * as networks from "./network.js";
+import * as nodes from "./node.js";
+import * as operators from "./operators.js";
+import type * as scenarios from "./scenario.js";
+import * as targets from "./targets.js";
+
+const START_MS = 1500;
+const STEP_MS = 5000;
+const GRACE_MS = 1500;
+
+export class Player {
+  readonly clock: clocks.ModelClock;
+  readonly network: networks.Network;
+  readonly operators: operators.Operators;
+  readonly mutations: mutations.Mutations;
+  private readonly losses: losses.Losses;
+  private readonly seeds: string[] = [];
+  /** Every value that a node took for chosen, by its epoch: agreement, whoever looks. */
+  private readonly chosen = new Map<number, string>();
+  private disagreement: string | null = null;
+  private joined = 0;
+
+  constructor(
+    private readonly scenario: scenarios.Scenario,
+    missing: mutations.Guard,
+  ) {
+    this.clock = new clocks.ModelClock(scenario.seed);
+    this.network = new networks.Network(this.clock);
+    this.mutations = new mutations.Mutations(missing);
+    this.operators = new operators.Operators(this.clock, this.mutations);
+    this.losses = new losses.Losses((scenario.voters - 1) / 2);
+    for (let voter = 0; voter < scenario.voters; voter += 1) this.seeds.push(`seed-${voter}:1`);
+  }
+
+  /** Null when all is as it should be; else one sentence. */
+  async play(): Promise<string | null> {
+    for (const address of this.seeds) void this.add(address).start(true);
+    for (let spare = 0; spare < this.scenario.spares; spare += 1) this.join();
+    await this.clock.play(START_MS);
+    this.setWeather(this.scenario.weather);
+    for (const { gapMs, command } of this.scenario.commands) {
+      await this.clock.play(gapMs);
+      this.run(command);
+    }
+    await this.clock.play(STEP_MS);
+    const stuck = await ending.finish(this);
+    return this.disagreement ?? histories.check(this.operators.history) ?? stuck;
+  }
+
+  private add(address: string): nodes.ModelNode {
+    const node = new nodes.ModelNode(this.network, address, this.seeds, this.mutations, this.noteChosen.bind(this));
+    this.network.nodes.set(address, node);
+    return node;
+  }
+
+  private join(): void {
+    this.joined += 1;
+    void this.add(`joined-${this.joined}:1`).start(false);
+  }
+
+  private noteChosen(value: schema.Value): void {
+    const { voters, former, revision } = value;
+    const made = JSON.stringify([revision, operators.markOf(value), voters.map(diskOf), former.map(diskOf)]);
+    const known = this.chosen.get(value.epoch);
+    if (known !== undefined && known !== made) this.disagreement ??= `two values chosen at epoch ${value.epoch}: ${known} and ${made}`;
+    this.chosen.set(value.epoch, made);
+  }
+
+  node(index: number): nodes.ModelNode {
+    const all = [...this.network.nodes.values()];
+    return all[index % all.length];
+  }
+
+  private run(command: scenarios.Command): void {
+    switch (command.kind) {
+      case "order":
+        void this.operators.send(this.node(command.node), this.operators.create(command.isStale), command.isReplyLost);
+        return;
+      case "duel":
+        for (let order = 0; order < command.orders; order += 1) {
+          void this.operators.send(this.node(command.node + order), this.operators.create(false));
+        }
+        return;
+      case "burst":
+        void this.burst(command.node, command.orders);
+        return;
+      case "resend":
+        return this.resend(command.node, command.order);
+      case "read":
+        void this.operators.read(this.node(command.node));
+        return;
+      case "power":
+        for (const node of this.network.nodes.values()) this.restart(node, command.ms * this.clock.random());
+        return;
+      case "weather":
+        this.setWeather({ lost: command.lost, doubled: command.doubled, late: command.late });
+        this.clock.after(command.ms, this.setWeather.bind(this, networks.CALM));
+        return;
+      case "settle":
+      case "membership":
+        return this.changeVoters(command);
+      default:
+        this.trouble(this.node(command.node), command);
+    }
+  }
+
+  private setWeather(weather: networks.Weather): void {
+    this.network.weather = weather;
+    this.losses.weather(weather.lost, this.clock.now());
+  }
+
+  private async burst(node: number, orders: number): Promise<void> {
+    for (let sent = 0; sent < orders; sent += 1) await this.operators.send(this.node(node), this.operators.create(false));
+  }
+
+  private resend(node: number, order: number): void {
+    const { orders } = this.operators;
+    if (orders.length > 0) void this.operators.send(this.node(node), orders[order % orders.length]);
+  }
+
+  /** A step of the membership at any moment, whatever the policy would do: safety must not hang on its patience. */
+  private changeVoters(command: Extract<scenarios.Command, { kind: "settle" | "membership" }>): void {
+    const node = this.node(command.node);
+    const value = node.core?.chosen;
+    if (!value) return;
+    if (command.kind === "settle") {
+      const settle = this.mutations.settleStep(value);
+      this.clock.after(command.delayMs, function late() {
+        void node.change(settle, STEP_MS);
+      });
+      return;
+    }
+    const silent = value.voters[command.silent % value.voters.length];
+    function silentMs(voter: schema.Voter): number {
+      return voter === silent ? 10 * policy.SILENT_MS : 0;
+    }
+    const voters = value.former.length > 0 ? null : this.mutations.nextVoters(value, this.alive(), silentMs);
+    if (voters) void node.change(policy.voterStep(value, voters), STEP_MS);
+  }
+
+  private alive(): policy.Alive[] {
+    const alive: policy.Alive[] = [];
+    for (const node of this.network.nodes.values()) {
+      const { disk, address } = node.describe();
+      if (node.isUp && disk !== "") alive.push({ disk, node: address, address, isCounted: true });
+    }
+    return alive;
+  }
+
+  private trouble(node: nodes.ModelNode, command: scenarios.Command): void {
+    switch (command.kind) {
+      case "crash":
+        return this.restart(node, command.ms);
+      case "freeze":
+        if (!node.isUp || node.isFrozen) return;
+        node.isFrozen = true;
+        return this.endLater(node, command.ms, node.thaw.bind(node));
+      case "isolate":
+        for (const other of this.network.nodes.values()) if (other !== node) this.cut(node, other, command.way);
+        return this.endLater(node, command.ms, this.network.heal.bind(this.network));
+      case "cut":
+        this.cut(node, this.node(command.other), "both");
+        this.endLater(this.node(command.other), command.ms, nothing);
+        return this.endLater(node, command.ms, this.network.heal.bind(this.network));
+      case "disk":
+        node.disk.trouble = command.trouble;
+        return this.endLater(node, command.ms, endDisk.bind(null, node));
+      case "wipe":
+        return this.wipe(command);
+      case "replace":
+        return command.isPlanned ? this.leave(node) : this.replace(node);
+    }
+  }
+
+  private cut(node: nodes.ModelNode, other: nodes.ModelNode, way: "in" | "out" | "both"): void {
+    if (way !== "in") this.network.cut(node.address, other.address);
+    if (way !== "out") this.network.cut(other.address, node.address);
+  }
+
+  private endLater(node: nodes.ModelNode, ms: number, end: () => void): void {
+    const { losses, clock } = this;
+    losses.begin(node.address);
+    clock.after(ms, function ended() {
+      end();
+      losses.end(node.address, clock.now());
+    });
+  }
+
+  private restart(node: nodes.ModelNode, ms: number): void {
+    if (!node.isUp) return;
+    node.crash();
+    this.endLater(node, ms, function again() {
+      void node.start(false);
+    });
+  }
+
+  private wipe(command: Extract<scenarios.Command, { kind: "wipe" }>): void {
+    const node = targets.find([...this.network.nodes.values()], command);
+    if (!node.isUp || !this.losses.mayLose(node.address, this.clock.now())) return;
+    node.wipe();
+    this.endLater(node, command.ms, function again() {
+      void node.start(false);
+    });
+    if (!command.isPowerLost) return;
+    for (const other of this.network.nodes.values()) this.restart(other, command.ms * this.clock.random());
+  }
+
+  /** The machine hands over what it holds, then goes. */
+  private leave(node: nodes.ModelNode): void {
+    if (!node.isUp || !this.losses.mayLose(node.address, this.clock.now())) return;
+    this.losses.begin(node.address);
+    void node.handOver(GRACE_MS);
+    this.clock.after(GRACE_MS, this.remove.bind(this, node));
+  }
+
+  /** The machine goes for good and a blank one comes at a new address. */
+  private replace(node: nodes.ModelNode): void {
+    if (!node.isUp || !this.losses.mayLose(node.address, this.clock.now())) return;
+    this.losses.begin(node.address);
+    this.remove(node);
+  }
+
+  private remove(node: nodes.ModelNode): void {
+    node.crash();
+    this.network.nodes.delete(node.address);
+    this.losses.end(node.address, this.clock.now() + 1000);
+    this.clock.after(1000 * this.clock.random(), this.join.bind(this));
+  }
+}
+
+function diskOf(voter: schema.Voter): string {
+  return voter.disk;
+}
+
+function nothing(): void {}
+
+function endDisk(node: nodes.ModelNode): void {
+  node.disk.trouble = "none";
+}
--- /dev/null
+++ b/tests/model/run.mjs
@@ -0,0 +1,30 @@
+// Bundles the model with its sources, log lines left out, and runs it.
+import * as childProcess from "node:child_process";
+import * as path from "node:path";
+import * as esbuild from "esbuild";
+
+const folder = import.meta.dirname;
+const outfile = path.join(folder, "../../target/model.mjs");
+
+const quietLog = {
+  name: "quiet-log",
+  setup(build) {
+    build.onResolve({ filter: /startup\/log\.js$/ }, function replace() {
+      return { path: path.join(folder, "quiet-log.ts") };
+    });
+  },
+};
+
+await esbuild.build({
+  entryPoints: [path.join(folder, "run.ts")],
+  outfile,
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "esm",
+  banner: { js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);' },
+  logLevel: "error",
+  plugins: [quietLog],
+});
+const run = childProcess.spawnSync(process.execPath, [outfile, ...process.argv.slice(2)], { stdio: "inherit" });
+process.exit(run.status ?? 1);
