Model: commands, plots and scenarios in files of their own; plots of three known dangers

Random commands alone met a late settle, a short write and a lost disk too rarely to show the guards missing: plots place them with chance in their times.

--- a/tests/model/faults.ts
+++ b/tests/model/faults.ts
@@ -2,7 +2,7 @@
 import type * as losses from "./losses.js";
 import type * as networks from "./network.js";
 import type * as nodes from "./node.js";
-import type * as scenarios from "./scenario.js";
+import type * as commands from "./commands.js";
 import * as targets from "./targets.js";
 
 /** From the stop of a machine that leaves until its process ends. */
@@ -17,7 +17,7 @@
     private readonly join: () => void,
   ) {}
 
-  begin(command: scenarios.Fault): void {
+  begin(command: commands.Fault): void {
     if (command.kind === "split") return this.split(command.side, command.ms);
     const node = this.network.node(command.node);
     switch (command.kind) {
@@ -83,7 +83,7 @@
   }
 
   /** The disk of one machine is lost, if that may be; perhaps the power of all others as well. */
-  wipe(command: Extract<scenarios.Command, { kind: "wipe" }>): void {
+  wipe(command: Extract<commands.Command, { kind: "wipe" }>): void {
     const node = targets.find([...this.network.nodes.values()], command);
     if (!node.isUp || !this.mayLose(node)) return;
     node.wipe();
--- a/tests/model/player.ts
+++ b/tests/model/player.ts
@@ -10,6 +10,7 @@
 import * as networks from "./network.js";
 import * as nodes from "./node.js";
 import * as operators from "./operators.js";
+import type * as commands from "./commands.js";
 import type * as scenarios from "./scenario.js";
 
 const START_MS = 1500;
@@ -82,7 +83,7 @@
     return this.network.node(index);
   }
 
-  private run(command: scenarios.Command): void {
+  private run(command: commands.Command): void {
     switch (command.kind) {
       case "order":
         void this.operators.send(this.node(command.node), this.operators.create(command.isStale), command.isReplyLost);
@@ -117,7 +118,7 @@
   }
 
   /** A loss of power or of a disk: at once, or right after an order was confirmed. */
-  private async disaster(command: Extract<scenarios.Command, { kind: "power" | "wipe" }>): Promise<void> {
+  private async disaster(command: Extract<commands.Command, { kind: "power" | "wipe" }>): Promise<void> {
     if (command.isAfterOrder) {
       const sending = await this.operators.send(this.node(command.slow), this.operators.create(false));
       if (sending.reply !== "confirmed" || this.isEnding) return;
@@ -141,14 +142,14 @@
   }
 
   /** A step of the membership at any moment, whatever the policy would do: safety must not hang on its patience. */
-  private changeVoters(command: Extract<scenarios.Command, { kind: "settle" | "membership" }>): void {
+  private changeVoters(command: Extract<commands.Command, { kind: "settle" | "membership" }>): void {
     const node = this.node(command.node);
     const value = node.core?.chosen;
     if (!value) return;
     if (command.kind === "settle") {
       const settle = this.mutations.settleStep(value);
       this.clock.after(command.delayMs, function late() {
-        void node.change(settle, STEP_MS);
+        void node.change(settle, command.withinMs);
       });
       return;
     }
