--- a/tests/model/commands.ts
+++ b/tests/model/commands.ts
@@ -99,6 +99,7 @@
   const kinds = Object.keys(weights) as Command["kind"][];
   return fc.oneof(...kinds.map(weigh));
   function weigh(name: Command["kind"]): fc.WeightedArbitrary<Command> {
-    return { weight: weights[name], arbitrary: fc.record(FIELDS[name]) };
+    const fields: Record<string, fc.Arbitrary<unknown>> = FIELDS[name];
+    return { weight: weights[name], arbitrary: fc.record(fields) as fc.Arbitrary<unknown> as fc.Arbitrary<Command> };
   }
 }
--- /dev/null
+++ b/tests/model/exhaustive/parts.ts
@@ -0,0 +1,92 @@
+// The real parts that the search drives: the voter's rules, and the proposer's decisions on the votes it has.
+import * as proposers from "../../../src/register/proposer.js";
+import * as rounds from "../../../src/register/round.js";
+import * as registers from "../../../src/register/value.js";
+import * as voters from "../../../src/register/voter.js";
+import type * as schema from "../../../src/wire/schema.js";
+import * as worlds from "../../sim/world.js";
+import * as states from "./state.js";
+
+export type Guard = "none" | "settle_unchosen" | "forget_promise" | "wipe_keeps_identity" | "any_quorum";
+
+/** The decisions of the proposer that depend on nothing but what it knows and the votes; private in the sources. */
+interface Decisions {
+  known: schema.Value;
+  hint: schema.Value | null;
+  highestBallot: number;
+  learnChosen(value: schema.Value): void;
+  isRead(votes: rounds.Votes): boolean;
+  readFrom(votes: rounds.Votes): schema.Value | null;
+  isStanding(read: schema.Value, votes: rounds.Votes): boolean;
+  isSetChosen(value: schema.Value): boolean;
+  targets(...values: schema.Value[]): Map<string, schema.Voter>;
+  take(votes: rounds.Votes): void;
+  finish(value: schema.Value): void;
+}
+
+const world = new worlds.SimWorld(1);
+const unreachable: proposers.Reach = { prepare: () => Promise.resolve(null), accept: () => Promise.resolve(null) };
+const kept: voters.Keep = { write: () => Promise.resolve() };
+
+function nothing(): void {}
+
+export class Parts {
+  constructor(
+    private readonly values: states.Values,
+    private readonly missing: Guard,
+  ) {}
+
+  /** A real proposer that knows what the state says. */
+  proposer(state: states.ProposerState): Decisions {
+    const made = new proposers.Proposer(world, "model", unreachable, this.values.get(state.known), nothing);
+    const decisions = made as unknown as Decisions;
+    decisions.hint = state.hint < 0 ? null : this.values.get(state.hint);
+    decisions.highestBallot = state.highest;
+    if (this.missing === "settle_unchosen") decisions.isSetChosen = () => true;
+    return decisions;
+  }
+
+  /** Writes back what the proposer has learned. */
+  store(decisions: Decisions, state: states.ProposerState): void {
+    state.known = this.values.idOf(decisions.known);
+    state.hint = decisions.hint ? this.values.idOf(decisions.hint) : -1;
+    state.highest = decisions.highestBallot;
+  }
+
+  votesOf(grants: readonly states.Grant[], asked: Iterable<schema.Voter>): rounds.Votes {
+    const votes = new rounds.Votes();
+    const byDisk = new Map<string, schema.Voter>();
+    for (const voter of asked) byDisk.set(voter.disk, voter);
+    for (const grant of grants) {
+      const accepted = this.acceptedOf(grant.accepted);
+      const vote = { isGranted: grant.isGranted, disk: grant.disk, ballot: states.ballotOf(grant.ballot), accepted };
+      votes.record(byDisk.get(grant.disk) ?? { disk: grant.disk, node: "", address: "" }, vote);
+    }
+    if (this.missing === "any_quorum" && votes.granted.size > 0) for (const disk of byDisk.keys()) votes.granted.add(disk);
+    return votes;
+  }
+
+  private acceptedOf(held: [number, number] | null): schema.Accepted | null {
+    return held ? { ballot: states.ballotOf(held[0]), value: this.values.get(held[1]) } : null;
+  }
+
+  /** The real voter takes the request; its rules act before anything waits for the disk. */
+  vote(voter: states.VoterState, request: states.Request): states.Grant {
+    const accepted = this.acceptedOf(voter.accepted);
+    const made = new voters.Voter(kept, { disk: request.to, promised: states.ballotOf(voter.promised), accepted });
+    // Its disk is never done: no record is encoded, and the rules don't wait for it.
+    (made as unknown as { writing: boolean }).writing = true;
+    const ballot = states.ballotOf(request.ballot);
+    if (request.kind === "prepare") void made.prepare({ disk: request.to, ballot });
+    else void made.accept({ disk: request.to, ballot, isSetChosen: request.isSetChosen, value: this.values.get(request.value) });
+    const after = made.accepted;
+    const isPromised = registers.compareBallots(made.promised, ballot) === 0;
+    const isAccepted = after !== null && registers.compareBallots(after.ballot, ballot) === 0;
+    const isGranted = request.kind === "prepare" ? isPromised : isAccepted;
+    const shown = voter.accepted;
+    voter.promised = this.missing === "forget_promise" && request.kind === "prepare" ? voter.promised : states.numberOf(made.promised);
+    voter.accepted = after ? [states.numberOf(after.ballot), this.values.idOf(after.value)] : null;
+    const isShown = request.kind === "prepare" || !isGranted;
+    return { disk: request.to, isGranted, ballot: states.numberOf(made.promised), accepted: isShown ? shown : null };
+  }
+}
--- /dev/null
+++ b/tests/model/exhaustive/scope.ts
@@ -0,0 +1,43 @@
+// What the bounded search plays: voters a, b, c and a joiner d that takes the place of a; two proposers.
+import * as result from "true-myth/result";
+import * as policy from "../../../src/control/voters.js";
+import type * as proposers from "../../../src/register/proposer.js";
+import * as registers from "../../../src/register/value.js";
+import * as errors from "../../../src/startup/errors.js";
+import type * as schema from "../../../src/wire/schema.js";
+import type * as parts from "./parts.js";
+import type * as bounds from "./bounds.js";
+import * as search from "./search.js";
+
+const DISKS = ["a", "b", "c", "d"];
+
+function voterOf(disk: string): schema.Voter {
+  return { disk, node: "", address: disk };
+}
+
+const first: schema.Value = { ...registers.firstValue([]), voters: ["a", "b", "c"].map(voterOf) };
+const joiners = ["d", "b", "c"].map(voterOf);
+
+/** A change on base 0, as an operator orders it. */
+export function order(name: string, revision: number): bounds.Call {
+  function step(read: schema.Value): proposers.Outcome {
+    if (read.taken.some((taken) => taken.digest === name)) return result.ok(read);
+    if (read.revision !== 0) return result.err(errors.fail("race", "another revision", "read again"));
+    return result.ok(registers.withConfig(read, revision, Buffer.alloc(0), name));
+  }
+  return { name, base: 0, step };
+}
+
+export const replace: bounds.Call = { name: "replace a by d", base: null, step: policy.voterStep(first, joiners) };
+
+export function settle(missing: parts.Guard): bounds.Call {
+  const joint = registers.withVoters(first, joiners);
+  function settleAnything(read: schema.Value): proposers.Outcome {
+    return result.ok(registers.settled(read));
+  }
+  return { name: "settle", base: null, step: missing === "settle_unchosen" ? settleAnything : policy.settleStep(joint) };
+}
+
+export function run(missing: parts.Guard, within: bounds.Bounds): bounds.Found {
+  return new search.Search(within, first, DISKS, missing).run();
+}
--- /dev/null
+++ b/tests/model/exhaustive/state.ts
@@ -0,0 +1,119 @@
+// States of the bounded search: voters, two proposers, and requests on their way. Plain data, compared by their JSON.
+import type * as schema from "../../../src/wire/schema.js";
+import * as registers from "../../../src/register/value.js";
+
+/** Values are named by their content, so that equal ones are one object and steps can be seen to change nothing. */
+export class Values {
+  private readonly byKey = new Map<string, number>();
+  private readonly all: schema.Value[] = [];
+
+  idOf(value: schema.Value): number {
+    const key = JSON.stringify([value.epoch, value.voterEpoch, value.revision, value.taken, value.voters, value.former]);
+    const known = this.byKey.get(key);
+    if (known !== undefined) return known;
+    this.byKey.set(key, this.all.length);
+    return this.all.push(value) - 1;
+  }
+
+  get(id: number): schema.Value {
+    return this.all[id];
+  }
+}
+
+/** Ballots are numbers here: of the round, times ten, plus the proposer. */
+export function ballotOf(number: number): schema.Ballot {
+  return { n: Math.floor(number / 10), by: String(number % 10) };
+}
+
+export function numberOf(ballot: schema.Ballot): number {
+  return ballot.n * 10 + Number(ballot.by);
+}
+
+export interface VoterState {
+  promised: number;
+  /** Ballot and value, or null when nothing was accepted. */
+  accepted: [number, number] | null;
+}
+
+export interface Request {
+  kind: "prepare" | "accept";
+  from: number;
+  to: string;
+  ballot: number;
+  value: number;
+  isSetChosen: boolean;
+}
+
+export interface Grant {
+  disk: string;
+  isGranted: boolean;
+  ballot: number;
+  accepted: [number, number] | null;
+}
+
+export interface Phase {
+  kind: "prepare" | "joiners" | "accept";
+  ballot: number;
+  /** In the order of their coming. */
+  votes: Grant[];
+  read: number;
+  proposed: number;
+  isReadFirst: boolean;
+  isOk: boolean;
+}
+
+export interface ProposerState {
+  known: number;
+  hint: number;
+  highest: number;
+  /** The step of the program that is on, and its rounds begun. */
+  step: number;
+  rounds: number;
+  phase: Phase | null;
+}
+
+export interface State {
+  /** Null: the disk is gone. */
+  voters: Record<string, VoterState | null>;
+  proposers: ProposerState[];
+  requests: Request[];
+  wipesLeft: number;
+  /** What proposers found chosen, by epoch; what they confirmed, by base. */
+  chosen: Record<string, number>;
+  confirmed: Record<string, string>;
+  violation: string | null;
+}
+
+export function clone(state: State): State {
+  const voters: State["voters"] = {};
+  for (const [disk, voter] of Object.entries(state.voters)) voters[disk] = voter && { ...voter };
+  return {
+    ...state,
+    voters,
+    proposers: state.proposers.map(cloneProposer),
+    requests: [...state.requests],
+    chosen: { ...state.chosen },
+    confirmed: { ...state.confirmed },
+  };
+}
+
+function cloneProposer(proposer: ProposerState): ProposerState {
+  const { phase } = proposer;
+  return { ...proposer, phase: phase && { ...phase, votes: [...phase.votes] } };
+}
+
+/** Requests that no voter can grant any more change nothing: they are left out. */
+export function normalize(state: State): void {
+  state.requests = state.requests.filter(isAlive);
+  state.requests.sort(byContent);
+  function isAlive(request: Request): boolean {
+    const voter = state.voters[request.to];
+    return voter !== null && voter !== undefined && registers.compareBallots(ballotOf(request.ballot), ballotOf(voter.promised)) >= 0;
+  }
+}
+
+function byContent(left: Request, right: Request): number {
+  if (left.ballot !== right.ballot) return left.ballot - right.ballot;
+  if (left.kind !== right.kind) return left.kind < right.kind ? -1 : 1;
+  return left.to < right.to ? -1 : left.to > right.to ? 1 : 0;
+}
--- a/tests/model/mutations.ts
+++ b/tests/model/mutations.ts
@@ -62,6 +62,12 @@
   };
 }
 
+/** Nobody ends a value that was accepted and is not known to be chosen, but by a change or a read of its own. */
+function leaveUnfinished(core: cores.Core): void {
+  const parts = core as unknown as { driver: { turn(): void } };
+  parts.driver.turn = function idle() {};
+}
+
 /** Writes records that lack their promise. */
 function forgetful(records: voters.Keep): voters.Keep {
   return {
@@ -88,7 +94,10 @@
   makeCore(world: types.World, options: cores.CoreOptions, dial: dialer.Dialer): cores.Core {
     const core = new cores.Core(world, options, dial);
     if (this.missing === "settle_unchosen") trustJointSets(core.proposer);
-    if (this.missing === "empty_joiner_blocks") acceptAtOnce(core.proposer, world);
+    if (this.missing === "empty_joiner_blocks") {
+      acceptAtOnce(core.proposer, world);
+      leaveUnfinished(core);
+    }
     return core;
   }
 
