--- a/tests/model/guards.test.ts
+++ b/tests/model/guards.test.ts
@@ -13,8 +13,12 @@
   ["any_quorum", 1],
   ["short_write_counts", 40],
   ["forget_orders", 1],
-])("random histories show that a guard is missing: %s", async function guard(missing, from) {
-  let isSeen = false;
-  for (let seed = from; seed < from + MOST_SEEDS && !isSeen; seed += 1) isSeen = await checks.isSeen(seed, missing);
-  expect(isSeen).toBe(true);
-}, 120_000);
+])(
+  "random histories show that a guard is missing: %s",
+  async function guard(missing, from) {
+    let isSeen = false;
+    for (let seed = from; seed < from + MOST_SEEDS && !isSeen; seed += 1) isSeen = await checks.isSeen(seed, missing);
+    expect(isSeen).toBe(true);
+  },
+  120_000,
+);
