--- a/tests/model/disk.ts
+++ b/tests/model/disk.ts
@@ -1,5 +1,5 @@
 // A simulated disk under the real ring of records: torn, short, failed, lost and stalled writes, and losses of power.
-import type * as ring from "../../src/store/ring.js";
+import type * as files from "../../src/store/files.js";
 import type * as types from "../../src/wire/types.js";
 
 /** A guard of the disk that a mutation takes out. */
@@ -15,73 +15,68 @@
 const JITTER_MS = 6;
 const STALL_POLL_MS = 50;
 
+interface Content {
+  durable: Buffer;
+  /** With writes that no sync has followed yet: a loss of power keeps any part of them. */
+  cached: Buffer;
+}
+
 /** The files of one machine. They outlive its processes; a wipe is a new instance. */
 export class ModelDisk {
   trouble: DiskTrouble = "none";
-  private readonly files = new Map<string, Buffer>();
-  /** Writes that were started and are not synced: a loss of power keeps any part of them. */
-  private readonly unsynced = new Map<string, Buffer>();
+  private readonly contents = new Map<string, Content>();
 
   constructor(
     private readonly chance: types.World,
     private readonly mutations: DiskMutations,
   ) {}
 
-  /** The files as one process sees them; its timers stand while it is frozen and are gone once it has ended. */
-  open(process: types.World): ring.Files {
-    const openSlot = this.openSlot.bind(this, process);
-    return {
-      open(_folder: string, name: string): Promise<ring.Slot> {
-        return Promise.resolve(openSlot(name));
-      },
-    };
+  /** The folder as one process sees it; its timers stand while it is frozen and are gone once it has ended. */
+  open(process: types.World): files.StoreFolder {
+    const openFile = this.openFile.bind(this, process);
+    return { name: "model", make: () => Promise.resolve(), open: (name) => Promise.resolve(openFile(name)), sync: () => Promise.resolve() };
   }
 
   /** The process ended or the power went: each write under way is kept, kept in part or lost. */
   crash(): void {
-    for (const [name, bytes] of this.unsynced) {
-      const share = this.chance.random() * 1.5 - 0.25;
-      this.keep(name, bytes.subarray(0, Math.floor(bytes.length * Math.min(1, Math.max(0, share)))));
+    for (const content of this.contents.values()) {
+      const share = Math.min(1, Math.max(0, this.chance.random() * 1.5 - 0.25));
+      const bytes = Math.floor(content.cached.length * share);
+      content.durable = Buffer.concat([content.cached.subarray(0, bytes), content.durable.subarray(bytes)]);
+      content.cached = content.durable;
     }
-    this.unsynced.clear();
   }
 
-  private keep(name: string, bytes: Buffer): void {
-    const old = this.files.get(name) ?? Buffer.alloc(0);
-    this.files.set(name, Buffer.concat([bytes, old.subarray(bytes.length)]));
-  }
-
-  private openSlot(process: types.World, name: string): ring.Slot {
-    const read = this.read.bind(this, name);
-    const write = this.write.bind(this, process, name);
+  private openFile(process: types.World, name: string): files.StoreFile {
+    const content = this.contents.get(name) ?? { durable: Buffer.alloc(0), cached: Buffer.alloc(0) };
+    this.contents.set(name, content);
     return {
-      readAll(): Promise<Buffer> {
-        return Promise.resolve(read());
-      },
-      write,
-      close(): Promise<void> {
-        return Promise.resolve();
-      },
+      read: () => Promise.resolve(Buffer.from(content.cached)),
+      write: this.write.bind(this, process, content),
+      sync: this.sync.bind(this, process, content),
+      close: () => Promise.resolve(),
     };
   }
 
-  private read(name: string): Buffer {
-    return Buffer.from(this.files.get(name) ?? Buffer.alloc(0));
+  private async write(process: types.World, content: Content, bytes: Buffer, position: number): Promise<number> {
+    await this.turnaround(process);
+    const isWhole = this.trouble === "none" || (this.trouble === "failing" && this.chance.random() < 0.3);
+    const taken = isWhole ? bytes : bytes.subarray(0, Math.floor(bytes.length * this.chance.random()));
+    const old = content.cached;
+    const before = Buffer.concat([old.subarray(0, position), Buffer.alloc(Math.max(0, position - old.length))]);
+    content.cached = Buffer.concat([before, taken, old.subarray(position + taken.length)]);
+    if (this.trouble === "failing") throw new Error("the disk took only a part");
+    return this.mutations.isShortWriteCounted ? bytes.length : taken.length;
+  }
+
+  private async sync(process: types.World, content: Content): Promise<void> {
+    await this.turnaround(process);
+    content.durable = content.cached;
   }
 
-  private async write(process: types.World, name: string, bytes: Buffer): Promise<void> {
-    this.unsynced.set(name, bytes);
-    await wait(process, WRITE_MS + this.chance.random() * JITTER_MS);
+  private async turnaround(process: types.World): Promise<void> {
+    await wait(process, (WRITE_MS + this.chance.random() * JITTER_MS) / 2);
     while (this.trouble === "stalled") await wait(process, STALL_POLL_MS);
-    this.unsynced.delete(name);
-    if (this.trouble === "none") {
-      this.keep(name, bytes);
-      return;
-    }
-    const isWhole = this.trouble === "failing" && this.chance.random() < 0.3;
-    this.keep(name, isWhole ? bytes : bytes.subarray(0, Math.floor(bytes.length * this.chance.random())));
-    const isSaid = this.trouble === "failing" || !this.mutations.isShortWriteCounted;
-    if (isSaid) throw new Error("the disk took only a part");
   }
 }
 
--- a/tests/model/exhaustive/scope.ts
+++ b/tests/model/exhaustive/scope.ts
@@ -21,7 +21,7 @@
 /** A change on base 0, as an operator orders it. */
 export function order(name: string, revision: number): bounds.Call {
   function step(read: schema.Value): proposers.Outcome {
-    if (read.taken.some((taken) => taken.digest === name)) return result.ok(read);
+    if (registers.findOrder(read, 0, name) === "taken") return result.ok(read);
     if (read.revision !== 0) return result.err(errors.fail("race", "another revision", "read again"));
     return result.ok(registers.withConfig(read, revision, Buffer.alloc(0), name));
   }
--- a/tests/model/mutations.ts
+++ b/tests/model/mutations.ts
@@ -82,13 +82,10 @@
 export class Mutations implements disks.DiskMutations {
   readonly isShortWriteCounted: boolean;
   readonly isIdentityKept: boolean;
-  /** Orders that the register remembers; with the guard in place, as many as the sources say. */
-  readonly mostOrders: number;
 
   constructor(readonly missing: Guard) {
     this.isShortWriteCounted = missing === "short_write_counts";
     this.isIdentityKept = missing === "wipe_keeps_identity";
-    this.mostOrders = missing === "forget_orders" ? 4 : Infinity;
   }
 
   makeCore(world: types.World, options: cores.CoreOptions, dial: dialer.Dialer): cores.Core {
@@ -117,12 +114,11 @@
     return [...value.voters, { disk: joiner.disk, node: joiner.node, address: joiner.address }];
   }
 
-  /** The step of an order; without its guard the register knows the last few orders only. */
+  /** The step of an order; without its guard the register remembers no order that was taken. */
   orderStep(step: proposers.Step): proposers.Step {
-    const most = this.mostOrders;
-    if (most === Infinity) return step;
+    if (this.missing !== "forget_orders") return step;
     return function forgetting(read) {
-      return step({ ...read, taken: read.taken.slice(-most) });
+      return step({ ...read, taken: Buffer.alloc(0) });
     };
   }
 
--- a/tests/model/node.ts
+++ b/tests/model/node.ts
@@ -5,6 +5,7 @@
 import * as proposers from "../../src/register/proposer.js";
 import * as registers from "../../src/register/value.js";
 import * as voters from "../../src/register/voter.js";
+import * as format from "../../src/store/format.js";
 import * as ring from "../../src/store/ring.js";
 import * as link from "../../src/wire/link.js";
 import * as schema from "../../src/wire/schema.js";
@@ -112,7 +113,7 @@
   private async readDisk(isBootstrap: boolean): Promise<void> {
     const { generation } = this;
     try {
-      const { ring: records, newest } = await ring.Ring.open(this.disk.open(this.world), "");
+      const { ring: records, newest } = await ring.Ring.open(this.disk.open(this.world), { layout: 1, newSetId: this.newSetId.bind(this) });
       const state = newest ? voters.Voter.restore(newest) : this.blank(isBootstrap);
       if (!newest) await records.write(schema.disk.toBuffer(state));
       if (!this.isAlive(generation)) return;
@@ -127,6 +128,12 @@
     void this.readDisk(isBootstrap);
   }
 
+  private newSetId(): Buffer {
+    const id = Buffer.alloc(format.SET_ID_BYTES);
+    for (const index of id.keys()) id[index] = Math.floor(this.world.random() * 256);
+    return id;
+  }
+
   private isAlive(generation: number): boolean {
     return this.isUp && this.generation === generation;
   }
@@ -194,6 +201,7 @@
       node,
       place: "",
       link: made,
+      wasConfirmed: true,
       beat: null,
       beatAt: this.world.now(),
       tripMs: 1,
--- a/tests/model/operators.ts
+++ b/tests/model/operators.ts
@@ -1,6 +1,7 @@
 // The operators: they send orders to any node, send unclear ones again, read, and note what they saw.
 import * as change from "../../src/config/change.js";
 import * as registers from "../../src/register/value.js";
+import type * as errors from "../../src/startup/errors.js";
 import type * as proposers from "../../src/register/proposer.js";
 import * as result from "true-myth/result";
 import type * as schema from "../../src/wire/schema.js";
@@ -18,6 +19,14 @@
   step: proposers.Step;
 }
 
+function replaceStep(base: number, body: Buffer): proposers.Step {
+  return change.replaceOrder(base, body).unwrapOrElse(fail);
+}
+
+function fail(error: errors.CranewindError): never {
+  throw new Error(error.message);
+}
+
 function unchanged(read: schema.Value): ReturnType<proposers.Step> {
   return result.ok(read);
 }
@@ -45,7 +54,7 @@
     const mark = `order-${this.orders.length}`;
     const document = { revision, routes: [], services: [], mark };
     const body = Buffer.from(JSON.stringify(document));
-    const order = { mark, base, revision, step: this.mutations.orderStep(change.replaceStep(base, body, document)) };
+    const order = { mark, base, revision, step: this.mutations.orderStep(replaceStep(base, body)) };
     this.orders.push(order);
     return order;
   }
