One bounded wait, one rule for a fresh word, one maker of routes and watchers in tests

Three copies of waiting for work with a bound: the disk's and the arranger's now call world.endsWithin, which leaves no timer behind (handOver's did, for up to 1.5 s). The 0.7 s in which a control node's word counts stood in the start gate and in the redirects; dialers.isFresh has it now. Core.acceptedEpoch asks Core.accepted. No other behaviour changes; tests keep their assertions and names.

--- a/src/control/arranger.ts
+++ b/src/control/arranger.ts
@@ -132,7 +132,7 @@
     if (!value || !this.core.isSettled() || !this.isVoter(value)) return;
     const voters = value.former.length > 0 ? null : policy.handedOver(value, this.alive(), this.failures, this.core.disk);
     const work = voters ? this.change(value, voters) : this.core.spread(withinMs);
-    const isDone = await Promise.race([work.then(() => true), world.sleep(this.world, withinMs).then(() => false)]);
+    const isDone = await world.endsWithin(this.world, withinMs, work);
     log.count(isDone ? "voters.handed_over" : "voters.hand_over_late");
   }
 }
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -66,7 +66,7 @@
 
   /** The newest epoch accepted on the own disk, chosen or not. */
   get acceptedEpoch(): types.Epoch {
-    return this.voter?.accepted?.value.epoch ?? types.NO_EPOCH;
+    return this.accepted?.epoch ?? types.NO_EPOCH;
   }
 
   /** The disk is read: from now on this node may vote. */
--- a/src/control/disk.ts
+++ b/src/control/disk.ts
@@ -13,6 +13,7 @@
 import * as rings from "../store/ring.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
+import * as worlds from "../wire/world.js";
 
 /** Pause between two attempts at a disk that refuses. */
 export const RETRY_MS = 500;
@@ -91,7 +92,7 @@
   async stop(): Promise<void> {
     this.state = "closed";
     this.retry?.stop();
-    await this.within(CLOSE_MS, this.closeRing());
+    await worlds.endsWithin(this.machine.world, CLOSE_MS, this.closeRing());
   }
 
   status(): DiskStatus {
@@ -170,16 +171,6 @@
     await this.ring?.close();
   }
 
-  private async within(ms: number, work: Promise<void>): Promise<void> {
-    const { world } = this.machine;
-    let timer: types.Tick | null = null;
-    const elapsed = new Promise<void>(function wait(resolve) {
-      timer = world.after(ms, resolve);
-    });
-    await Promise.race([work, elapsed]);
-    (timer as types.Tick | null)?.stop();
-  }
-
   private async timed(operation: () => Promise<void>): Promise<void> {
     this.busySince = this.machine.world.now();
     const timer = this.machine.world.after(HANG_MS, this.hangs.bind(this));
--- a/src/control/redirect.ts
+++ b/src/control/redirect.ts
@@ -8,8 +8,6 @@
 
 /** Answered by any node about itself. */
 const STATUS_PATH = "/-/status";
-/** Another node's beat that says that it is confirmed counts for so long: two beats and their way. */
-const STATUS_FRESH_MS = 700;
 /** A process that has only just started waits so long for its first confirmation, in ms: less than a caller's second of silence. */
 const FIRST_MS = 800;
 const RETRY_AFTER_S = "0.3";
@@ -103,8 +101,8 @@
   }
 
   private isConfirmedNow(control: dialers.Control): boolean {
-    const isRecent = this.world.now() - control.beatAt < STATUS_FRESH_MS && control.link.isOpen;
-    return isRecent && dialers.isConfirmed(control) && control.node.outside !== "";
+    const isHeard = dialers.isFresh(control, this.world.now()) && control.link.isOpen;
+    return isHeard && dialers.isConfirmed(control) && control.node.outside !== "";
   }
 
   /** The nearest one whose last beat said so lately; it sends nobody back here while this node isn't confirmed. */
@@ -124,7 +122,7 @@
    */
   private rememberedPeer(): Destination | null {
     const heard = new Set<string>();
-    for (const control of this.controls()) if (this.world.now() - control.beatAt < STATUS_FRESH_MS) heard.add(control.node.name);
+    for (const control of this.controls()) if (dialers.isFresh(control, this.world.now())) heard.add(control.node.name);
     const candidates = [...this.remembered.values()].filter(isUnheard).reverse();
     function isUnheard(destination: Destination): boolean {
       return !heard.has(destination.name);
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -38,6 +38,14 @@
   beat: [control: Control];
 }
 
+/** A control node's newest word tells of now for so long, in ms: two beats and their way. */
+const FRESH_MS = 700;
+
+/** Whether a word of the control node came lately; now: on the own clock. */
+export function isFresh(control: Control, now: number): boolean {
+  return now - control.beatAt < FRESH_MS;
+}
+
 /** Whether the control node said, by its newest word, that a majority of the voters confirmed it lately. */
 export function isConfirmed(control: Control): boolean {
   return control.beat ? control.beat.isSettled : control.wasConfirmed;
--- a/src/router/start-gate.ts
+++ b/src/router/start-gate.ts
@@ -6,8 +6,6 @@
 
 /** After so long with a configuration that nobody confirmed, it serves: its region may be cut off (*ours*). */
 export const UNCONFIRMED_WAIT_MS = 1200;
-/** A beat older than this tells nothing of now: two beats and their way. */
-const FRESH_MS = 700;
 
 export class StartGate {
   private heldSince: types.SteadyMs | null = null;
@@ -53,8 +51,7 @@
   }
 
   private isConfirmedBy(control: dialers.Control, epoch: types.Epoch): boolean {
-    const isFresh = this.world.now() - control.beatAt < FRESH_MS;
     const known = control.beat?.epoch ?? control.node.epoch;
-    return isFresh && dialers.isConfirmed(control) && known <= epoch;
+    return dialers.isFresh(control, this.world.now()) && dialers.isConfirmed(control) && known <= epoch;
   }
 }
--- a/src/wire/world.ts
+++ b/src/wire/world.ts
@@ -43,3 +43,16 @@
     world.after(ms, resolve);
   });
 }
+
+/** Whether the work ended within `ms` milliseconds; a rejection of it passes through. No timer outlives the call. */
+export async function endsWithin(world: types.World, ms: number, work: Promise<unknown>): Promise<boolean> {
+  let timer: types.Tick | undefined;
+  const elapsed = new Promise<boolean>(function wait(resolve) {
+    timer = world.after(ms, () => resolve(false));
+  });
+  try {
+    return await Promise.race([work.then(() => true), elapsed]);
+  } finally {
+    timer?.stop();
+  }
+}
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -11,35 +11,21 @@
 import * as shares from "../src/shares/shares.js";
 import * as standin from "../src/standin/runner.js";
 import * as types from "../src/wire/types.js";
+import * as edge from "./sim/edge.js";
 import * as raws from "./sim/raw.js";
 import * as sims from "./sim/world.js";
 
-function routeOf(name: string, type: string, more: object = {}): object {
-  return {
-    name,
-    hostname: "h",
-    path_prefix: `/${name}/`,
-    route_type: type,
-    deadline_ms: 1500,
-    target_latency_ms: 300,
-    target_gap_ms: 200,
-    service: "s",
-    max_attempts: 2,
-    ...more,
-  };
-}
-
 const CONFIG = check
   .check({
     revision: 1,
     services: [{ name: "s", max_connections: 100 }],
     limits: { max_body_bytes: 2000, max_header_bytes: 4096, header_timeout_ms: 5000 },
     routes: [
-      routeOf("read", "read_only"),
-      routeOf("once", "mutating"),
-      routeOf("stream", "streaming", { resumable: true }),
-      routeOf("single", "streaming", { max_attempts: 1 }),
-      routeOf("home", "mutating", { allowed_regions: ["r2"] }),
+      edge.routeOf("read", "read_only"),
+      edge.routeOf("once", "mutating"),
+      edge.routeOf("stream", "streaming", { resumable: true }),
+      edge.routeOf("single", "streaming", { max_attempts: 1 }),
+      edge.routeOf("home", "mutating", { allowed_regions: ["r2"] }),
     ],
   })
   .unwrapOr(null)!;
--- a/tests/sim/edge.ts
+++ b/tests/sim/edge.ts
@@ -11,7 +11,8 @@
 import * as types from "../../src/wire/types.js";
 import * as raws from "./raw.js";
 
-function routeOf(name: string, type: string): object {
+/** A route under /NAME/ of the host h; `more` replaces or adds fields. */
+export function routeOf(name: string, type: string, more: object = {}): object {
   return {
     name,
     hostname: "h",
@@ -22,6 +23,7 @@
     target_gap_ms: 200,
     service: "s",
     max_attempts: 2,
+    ...more,
   };
 }
 
--- a/tests/watch.test.ts
+++ b/tests/watch.test.ts
@@ -4,6 +4,30 @@
 import * as types from "../src/wire/types.js";
 import * as watch from "./sim/watch.js";
 
+/** One that never becomes a reader: it only takes what it is told. */
+function silentWatcher(clock: watch.MixedWorld): watchers.Watcher {
+  return new watchers.Watcher(
+    clock,
+    "",
+    1000,
+    watch.dialTo([]),
+    () => 1,
+    () => undefined,
+  );
+}
+
+/** One that reads the platform's list and tells the other one, who replies. */
+function readingWatcher(clock: watch.MixedWorld, platform: string, told: watch.Told[], other: watchers.Watcher): watchers.Watcher {
+  return new watchers.Watcher(
+    clock,
+    platform,
+    1000,
+    watch.dialTo(told, (ask) => other.hear(ask)),
+    () => 0,
+    () => undefined,
+  );
+}
+
 test("all pages are read; siblings hear what changed and nothing but freshness otherwise", () =>
   watch.withPlatform(async (platform) => {
     platform.instances = watch.listed(5);
@@ -44,42 +68,14 @@
     platform.instances = watch.listed(3);
     const clock = new watch.MixedWorld(1);
     const told: watch.Told[] = [];
-    const sibling = new watchers.Watcher(
-      clock,
-      "",
-      1000,
-      watch.dialTo([]),
-      () => 1,
-      () => undefined,
-    );
-    const reader = new watchers.Watcher(
-      clock,
-      platform.address,
-      1000,
-      watch.dialTo(told, (ask) => sibling.hear(ask)),
-      () => 0,
-      () => undefined,
-    );
+    const sibling = silentWatcher(clock);
+    const reader = readingWatcher(clock, platform.address, told, sibling);
     reader.turn();
     await watch.until(() => told.length === 1);
     expect([sibling.hasList, sibling.instances()]).toEqual([true, reader.instances()]);
     platform.instances[0].state = "draining";
-    const late = new watchers.Watcher(
-      clock,
-      "",
-      1000,
-      watch.dialTo([]),
-      () => 1,
-      () => undefined,
-    );
-    const other = new watchers.Watcher(
-      clock,
-      platform.address,
-      1000,
-      watch.dialTo(told, (ask) => late.hear(ask)),
-      () => 0,
-      () => undefined,
-    );
+    const late = silentWatcher(clock);
+    const other = readingWatcher(clock, platform.address, told, late);
     other.hear({ ...told[0].ask });
     other.turn();
     await watch.until(() => told.length === 3);
