Register by channel, files that come and go: what a second register needs

Cause: the core, the voter's files and the HTTP call were made for one register of one value. Change: a core speaks by a channel (its calls, and where siblings' disks are told); the folder lists and removes files; one writeWhole and one checksum for all stores; a call tells when its first byte goes out.

--- /dev/null
+++ b/src/control/channel.ts
@@ -0,0 +1,30 @@
+/** By which calls the control nodes that share one register speak, and how they know each other's disks in it. */
+import * as calls from "../wire/calls.js";
+import type * as dialer from "../feed/dialer.js";
+
+/** One register's calls. Two registers of the same nodes have different calls, and disks of their own. */
+export interface Channel {
+  /** For the log. */
+  readonly name: string;
+  /** Whether each epoch is a line of the log; else only a change of voters is. */
+  readonly logsEpochs: boolean;
+  readonly prepare: typeof calls.prepare;
+  readonly accept: typeof calls.accept;
+  readonly chosen: typeof calls.chosen;
+  readonly ask: typeof calls.ask;
+  /** The disk of a sibling; empty: not known yet, or none. */
+  diskOf(control: dialer.Control): string;
+}
+
+/** The channel of the configuration's register: a sibling's hello names its disk. */
+export const CONFIGURATION: Channel = {
+  name: "register",
+  logsEpochs: true,
+  prepare: calls.prepare,
+  accept: calls.accept,
+  chosen: calls.chosen,
+  ask: calls.ask,
+  diskOf(control) {
+    return control.node.disk;
+  },
+};
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -1,6 +1,5 @@
 // This node's part in the register: voter, proposer, what is chosen, and its news (design 5).
 import * as events from "node:events";
-import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
@@ -12,6 +11,7 @@
 import * as registers from "../register/value.js";
 import * as voters from "../register/voter.js";
 import * as result from "true-myth/result";
+import * as channels from "./channel.js";
 
 const VOTE_MS = 1300;
 
@@ -23,6 +23,7 @@
   life: string;
   address: string;
   first: schema.Value;
+  channel?: channels.Channel;
 }
 
 export class Core extends events.EventEmitter<CoreEvents> implements proposers.Reach, drivers.Register {
@@ -33,6 +34,7 @@
   readonly proposer: proposers.Proposer;
   private readonly queue: batch.StepQueue;
   chosen: schema.Value | null = null;
+  private readonly channel: channels.Channel;
 
   constructor(
     world: types.World,
@@ -40,6 +42,7 @@
     private readonly dial: dialer.Dialer,
   ) {
     super();
+    this.channel = options.channel ?? channels.CONFIGURATION;
     this.proposer = new proposers.Proposer(world, options.life, this, options.first, this.learnOwn.bind(this));
     this.driver = new drivers.Driver(world, this);
     this.queue = new batch.StepQueue(world, this.proposer.change.bind(this.proposer));
@@ -83,42 +86,40 @@
     this.voter = null;
   }
 
+  /** Answers the siblings' calls of this register. */
   register(handlers: link.Handlers): void {
-    const core = this;
-    handlers.on(calls.prepare, function prepare(_from, ask) {
-      return core.takePrepare(ask);
-    });
-    handlers.on(calls.accept, function accept(_from, ask) {
-      return core.takeAccept(ask);
-    });
-    handlers.on(calls.chosen, function chosen(_from, news) {
-      if (news.value) core.learn(news.value);
+    const { channel } = this;
+    handlers.on(channel.prepare, (_from, ask) => this.takePrepare(ask));
+    handlers.on(channel.accept, (_from, ask) => this.takeAccept(ask));
+    handlers.on(channel.chosen, (_from, news) => {
+      if (news.value) this.learn(news.value);
       return null;
     });
-    handlers.on(calls.ask, function ask(_from, asked) {
-      const value = core.chosen;
+    handlers.on(channel.ask, (_from, asked) => {
+      const value = this.chosen;
       return { value: value && value.epoch > asked.epoch ? value : null };
     });
   }
 
   /** The link to a voter: by its disk, which may have moved to another machine, else by its address. */
-  private linkTo(voter: schema.Voter): link.Link | null {
-    for (const control of this.dial.controls.values()) if (control.node.disk === voter.disk) return control.link;
+  linkTo(voter: schema.Voter): link.Link | null {
+    for (const control of this.dial.controls.values()) if (this.channel.diskOf(control) === voter.disk) return control.link;
     return this.dial.controls.get(voter.address)?.link ?? null;
   }
 
-  private isOwn(voter: schema.Voter): boolean {
+  /** Whether the voter is this node's own disk. */
+  isOwn(voter: schema.Voter): boolean {
     return voter.disk === this.disk || (voter.address === this.options.address && !this.linkTo(voter));
   }
 
   prepare(voter: schema.Voter, ask: schema.Prepare): Promise<schema.Vote | null> {
     if (this.isOwn(voter)) return this.takePrepare(ask);
-    return this.linkTo(voter)?.call(calls.prepare, ask, VOTE_MS) ?? Promise.resolve(null);
+    return this.linkTo(voter)?.call(this.channel.prepare, ask, VOTE_MS) ?? Promise.resolve(null);
   }
 
   accept(voter: schema.Voter, ask: schema.Accept): Promise<schema.Vote | null> {
     if (this.isOwn(voter)) return this.takeAccept(ask);
-    return this.linkTo(voter)?.call(calls.accept, ask, VOTE_MS) ?? Promise.resolve(null);
+    return this.linkTo(voter)?.call(this.channel.accept, ask, VOTE_MS) ?? Promise.resolve(null);
   }
 
   promised(): number {
@@ -139,9 +140,11 @@
   /** Whether the voter's very disk is in touch; one that isn't known yet, just after a start, counts by its address. */
   private isInTouch(voter: schema.Voter): boolean {
     if (this.disk !== "" && voter.disk === this.disk) return true;
+    const { channel } = this;
     const controls = [...this.dial.controls.values()];
-    if (controls.some((control) => control.node.disk === voter.disk)) return true;
-    return this.dial.controls.get(voter.address)?.node.disk === "";
+    if (controls.some((control) => channel.diskOf(control) === voter.disk)) return true;
+    const atItsAddress = this.dial.controls.get(voter.address);
+    return atItsAddress !== undefined && channel.diskOf(atItsAddress) === "";
   }
 
   /** Whether a majority of the voters can be reached now. */
@@ -172,17 +175,19 @@
   private learnOwn(value: schema.Value): void {
     this.isConfirmed = true;
     if (!this.learn(value)) return;
-    for (const control of this.dial.controls.values()) control.link.tell(calls.chosen, { value });
+    for (const control of this.dial.controls.values()) control.link.tell(this.channel.chosen, { value });
   }
 
   /** Takes what is chosen; never goes back. */
   learn(value: schema.Value): boolean {
     if (this.chosen && value.epoch <= this.chosen.epoch) return false;
+    const isNewSet = this.chosen?.voterEpoch !== value.voterEpoch;
     this.chosen = value;
     this.isConfirmed = true;
     this.proposer.learnChosen(value);
     this.dial.know(addressesOf(value));
-    log.state(`register: epoch ${value.epoch}, revision ${value.revision}, ${value.voters.length} voters`);
+    if (isNewSet || this.channel.logsEpochs)
+      log.state(`${this.channel.name}: epoch ${value.epoch}, revision ${value.revision}, ${value.voters.length} voters`);
     this.emit("chosen", value);
     return true;
   }
@@ -190,7 +195,7 @@
   /** Asks a sibling that knows a newer epoch. */
   async catchUp(from: link.Link, epoch: types.Epoch): Promise<void> {
     if (this.chosen && epoch <= this.chosen.epoch) return;
-    const reply = await from.call(calls.ask, { epoch: this.chosen ? this.chosen.epoch : types.NO_EPOCH }, VOTE_MS);
+    const reply = await from.call(this.channel.ask, { epoch: this.chosen ? this.chosen.epoch : types.NO_EPOCH }, VOTE_MS);
     if (reply?.value) this.learn(reply.value);
   }
 
@@ -240,7 +245,5 @@
 }
 
 function addressesOf(value: schema.Value): string[] {
-  const addresses: string[] = [];
-  for (const voter of [...value.voters, ...value.former]) addresses.push(voter.address);
-  return addresses;
+  return [...value.voters, ...value.former].map((voter) => voter.address);
 }
--- a/src/store/files.ts
+++ b/src/store/files.ts
@@ -3,6 +3,7 @@
  */
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
+import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
 
 /** One open file. Positions and lengths are in bytes. */
@@ -27,7 +28,22 @@
   sync(): Promise<void>;
 }
 
-class RealFile implements StoreFile {
+/** A file that is read in parts, too. */
+export interface RecordFile extends StoreFile {
+  /** So many bytes from a position on; fewer at the end of the file. */
+  readAt(position: number, bytes: number): Promise<Buffer>;
+}
+
+/** A folder whose files come and go (batch/records.ts). */
+export interface RecordFolder extends StoreFolder {
+  open(name: string): Promise<RecordFile>;
+  /** Names of all files there. */
+  names(): Promise<string[]>;
+  /** Takes a file away; durable with the next `sync`. */
+  remove(name: string): Promise<void>;
+}
+
+class RealFile implements RecordFile {
   constructor(private readonly handle: fs.FileHandle) {}
 
   read(): Promise<Buffer> {
@@ -38,6 +54,12 @@
     return (await this.handle.write(bytes, 0, bytes.length, position)).bytesWritten;
   }
 
+  async readAt(position: number, bytes: number): Promise<Buffer> {
+    const into = Buffer.alloc(bytes);
+    const { bytesRead } = await this.handle.read(into, 0, bytes, position);
+    return into.subarray(0, bytesRead);
+  }
+
   sync(): Promise<void> {
     return this.handle.datasync();
   }
@@ -48,7 +70,7 @@
 }
 
 /** A folder of the machine's own file system. */
-export class RealFolder implements StoreFolder {
+export class RealFolder implements RecordFolder {
   /** The topmost folder that this process made itself; its parent must be synced, too. */
   private firstMade: string | null = null;
 
@@ -59,10 +81,18 @@
     if (firstMade !== undefined && this.firstMade === null) this.firstMade = path.resolve(firstMade);
   }
 
-  async open(name: string): Promise<StoreFile> {
+  async open(name: string): Promise<RecordFile> {
     return new RealFile(await fs.open(path.join(this.name, name), fs.constants.O_RDWR | fs.constants.O_CREAT));
   }
 
+  names(): Promise<string[]> {
+    return fs.readdir(this.name);
+  }
+
+  remove(name: string): Promise<void> {
+    return fs.unlink(path.join(this.name, name));
+  }
+
   async sync(): Promise<void> {
     const folder = path.resolve(this.name);
     const parents = parentsUpTo(folder, this.firstMade);
@@ -99,3 +129,14 @@
     log.count("store.parent_sync_failed");
   }
 }
+
+/** A write may take fewer bytes than it was given, as on a full disk: the rest is written until all is, or none more. */
+export async function writeWhole(file: StoreFile, bytes: Buffer, position: number): Promise<void> {
+  let done = 0;
+  while (done < bytes.length) {
+    const written = await file.write(bytes.subarray(done), position + done);
+    if (written <= 0)
+      throw errors.fail("store", `a write stopped after ${done} of ${bytes.length} bytes`, "free space on the disk of data_dir");
+    done += written;
+  }
+}
--- a/src/store/format.ts
+++ b/src/store/format.ts
@@ -118,7 +118,8 @@
   );
 }
 
-function checksum(bytes: Buffer): number {
+/** CRC-32 of the bytes. */
+export function checksum(bytes: Buffer): number {
   return zlib.crc32 ? zlib.crc32(bytes) : slowCrc(bytes);
 }
 
--- a/src/store/ring.ts
+++ b/src/store/ring.ts
@@ -3,9 +3,8 @@
  * file after the newest one's and is synced before `write` resolves; a failed write is repeated, whole, into the same
  * file. So a torn write hurts a record that was never acknowledged, and never the newest acknowledged one.
  */
-import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
-import type * as files from "./files.js";
+import * as files from "./files.js";
 import * as format from "./format.js";
 import * as inspection from "./inspection.js";
 
@@ -83,7 +82,7 @@
     const record = format.encodeRecord({ setId, layout: this.layout, number, body });
     const padded = Buffer.concat([record], format.roundUpToBlock(record.length));
     await this.reservation;
-    await writeWhole(this.files[place], padded, format.RECORD_AT);
+    await files.writeWhole(this.files[place], padded, format.RECORD_AT);
     await this.files[place].sync();
     this.position.number = number;
     this.position.place = place;
@@ -97,7 +96,7 @@
     if (capacity >= format.RECORD_AT + ROOM_FACTOR * lastBytes) return;
     const bytes = format.RECORD_AT + GROWTH_FACTOR * lastBytes;
     try {
-      await writeWhole(this.files[place], Buffer.alloc(bytes - capacity), capacity);
+      await files.writeWhole(this.files[place], Buffer.alloc(bytes - capacity), capacity);
       await this.files[place].sync();
       this.capacities[place] = bytes;
     } catch {
@@ -143,7 +142,7 @@
  */
 async function makeDurable(file: files.StoreFile, content: Buffer, newest: inspection.NewestRecord): Promise<void> {
   const end = format.RECORD_AT + format.roundUpToBlock(format.RECORD_HEAD_BYTES + newest.body.length);
-  await writeWhole(file, content.subarray(format.RECORD_AT, end), format.RECORD_AT);
+  await files.writeWhole(file, content.subarray(format.RECORD_AT, end), format.RECORD_AT);
   await file.sync();
 }
 
@@ -162,20 +161,9 @@
     const bytes = Buffer.alloc(capacityOf(contents[index]));
     if (!isPristine) contents[index].copy(bytes);
     format.encodeHeader({ setId, files: opened.length, index, isFirstSet: isPristine }).copy(bytes);
-    await writeWhole(file, bytes, 0);
+    await files.writeWhole(file, bytes, 0);
     await file.sync();
   }
   const steps = await Promise.allSettled([...opened.map(makeFile), folder.sync()]);
   for (const step of steps) if (step.status === "rejected") throw step.reason;
 }
-
-/** A write may take fewer bytes than it was given, as on a full disk: the rest is written until all is, or none more. */
-async function writeWhole(file: files.StoreFile, bytes: Buffer, position: number): Promise<void> {
-  let done = 0;
-  while (done < bytes.length) {
-    const written = await file.write(bytes.subarray(done), position + done);
-    if (written <= 0)
-      throw errors.fail("store", `a write stopped after ${done} of ${bytes.length} bytes`, "free space on the disk of data_dir");
-    done += written;
-  }
-}
--- a/src/wire/http.ts
+++ b/src/wire/http.ts
@@ -64,11 +64,13 @@
   private held = 0;
   constructor(
     private readonly mostBytes: number,
+    private readonly connected: () => void,
     private readonly done: (reply: Reply | null) => void,
   ) {}
   abort: (() => void) | null = null;
   onConnect(abort: () => void): void {
     this.abort = abort;
+    this.connected();
   }
   onHeaders(status: number, raw: Buffer[]): boolean {
     this.status = status;
@@ -95,6 +97,8 @@
   body?: Buffer;
   withinMs: number;
   mostBytes?: number;
+  /** Called right before the first byte of the request is sent: without it, nothing was. */
+  onConnect?: () => void;
 }
 
 /** Null when no whole reply came in time. */
@@ -102,7 +106,7 @@
   return new Promise(function start(resolve) {
     let isOver = false;
     const tick = world.after(options.withinMs, late);
-    const collector = new Collector(options.mostBytes ?? 8 * 1024 * 1024, finish);
+    const collector = new Collector(options.mostBytes ?? 8 * 1024 * 1024, options.onConnect ?? ignore, finish);
     function finish(reply: Reply | null): void {
       if (isOver) return;
       isOver = true;
