--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -20,6 +20,7 @@
 import * as returns from "./returns.js";
 import type * as rooms from "./room.js";
 import * as sizes from "./sizes.js";
+import * as spares from "./spare.js";
 import * as slowness from "./slowness.js";
 import * as statuses from "./status.js";
 import * as tallies from "./tally.js";
@@ -162,6 +163,7 @@
 
   /** Called once per request, after the other policies: null lets it in, see `Judge.judge`. */
   judge(plan: plans.Plan): plans.Denial | null {
+    if (plan.isBatch) return spares.judge(this, plan);
     return this.isOn ? this.doorJudge.judge(plan) : null;
   }
 
@@ -185,7 +187,7 @@
 
   private sentRequestOf(plan: plans.Plan, runner: fleets.Runner, need: predictions.Need): tickets.SentRequest {
     const { route } = plan.entry;
-    const rank = route.priority ?? judges.DEFAULT_RANK;
+    const { rank } = plan;
     const pace = this.paceOf(plan.service);
     const waitFactor = pace.typicalWaitFactor(rank);
     const safeWaitFactor = Math.max(waitFactor, pace.waitFactor(rank, plan.now));
--- a/src/admission/judge.ts
+++ b/src/admission/judge.ts
@@ -26,8 +26,6 @@
 const HOPELESS = 1.2;
 /** A prompt with at least so many unread tokens holds up the streams of its runner (ours). */
 const LONG_TOKENS = 1000;
-/** The rank of a route that names no priority; 0 is the most urgent. */
-export const DEFAULT_RANK = 1;
 
 /** What the judge knows; the router's `Admission` is it. */
 export interface Knowledge {
@@ -73,10 +71,6 @@
   leastFirstMs: number;
 }
 
-function rankOf(plan: plans.Plan): number {
-  return plan.entry.route.priority ?? DEFAULT_RANK;
-}
-
 function sizeOf(plan: plans.Plan): number {
   return sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut);
 }
@@ -127,7 +121,7 @@
     if (survey.leastEndMs === Infinity) return null;
     const room = this.known.cells.roomNow(sure, plan.now);
     // Nothing is denied while a place is free for it, but what cannot be done even without a wait.
-    if (rankOf(plan) === 0 || rooms.isHalfEmpty(room)) {
+    if (plan.rank === 0 || rooms.isHalfEmpty(room)) {
       const taken = survey.late ?? survey.free;
       if (taken) return verdicts.putFirst(plan, taken);
       if (rooms.isHalfEmpty(room)) return null;
@@ -138,7 +132,7 @@
 
   private termsOf(plan: plans.Plan): Terms {
     const { route } = plan.entry;
-    const rank = rankOf(plan);
+    const rank = plan.rank;
     const hasAim = rank !== 0 && !this.isReturning(plan);
     return {
       leftMs: plan.deadline - plan.now,
@@ -180,7 +174,7 @@
    */
   private spareShareOf(plan: plans.Plan): number {
     const isHeldBack = this.known.sizesOf(plan.entry.route.name).isHeldBack(sizeOf(plan));
-    const share = SPARE_SHARES[Math.min(SPARE_SHARES.length - 1, rankOf(plan))];
+    const share = SPARE_SHARES[Math.min(SPARE_SHARES.length - 1, plan.rank)];
     return this.isReturning(plan) || isHeldBack ? Math.sqrt(share) : share;
   }
 
@@ -188,7 +182,7 @@
     this.known.recentDenials.recordDenial(plan.returnKey, plan.now);
     this.known.sizesOf(plan.entry.route.name).record(sizeOf(plan), false);
     log.count("admission.denied");
-    log.count(`admission.denied_rank_${rankOf(plan)}`);
+    log.count(`admission.denied_rank_${plan.rank}`);
     return verdicts.denial(plan, excessMs, this.known.world.random());
   }
 }
--- /dev/null
+++ b/src/admission/spare.ts
@@ -0,0 +1,46 @@
+/**
+ * Whether there is room to spare for an item of a batch (design/batch 6): it goes only where a place is free, nobody
+ * waits, no stream is held up, and most of the cell stays free for others. Also with the setting `admission` off.
+ */
+import type * as fleets from "../router/fleet.js";
+import type * as plans from "../router/plan.js";
+import * as log from "../startup/log.js";
+import type * as cells from "./cells.js";
+import type * as pauses from "./pauses.js";
+import type * as predictions from "./predict.js";
+import type * as rooms from "./room.js";
+import * as slowness from "./slowness.js";
+import * as verdicts from "./verdict.js";
+
+/** A cell with more of its places taken has none to spare; somewhat over what control nodes fill it to (*ours*). */
+const FULL_SHARE = 0.8;
+/** When the control node may try again. */
+const RETRY_S = 1;
+
+/** What is known of the runners; the router's `Admission` is it. */
+export interface Knowledge {
+  readonly cells: cells.Cells;
+  readonly pauses: pauses.Pauses;
+  predict(plan: plans.Plan, runner: fleets.Runner, slow: slowness.Slowdown, waitFactor: number): predictions.Prediction;
+}
+
+/** Null lets the item in, its runner put first. */
+export function judge(known: Knowledge, plan: plans.Plan): plans.Denial | null {
+  const rooms = new Map<string, boolean>();
+  for (const runner of plan.candidates) {
+    if (!rooms.has(runner.region)) rooms.set(runner.region, hasRoom(known, plan, runner.region));
+    if (!rooms.get(runner.region) || runner.isDoubtful(plan.now) || known.pauses.isNearLimit(runner.id, plan.now)) continue;
+    const predicted = known.predict(plan, runner, slowness.NO_SLOWDOWN, 1);
+    if (predicted.hasPlace && !predicted.neverFits && predicted.endMs <= plan.deadline - plan.now) return verdicts.putFirst(plan, runner);
+  }
+  log.count("admission.batch_denied");
+  return { status: 503, cause: "there is no room to spare for an item of a batch", retryAfterS: RETRY_S };
+}
+
+function hasRoom(known: Knowledge, plan: plans.Plan, region: string): boolean {
+  const room: rooms.Room = known.cells.roomNow(
+    plan.candidates.filter((runner) => runner.region === region),
+    plan.now,
+  );
+  return room.waiting === 0 && room.places - room.freePlaces < FULL_SHARE * room.places;
+}
--- /dev/null
+++ b/src/batch/replicas.ts
@@ -0,0 +1,141 @@
+/**
+ * Spreads records over the voters of the batch register (design/batch 5). A record counts as durable once disks that
+ * make a quorum of the voters hold it; records are written once, so any copy is the record. Voters that lack a record
+ * which the table names fetch it from the others.
+ */
+import * as registers from "../register/value.js";
+import type * as schema from "../wire/batch-schema.js";
+import * as calls from "../wire/calls.js";
+import type * as link from "../wire/link.js";
+import type * as registerSchema from "../wire/register-schema.js";
+import * as types from "../wire/types.js";
+import * as log from "../startup/log.js";
+import * as items from "./items.js";
+import * as records from "./records.js";
+
+const PUT_MS = 2000;
+const GET_MS = 1500;
+/** Records fetched from others in one turn of repair. */
+const MOST_FETCHED = 32;
+
+/** The voters of the batch register, as this node reaches them. */
+export interface Voters {
+  /** The newest value known to be chosen. */
+  readonly chosen: registerSchema.Value | null;
+  /** The own disk; empty while it has no vote. */
+  readonly disk: string;
+  isOwn(voter: registerSchema.Voter): boolean;
+  linkTo(voter: registerSchema.Voter): link.Link | null;
+}
+
+/** `absent`: a quorum says that it holds no such record; `unknown`: too few replied. */
+export type Found = { kind: "found"; body: Buffer } | { kind: "absent" } | { kind: "unknown" };
+
+/** The records as all voters hold them together. */
+export class Replicas {
+  constructor(
+    private readonly world: types.World,
+    private readonly voters: Voters,
+    private readonly own: records.Records,
+  ) {}
+
+  /** Answers siblings that keep or look for a record. */
+  register(handlers: link.Handlers): void {
+    handlers.on(calls.recordPut, (_from, ask) => this.keep(ask, ask.body));
+    handlers.on(calls.recordGet, (_from, ask) => this.look(ask));
+  }
+
+  private async keep(key: schema.RecordKey, body: Buffer): Promise<schema.RecordKept> {
+    const { disk } = this.voters;
+    return { disk, isKept: disk !== "" && (await this.own.put(key, body)) };
+  }
+
+  private async look(key: schema.RecordKey): Promise<schema.RecordFound> {
+    return { disk: this.voters.disk, body: await this.own.get(key) };
+  }
+
+  /** True once disks that make a quorum hold the record; false: it may be on some of them. */
+  async put(key: schema.RecordKey, body: Buffer): Promise<boolean> {
+    const keep = (voter: registerSchema.Voter): Promise<schema.RecordKept | null> => {
+      if (this.voters.isOwn(voter)) return this.keep(key, body);
+      return this.voters.linkTo(voter)?.call(calls.recordPut, { ...key, body }, PUT_MS) ?? Promise.resolve(null);
+    };
+    const kept = new Set<string>();
+    await this.ask(keep, PUT_MS, (reply) => {
+      if (reply.isKept) kept.add(reply.disk);
+      return this.isQuorum(kept);
+    });
+    return this.isQuorum(kept);
+  }
+
+  /** Looks on the own disk first, then on all others. */
+  async find(key: schema.RecordKey): Promise<Found> {
+    const here = await this.own.get(key);
+    if (here) return { kind: "found", body: here };
+    const look = (voter: registerSchema.Voter): Promise<schema.RecordFound | null> => {
+      if (this.voters.isOwn(voter)) return this.look(key);
+      return this.voters.linkTo(voter)?.call(calls.recordGet, key, GET_MS) ?? Promise.resolve(null);
+    };
+    const without = new Set<string>();
+    let body: Buffer | null = null;
+    await this.ask(look, GET_MS, (reply) => {
+      body ??= reply.body;
+      if (!reply.body) without.add(reply.disk);
+      return body !== null;
+    });
+    if (body) return { kind: "found", body };
+    return { kind: this.isQuorum(without) ? "absent" : "unknown" };
+  }
+
+  private isQuorum(disks: ReadonlySet<string>): boolean {
+    const { chosen } = this.voters;
+    return chosen !== null && registers.isQuorum(chosen, disks);
+  }
+
+  /** Asks all voters at once; ends when `isEnough` says so, when all have replied, or after the time. */
+  private ask<Reply>(
+    send: (voter: registerSchema.Voter) => Promise<Reply | null>,
+    withinMs: number,
+    isEnough: (reply: Reply) => boolean,
+  ): Promise<void> {
+    const { chosen } = this.voters;
+    const voters = chosen ? [...registers.allVoters(chosen).values()] : [];
+    if (voters.length === 0) return Promise.resolve();
+    let open = voters.length;
+    return new Promise((resolve) => {
+      const timer = this.world.after(withinMs, resolve);
+      const end = (): void => {
+        timer.stop();
+        resolve();
+      };
+      const take = (reply: Reply | null): void => {
+        open -= 1;
+        if ((reply !== null && isEnough(reply)) || open === 0) end();
+      };
+      for (const voter of voters) void send(voter).then(take, () => take(null));
+    });
+  }
+
+  /** Fetches records that the table names and this disk lacks; drops those of batches that it does not name. */
+  async repair(table: schema.BatchTable): Promise<void> {
+    await this.own.retainOnly(new Set(table.batches.map((batch) => batch.digest)));
+    if (this.voters.disk === "") return;
+    let fetched = 0;
+    for (const key of recordsOf(table)) {
+      if (fetched >= MOST_FETCHED) return;
+      if (await this.own.has(key)) continue;
+      fetched += 1;
+      const found = await this.find(key);
+      if (found.kind !== "found") log.count("batch.record_missing");
+      else if (await this.own.put(key, found.body)) log.count("batch.record_fetched");
+    }
+  }
+}
+
+/** All records that a table names: each submission, and the result of each item that is done. */
+export function* recordsOf(table: schema.BatchTable): Generator<schema.RecordKey> {
+  for (const { digest, items: packed } of table.batches) {
+    yield { digest, ...records.SUBMISSION };
+    for (const item of items.indexesOf(packed, "done")) yield { digest, item, attempt: items.itemAt(packed, item).attempt };
+  }
+}
--- /dev/null
+++ b/src/batch/sender.ts
@@ -0,0 +1,85 @@
+/**
+ * Sends one item the ordinary way, as a client of a router (design/batch 6). What the router answers is read as any
+ * client may read it: 408, 421, 429 and 503 promise that the item has not run, a broken or missing answer proves nothing.
+ */
+import * as crypto from "node:crypto";
+import type * as check from "../config/check.js";
+import * as http from "../wire/http.js";
+import * as names from "../wire/names.js";
+import type * as types from "../wire/types.js";
+import * as attempts from "./attempt.js";
+import * as bounds from "./bounds.js";
+import * as submissions from "./submission.js";
+
+const CONNECT_MS = 700;
+/** After the route's deadline the router has ended the request. */
+const MARGIN_MS = 1500;
+const USUAL_DEADLINE_MS = 60_000;
+const USUAL_PAUSE_MS = 1000;
+/** No router of the region is there, or none takes a connection. */
+const NO_ROUTER_MS = 2000;
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** A router that knows this node's pass. */
+export interface Destination {
+  /** Where it takes clients, host:port. */
+  frontend: string;
+  pass: string;
+}
+
+export interface Parcel {
+  route: check.Route;
+  item: submissions.SubmittedItem;
+}
+
+/** The longest that a send may take, in milliseconds. */
+export function longestMs(route: check.Route | null): number {
+  return (route?.deadline_ms ?? USUAL_DEADLINE_MS) + MARGIN_MS;
+}
+
+/** Resolves when the answer is whole, refused or lost; never rejects. */
+export async function send(world: types.World, to: Destination | null, { route, item }: Parcel): Promise<attempts.Answer> {
+  if (!to) return { kind: "not_run", againMs: NO_ROUTER_MS };
+  const client = http.open(to.frontend, { connectMs: CONNECT_MS, idleMs: 1 });
+  let wasSent = false;
+  const reply = await http.call(world, client, item.path ?? route.path_prefix, {
+    method: item.method,
+    headers: headersOf(route, item, to.pass),
+    body: item.body === "" ? undefined : Buffer.from(item.body),
+    withinMs: longestMs(route),
+    mostBytes: 2 * bounds.MOST_RESULT_BYTES,
+    onConnect(): void {
+      wasSent = true;
+    },
+  });
+  void client.destroy().catch(http.ignore);
+  if (!reply) return wasSent ? { kind: "may_have_run" } : { kind: "not_run", againMs: NO_ROUTER_MS };
+  return answerOf(reply);
+}
+
+function headersOf(route: check.Route, item: submissions.SubmittedItem, pass: string): Record<string, string> {
+  const headers: Record<string, string> = {
+    Host: route.hostname,
+    [names.HEADER.requestId]: `b-${crypto.randomBytes(9).toString("base64url")}`,
+    [names.HEADER.budgetMs]: String(route.deadline_ms),
+    [names.HEADER.batchPass]: pass,
+    [names.HEADER.model]: item.model,
+  };
+  if (item.tokens_out > 0) headers[names.HEADER.tokens] = submissions.tokenUsage(item);
+  if (item.prompt !== "") headers[names.HEADER.prefix] = item.prompt;
+  return headers;
+}
+
+function answerOf(reply: http.Reply): attempts.Answer {
+  const { status, headers, body } = reply;
+  if (PROMISES.has(status)) return { kind: "not_run", againMs: pauseMs(headers.get(names.HEADER.retryAfter)) };
+  if (status >= 500) return { kind: "may_have_run" };
+  const seal = headers.get(names.HEADER.seal) ?? "";
+  if (status >= 300 || seal === "") return { kind: "refused", status };
+  return { kind: "answered", answer: { status, contentType: headers.get("content-type") ?? "", seal, body } };
+}
+
+function pauseMs(retryAfter: string | undefined): number {
+  const seconds = Number(retryAfter);
+  return retryAfter !== undefined && seconds >= 0 ? seconds * 1000 : USUAL_PAUSE_MS;
+}
--- /dev/null
+++ b/src/batch/steps.ts
@@ -0,0 +1,181 @@
+/**
+ * Every change of the batch table, as pure functions of the table read (design/batch 4). Each gives the next table, or
+ * the very table read where nothing changes, or the error that its caller is told.
+ *
+ * Invariants: numbers are given out once and in order, and the order of open batches is that of their numbers; only the
+ * owner of the present term moves items; an item that may have run goes back to `waiting` only if it may run again;
+ * `done` is final, and it names the one attempt whose result counts.
+ */
+import * as result from "true-myth/result";
+import * as errors from "../startup/errors.js";
+import type * as schema from "../wire/batch-schema.js";
+import * as bounds from "./bounds.js";
+import * as items from "./items.js";
+import * as tables from "./table.js";
+
+export type Outcome = result.Result<schema.BatchTable, errors.CranewindError>;
+
+/** A checked submission, its record being durable already. */
+export interface Submission {
+  key: string;
+  digest: string;
+  route: string;
+  isRepeatable: boolean;
+  count: number;
+  /** Milliseconds from now within which it is wanted; 0: no matter. */
+  withinMs: number;
+  homes: string[];
+  reservedBytes: number;
+  projected: schema.Projection | null;
+}
+
+/** One attempt at one item. */
+export interface ItemRef {
+  number: number;
+  index: number;
+  attempt: number;
+}
+
+/**
+ * How an attempt ended: `done`, its result is recorded; `not_run`, it was proven not to have run; `may_have_run`;
+ * `failed`, refused for good.
+ */
+export type AttemptEnd = "done" | "not_run" | "may_have_run" | "failed";
+
+export interface EndedAttempt extends ItemRef {
+  end: AttemptEnd;
+}
+
+/** What an owner changes at once: its attempts that ended, and then the items that it is about to send. */
+export interface OwnerChange {
+  term: number;
+  /** Time on the batch clock that has passed since the owner's last change. */
+  elapsedMs: number;
+  ended: readonly EndedAttempt[];
+  /** The attempt of each is the one after its last. */
+  sends: readonly ItemRef[];
+}
+
+/** Takes a batch, or finds the one with the same key. */
+export function submit(table: schema.BatchTable, submission: Submission): Outcome {
+  const before = tables.findKey(table, submission.key);
+  if (before) return before.digest === submission.digest ? result.ok(table) : sameKey(submission.key);
+  const kept = withRoomFor(table, submission.reservedBytes);
+  if (kept.isErr) return result.err(kept.error);
+  const batch: schema.Batch = {
+    number: table.nextNumber,
+    key: submission.key,
+    digest: submission.digest,
+    route: submission.route,
+    isRepeatable: submission.isRepeatable,
+    isCancelled: false,
+    items: items.allWaiting(submission.count),
+    submittedMs: table.clockMs,
+    dueMs: submission.withinMs > 0 ? table.clockMs + submission.withinMs : 0,
+    startedMs: 0,
+    endedMs: 0,
+    homes: submission.homes,
+    reservedBytes: submission.reservedBytes,
+    projected: submission.projected,
+  };
+  return result.ok({ ...table, nextNumber: table.nextNumber + 1, batches: [...kept.value, batch] });
+}
+
+function sameKey(key: string): Outcome {
+  return result.err(errors.fail("invalid", `key: another batch was submitted as ${key}`, "choose a key that was not used before"));
+}
+
+function sumBytes(batches: readonly schema.Batch[]): number {
+  let sum = 0;
+  for (const batch of batches) sum += batch.reservedBytes;
+  return sum;
+}
+
+/** The batches that stay beside a new one: ended ones give way, the oldest first; open ones never do. */
+function withRoomFor(table: schema.BatchTable, bytes: number): result.Result<schema.Batch[], errors.CranewindError> {
+  if (tables.openBatches(table).length >= bounds.MOST_OPEN) {
+    return result.err(
+      errors.fail("full", `${bounds.MOST_OPEN} batches are open, which is the bound`, "wait until one ends, or cancel one"),
+    );
+  }
+  const kept = [...table.batches];
+  while (kept.length >= bounds.MOST_BATCHES || sumBytes(kept) + bytes > bounds.MOST_BYTES) {
+    const oldest = kept.findIndex((batch) => !tables.isOpen(batch));
+    if (oldest < 0) return result.err(noBytes(bytes));
+    kept.splice(oldest, 1);
+  }
+  return result.ok(kept);
+}
+
+function noBytes(bytes: number): errors.CranewindError {
+  const message = `${bytes} bytes for it and its results would pass the bound of ${bounds.MOST_BYTES} for all batches`;
+  return errors.fail("full", message, "send fewer items, wait until a batch ends, or cancel one");
+}
+
+/** Waiting items are never sent; those at work end as they do. An ended batch stays as it is. */
+export function cancel(table: schema.BatchTable, number: number): Outcome {
+  const batch = tables.findNumber(table, number);
+  if (!batch) return result.err(errors.fail("not_found", `there is no batch ${number}`, "cranewind batch list shows all"));
+  if (batch.isCancelled || !tables.isOpen(batch)) return result.ok(table);
+  let packed = batch.items;
+  for (const index of items.indexesOf(batch.items, "waiting"))
+    packed = items.withItem(packed, index, { ...items.itemAt(packed, index), state: "cancelled" });
+  return result.ok(withBatch(table, ended({ ...batch, isCancelled: true, items: packed }, table.clockMs)));
+}
+
+/** Makes the life the owner, if nobody became it since `term`. */
+export function claim(table: schema.BatchTable, term: number, owner: string): Outcome {
+  if (table.term !== term || table.owner === owner) return result.ok(table);
+  return result.ok({ ...table, owner, term: table.term + 1 });
+}
+
+/** Applies what the owner did; an owner whose term is over is told so, and nothing changes. */
+export function advance(table: schema.BatchTable, owner: string, change: OwnerChange): Outcome {
+  if (table.term !== change.term || table.owner !== owner) {
+    return result.err(errors.fail("race", "another control node owns the batches now", "nothing is to be done: it goes on with them"));
+  }
+  const clockMs = table.clockMs + Math.max(0, change.elapsedMs);
+  let next: schema.BatchTable = { ...table, clockMs };
+  for (const attempt of change.ended) next = end(next, attempt);
+  for (const item of change.sends) next = send(next, item);
+  return result.ok({ ...next, batches: next.batches.filter(isRemembered) });
+  function isRemembered(batch: schema.Batch): boolean {
+    return tables.isOpen(batch) || clockMs - batch.endedMs < bounds.KEPT_MS;
+  }
+}
+
+/** Passed over unless the very attempt is at work. */
+function end(table: schema.BatchTable, attempt: EndedAttempt): schema.BatchTable {
+  const batch = tables.findNumber(table, attempt.number);
+  const item = batch && items.itemAt(batch.items, attempt.index);
+  if (!item || item.state !== "sent" || item.attempt !== attempt.attempt) return table;
+  const packed = items.withItem(batch.items, attempt.index, after(item, attempt.end, batch));
+  return withBatch(table, ended({ ...batch, items: packed }, table.clockMs));
+}
+
+/** The item after an attempt at it has ended so. */
+export function after(item: items.Item, attemptEnd: AttemptEnd, batch: Pick<schema.Batch, "isRepeatable" | "isCancelled">): items.Item {
+  if (attemptEnd === "done" || attemptEnd === "failed") return { ...item, state: attemptEnd };
+  if (attemptEnd === "may_have_run" && !batch.isRepeatable) return { ...item, state: "unclear" };
+  if (batch.isCancelled) return { ...item, state: "cancelled" };
+  const failures = item.failures + (attemptEnd === "may_have_run" ? 1 : 0);
+  const isGivenUp = failures >= bounds.MOST_FAILURES || item.attempt >= items.MOST_ATTEMPTS;
+  return { ...item, failures, state: isGivenUp ? "failed" : "waiting" };
+}
+
+/** Passed over unless the item waits and this is its next attempt. */
+function send(table: schema.BatchTable, ref: ItemRef): schema.BatchTable {
+  const batch = tables.findNumber(table, ref.number);
+  const item = batch && items.itemAt(batch.items, ref.index);
+  if (!item || item.state !== "waiting" || ref.attempt !== item.attempt + 1) return table;
+  const packed = items.withItem(batch.items, ref.index, { ...item, state: "sent", attempt: ref.attempt });
+  return withBatch(table, { ...batch, items: packed, startedMs: batch.startedMs || Math.max(1, table.clockMs) });
+}
+
+function ended(batch: schema.Batch, clockMs: number): schema.Batch {
+  return tables.isOpen(batch) || batch.endedMs > 0 ? batch : { ...batch, endedMs: Math.max(1, clockMs) };
+}
+
+function withBatch(table: schema.BatchTable, changed: schema.Batch): schema.BatchTable {
+  return { ...table, batches: table.batches.map((batch) => (batch.number === changed.number ? changed : batch)) };
+}
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -7,6 +7,9 @@
 import * as settings from "../startup/settings.js";
 import * as registers from "../register/value.js";
 import * as types from "../wire/types.js";
+import * as batchDays from "../whatif/batch-day.js";
+import * as batchScenarios from "../whatif/batch-scenario.js";
+import * as batchTables from "../whatif/batch-table.js";
 import * as outcomes from "../whatif/outcome.js";
 import * as play from "../whatif/play.js";
 import * as scenarios from "../whatif/scenario.js";
@@ -29,12 +32,14 @@
   return error.kind === "usage" ? EXIT.usage : EXIT.denied;
 }
 
-function reportFailure(output: Output, error: errors.CranewindError): number {
+/** Prints the error's one line; its exit code. */
+export function reportFailure(output: Output, error: errors.CranewindError): number {
   output.failure(error.message);
   return exitCodeOf(error);
 }
 
-function readFile(file: string): Buffer | errors.CranewindError {
+/** A file's bytes, or the error with its remedy. */
+export function readFile(file: string): Buffer | errors.CranewindError {
   try {
     return fs.readFileSync(file);
   } catch (cause) {
@@ -60,10 +65,22 @@
   return EXIT.ok;
 }
 
+/** Plays a day of batches, and tells projected beside seen waits. */
+async function whatIfBatches(output: Output, described: unknown, isJson: boolean): Promise<number> {
+  const scenario = batchScenarios.checked(described);
+  if (scenario.isErr) return reportFailure(output, scenario.error);
+  const rows = batchTables.rows(await new batchDays.BatchDay(scenario.value).play());
+  if (isJson) output.line(JSON.stringify({ rows, ...batchTables.summaryOf(rows) }, null, 2));
+  else for (const line of batchTables.lines(rows)) output.line(line);
+  return EXIT.ok;
+}
+
 /** Plays a described day through the router's policies. */
-export function whatIf(output: Output, file: string, isJson: boolean): number {
+export function whatIf(output: Output, file: string, isJson: boolean): Promise<number> | number {
   const bytes = readFile(file);
   if (bytes instanceof Error) return reportFailure(output, bytes);
+  const described = check.parseJson(bytes);
+  if (described.isOk && batchScenarios.isBatchDay(described.value)) return whatIfBatches(output, described.value, isJson);
   const scenario = scenarios.parse(bytes);
   if (scenario.isErr) return reportFailure(output, scenario.error);
   if (scenario.value.surges.length > 0) {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
 import * as experiment from "../experiment/command.js";
 import * as world from "../wire/world.js";
 import * as asks from "./ask.js";
+import * as batches from "./batch.js";
 import * as capacities from "./capacity.js";
 import * as commands from "./commands.js";
 import * as roles from "./roles.js";
@@ -144,6 +145,7 @@
   });
 
 experiment.add(program, clock, output);
+batches.add(program, clock, output, withExitCode);
 
 function exitOf(cause: commander.CommanderError): number {
   return cause.exitCode === 0 ? commands.EXIT.ok : commands.EXIT.usage;
--- a/src/cli/try.ts
+++ b/src/cli/try.ts
@@ -56,6 +56,7 @@
     "bounds.retry_extra=50",
     "bounds.warmup_overshoot=1.5",
     "bounds.warmup_tolerance=5",
+    "batches=on",
   ];
   if (node.role === "router")
     lines.push(`bind_addresses.frontend=${node.ip}:${FRONT_PORT}`, `bind_addresses.readiness=${node.ip}:${READY_PORT}`);
--- a/src/config/routes.ts
+++ b/src/config/routes.ts
@@ -9,6 +9,21 @@
   isRepeatable: boolean;
 }
 
+/** The rank of a route that names no priority; 0 is the most urgent. */
+export const DEFAULT_RANK = 1;
+/** Items of batches come after the requests of every route, whatever its priority (design/batch 6). */
+export const BATCH_RANK = 5;
+
+/** The rank of a route's requests. */
+export function rankOf(route: check.Route): number {
+  return route.priority ?? DEFAULT_RANK;
+}
+
+/** Whether a request of the route may run more than once: it is read only, or a stream that may be resumed. */
+export function isRepeatable(route: check.Route): boolean {
+  return route.route_type === "read_only" || (route.route_type === "streaming" && route.resumable === true);
+}
+
 interface Host {
   byPrefix: Map<string, RouteEntry>;
 }
@@ -60,13 +75,12 @@
     const backends = check.backendsOf(route);
     let weight = 0;
     for (const backend of backends) weight += backend.weight;
-    const isStream = route.route_type === "streaming";
     host.byPrefix.set(route.path_prefix, {
       route,
       backends,
       weight,
       homes: route.allowed_regions ?? [],
-      isRepeatable: route.route_type === "read_only" || (isStream && route.resumable === true),
+      isRepeatable: isRepeatable(route),
     });
   }
 
--- a/src/control/account.ts
+++ b/src/control/account.ts
@@ -16,10 +16,12 @@
   disk: unknown;
   /** The platform's list and the reports, as Cells tells them. */
   cells: unknown;
+  /** Null where batches are off. */
+  batches: unknown;
 }
 
 export function account(parts: AccountParts): unknown {
-  const { node, core, contact, members, disk, cells } = parts;
+  const { node, core, contact, members, disk, cells, batches } = parts;
   const value = core.chosen;
   return {
     node,
@@ -36,6 +38,7 @@
     },
     members: { control: members.members("control"), router: members.members("router") },
     cells,
+    batches,
     counters: Object.fromEntries(log.counted()),
     vitals: vitals.vitals(),
     links: Object.fromEntries(counts.linkCounts()),
--- /dev/null
+++ b/src/control/batch-calls.ts
@@ -0,0 +1,242 @@
+/**
+ * The operator's calls on batches (design/batch 10): Quote, Submit, Status, Results, Cancel, List. Any control node with
+ * batches on takes any. A quote only reads; a submission is answered once its record and its place are durable.
+ */
+import * as result from "true-myth/result";
+import * as bounds from "../batch/bounds.js";
+import * as items from "../batch/items.js";
+import * as outlooks from "../batch/outlook.js";
+import * as owners from "../batch/owner.js";
+import * as quotes from "../batch/quote.js";
+import * as records from "../batch/records.js";
+import type * as replicas from "../batch/replicas.js";
+import * as steps from "../batch/steps.js";
+import * as submissions from "../batch/submission.js";
+import * as tables from "../batch/table.js";
+import * as errors from "../startup/errors.js";
+import * as log from "../startup/log.js";
+import * as batchSchema from "../wire/batch-schema.js";
+import type * as types from "../wire/types.js";
+import type * as views from "./batch-view.js";
+import type * as cores from "./core.js";
+import * as serve from "./serve.js";
+
+const CHANGE_MS = 2600;
+/** Results told by one call. */
+const MOST_RESULTS = 100;
+
+export interface BatchDependencies {
+  readonly world: types.World;
+  readonly register: Pick<cores.Core, "chosen" | "order" | "read">;
+  readonly replicas: Pick<replicas.Replicas, "put" | "find">;
+  readonly view: views.BatchView;
+  readonly forecast: Parameters<typeof outlooks.cellsOf>[1];
+}
+
+type Denied = errors.CranewindError;
+
+/** All paths begin so. */
+export const PREFIX = "/-/Batches.";
+
+export class BatchCalls {
+  constructor(private readonly needs: BatchDependencies) {}
+
+  /** Replies to any path that begins with PREFIX. */
+  async reply(asked: serve.Asked): Promise<serve.Told> {
+    const { method, path } = asked;
+    const [call, argument] = path.slice(PREFIX.length).split("/");
+    if (method === "POST" && call === "Quote") return this.quote(asked);
+    if (method === "POST" && call === "Submit") return this.submit(asked.body);
+    if (method === "POST" && call === "Cancel") return this.withNumber(argument, (number) => this.cancel(number));
+    if (method === "GET" && call === "Status") return this.withNumber(argument, (number) => this.status(number));
+    if (method === "GET" && call === "Results") return this.withNumber(argument, (number) => this.results(number, asked.query));
+    if (method === "GET" && call === "List") return this.list();
+    return serve.denial(errors.fail("not_found", `no call ${method} ${path}`, "see docs/batch.md for the calls"));
+  }
+
+  private withNumber(argument: string | undefined, run: (number: number) => Promise<serve.Told>): Promise<serve.Told> | serve.Told {
+    const number = Number(argument);
+    if (Number.isSafeInteger(number) && number > 0) return run(number);
+    return serve.denial(errors.fail("usage", `${argument ?? "nothing"} is no number of a batch`, "cranewind batch list shows all"));
+  }
+
+  /** What is known of the table here; it may lag behind by a moment. */
+  private get table(): batchSchema.BatchTable {
+    const { chosen } = this.needs.register;
+    return chosen ? tables.tableOf(chosen) : tables.EMPTY;
+  }
+
+  private async quote(asked: serve.Asked): Promise<serve.Told> {
+    const outline = submissions.parseOutline(asked.body);
+    if (outline.isErr) return serve.denial(outline.error);
+    const denied = this.check(outline.value);
+    if (denied) return serve.denial(denied);
+    return { status: 200, json: await this.project(outline.value, asked.query.get("table") === "true") };
+  }
+
+  /** The route must be there, and some region must be allowed. */
+  private check(outline: submissions.Outline): Denied | null {
+    const { view } = this.needs;
+    const service = view.serviceOf(outline.route);
+    if (service === null)
+      return errors.fail("invalid", `route: there is no route ${outline.route}`, "name a route of the configuration in force");
+    if (view.roomsOf(outline, service).length > 0) return null;
+    return errors.fail(
+      "not_ready",
+      `no runner of ${service} reports in a region that is allowed`,
+      "check homes, evacuations and the runners",
+    );
+  }
+
+  private async project(outline: submissions.Outline, wantsTable: boolean): Promise<object> {
+    const { view, forecast, world } = this.needs;
+    const { table } = this;
+    const service = view.serviceOf(outline.route)!;
+    const rooms = view.roomsWithBatches(service, table);
+    const pastErrors = outlooks.pastErrors(table);
+    const quote = await quotes.answer({
+      cells: outlooks.cellsOf(rooms, forecast, (route) => view.usualHeldMs(route)),
+      works: [...view.worksBefore(table, service), view.workOf(outline, outline.count)],
+      withinMs: outline.finish_within_s * 1000,
+      pastErrors,
+      random: () => world.random(),
+      wantsTable,
+    });
+    const confidence = outlooks.confidenceOf(view.roomsOf(outline, service), forecast, pastErrors.count);
+    if (!view.knowsRoute(outline.route)) confidence.reasons.push(`no request of ${outline.route} was seen yet`);
+    return { ...quote, confidence: { ...confidence, isSure: confidence.reasons.length === 0 }, medianError: pastErrors.medianError() };
+  }
+
+  private async submit(body: Buffer): Promise<serve.Told> {
+    const parsed = submissions.parse(body);
+    if (parsed.isErr) return serve.denial(parsed.error);
+    const submission = parsed.value;
+    const outline = submissions.outlineOf(submission);
+    const denied = this.check(outline);
+    if (denied) return serve.denial(denied);
+    const digest = submissions.digestOf(body);
+    const quote = (await this.project(outline, false)) as quotes.Quote;
+    if (!(await this.needs.replicas.put({ digest, ...records.SUBMISSION }, body))) return serve.denial(notDurable());
+    const step = owners.registerStep((table) => steps.submit(table, this.order(submission, body, digest, quote)));
+    const outcome = await this.needs.register.order(step, CHANGE_MS);
+    log.count(outcome.isOk ? "batch.submitted" : `batch.submit_${outcome.error.kind}`);
+    if (outcome.isErr) return serve.denial(outcome.error);
+    const table = tables.tableOf(outcome.value);
+    const taken = tables.findKey(table, submission.key)!;
+    return { status: 200, json: { number: taken.number, place: tables.placeOf(table, taken.number), quote } };
+  }
+
+  private order(submission: submissions.Submission, body: Buffer, digest: string, quote: quotes.Quote): steps.Submission {
+    const route = this.needs.view.routeOf(submission.route)!;
+    return {
+      key: submission.key,
+      digest,
+      route: submission.route,
+      isRepeatable: this.needs.view.isRepeatable(route),
+      count: submission.items.length,
+      withinMs: submission.finish_within_s * 1000,
+      homes: submission.homes,
+      reservedBytes: submissions.reservedBytes(body, submission),
+      projected: projectedOf(quote),
+    };
+  }
+
+  private async cancel(number: number): Promise<serve.Told> {
+    const step = owners.registerStep((table) => steps.cancel(table, number));
+    const outcome = await this.needs.register.order(step, CHANGE_MS);
+    if (outcome.isErr) return serve.denial(outcome.error);
+    return this.told(tables.tableOf(outcome.value), number);
+  }
+
+  /** Read at a majority, so that a submission that was acknowledged is there. */
+  private async status(number: number): Promise<serve.Told> {
+    const read = await this.read();
+    return read.isOk ? this.told(read.value, number) : serve.denial(read.error);
+  }
+
+  private told(table: batchSchema.BatchTable, number: number): serve.Told {
+    const batch = tables.findNumber(table, number);
+    return batch ? { status: 200, json: accountOf(table, batch) } : serve.denial(noBatch(number));
+  }
+
+  private async list(): Promise<serve.Told> {
+    const read = await this.read();
+    if (read.isErr) return serve.denial(read.error);
+    const table = read.value;
+    const batches = table.batches.map((batch) => accountOf(table, batch));
+    return { status: 200, json: { batches, bounds: { open: bounds.MOST_OPEN, items: bounds.MOST_ITEMS, bytes: bounds.MOST_BYTES } } };
+  }
+
+  private async read(): Promise<result.Result<batchSchema.BatchTable, Denied>> {
+    const outcome = await this.needs.register.read(CHANGE_MS);
+    return outcome.isOk ? result.ok(tables.tableOf(outcome.value)) : result.err(outcome.error);
+  }
+
+  private async results(number: number, query: URLSearchParams): Promise<serve.Told> {
+    const from = Number(query.get("from") ?? 0);
+    if (!Number.isSafeInteger(from) || from < 0)
+      return serve.denial(errors.fail("usage", `from=${query.get("from")}`, "give the index of an item"));
+    const read = await this.read();
+    if (read.isErr) return serve.denial(read.error);
+    const batch = tables.findNumber(read.value, number);
+    if (!batch) return serve.denial(noBatch(number));
+    const found = await this.needs.replicas.find({ digest: batch.digest, ...records.SUBMISSION });
+    const submission = found.kind === "found" ? submissions.parse(found.body) : null;
+    if (!submission?.isOk) return serve.denial(unread(number));
+    const end = Math.min(items.countOf(batch.items), from + MOST_RESULTS);
+    const told: object[] = [];
+    for (let index = from; index < end; index += 1) told.push(await this.resultOf(batch, index, submission.value.items[index].id));
+    return { status: 200, json: { number, from, items: told, next: end < items.countOf(batch.items) ? end : null } };
+  }
+
+  private async resultOf(batch: batchSchema.Batch, index: number, id: string): Promise<object> {
+    const { state, attempt } = items.itemAt(batch.items, index);
+    if (state !== "done") return { id, state };
+    const found = await this.needs.replicas.find({ digest: batch.digest, item: index, attempt });
+    if (found.kind !== "found") return { id, state, result: null };
+    const { status, contentType, seal, body } = batchSchema.itemResult.fromBuffer(found.body);
+    return { id, state, result: { status, contentType, seal, body: body.toString("utf8") } };
+  }
+}
+
+function notDurable(): Denied {
+  return errors.fail("no_majority", "the batch could not be stored at a majority of the core", "send the call again, to any control node");
+}
+
+function noBatch(number: number): Denied {
+  return errors.fail("not_found", `there is no batch ${number}`, "cranewind batch list shows all");
+}
+
+function unread(number: number): Denied {
+  return errors.fail("no_majority", `batch ${number} can't be read from any node in touch`, "send the call again, to any control node");
+}
+
+function projectedOf(quote: quotes.Quote): batchSchema.Projection | null {
+  const { begin, end, modelMs } = quote;
+  if (begin.p50 === null || end.p50 === null || end.p05 === null || end.p95 === null || modelMs === null) return null;
+  return { beginMs: begin.p50, endMs: end.p50, earlyEndMs: end.p05, lateEndMs: end.p95, modelMs };
+}
+
+/** A batch as status and list tell it; docs/batch.md names the fields. Times are milliseconds since its submission. */
+function accountOf(table: batchSchema.BatchTable, batch: batchSchema.Batch): object {
+  const since = (clockMs: number): number | null => (clockMs > 0 ? Math.max(0, clockMs - batch.submittedMs) : null);
+  return {
+    number: batch.number,
+    key: batch.key,
+    route: batch.route,
+    state: batch.isCancelled ? "cancelled" : batch.endedMs > 0 ? "ended" : batch.startedMs > 0 ? "running" : "waiting",
+    place: tables.placeOf(table, batch.number),
+    items: Object.fromEntries(items.tally(batch.items)),
+    homes: batch.homes,
+    ageMs: table.clockMs - batch.submittedMs,
+    startedMs: since(batch.startedMs),
+    endedMs: since(batch.endedMs),
+    wantedWithinMs: since(batch.dueMs),
+    projected: batch.projected,
+  };
+}
+
+/** What control nodes with the setting `batches` off reply. */
+export function off(): serve.Told {
+  return serve.denial(errors.fail("not_found", "batches are off on this node", "set batches=on in the settings of all control nodes"));
+}
--- /dev/null
+++ b/src/control/batch-register.ts
@@ -0,0 +1,136 @@
+/**
+ * The batch register of a control node (design/batch 3): the same register as the configuration's, with a value, voters
+ * and a disk folder of its own, so that batches have its guarantees and cost its rounds nothing.
+ */
+import * as path from "node:path";
+import * as batchCalls from "../wire/calls.js";
+import type * as link from "../wire/link.js";
+import type * as schema from "../wire/schema.js";
+import type * as types from "../wire/types.js";
+import type * as dialers from "../feed/dialer.js";
+import * as registers from "../register/value.js";
+import * as files from "../store/files.js";
+import * as owner from "../store/owner.js";
+import * as arrangers from "./arranger.js";
+import type * as channels from "./channel.js";
+import * as cores from "./core.js";
+import * as disks from "./disk.js";
+
+/** The folder of the register's files below data_dir. */
+const FOLDER = "batches";
+/** A disk is told again so often, in case a telling was lost. */
+const TELL_MS = 1000;
+
+export interface BatchRegisterOptions {
+  life: string;
+  /** Of this node's links. */
+  address: string;
+  dataDir: string;
+  /** Addresses of the first voters, and whether this is the very first start with batches. */
+  seeds: string[];
+  isBootstrap: boolean;
+}
+
+/** Turned by the control node's timer. */
+export class BatchRegister {
+  readonly core: cores.Core;
+  private readonly disk: disks.VoterDisk;
+  private readonly arranger: arrangers.Arranger;
+  /** Disks of the siblings in this register, by their address. */
+  private readonly disksByAddress = new Map<string, string>();
+  private toldAt = -Infinity;
+
+  /** heldControls: this node and the control nodes whose sessions it holds itself. */
+  constructor(
+    private readonly world: types.World,
+    private readonly options: BatchRegisterOptions,
+    private readonly dial: dialers.Dialer,
+    private readonly heldControls: () => schema.NodeInfo[],
+  ) {
+    const { life, address, seeds, isBootstrap } = options;
+    const first = registers.firstValue(isBootstrap ? seeds : []);
+    this.core = new cores.Core(world, { life, address, first, channel: this.channel() }, dial);
+    const folder = new files.RealFolder(path.join(options.dataDir, FOLDER));
+    const machine = { world, folder, processes: owner.realProcesses };
+    this.disk = new disks.VoterDisk(machine, { address, seeds, isBootstrap }, this.core.enter.bind(this.core));
+    this.arranger = new arrangers.Arranger(world, this.core, this.nodes.bind(this));
+    dial.on("up", this.tell.bind(this));
+    dial.on("down", (control) => this.disksByAddress.delete(control.address));
+  }
+
+  private channel(): channels.Channel {
+    return {
+      name: "batch register",
+      logsEpochs: false,
+      prepare: batchCalls.batchPrepare,
+      accept: batchCalls.batchAccept,
+      chosen: batchCalls.batchChosen,
+      ask: batchCalls.batchAsk,
+      diskOf: (control) => this.disksByAddress.get(control.address) ?? "",
+    };
+  }
+
+  register(handlers: link.Handlers): void {
+    this.core.register(handlers);
+    handlers.on(batchCalls.batchNode, (_from, told) => {
+      this.disksByAddress.set(told.address, told.disk);
+      return null;
+    });
+  }
+
+  start(): void {
+    this.disk.start();
+  }
+
+  /** Where the records of batches go, beside the register's own files. */
+  recordFolder(): files.RealFolder {
+    return new files.RealFolder(path.join(this.options.dataDir, FOLDER, "records"));
+  }
+
+  private tell(control: dialers.Control): void {
+    control.link.tell(batchCalls.batchNode, { address: this.options.address, disk: this.core.disk });
+  }
+
+  /** The nodes in touch with their disks in this register. */
+  private nodes(): schema.NodeInfo[] {
+    return this.heldControls().map((node) => {
+      const isOwn = node.address === this.options.address;
+      return { ...node, disk: isOwn ? this.core.disk : (this.disksByAddress.get(node.address) ?? "") };
+    });
+  }
+
+  turn(): void {
+    const now = this.world.now();
+    if (now - this.toldAt >= TELL_MS) {
+      this.toldAt = now;
+      for (const control of this.dial.controls.values()) this.tell(control);
+      this.catchUp();
+    }
+    this.core.turn();
+    this.arranger.turn();
+  }
+
+  /** News of a choice may be lost with a link: one sibling after the other is asked what it knows. */
+  private catchUp(): void {
+    const controls = [...this.dial.controls.values()];
+    if (controls.length === 0) return;
+    const control = controls[Math.floor(this.world.random() * controls.length)];
+    const known = this.core.chosen?.epoch;
+    if (known !== undefined) void this.core.catchUp(control.link, (known + 1) as types.Epoch);
+  }
+
+  status(): unknown {
+    const { chosen } = this.core;
+    return { disk: this.disk.status(), epoch: chosen?.epoch ?? null, voters: chosen?.voters ?? [], isSettled: this.core.isSettled() };
+  }
+
+  /** Hands its vote over while the links still stand. */
+  handOver(withinMs: number): Promise<void> {
+    return this.arranger.handOver(withinMs);
+  }
+
+  async stop(): Promise<void> {
+    this.core.leave();
+    await this.disk.stop();
+  }
+}
--- /dev/null
+++ b/src/control/batches.ts
@@ -0,0 +1,205 @@
+/** Batches at one control node, put together (design/batch 1): register, records, owner, forecast and operator's calls. */
+import type * as attempts from "../batch/attempt.js";
+import * as owners from "../batch/owner.js";
+import * as records from "../batch/records.js";
+import * as replicas from "../batch/replicas.js";
+import * as batchRouters from "../batch/routers.js";
+import * as senders from "../batch/sender.js";
+import * as submissions from "../batch/submission.js";
+import * as tables from "../batch/table.js";
+import type * as worklists from "../batch/worklist.js";
+import type * as dialers from "../feed/dialer.js";
+import type * as feeds from "../feed/feed.js";
+import * as log from "../startup/log.js";
+import type * as settings from "../startup/settings.js";
+import type * as batchSchema from "../wire/batch-schema.js";
+import type * as link from "../wire/link.js";
+import type * as schema from "../wire/schema.js";
+import type * as types from "../wire/types.js";
+import * as batchCalls from "./batch-calls.js";
+import * as batchLoads from "./batch-loads.js";
+import * as batchRegisters from "./batch-register.js";
+import * as views from "./batch-view.js";
+import type * as cells from "./cells.js";
+import type * as serve from "./serve.js";
+import type * as sessions from "./sessions.js";
+
+const REPAIR_MS = 2000;
+const OPEN_AGAIN_MS = 1000;
+
+/** The control node around it. */
+export interface Host {
+  readonly life: string;
+  readonly address: string;
+  readonly startup: settings.Settings;
+  readonly seeds: string[];
+  readonly dial: dialers.Dialer;
+  readonly handlers: link.Handlers;
+  readonly feed: feeds.Feed;
+  readonly members: sessions.Sessions;
+  readonly cells: cells.Cells;
+  /** The newest chosen value of the configuration's register. */
+  configuration(): schema.Value | null;
+  isConfirmed(): boolean;
+  /** This node and the control nodes whose sessions it holds itself. */
+  heldControls(): schema.NodeInfo[];
+}
+
+/** Made only where the setting `batches` is on. */
+export class Batches {
+  private readonly register: batchRegisters.BatchRegister;
+  private readonly records: records.Records;
+  private readonly replicas: replicas.Replicas;
+  private readonly loads: batchLoads.BatchLoads;
+  private readonly view: views.BatchView;
+  private readonly owner: owners.Owner;
+  private readonly calls: batchCalls.BatchCalls;
+  private readonly routers: batchRouters.PassedRouters;
+  private readonly submissions = new Map<string, submissions.Submission>();
+  private repairedAt = -Infinity;
+  private isRepairing = false;
+  private hasRecords = false;
+
+  constructor(
+    private readonly world: types.World,
+    private readonly host: Host,
+    dataDir: string,
+  ) {
+    const { life, address, startup, seeds, dial } = host;
+    const isBootstrap = startup.batches_bootstrap ?? startup.bootstrap;
+    const options = { life, address, dataDir, seeds, isBootstrap };
+    this.register = new batchRegisters.BatchRegister(world, options, dial, host.heldControls.bind(host));
+    this.records = new records.Records(world, this.register.recordFolder());
+    this.replicas = new replicas.Replicas(world, this.register.core, this.records);
+    this.loads = new batchLoads.BatchLoads(world, host.feed, host.members, dial);
+    this.view = new views.BatchView({
+      configuration: host.configuration.bind(host),
+      instances: () => host.cells.instances(),
+      reports: () => host.cells.reports(),
+      regionOf: (zone) => startup.zones[zone] ?? zone,
+      forecast: this.loads.forecast,
+    });
+    this.routers = new batchRouters.PassedRouters(world, () => host.members.readyRouters());
+    this.owner = new owners.Owner(this.ownerNeeds());
+    const { view, replicas: replicated } = this;
+    this.calls = new batchCalls.BatchCalls({
+      world,
+      register: this.register.core,
+      replicas: replicated,
+      view,
+      forecast: this.loads.forecast,
+    });
+    this.register.register(host.handlers);
+    this.replicas.register(host.handlers);
+    this.loads.register(host.handlers);
+  }
+
+  private ownerNeeds(): owners.Dependencies {
+    const { world, host, view, replicas: replicated } = this;
+    return {
+      world,
+      life: host.life,
+      register: this.register.core,
+      replicas: replicated,
+      isConfirmed: host.isConfirmed.bind(host),
+      serviceOf: (route) => view.serviceOf(route),
+      roomsOf: (batch, service) => view.roomsOf(batch, service),
+      unreadOf: (batch) => view.unreadOf(batch.digest),
+      longestMs: (route) => senders.longestMs(view.routeOf(route)),
+      send: this.send.bind(this),
+      attemptEnded: (batch, send, ended) => {
+        if (ended.end === "done") view.learnHeld(batch.digest, world.now() - send.sentAt);
+      },
+      isInTouch: (life) => this.livesInTouch().has(life),
+      rank: () => [...this.livesInTouch()].filter((life) => life < host.life).length,
+    };
+  }
+
+  /** Lives of the other control nodes with batches, as far as they are in touch. */
+  private livesInTouch(): Set<string> {
+    const lives = new Set<string>();
+    for (const { node, link: to } of this.host.dial.controls.values()) if (to.isOpen) lives.add(node.life);
+    return lives;
+  }
+
+  /** Called each 100 ms. */
+  turn(): void {
+    this.register.turn();
+    this.loads.turn();
+    if (this.hasRecords) this.owner.turn();
+    if (this.owner.isOwner()) this.routers.introduce();
+    const now = this.world.now();
+    if (this.isRepairing || !this.hasRecords || now - this.repairedAt < REPAIR_MS) return;
+    this.repairedAt = now;
+    void this.repair();
+  }
+
+  private async repair(): Promise<void> {
+    const { chosen } = this.register.core;
+    if (!chosen) return;
+    this.isRepairing = true;
+    const table = tables.tableOf(chosen);
+    await this.replicas.repair(table);
+    this.view.retainOnly(table);
+    const digests = new Set(table.batches.map((batch) => batch.digest));
+    for (const digest of this.submissions.keys()) if (!digests.has(digest)) this.submissions.delete(digest);
+    for (const batch of tables.openBatches(table)) if (!this.view.knowsSizes(batch.digest)) await this.submissionOf(batch);
+    this.isRepairing = false;
+  }
+
+  /** The submission of a batch, read once; null: no node in touch holds it. */
+  private async submissionOf(batch: batchSchema.Batch): Promise<submissions.Submission | null> {
+    const held = this.submissions.get(batch.digest);
+    if (held) return held;
+    const found = await this.replicas.find({ digest: batch.digest, ...records.SUBMISSION });
+    const parsed = found.kind === "found" ? submissions.parse(found.body) : null;
+    if (!parsed?.isOk) return null;
+    this.submissions.set(batch.digest, parsed.value);
+    this.view.learnSizes(batch.digest, submissions.outlineOf(parsed.value));
+    return parsed.value;
+  }
+
+  private async send(send: worklists.Send, batch: batchSchema.Batch): Promise<attempts.Answer> {
+    const submission = await this.submissionOf(batch);
+    const route = this.view.routeOf(batch.route);
+    const item = submission?.items[send.index];
+    if (!item || !route) return { kind: "not_run", againMs: OPEN_AGAIN_MS };
+    return senders.send(this.world, this.routers.in(send.region), { route, item });
+  }
+
+  reply(asked: serve.Asked): Promise<serve.Told> {
+    return this.calls.reply(asked);
+  }
+
+  start(): void {
+    this.register.start();
+    void this.openRecords();
+  }
+
+  /** A disk that refuses is tried again; until it is open, this node owns no batches. */
+  private async openRecords(): Promise<void> {
+    try {
+      await this.records.open();
+      this.hasRecords = true;
+    } catch (cause) {
+      log.count("batch.records_refused");
+      log.state(`batch: the records can't be opened: ${(cause as Error).message}`);
+      this.world.after(OPEN_AGAIN_MS, () => void this.openRecords());
+    }
+  }
+
+  status(): unknown {
+    return { ...(this.register.status() as object), isOwner: this.owner.isOwner(), atWork: this.owner.working };
+  }
+
+  /** Hands the vote over while links still stand. */
+  handOver(withinMs: number): Promise<void> {
+    return this.register.handOver(withinMs);
+  }
+
+  async stop(): Promise<void> {
+    this.hasRecords = false;
+    await this.register.stop();
+    await this.records.close();
+  }
+}
--- a/src/control/cells.ts
+++ b/src/control/cells.ts
@@ -165,8 +165,18 @@
     return this.publisher.differ(region, reports);
   }
 
+  /** The platform's list as read last, here or by another control node. */
+  instances(): readonly schema.Instance[] {
+    return this.watcher.instances();
+  }
+
+  /** The newest reports of all regions. */
+  reports(): readonly schema.CellReport[] {
+    return this.publisher.status();
+  }
+
   status(): unknown {
-    return { instances: this.watcher.instances(), reports: this.publisher.status() };
+    return { instances: this.instances(), reports: this.reports() };
   }
 }
 
--- a/src/control/operator.ts
+++ b/src/control/operator.ts
@@ -8,16 +8,23 @@
 import * as log from "../startup/log.js";
 import * as names from "../wire/names.js";
 import * as schema from "../wire/schema.js";
+import * as batchCalls from "./batch-calls.js";
 import type * as core from "./core.js";
 import * as serve from "./serve.js";
 
 const CHANGE_MS = 2600;
 
+/** The calls on batches, where they are on. */
+export interface Batches {
+  reply(asked: serve.Asked): Promise<serve.Told>;
+}
+
 export class Operator {
   constructor(
     private readonly register: core.Core,
     private readonly zones: ReadonlySet<string>,
     private readonly status: () => unknown,
+    private readonly batches: Batches | null = null,
   ) {}
 
   reply(asked: serve.Asked): Promise<serve.Told> | serve.Told {
@@ -27,6 +34,7 @@
     if (method === "GET" && path === "/-/Config.Describe") return this.describe();
     if (method === "POST" && path.startsWith("/-/Evacuations.Start/")) return this.evacuate(path, true);
     if (method === "POST" && path.startsWith("/-/Evacuations.Stop/")) return this.evacuate(path, false);
+    if (path.startsWith(batchCalls.PREFIX)) return this.batches?.reply(asked) ?? batchCalls.off();
     if (method === "GET" && path === "/-/status") return { status: 200, json: this.status() };
     return serve.denial(errors.fail("not_found", `no call ${method} ${path}`, "see docs/operating.md for the calls"));
   }
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -16,6 +16,7 @@
 import * as supervisor from "../supervisor/tree.js";
 import * as account from "./account.js";
 import * as arrangers from "./arranger.js";
+import * as batches from "./batches.js";
 import * as cells from "./cells.js";
 import * as contacts from "./contact.js";
 import * as cores from "./core.js";
@@ -47,6 +48,8 @@
   private readonly cells: cells.Cells;
   private readonly leases: leases.Lessor;
   private readonly arranger: arrangers.Arranger;
+  /** Null where the setting `batches` is off. */
+  private readonly batches: batches.Batches | null;
   private isLeaving = false;
   private disk: disks.VoterDisk | null = null;
   readonly root: supervisor.Supervisor;
@@ -68,6 +71,7 @@
     this.contact = new contacts.Contact(world, this.core, this.dial, this.leases.takeReply.bind(this.leases));
     this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members, this.fitness.bind(this));
     this.arranger = new arrangers.Arranger(world, this.core, this.heldControls.bind(this));
+    this.batches = this.makeBatches(seeds);
     this.root = new supervisor.Supervisor("control", world, []);
     this.handle();
     this.plan(seeds);
@@ -113,9 +117,19 @@
     });
   }
 
+  private makeBatches(seeds: string[]): batches.Batches | null {
+    const { world, life, address, startup, dial, handlers, feed, members, cells, core } = this;
+    const { data_dir: dataDir } = startup;
+    if (startup.batches === "off" || !dataDir) return null;
+    const isConfirmed = (): boolean => !this.isLeaving && this.contact.isConfirmed();
+    const heldControls = this.heldControls.bind(this);
+    const parts = { life, address, startup, seeds, dial, handlers, feed, members, cells, isConfirmed, heldControls };
+    return new batches.Batches(world, { ...parts, configuration: () => core.chosen }, dataDir);
+  }
+
   private plan(seeds: string[]): void {
     const { root, startup } = this;
-    const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this));
+    const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this), this.batches);
     const redirector = new redirects.Redirector(this.world, this.contact, this.peers.bind(this), operator.reply.bind(operator));
     this.dial.on("beat", redirector.remember.bind(redirector));
     const view = { routers: this.resolvable.bind(this), ttlMostS: startup.bounds.ttl_max_s };
@@ -125,6 +139,8 @@
     root.add(root.turns("beats", link.BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("turn", TURN_MS, this.turn.bind(this)));
     root.add({ name: "disk", start: this.openDisk.bind(this, seeds), stop: this.stopDisk.bind(this) });
+    if (this.batches)
+      root.add({ name: "batches", start: this.batches.start.bind(this.batches), stop: this.batches.stop.bind(this.batches) });
   }
 
   /** The loop never waits on the disk: until it is read, this node runs without a vote. */
@@ -148,12 +164,9 @@
 
   /** Also at once when contact with a majority is found or lost. */
   private tell(): void {
-    const base = {
-      isReady: !this.isLeaving,
-      epoch: this.core.chosen?.epoch ?? types.NO_EPOCH,
-      isSettled: this.contact.isConfirmed(),
-      silentRegions: this.dial.silentRegions(),
-    };
+    const epoch = this.core.chosen?.epoch ?? types.NO_EPOCH;
+    const isSettled = this.contact.isConfirmed();
+    const base = { isReady: !this.isLeaving, epoch, isSettled, silentRegions: this.dial.silentRegions() };
     this.members.tellBeats(base);
     this.dial.tellAll({ ...base, index: 0, members: 1 });
     this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
@@ -186,6 +199,7 @@
     this.contact.turn();
     this.cells.turn();
     this.arranger.turn();
+    this.batches?.turn();
   }
 
   /** This node and the control nodes whose sessions it holds itself. */
@@ -215,6 +229,7 @@
       members,
       disk: this.disk?.status() ?? null,
       cells: this.cells.status(),
+      batches: this.batches?.status() ?? null,
     });
   }
 
@@ -223,7 +238,8 @@
     this.isLeaving = true;
     this.contact.withdraw();
     this.tell();
-    await Promise.all([worlds.sleep(this.world, LEAVE_MS), this.arranger.handOver(HAND_OVER_MS)]);
+    const pause = worlds.sleep(this.world, LEAVE_MS);
+    await Promise.all([pause, this.arranger.handOver(HAND_OVER_MS), this.batches?.handOver(HAND_OVER_MS)]);
     this.dial.end();
     this.members.end();
     await this.root.stop();
--- a/src/control/serve.ts
+++ b/src/control/serve.ts
@@ -30,6 +30,7 @@
   ["too_large", 413],
   ["not_found", 404],
   ["usage", 400],
+  ["full", 429],
   ["no_majority", 503],
   ["not_ready", 503],
   ["timeout", 503],
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -182,11 +182,16 @@
   /** The routers heard here on links of their own; all that are believed when there is none (design/hardening/1-cut-off). */
   ownRouters(): doubts.Seen[] {
     const heard: doubts.Seen[] = [];
+    for (const { node } of this.readyRouters()) heard.push({ node, isSure: true });
+    return heard.length > 0 ? heard.sort(bySeenName) : this.routers();
+  }
+
+  /** The routers with sessions here that are ready, and their links. */
+  *readyRouters(): Generator<{ node: schema.NodeInfo; link: link.Link }> {
     for (const session of this.own.values()) {
       const node = this.seen(session);
-      if (node.role === "router" && node.isReady) heard.push({ node, isSure: true });
+      if (node.role === "router" && node.isReady) yield { node, link: session.link };
     }
-    return heard.length > 0 ? heard.sort(bySeenName) : this.routers();
   }
 
   /** All members of a role, by name. */
--- a/src/experiment/chain.ts
+++ b/src/experiment/chain.ts
@@ -159,6 +159,8 @@
       deadline: now + DEADLINE_MS,
       asked: { prompt: 0, mostOut: 200 },
       returnKey: 0,
+      rank: 1,
+      isBatch: false,
       cells: [],
       candidates: [],
     };
--- /dev/null
+++ b/src/router/batches.ts
@@ -0,0 +1,64 @@
+/**
+ * A router's part in batches (design/batch 6, 8): it knows items by the pass of the control node that sends them, and
+ * counts what arrives on each route for the load forecast. Control nodes ask for the counts; a router sends nothing of
+ * its own accord.
+ */
+import type * as schema from "../wire/batch-schema.js";
+import * as calls from "../wire/calls.js";
+import type * as link from "../wire/link.js";
+import type * as admissions from "../admission/admission.js";
+import type * as readings from "./readings.js";
+
+/** Routes counted; the counts of others are left out. */
+const MOST_ROUTES = 4096;
+/** Shorter passes are none. */
+const LEAST_PASS_CHARACTERS = 16;
+
+/** Made once per router. */
+export class RouterBatches {
+  private readonly passes = new Map<link.Link, string>();
+  private readonly arrivals = new Map<string, number>();
+
+  constructor(
+    private readonly life: string,
+    private readonly known: readings.Readings,
+    private readonly admission: admissions.Admission,
+  ) {}
+
+  /** Takes passes, and answers control nodes that ask for loads. */
+  register(handlers: link.Handlers): void {
+    handlers.on(calls.batchPass, (from, told) => {
+      this.takePass(from, told.pass);
+      return null;
+    });
+    handlers.on(calls.routerLoads, () => this.loads());
+  }
+
+  /** A pass holds while the link stands over which it came. */
+  private takePass(from: link.Link, pass: string): void {
+    if (!this.passes.has(from)) from.once("end", () => this.passes.delete(from));
+    this.passes.set(from, pass);
+  }
+
+  /** Whether a request with this header is an item of a batch. */
+  isItem(header: string | string[] | undefined): boolean {
+    if (typeof header !== "string" || header.length < LEAST_PASS_CHARACTERS) return false;
+    for (const pass of this.passes.values()) if (pass === header) return true;
+    return false;
+  }
+
+  /** A client's request on this route was read whole. */
+  countArrival(route: string): void {
+    const count = this.arrivals.get(route) ?? 0;
+    if (count > 0 || this.arrivals.size < MOST_ROUTES) this.arrivals.set(route, count + 1);
+  }
+
+  private loads(): schema.RouterLoads {
+    const routes: schema.RouteLoad[] = [];
+    for (const [route, arrivals] of this.arrivals) {
+      const { heldMs, unread } = this.admission.typicalOf(route).status();
+      routes.push({ route, arrivals, heldMs, unread });
+    }
+    return { life: this.life, readRate: this.known.rate, routes };
+  }
+}
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -59,12 +59,14 @@
     }
   }
 
-  countRequest(service: string): void {
-    this.share.countRequest(service);
+  /** Requests of clients earn further tries of their service; items of batches take and earn none. */
+  countRequest(request: requests.Request): void {
+    if (!request.isBatch) this.share.countRequest(request.service);
   }
 
-  mostSends(entry: routes.RouteEntry): number {
-    return Math.max(1, entry.route.max_attempts ?? 1);
+  /** Runners that one try may be sent to. */
+  mostSends(request: requests.Request): number {
+    return request.isBatch ? 1 : Math.max(1, request.entry.route.max_attempts ?? 1);
   }
 
   /** How long a runner may be silent before a repeatable request leaves it. */
@@ -82,6 +84,8 @@
     for (const part of shared) sharedTokens += part.tokens;
     const plan: plans.Plan = {
       requestId: request.requestId,
+      rank: request.rank,
+      isBatch: request.isBatch,
       entry: request.entry,
       service: request.service,
       parts: request.parts,
--- a/src/router/headers.ts
+++ b/src/router/headers.ts
@@ -23,6 +23,7 @@
   [names.HEADER.target, "replace"],
   [names.HEADER.budgetMs, "replace"],
   [names.HEADER.priority, "replace"],
+  [names.HEADER.batchPass, "drop"],
 ]);
 const REPLY_RULES = new Map<string, Rule>(CONNECTION_RULES);
 
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -16,6 +16,10 @@
 
 export interface Plan {
   readonly requestId: types.RequestId;
+  /** 0 is the most urgent; items of batches come after the ranks of all routes. */
+  readonly rank: number;
+  /** An item of a batch: it may only take room that nobody else wants (design/batch 6). */
+  readonly isBatch: boolean;
   readonly entry: routes.RouteEntry;
   readonly service: string;
   /** The parts of the prompt that others share: all but the last. */
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -19,6 +19,7 @@
 import * as supervisor from "../supervisor/tree.js";
 import * as usages from "../usage/reader.js";
 import * as accounts from "./account.js";
+import * as batches from "./batches.js";
 import * as choosers from "./chooser.js";
 import * as fleets from "./fleet.js";
 import * as leases from "./leases.js";
@@ -53,6 +54,7 @@
   private readonly prompts: prompts.PromptReadings;
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
+  private readonly batches: batches.RouterBatches;
   private epoch = types.NO_EPOCH;
   readonly root: supervisor.Supervisor;
 
@@ -71,7 +73,9 @@
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS, few);
     this.gate = new startGates.StartGate(clock, this.dial.controls, this.opened.bind(this));
     this.dial.on("beat", this.judgeStart.bind(this));
-    this.server = new servers.RouterServer(clock, this.chooser, this.gate.allows.bind(this.gate), sending, startup.limits);
+    this.batches = new batches.RouterBatches(this.life, this.known, this.chooser.admission);
+    this.batches.register(this.handlers);
+    this.server = new servers.RouterServer(clock, this.chooser, this.gate.allows.bind(this.gate), sending, startup.limits, this.batches);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this.topics.bind(this), this);
     this.borrower = new leases.Borrower(clock, this.life, this.dial, this.share);
     this.dial.know(settings.innerSeeds(startup));
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -18,6 +18,10 @@
   requestId: types.RequestId;
   entry: routes.RouteEntry;
   service: string;
+  /** 0 is the most urgent. */
+  rank: number;
+  /** An item of a batch, sent by a control node. */
+  isBatch: boolean;
   parts: plans.Part[];
   keys: number[];
   /** Both in ms of the steady clock. */
@@ -48,12 +52,15 @@
   entry: routes.RouteEntry,
   body: Buffer | null,
   arrivedAt: number,
+  isBatch = false,
 ): Request {
   const parts = plans.readParts(single(incoming.headers[names.HEADER.prefix]));
   return {
     requestId,
     entry,
     body,
+    isBatch,
+    rank: isBatch ? routes.BATCH_RANK : routes.rankOf(entry.route),
     service: routes.chooseService(entry, shares.hash(`${requestId}/split`) / HASHES),
     parts,
     keys: readings.chainKeys(parts),
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -5,6 +5,8 @@
 import * as log from "../startup/log.js";
 import * as listening from "../wire/listen.js";
 import * as types from "../wire/types.js";
+import * as names from "../wire/names.js";
+import type * as batches from "./batches.js";
 import * as bodies from "./body.js";
 import type * as contexts from "./context.js";
 import * as proper from "./proper.js";
@@ -45,6 +47,7 @@
     private readonly isReady: () => boolean,
     private readonly sending: contexts.Context["sending"],
     machine: Machine,
+    private readonly batches: batches.RouterBatches,
   ) {
     this.held = new bodies.HeldBytes(machine.memory_mb * 1024 * 1024 * HELD_SHARE);
     this.mostPending = Math.floor(machine.memory_mb * PENDING_PER_MB);
@@ -138,7 +141,9 @@
       this.deny(outgoing, 400, "X-Cranewind-Request-Id is missing; send one id a try", null, false);
       return;
     }
-    this.run(requests.requestOf(incoming, requestId, entry, body, arrivedAt), incoming, outgoing);
+    const isBatch = this.batches.isItem(incoming.headers[names.HEADER.batchPass]);
+    if (!isBatch) this.batches.countArrival(entry.route.name);
+    this.run(requests.requestOf(incoming, requestId, entry, body, arrivedAt, isBatch), incoming, outgoing);
   }
 
   /** Just after a start the first configuration is a moment away: so long a request is pending, and never past its deadline. */
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -42,14 +42,14 @@
   private move(to: states.State, end?: tallies.End): void {
     this.state = states.moved(this.state, to);
     if (!end) return;
-    this.context.chooser.admission.tally.ended(end, this.request.entry.route.priority ?? 1);
+    this.context.chooser.admission.tally.ended(end, this.request.rank);
     this.deadlineTimer?.stop();
     this.context.finished();
   }
 
   start(): void {
     this.deadlineTimer = this.context.world.after(Math.max(0, this.request.deadline - this.context.world.now()), this.expired.bind(this));
-    this.context.chooser.countRequest(this.request.service);
+    this.context.chooser.countRequest(this.request);
     this.move("choosing");
     this.choose();
   }
@@ -74,7 +74,7 @@
       target: choice.runner.id,
       budgetMs: Math.max(1, Math.floor(left)),
       lastEventId: this.reply.lastEventId,
-      rank: this.request.entry.route.priority ?? 1,
+      rank: this.request.rank,
     };
     this.attempt = new attempts.Attempt(
       this.context.world,
@@ -145,7 +145,7 @@
   }
 
   private mayRepeat(): boolean {
-    return this.sends < this.context.chooser.mostSends(this.request.entry);
+    return this.sends < this.context.chooser.mostSends(this.request);
   }
 
   onEnd(attempt: attempts.Attempt, ending: attempts.Ending, head: answers.Head | null): void {
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -33,6 +33,8 @@
   limits: superstruct.type({ memory_mb: positive, max_open_files: positive, disk_mb: superstruct.defaulted(nonNegative, 0) }),
   data_dir: superstruct.optional(text),
   admission: superstruct.defaulted(superstruct.enums(["on", "off"]), "on"),
+  batches: superstruct.defaulted(superstruct.enums(["on", "off"]), "off"),
+  batches_bootstrap: superstruct.optional(superstruct.boolean()),
   heartbeat_ms: superstruct.defaulted(positive, 1000),
   bounds: superstruct.type({
     contact_ms: superstruct.defaulted(positive, 4000),
--- /dev/null
+++ b/src/whatif/batch-day.ts
@@ -0,0 +1,229 @@
+/**
+ * Plays batches beside interactive load and compares projected with seen waits (design/batch 12). Forecast, projection,
+ * worklist and table are those of the control nodes; cells, arrivals and the register's rounds are models.
+ */
+import * as outlooks from "../batch/outlook.js";
+import type * as projections from "../batch/projection.js";
+import * as quotes from "../batch/quote.js";
+import * as items from "../batch/items.js";
+import * as steps from "../batch/steps.js";
+import * as tables from "../batch/table.js";
+import * as worklists from "../batch/worklist.js";
+import * as loads from "../forecast/loads.js";
+import type * as schema from "../wire/batch-schema.js";
+import * as fleets from "./batch-cells.js";
+import type * as batchScenarios from "./batch-scenario.js";
+import * as worlds from "./world.js";
+
+const SECOND_MS = 1000;
+const REPORT_MS = 600;
+const CHANGE_MS = 350;
+const LOAD_REPORT_S = 5;
+const ROUTE = "interactive";
+const SERVICE = "model";
+const LIFE = "owner";
+/** Items of one batch differ by so much, as the standard deviation of the logarithm. */
+const ITEM_SPREAD = 0.35;
+
+/** One batch: what it was told, and what it saw. Milliseconds. */
+export interface BatchRecord {
+  number: number;
+  atMs: number;
+  count: number;
+  /** Part of all places that interactive requests held when it was submitted. */
+  load: number;
+  quote: quotes.Quote;
+  beganMs: number;
+  endedMs: number;
+}
+
+/** One day; to be played once. The same scenario and seed give the same records. */
+export class BatchDay {
+  private readonly world: worlds.PlannedWorld;
+  private readonly forecast: loads.LoadForecast;
+  private readonly cells: fleets.ModelCell[];
+  private readonly atWork = new Map<string, worklists.AtWork>();
+  private readonly ended: steps.EndedAttempt[] = [];
+  private readonly worklist: worklists.Worklist;
+  private readonly heldMs = new Map<string, number>();
+  private table: schema.BatchTable = { ...tables.EMPTY, owner: LIFE, term: 1 };
+  private changedAt = 0;
+  constructor(private readonly scenario: batchScenarios.BatchScenario) {
+    this.world = new worlds.PlannedWorld(scenario.seed);
+    this.forecast = new loads.LoadForecast(this.world);
+    this.cells = scenario.batch_regions.map((region) => new fleets.ModelCell(region, scenario, this.world));
+    this.worklist = new worklists.Worklist(this.world, {
+      serviceOf: () => SERVICE,
+      roomsOf: (batch) => this.rooms(batch.homes),
+      unreadOf: () => 0,
+    });
+  }
+
+  private rooms(homes: readonly string[]): outlooks.Room[] {
+    const here = this.cells.filter(({ region }) => homes.length === 0 || homes.includes(region.name));
+    return here.map(({ region, reportedUse, batchItems }) => ({
+      region: region.name,
+      places: region.places,
+      used: reportedUse,
+      waiting: Math.max(0, reportedUse - region.places),
+      readPerMs: Infinity,
+      batchItems,
+    }));
+  }
+
+  /** Plays the learning days, then every submission to the end of its batch. */
+  async play(): Promise<BatchRecord[]> {
+    const learningMs = this.scenario.learning_days * loads.DAY_MS;
+    this.world.after(0, this.second.bind(this, 0));
+    this.world.after(0, this.report.bind(this));
+    const planned: { atMs: number; kind: batchScenarios.BatchScenario["batches"][number] }[] = [];
+    for (const kind of this.scenario.batches) {
+      for (let turn = 0; turn < kind.times; turn += 1)
+        planned.push({ atMs: learningMs + (kind.first_s + turn * kind.every_s) * SECOND_MS, kind });
+    }
+    planned.sort((left, right) => left.atMs - right.atMs);
+    const records: BatchRecord[] = [];
+    for (const { atMs, kind } of planned) {
+      this.world.play(atMs);
+      records.push(await this.submit(kind));
+    }
+    while (tables.openBatches(this.table).length > 0) this.world.play(this.world.now() + SECOND_MS);
+    for (const record of records) this.complete(record);
+    return records;
+  }
+
+  private complete(record: BatchRecord): void {
+    const batch = tables.findNumber(this.table, record.number);
+    if (!batch) return;
+    record.beganMs = batch.startedMs - batch.submittedMs;
+    record.endedMs = batch.endedMs - batch.submittedMs;
+  }
+
+  private async submit(kind: batchScenarios.BatchScenario["batches"][number]): Promise<BatchRecord> {
+    this.change([]);
+    // All cells count: batches before this one may run in others.
+    const rooms = this.rooms([]);
+    const works: projections.Work[] = tables.openBatches(this.table).map((batch) => this.workOf(batch));
+    const pastErrors = outlooks.pastErrors(this.table);
+    const own = {
+      count: kind.count,
+      heldMs: kind.item_held_ms,
+      unread: 0,
+      regions: new Set(this.rooms(kind.homes).map((room) => room.region)),
+    };
+    const quote = await quotes.answer({
+      cells: outlooks.cellsOf(rooms, this.forecast, () => this.scenario.held_ms),
+      works: [...works, own],
+      withinMs: 0,
+      pastErrors,
+      random: () => this.world.random(),
+      wantsTable: false,
+    });
+    const number = this.table.nextNumber;
+    this.heldMs.set(String(number), kind.item_held_ms);
+    this.take(kind, quote, number);
+    return { number, atMs: this.world.now(), count: kind.count, load: this.load(), quote, beganMs: 0, endedMs: 0 };
+  }
+
+  private workOf(batch: schema.Batch): projections.Work {
+    const counts = items.tally(batch.items);
+    const regions = new Set(this.rooms(batch.homes).map((room) => room.region));
+    const count = (counts.get("waiting") ?? 0) + (counts.get("sent") ?? 0);
+    return { count, heldMs: this.heldMs.get(batch.digest)!, unread: 0, regions };
+  }
+
+  private take(kind: batchScenarios.BatchScenario["batches"][number], quote: quotes.Quote, number: number): void {
+    const { end, begin, modelMs } = quote;
+    const projected = {
+      beginMs: begin.p50 ?? Infinity,
+      endMs: end.p50 ?? Infinity,
+      earlyEndMs: end.p05 ?? Infinity,
+      lateEndMs: end.p95 ?? Infinity,
+      modelMs: modelMs ?? Infinity,
+    };
+    const key = String(number);
+    const submission = {
+      key,
+      digest: key,
+      route: ROUTE,
+      isRepeatable: true,
+      count: kind.count,
+      withinMs: 0,
+      homes: kind.homes,
+      reservedBytes: 1,
+      projected,
+    };
+    const outcome = steps.submit(this.table, submission);
+    if (outcome.isErr) throw outcome.error;
+    this.table = outcome.value;
+    this.world.after(CHANGE_MS, this.work.bind(this));
+  }
+
+  /** Interactive load over all places. */
+  private load(): number {
+    let held = 0;
+    let places = 0;
+    for (const cell of this.cells) {
+      held += cell.interactive;
+      places += cell.region.places;
+    }
+    return held / places;
+  }
+
+  private change(sends: worklists.Send[]): void {
+    const now = this.world.now();
+    const outcome = steps.advance(this.table, LIFE, { term: 1, elapsedMs: now - this.changedAt, ended: this.ended.splice(0), sends });
+    if (outcome.isErr) throw outcome.error;
+    this.table = outcome.value;
+    this.changedAt = now;
+  }
+
+  /** The owner's loop, while a batch is open. */
+  private work(): void {
+    if (this.isWorking) return;
+    this.isWorking = true;
+    const turn = (): void => {
+      const sends = this.worklist.next(this.table, this.atWork.values());
+      this.change(sends);
+      for (const send of sends) this.send(send);
+      this.isWorking = tables.openBatches(this.table).length > 0;
+      if (this.isWorking) this.world.after(CHANGE_MS, turn);
+    };
+    turn();
+  }
+
+  private isWorking = false;
+
+  private send(send: worklists.Send): void {
+    const cell = this.cells.find(({ region }) => region.name === send.region)!;
+    const key = worklists.keyOf(send);
+    this.atWork.set(key, { ...send, sentAt: this.world.now() });
+    cell.batchItems += 1;
+    const heldMs = this.heldMs.get(String(send.number))! * Math.exp(ITEM_SPREAD * fleets.normal(this.world) - ITEM_SPREAD ** 2 / 2);
+    this.world.after(heldMs, () => {
+      cell.batchItems -= 1;
+      this.atWork.delete(key);
+      this.ended.push({ ...send, end: "done" });
+    });
+  }
+
+  /** Arrivals and ends of interactive requests, a second at a time. */
+  private second(index: number): void {
+    for (const cell of this.cells) cell.second();
+    if (index % LOAD_REPORT_S === 0) this.tellLoads();
+    this.world.after(SECOND_MS, this.second.bind(this, index + 1));
+  }
+
+  private tellLoads(): void {
+    const { held_ms: heldMs } = this.scenario;
+    const told = this.cells.map((cell) => ({ region: cell.region.name, route: ROUTE, arrivals: cell.arrivals, heldMs, unread: 0 }));
+    this.forecast.take({ spanMs: LOAD_REPORT_S * SECOND_MS, readRate: 0, loads: told });
+    for (const cell of this.cells) cell.arrivals = 0;
+    this.forecast.turn();
+  }
+
+  private report(): void {
+    for (const cell of this.cells) cell.reportedUse = cell.interactive + cell.batchItems;
+    this.world.after(REPORT_MS, this.report.bind(this));
+  }
+}
--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -98,7 +98,7 @@
     const entry = router.chooser.table!.find("whatif", `/${this.kind.name}/`)!;
     this.ids += 1;
     const request = systems.requestOf(entry, `r-${this.record.at}-${this.ids}`, this.parts, this.deadline, this.events);
-    router.chooser.countRequest("model");
+    router.chooser.countRequest(request);
     const choice = router.chooser.choose(request, tried, tried.size);
     if ("status" in choice) {
       this.onRefusal(choice.retryAfterS);
--- a/src/whatif/play.ts
+++ b/src/whatif/play.ts
@@ -150,7 +150,7 @@
     const { kind, router, tried } = turn;
     const entry = router.chooser.table!.find("whatif", `/${kind.name}/`)!;
     const request = systems.requestOf(entry, `r-${this.requests}`, turn.parts, turn.startedAt + DEADLINE_MS);
-    router.chooser.countRequest("model");
+    router.chooser.countRequest(request);
     const choice = router.chooser.choose(request, tried, tried.size);
     if ("status" in choice) {
       this.count(turn, null, 0, "");
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -117,6 +117,8 @@
     requestId: types.small(requestId),
     entry,
     service: "model",
+    rank: routes.rankOf(entry.route),
+    isBatch: false,
     parts,
     keys: readings.chainKeys(parts),
     arrivedAt: 0,
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -1,4 +1,5 @@
 // Calls and their replies are pairs of types behind one generic handler (design 3.3).
+import * as batchSchema from "./batch-schema.js";
 import * as leaseSchema from "./lease-schema.js";
 import * as schema from "./schema.js";
 
@@ -17,6 +18,21 @@
   return made;
 }
 
+const optionalCodes = new Set<number>();
+
+/**
+ * A call that only nodes with its feature turned on send to each other: it belongs to no release, so that builds with and
+ * without it run side by side while the feature is off.
+ */
+function optionalPair<Ask, Reply>(code: number, name: string, ask: schema.Schema<Ask>, reply: schema.Schema<Reply>): Pair<Ask, Reply> {
+  optionalCodes.add(code);
+  return pair(code, name, ask, reply);
+}
+
+export function isOptional(code: number): boolean {
+  return optionalCodes.has(code);
+}
+
 export function byCode(code: number): Pair<unknown, unknown> | undefined {
   return known.get(code);
 }
@@ -38,3 +54,15 @@
 export const fence = pair(41, "fence", leaseSchema.fenceAsk, leaseSchema.fenceReply);
 export const controls = pair(20, "controls", schema.controls, schema.empty);
 export const whole = pair(21, "whole", schema.empty, schema.empty);
+
+// Of batches (design/batch 11).
+export const batchPrepare = optionalPair(44, "batch_prepare", schema.prepare, schema.vote);
+export const batchAccept = optionalPair(45, "batch_accept", schema.accept, schema.vote);
+export const batchChosen = optionalPair(46, "batch_chosen", schema.chosen, schema.empty);
+export const batchAsk = optionalPair(47, "batch_ask", schema.ask, schema.chosen);
+export const batchNode = optionalPair(48, "batch_node", batchSchema.batchNode, schema.empty);
+export const recordPut = optionalPair(49, "record_put", batchSchema.recordPut, batchSchema.recordKept);
+export const recordGet = optionalPair(50, "record_get", batchSchema.recordKey, batchSchema.recordFound);
+export const batchPass = optionalPair(51, "batch_pass", batchSchema.batchPass, schema.empty);
+export const routerLoads = optionalPair(52, "router_loads", schema.empty, batchSchema.routerLoads);
+export const loadReport = optionalPair(53, "load_report", batchSchema.loadReport, schema.empty);
--- a/src/wire/names.ts
+++ b/src/wire/names.ts
@@ -10,6 +10,8 @@
   notExecuted: "x-cranewind-not-executed",
   warmupMs: "x-cranewind-warmup-ms",
   instance: "x-cranewind-instance-id",
+  batchPass: "x-cranewind-batch-pass",
+  model: "x-cranewind-model",
   lastEventId: "last-event-id",
   retryAfter: "retry-after",
   base: "x-cranewind-base-version",
--- a/tests/admission-judge.test.ts
+++ b/tests/admission-judge.test.ts
@@ -77,6 +77,8 @@
       now: this.clock.now(),
       deadline: this.clock.now() + 4000,
       asked: { prompt: tokens, mostOut: 10 },
+      rank,
+      isBatch: false,
       returnKey: key,
       cells: ["r"],
       candidates: [...this.fleet.of("s")],
--- a/tests/admission.test.ts
+++ b/tests/admission.test.ts
@@ -72,6 +72,8 @@
       now: clock.now(),
       deadline: clock.now() + 3000,
       asked: { prompt: 100, mostOut: 10 },
+      rank,
+      isBatch: false,
       returnKey: key,
       cells: ["r"],
       candidates: [...fleet.of("s")],
--- a/tests/choice.test.ts
+++ b/tests/choice.test.ts
@@ -59,6 +59,8 @@
     now: 1000,
     deadline: 9000,
     asked: { prompt: 0, mostOut: 0 },
+    rank: 1,
+    isBatch: false,
     returnKey: 0,
     cells,
     candidates: [...fleet.all()],
--- a/tests/release.test.ts
+++ b/tests/release.test.ts
@@ -18,19 +18,40 @@
   return (message as { schema(): unknown }).schema();
 }
 
-test("who changes a message or its code numbers a new release", () => {
+/**
+ * The same of the calls that a feature adds (calls.isOptional). Nodes with it turned on run one build, or builds with one
+ * digest; a change of it is told in docs/batch.md, "An upgrade".
+ */
+const OPTIONAL_LAYOUT = "82c97917eeead592";
+
+/** All messages and their codes, those of a release or those of features. */
+function layoutOf(isOptional: boolean): unknown[] {
   const layout: unknown[] = [];
   for (let code = 0; code < 256; code += 1) {
     const pair = calls.byCode(code);
-    if (pair) layout.push([code, schemaOf(pair.ask), schemaOf(pair.reply)]);
+    if (pair && calls.isOptional(code) === isOptional) layout.push([code, schemaOf(pair.ask), schemaOf(pair.reply)]);
   }
+  return layout;
+}
+
+function digestOf(layout: unknown[]): string {
+  return crypto.createHash("sha256").update(JSON.stringify(layout)).digest("hex").slice(0, 16);
+}
+
+test("who changes a message or its code numbers a new release", () => {
+  const layout = layoutOf(false);
   expect(JSON.stringify(layout)).toContain("kvCapacity"); // nested messages count too
   expect(layout.length).toBeGreaterThan(10);
-  const digest = crypto.createHash("sha256").update(JSON.stringify(layout)).digest("hex").slice(0, 16);
-  expect([schema.RELEASE, digest]).toEqual([schema.RELEASE, LAYOUTS.get(schema.RELEASE)]);
+  expect([schema.RELEASE, digestOf(layout)]).toEqual([schema.RELEASE, LAYOUTS.get(schema.RELEASE)]);
   expect(Math.max(...LAYOUTS.keys())).toBe(schema.RELEASE);
 });
 
+test("who changes a message of a feature, or its code, says so", () => {
+  const layout = layoutOf(true);
+  expect(layout.length).toBe(10);
+  expect(digestOf(layout)).toBe(OPTIONAL_LAYOUT);
+});
+
 interface Heard {
   made: link.Link;
   peer: net.Socket;
--- a/tests/sim/edge.ts
+++ b/tests/sim/edge.ts
@@ -5,6 +5,7 @@
 import * as fleets from "../../src/router/fleet.js";
 import * as readings from "../../src/router/readings.js";
 import * as rotations from "../../src/router/rotation.js";
+import * as batches from "../../src/router/batches.js";
 import * as servers from "../../src/router/server.js";
 import * as shares from "../../src/shares/shares.js";
 import * as standin from "../../src/standin/runner.js";
@@ -84,6 +85,7 @@
       () => this.isReady,
       () => 0,
       { memory_mb: 256, max_open_files: 1024 },
+      new batches.RouterBatches("life", chooser.known, chooser.admission),
     );
     this.server.limit(CONFIG.limits);
   }
--- a/tests/sim/runners.ts
+++ b/tests/sim/runners.ts
@@ -168,7 +168,7 @@
       ],
       this.world.now() + 20_000,
     );
-    router.chooser.countRequest("model");
+    router.chooser.countRequest(request);
     const choice = router.chooser.choose(request, tried, 0);
     if ("status" in choice) return;
     const { runner } = choice;
