Tests: one module for the settings of loopback systems

Cause: two tests of whole systems built the same settings. Change: tests/sim/loopback.ts serves both; assertions unchanged.

--- a/tests/batches/system.test.ts
+++ b/tests/batches/system.test.ts
@@ -7,11 +7,11 @@
 import * as router from "../../src/router/program.js";
 import * as platforms from "../../src/standin/platform.js";
 import * as runners from "../../src/standin/runner.js";
-import * as settings from "../../src/startup/settings.js";
+import type * as settings from "../../src/startup/settings.js";
 import * as world from "../../src/wire/world.js";
+import * as loopback from "../sim/loopback.js";
 
 const NET = `127.${20 + ((process.pid + 100) % 200)}`;
-const REGIONS = ["a", "b", "c"];
 const clock = new world.RealWorld();
 /** On a busy machine an owner may be succeeded, and what it had under way counts as at work for 27 s. */
 const UNTIL_MS = 60_000;
@@ -22,42 +22,21 @@
 let controls: control.ControlProgram[];
 let edge: router.RouterProgram;
 
+function system(): loopback.Loopback {
+  const ports = { control: 9401, directory: 9402, internal: "9501,9515", frontend: 9601, readiness: 9602 };
+  return { net: NET, ports, platform: platform.address, extra: ["batches=on"] };
+}
+
 function addressOf(index: number): string {
-  return `${NET}.${index + 1}.1:9401`;
+  return loopback.controlAddress(system(), index);
 }
 
-function startupOf(role: string, index: number, isFirst: boolean): settings.Settings {
-  const ip = `${NET}.${index + 1}.${role === "control" ? 1 : 2}`;
-  const lines = [
-    `node_name=${role}-${REGIONS[index]}`,
-    `ip_address=${ip}`,
-    `zone=${REGIONS[index]}1`,
-    `region=${REGIONS[index]}`,
-    ...REGIONS.map((region) => `zones.${region}1=${region}`),
-    "internal_port_range=9501,9515",
-    `seed_nodes=${[0, 1, 2].map(addressOf).join(",")}`,
-    `bootstrap=${isFirst}`,
-    `failure_counted=${role === "control"}`,
-    "limits.memory_mb=128",
-    "limits.max_open_files=512",
-    `cloud_api.address=${platform.address}`,
-    "cloud_api.rate_per_s=20",
-    "bounds.grace_s=1",
-    "batches=on",
-  ];
-  if (role === "control") lines.push(`bind_addresses.control_plane=${ip}:9401`, `data_dir=${path.join(folder, `disk-${index}`)}`);
-  else lines.push(`bind_addresses.frontend=${ip}:9601`, `bind_addresses.readiness=${ip}:9602`);
-  return settings.parse(lines.join("\n")).unwrapOrElse((error) => {
-    throw error;
-  });
+function startupOf(role: "control" | "router", index: number, isFirst: boolean): settings.Settings {
+  return loopback.startupOf(system(), role, index, path.join(folder, `disk-${index}`), isFirst);
 }
 
-async function until(what: string, isSo: () => boolean | Promise<boolean>): Promise<void> {
-  const before = performance.now();
-  while (!(await isSo())) {
-    if (performance.now() - before > UNTIL_MS) throw new Error(`not so in time: ${what}`);
-    await new Promise(setImmediate);
-  }
+function until(what: string, isSo: () => boolean | Promise<boolean>): Promise<void> {
+  return loopback.until(what, UNTIL_MS, isSo);
 }
 
 async function startControl(index: number, isFirst: boolean): Promise<control.ControlProgram> {
--- a/tests/system.test.ts
+++ b/tests/system.test.ts
@@ -9,12 +9,13 @@
 import * as router from "../src/router/program.js";
 import * as platforms from "../src/standin/platform.js";
 import * as runners from "../src/standin/runner.js";
-import * as settings from "../src/startup/settings.js";
+import type * as settings from "../src/startup/settings.js";
 import * as schema from "../src/wire/schema.js";
 import * as world from "../src/wire/world.js";
+import * as loopback from "./sim/loopback.js";
 
 const NET = `127.${20 + (process.pid % 200)}`;
-const REGIONS = ["a", "b", "c"];
+const { REGIONS } = loopback;
 const clock = new world.RealWorld();
 const EXAMPLE = fs.readFileSync("examples/first.json");
 
@@ -25,40 +26,20 @@
 let edge: router.RouterProgram;
 
 function addressOf(index: number): string {
-  return `${NET}.${index + 1}.1:9101`;
+  return loopback.controlAddress(system(), index);
 }
 
-function startupOf(role: string, index: number, disk: string, isFirst: boolean): settings.Settings {
-  const ip = `${NET}.${index + 1}.${role === "control" ? 1 : 2}`;
-  const lines = [
-    `node_name=${role}-${REGIONS[index]}`,
-    `ip_address=${ip}`,
-    `zone=${REGIONS[index]}1`,
-    `region=${REGIONS[index]}`,
-    ...REGIONS.map((region) => `zones.${region}1=${region}`),
-    "internal_port_range=9301,9315",
-    `seed_nodes=${[0, 1, 2].map(addressOf).join(",")}`,
-    `bootstrap=${isFirst}`,
-    `failure_counted=${role === "control"}`,
-    "limits.memory_mb=128",
-    "limits.max_open_files=512",
-    `cloud_api.address=${platform.address}`,
-    "cloud_api.rate_per_s=20",
-    "bounds.grace_s=1",
-  ];
-  if (role === "control") lines.push(`bind_addresses.control_plane=${ip}:9101`, `bind_addresses.directory=${ip}:9102`, `data_dir=${disk}`);
-  else lines.push(`bind_addresses.frontend=${ip}:9201`, `bind_addresses.readiness=${ip}:9202`);
-  return settings.parse(lines.join("\n")).unwrapOrElse((error) => {
-    throw error;
-  });
+function system(): loopback.Loopback {
+  const ports = { control: 9101, directory: 9102, internal: "9301,9315", frontend: 9201, readiness: 9202 };
+  return { net: NET, ports, platform: platform.address };
 }
 
-async function until(what: string, isSo: () => boolean | Promise<boolean>): Promise<void> {
-  const before = Date.now();
-  while (!(await isSo())) {
-    if (Date.now() - before > 12_000) throw new Error(`not so in time: ${what}`);
-    await new Promise(setImmediate);
-  }
+function startupOf(role: "control" | "router", index: number, disk: string, isFirst: boolean): settings.Settings {
+  return loopback.startupOf(system(), role, index, disk, isFirst);
+}
+
+function until(what: string, isSo: () => boolean | Promise<boolean>): Promise<void> {
+  return loopback.until(what, 12_000, isSo);
 }
 
 async function startControl(index: number, disk: string, isFirst: boolean): Promise<control.ControlProgram> {
