Directory: while all routers of a region leave, name those that still serve there

Change: with no ready router in the region, those that said they leave within the last 2.5 s are named: they listen for 3.3 s and end what they took within grace_s.

--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -9,12 +9,14 @@
 /** Where routers stand: a region of each zone, and the members known. */
 export interface DirectoryView {
   routers(): doubts.Seen[];
+  /** Whether a router that said it leaves still takes connections. */
+  stillServes(node: schema.NodeInfo): boolean;
   ttlMostS: number;
 }
 
 /** 200 with up to 64 addresses, or 503 while no router is known. */
 export function resolve(view: DirectoryView, query: URLSearchParams): serve.Told {
-  const chosen = nearest(view.routers(), query.get("region") ?? "", query.get("zone") ?? "");
+  const chosen = nearest(view.routers(), query.get("region") ?? "", query.get("zone") ?? "", view.stillServes);
   if (chosen.length === 0) {
     return { status: 503, headers: { "Retry-After": "0.2" }, json: { message: "no router is known yet; ask again shortly" } };
   }
@@ -23,7 +25,12 @@
 }
 
 /** Routers that are surely alive go before those that are only believed to be (design/members 5). */
-export function nearest(routers: readonly doubts.Seen[], region: string, zone: string): schema.NodeInfo[] {
+export function nearest(
+  routers: readonly doubts.Seen[],
+  region: string,
+  zone: string,
+  stillServes: (node: schema.NodeInfo) => boolean = never,
+): schema.NodeInfo[] {
   const ready = routers.filter(isReady);
   // A known router that is not ready beats an empty reply.
   const usable = ready.length > 0 ? ready : routers;
@@ -41,7 +48,15 @@
   const sureHere = here.filter(isSure);
   if (sureHere.length >= 2) return sureHere.map(nodeOf);
   if (near.length >= 2) return near.map(nodeOf);
-  return (here.length > 0 ? here : usable).map(nodeOf);
+  if (here.length > 0) return here.map(nodeOf);
+  // Routers restarted one after the other may all be leaving for a moment: they serve on meanwhile, and requests that are
+  // bound to a home stay in their region.
+  const leaving = routers.filter((seen) => isHere(seen) && stillServes(seen.node));
+  return (leaving.length > 0 ? leaving : usable).map(nodeOf);
+}
+
+function never(): boolean {
+  return false;
 }
 
 function isSure(seen: doubts.Seen): boolean {
@@ -62,3 +77,5 @@
 
 /** How long a leaving router outlives its place in the directory, in milliseconds. */
 export const LEAVE_MS = 3 * TTL_S * 1000;
+/** So long after it said that it leaves a router may still be named, in milliseconds: it listens for LEAVE_MS (*ours*). */
+export const STILL_SERVES_MS = 2500;
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -133,7 +133,8 @@
     const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this), this.batches);
     const redirector = new redirects.Redirector(this.world, this.contact, this.peers.bind(this), operator.reply.bind(operator));
     this.dial.on("beat", redirector.remember.bind(redirector));
-    const view = { routers: this.resolvable.bind(this), ttlMostS: startup.bounds.ttl_max_s };
+    const stillServes = this.members.stillServes.bind(this.members);
+    const view = { routers: this.resolvable.bind(this), stillServes, ttlMostS: startup.bounds.ttl_max_s };
     root.add(endpoints.internalChild(this.world, this.address, this.handlers));
     root.add(endpoints.operatorChild(startup, redirector.reply.bind(redirector)));
     root.add(endpoints.directoryChild(startup, view));
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -5,6 +5,7 @@
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
+import * as directory from "./directory.js";
 import * as doubts from "./doubt.js";
 import * as rosters from "./roster.js";
 
@@ -153,6 +154,12 @@
     return this.own.has(name);
   }
 
+  /** Whether the router said that it leaves so lately that it still takes connections. */
+  stillServes(node: schema.NodeInfo): boolean {
+    const leftAt = this.left.get(node.life);
+    return leftAt !== undefined && this.world.now() - leftAt < directory.STILL_SERVES_MS;
+  }
+
   private hasLeft(life: string): boolean {
     return this.left.has(life);
   }
--- a/tests/sessions.test.ts
+++ b/tests/sessions.test.ts
@@ -120,6 +120,33 @@
   expect(names()).toEqual(["a", "c"]);
 });
 
+test("while all routers of a region leave, the directory names those that still serve there, and others once they don't", () => {
+  const { clock, members, enter } = setUp();
+  const links = ["a", "b"].map((name) => enter(node(name)));
+  const all = [...links, enter(node("c", "router", { region: "q", zone: "q-1" }))];
+  const { region, zone } = node("a");
+  const named = (): string[] => {
+    const stillServes = members.stillServes.bind(members);
+    return directory.nearest(members.routers(), region, zone, stillServes).map((item) => item.name);
+  };
+  const leave = (at: number): void => {
+    const beat = { isReady: false, epoch: types.small<types.Epoch>(1), isSettled: true, index: 0, members: 1, silentRegions: [] };
+    members.beat(links[at] as unknown as link.Link, beat);
+  };
+  leave(0);
+  expect(named()).toEqual(["b"]);
+  clock.skip(1400);
+  for (const each of all) each.hear();
+  leave(1);
+  expect(named()).toEqual(["a", "b"]);
+  clock.skip(1200);
+  for (const each of all) each.hear();
+  expect(named()).toEqual(["b"]);
+  clock.skip(1400);
+  for (const each of all) each.hear();
+  expect(named()).toEqual(["c"]);
+});
+
 test("a newer session of a node ends the older one and stays when that ends late", function newer() {
   const { members, enter, names } = setUp();
   const first = enter(node("a"));
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -196,7 +196,10 @@
   resolve(region: string): string[] {
     const routers = (): ReturnType<sessions.Sessions["routers"]> =>
       this.contact.isConfirmed() ? this.members.routers() : this.members.ownRouters();
-    const told = directory.resolve({ routers, ttlMostS: 2 }, new URLSearchParams({ region, zone: region }));
+    const told = directory.resolve(
+      { routers, stillServes: (node) => this.members.stillServes(node), ttlMostS: 2 },
+      new URLSearchParams({ region, zone: region }),
+    );
     return (told.json as { addresses?: string[] }).addresses ?? [];
   }
 }
