--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -16,7 +16,7 @@
 
 /** 200 with up to 64 addresses, or 503 while no router is known. */
 export function resolve(view: DirectoryView, query: URLSearchParams): serve.Told {
-  const chosen = nearest(view.routers(), query.get("region") ?? "", query.get("zone") ?? "", view.stillServes);
+  const chosen = nearest(view.routers(), query.get("region") ?? "", query.get("zone") ?? "", (node) => view.stillServes(node));
   if (chosen.length === 0) {
     return { status: 503, headers: { "Retry-After": "0.2" }, json: { message: "no router is known yet; ask again shortly" } };
   }
