Tests: voters and their network apart from the leases that are simulated on them

Cause: quotas need the same simulated owners, fences, cuts and changes of voters as the leases. Change: they move to a module of their own; what is random is drawn in the same order.

--- a/tests/leases.test.ts
+++ b/tests/leases.test.ts
@@ -2,6 +2,7 @@
 import * as parts from "../src/shares/parts.js";
 import type * as guards from "./sim/lease-guards.js";
 import * as leases from "./sim/leases.js";
+import * as voters from "./sim/voters.js";
 
 const BOUNDS: parts.Bounds = { retry_ratio: 0, retry_window_s: 10, retry_extra: 52, warmup_overshoot: 1.5, warmup_tolerance: 5 };
 const PER_S = 9.8;
@@ -23,8 +24,8 @@
 
 /** Faults, changes of voters and routers that come and go, while everyone takes what it can get. */
 function play({ seed, seconds, bounds = BOUNDS, broken = "none", routers = 24, isCalm = false }: Play): Seen {
-  const voters = seed % 2 === 0 ? 3 : 5;
-  const sim = new leases.LeaseSim(seed, voters + 1, voters, routers, bounds, broken);
+  const voting = seed % 2 === 0 ? 3 : 5;
+  const sim = new leases.LeaseSim(seed, voting + 1, voting, routers, bounds, broken);
   const random = (): number => sim.clock.random();
   const pick = <T>(items: readonly T[]): T => items[Math.floor(random() * items.length)];
   // In some of the days everyone takes all the time, in others by fits.
@@ -92,7 +93,7 @@
 function triesOver(seen: Seen, bounds = BOUNDS): number {
   const span = bounds.retry_window_s * 1000;
   const requests = (from: number, to: number): number => seen.requests.filter((at) => at >= from && at <= to).length;
-  return leases.excess(seen.tries, span, (from, to) => {
+  return voters.excess(seen.tries, span, (from, to) => {
     if (bounds.retry_ratio === 0) return bounds.retry_extra;
     const most = Math.max(requests(from, to), requests(from - span / 2, to - span / 2), requests(from - span, to - span));
     return bounds.retry_ratio * most + bounds.retry_extra;
@@ -100,7 +101,7 @@
 }
 
 function coldOver(seen: Seen): number {
-  return leases.excess(seen.cold, 1000, () => PER_S * BOUNDS.warmup_overshoot + BOUNDS.warmup_tolerance);
+  return voters.excess(seen.cold, 1000, () => PER_S * BOUNDS.warmup_overshoot + BOUNDS.warmup_tolerance);
 }
 
 const SEEDS = Array.from({ length: 36 }, (_item, index) => index + 1);
