--- a/src/config/check.ts
+++ b/src/config/check.ts
@@ -25,6 +25,17 @@
   session_affinity: superstruct.optional(superstruct.boolean()),
   resumable: superstruct.optional(superstruct.boolean()),
   allowed_regions: superstruct.optional(superstruct.nullable(superstruct.array(name))),
+  public: superstruct.optional(superstruct.nullable(superstruct.boolean())),
+});
+
+/** Shape of one tenant. A rate or burst of 0, or none, is no limit. */
+export const tenant = superstruct.type({
+  name,
+  api_keys: superstruct.optional(superstruct.nullable(superstruct.array(name))),
+  priority: superstruct.optional(superstruct.nullable(count)),
+  rate_per_s: superstruct.optional(superstruct.nullable(count)),
+  burst: superstruct.optional(superstruct.nullable(count)),
+  allowed_regions: superstruct.optional(superstruct.nullable(superstruct.array(name))),
 });
 
 const runtime = superstruct.type({
@@ -60,12 +71,15 @@
   routes: superstruct.array(route),
   services: superstruct.array(service),
   limits: superstruct.optional(limits),
+  tenants: superstruct.optional(superstruct.nullable(superstruct.array(tenant))),
 });
 
 /** A checked route; unknown fields are kept. */
 export type Route = superstruct.Infer<typeof route>;
 /** A checked service; unknown fields are kept. */
 export type Service = superstruct.Infer<typeof service>;
+/** A checked tenant; unknown fields are kept. */
+export type Tenant = superstruct.Infer<typeof tenant>;
 /** What a client may send, in bytes, and how long it may take, in milliseconds. */
 export type Limits = superstruct.Infer<typeof limits>;
 /** A checked configuration; unknown fields are kept. */
@@ -124,6 +138,21 @@
   return result.ok(null);
 }
 
+/** No key is named in the message: it may be read by others than the operator. */
+function checkKeys(tenants: readonly Tenant[]): Checked<null> {
+  const holders = new Map<string, string>();
+  for (const { name, api_keys: keys } of tenants) {
+    for (const key of keys ?? []) {
+      const holder = holders.get(key);
+      if (holder === name) return invalid(`tenants[${name}].api_keys`, "one key stands there twice", "keep one of them");
+      if (holder !== undefined)
+        return invalid(`tenants[${name}].api_keys`, `one key is held by ${holder} too`, "give each tenant keys of its own");
+      holders.set(key, name);
+    }
+  }
+  return result.ok(null);
+}
+
 /** The revision that a document or an update names. */
 export function checkRevision(value: unknown): Checked<number> {
   const [failure, read] = superstruct.validate(value, superstruct.type({ revision }));
@@ -136,10 +165,13 @@
   const [failure, config] = superstruct.validate(value, document);
   if (failure) return invalid(failure.path.join(".") || "body", failure.message, "see docs/configuration.md for the field");
   const services = new Set(config.services.map(nameOf));
+  const tenants = config.tenants ?? [];
   const places = [
     doubled("services", config.services.map(nameOf)),
     doubled("routes", config.routes.map(nameOf)),
     doubled("routes with host and prefix", config.routes.map(placeOf)),
+    doubled("tenants", tenants.map(nameOf)),
+    checkKeys(tenants),
   ];
   for (const place of places) if (place.isErr) return result.err(place.error);
   for (const item of config.routes) {
--- a/src/config/parts.ts
+++ b/src/config/parts.ts
@@ -2,6 +2,7 @@
 // and other field, so that one changed route costs one item on the way and one parse at a router.
 import * as registers from "../register/value.js";
 import type * as mirrors from "../feed/mirror.js";
+import * as tenants from "../tenants/tenant.js";
 import type * as schema from "../wire/schema.js";
 import * as check from "./check.js";
 import * as routes from "./routes.js";
@@ -11,6 +12,7 @@
 const LIMITS = "field:limits";
 const ROUTE = "route:";
 const SERVICE = "service:";
+const TENANT = "tenant:";
 const FIELD = "field:";
 
 interface Meta {
@@ -22,7 +24,7 @@
   return Buffer.from(JSON.stringify(part));
 }
 
-function splitConfig(config: Buffer): Map<string, Buffer> {
+function splitConfig(config: Buffer, digests: tenants.DigestCache): Map<string, Buffer> {
   const items = new Map<string, Buffer>();
   const document = (registers.unpack(config) ?? {}) as Record<string, unknown>;
   for (const [field, part] of Object.entries(document)) {
@@ -30,7 +32,10 @@
     if (field === "revision") continue;
     if (field === "routes") for (const route of part as check.Route[]) items.set(ROUTE + route.name, bytesOf(route));
     else if (field === "services") for (const service of part as check.Service[]) items.set(SERVICE + service.name, bytesOf(service));
-    else items.set(FIELD + field, bytesOf(part));
+    else if (field === "tenants") {
+      // Keys stay with the control nodes: what travels are their digests.
+      for (const tenant of digests.tenantsOf((part ?? []) as check.Tenant[])) items.set(TENANT + tenant.name, bytesOf(tenant));
+    } else items.set(FIELD + field, bytesOf(part));
   }
   return items;
 }
@@ -39,10 +44,11 @@
 export class Splitter {
   private config: Buffer | null = null;
   private items = new Map<string, Buffer>();
+  private readonly digests = new tenants.DigestCache();
 
   split(value: schema.Value): ReadonlyMap<string, Buffer> {
     if (!this.config?.equals(value.config)) {
-      this.items = splitConfig(value.config);
+      this.items = splitConfig(value.config, this.digests);
       this.config = value.config;
     }
     const items = new Map(this.items);
@@ -55,6 +61,7 @@
 /** The router's side: parses what changed, and keeps one table up to date. */
 export class ConfigParts {
   private readonly whole = new routes.RouteTable({ routes: [], services: [] });
+  readonly tenants = new tenants.TenantTable();
   limits: check.Limits | undefined = undefined;
   evacuations: readonly string[] = [];
   revision = 0;
@@ -73,9 +80,12 @@
     for (const [key, body] of applied.changed) parts.set(key, JSON.parse(body.toString("utf8")));
     this.parsed += parts.size;
     const amended: routes.Amendment = { routes: [], goneRoutes: [], services: [], goneServices: [] };
+    const added: tenants.Tenant[] = [];
+    const removed: string[] = [];
     for (const [key, part] of parts) {
       if (key.startsWith(ROUTE)) amended.routes.push(part as check.Route);
       else if (key.startsWith(SERVICE)) amended.services.push(part as check.Service);
+      else if (key.startsWith(TENANT)) added.push(part as tenants.Tenant);
       else if (key === EVACUATIONS) this.evacuations = part as string[];
       else if (key === LIMITS) this.limits = part as check.Limits;
       else if (key === META) this.takeMeta(part as Meta);
@@ -83,8 +93,10 @@
     for (const key of applied.gone) {
       if (key.startsWith(ROUTE)) amended.goneRoutes.push(key.slice(ROUTE.length));
       else if (key.startsWith(SERVICE)) amended.goneServices.push(key.slice(SERVICE.length));
+      else if (key.startsWith(TENANT)) removed.push(key.slice(TENANT.length));
       else if (key === LIMITS) this.limits = undefined;
     }
+    this.tenants.amend(added, removed);
     this.whole.amend(amended);
   }
 
--- a/src/config/routes.ts
+++ b/src/config/routes.ts
@@ -15,9 +15,9 @@
 /** Items of batches come after the requests of every route, whatever its priority (design/batch 6). */
 export const BATCH_RANK = 5;
 
-/** The rank of a route's requests. */
-export function rankOf(route: check.Route): number {
-  return route.priority ?? DEFAULT_RANK;
+/** The rank of a route's requests; a tenant's own priority goes before the route's. */
+export function rankOf(route: check.Route, tenantPriority: number | null = null): number {
+  return tenantPriority ?? route.priority ?? DEFAULT_RANK;
 }
 
 /** Whether a request of the route may run more than once: it is read only, or a stream that may be resumed. */
--- a/src/control/account.ts
+++ b/src/control/account.ts
@@ -17,13 +17,15 @@
   disk: unknown;
   /** The platform's list and the reports, as Cells tells them. */
   cells: unknown;
+  /** Quotas as this node owns them. */
+  quotas: unknown;
   /** Null where batches are off. */
   batches: unknown;
 }
 
 /** The status of a control node as JSON; its names are read by `cranewind status`. */
 export function account(parts: AccountParts): unknown {
-  const { node, core, contact, members, disk, cells, batches } = parts;
+  const { node, core, contact, members, disk, cells, quotas, batches } = parts;
   const value = core.chosen;
   return {
     node,
@@ -40,6 +42,7 @@
     },
     members: { control: members.members("control"), router: members.members("router") },
     cells,
+    quotas,
     batches,
     counters: Object.fromEntries(log.counted()),
     vitals: vitals.vitals(),
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -7,8 +7,13 @@
 import * as owners from "../shares/owner.js";
 import type * as parts from "../shares/parts.js";
 import * as tenures from "../shares/tenure.js";
+import type * as quotaParts from "../tenants/quota-part.js";
 import type * as contacts from "./contact.js";
 import type * as cores from "./core.js";
+import * as quotas from "./quotas.js";
+
+/** The figures of all bounds that are leased. */
+export type LeaseBounds = parts.Bounds & quotaParts.QuotaBounds;
 
 /** Higher than any epoch: an owner that is not confirmed grants nothing. */
 const BEYOND = types.small<types.Epoch>(Number.MAX_SAFE_INTEGER);
@@ -17,25 +22,30 @@
 export class Lessor {
   private readonly tenure: tenures.Tenure;
   private readonly owner: owners.LeaseOwner;
+  /** Units of tenants' quotas. */
+  readonly quotas: quotas.Quotas;
 
   constructor(
     world: types.World,
     life: string,
-    bounds: parts.Bounds,
+    bounds: LeaseBounds,
     private readonly core: cores.Core,
   ) {
     this.tenure = new tenures.Tenure(world);
     this.owner = new owners.LeaseOwner(world, life, bounds, this.tenure);
+    this.quotas = new quotas.Quotas(world, life, bounds, core);
   }
 
-  resettle(bounds: parts.Bounds): void {
+  resettle(bounds: LeaseBounds): void {
     this.owner.resettle(bounds);
+    this.quotas.resettle(bounds);
   }
 
   /** Answers routers that ask for leases, and control nodes that ask what this voter knows (contact.ts). */
   register(handlers: link.Handlers, contact: contacts.Contact): void {
     handlers.on(calls.lease, this.lease.bind(this, contact));
     handlers.on(calls.fence, this.fence.bind(this));
+    this.quotas.register(handlers, contact);
   }
 
   private lease(contact: contacts.Contact, _from: link.Link, ask: leaseSchema.LeaseAsk): leaseSchema.LeaseReply {
@@ -57,11 +67,13 @@
 
   private follow(): void {
     if (this.core.chosen) this.tenure.take(this.core.chosen, this.core.disk);
+    this.quotas.follow();
   }
 
   /** A voter's reply to one of the contact's asks; see OnReply of contact.ts. */
   takeReply(asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply): void {
     this.follow();
     this.tenure.hear(asked, sentAt, reply);
+    this.quotas.takeReply(asked, sentAt, reply);
   }
 }
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -166,9 +166,8 @@
 
   /** Also at once when contact with a majority is found or lost. */
   private tell(): void {
-    const epoch = this.core.chosen?.epoch ?? types.NO_EPOCH;
-    const isSettled = this.contact.isConfirmed();
-    const base = { isReady: !this.isLeaving, epoch, isSettled, silentRegions: this.dial.silentRegions() };
+    const { epoch, isReady } = this.describe();
+    const base = { isReady, epoch, isSettled: this.contact.isConfirmed(), silentRegions: this.dial.silentRegions() };
     this.members.tellBeats(base);
     this.dial.tellAll({ ...base, index: 0, members: 1 });
     this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
@@ -231,6 +230,7 @@
       members,
       disk: this.disk?.status() ?? null,
       cells: this.cells.status(),
+      quotas: this.leases.quotas.status(),
       batches: this.batches?.status() ?? null,
     });
   }
--- /dev/null
+++ b/src/control/quotas.ts
@@ -0,0 +1,88 @@
+/**
+ * This control node as owner of its slot of all quotas (design/tenants 4): the limits of the chosen configuration, a
+ * tenure with terms of its own, and the replies to routers, which carry this node's word on the configuration too.
+ */
+import type * as check from "../config/check.js";
+import * as registers from "../register/value.js";
+import * as tenures from "../shares/tenure.js";
+import * as quotaClients from "../tenants/quota-client.js";
+import * as owners from "../tenants/quota-owner.js";
+import type * as parts from "../tenants/quota-part.js";
+import * as calls from "../wire/calls.js";
+import type * as leaseSchema from "../wire/lease-schema.js";
+import type * as link from "../wire/link.js";
+import type * as tenantSchema from "../wire/tenant-schema.js";
+import * as types from "../wire/types.js";
+import type * as contacts from "./contact.js";
+import type * as cores from "./core.js";
+
+/**
+ * An owner that is cut off grants on for so long (*ours*): routers beside it honour keys about as long, and a limit that
+ * was lowered meanwhile binds them only once they are in touch again. Another owner of the slot waits it out.
+ */
+const FENCE_MS = 4000;
+
+/** Grants units of quotas. */
+export class Quotas {
+  private readonly tenure: tenures.Tenure;
+  private readonly owner: owners.QuotaOwner;
+  private config: Buffer | null = null;
+
+  constructor(
+    world: types.World,
+    life: string,
+    bounds: parts.QuotaBounds,
+    private readonly core: cores.Core,
+  ) {
+    this.tenure = new tenures.Tenure(world, { fenceMs: FENCE_MS, lifeMs: quotaClients.UNIT_MS });
+    this.owner = new owners.QuotaOwner(world, life, bounds, this.tenure);
+  }
+
+  /** The settings were read again. */
+  resettle(bounds: parts.QuotaBounds): void {
+    this.owner.resettle(bounds);
+  }
+
+  /** Answers routers that ask for units. */
+  register(handlers: link.Handlers, contact: contacts.Contact): void {
+    handlers.on(calls.quota, (_from, ask) => this.reply(contact, ask));
+  }
+
+  private reply(contact: contacts.Contact, ask: tenantSchema.QuotaAsk): tenantSchema.QuotaReply {
+    this.follow();
+    const { core } = this;
+    const given = this.owner.reply(ask, core.acceptedVoterEpoch);
+    return {
+      isGranting: given !== null,
+      isConfirmed: contact.isConfirmed(),
+      epoch: core.chosen?.epoch ?? types.NO_EPOCH,
+      given: given ?? [],
+    };
+  }
+
+  /** Takes what is chosen: voters and limits. */
+  follow(): void {
+    const { chosen, disk } = this.core;
+    if (!chosen) return;
+    this.tenure.take(chosen, disk);
+    if (this.config?.equals(chosen.config)) return;
+    this.config = chosen.config;
+    this.owner.setLimits(limitsOf(registers.unpack(chosen.config) as check.Configuration | null));
+  }
+
+  /** A voter's reply to one of the contact's asks. */
+  takeReply(asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply): void {
+    this.tenure.hear(asked, sentAt, reply);
+  }
+
+  /** For `status`: what was granted and denied by tenant. */
+  status(): unknown {
+    return { isGranting: this.tenure.isGranting(this.core.acceptedVoterEpoch), used: Object.fromEntries(this.owner.used()) };
+  }
+}
+
+function limitsOf(config: check.Configuration | null): Map<string, parts.Limit> {
+  const limits = new Map<string, parts.Limit>();
+  for (const { name, rate_per_s: perS, burst } of config?.tenants ?? []) if (perS) limits.set(name, { perS, burst: burst ?? 0 });
+  return limits;
+}
--- a/src/experiment/chain.ts
+++ b/src/experiment/chain.ts
@@ -161,6 +161,7 @@
       returnKey: 0,
       rank: 1,
       isBatch: false,
+      tenant: null,
       cells: [],
       candidates: [],
     };
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -90,6 +90,14 @@
     super();
   }
 
+  /** Hears of control nodes from those with links. */
+  register(handlers: link.Handlers): void {
+    handlers.on(calls.controls, (_from, told) => {
+      this.learn(told.controls);
+      return null;
+    });
+  }
+
   /** Addresses that may be control nodes; the own one and known ones are passed over. */
   know(addresses: Iterable<string>): void {
     for (const address of addresses) {
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -89,6 +89,7 @@
       rank: request.rank,
       isBatch: request.isBatch,
       entry: request.entry,
+      tenant: request.tenant,
       service: request.service,
       parts: request.parts,
       keys: request.keys,
--- a/src/router/headers.ts
+++ b/src/router/headers.ts
@@ -24,6 +24,8 @@
   [names.HEADER.budgetMs, "replace"],
   [names.HEADER.priority, "replace"],
   [names.HEADER.batchPass, "drop"],
+  [names.HEADER.key, "drop"],
+  [names.HEADER.tenant, "replace"],
 ]);
 const REPLY_RULES = new Map<string, Rule>(CONNECTION_RULES);
 
@@ -51,6 +53,8 @@
   /** The route's rank; below it the runner lets in, and puts back, in its order. */
   rank: number;
   lastEventId: string | null;
+  /** Whom the client's key belongs to; null where the route needs no key. */
+  tenant: string | null;
 }
 
 /** Raw name and value pairs for the runner. */
@@ -72,6 +76,7 @@
     "X-Cranewind-Time-Budget-Ms",
     String(sending.budgetMs),
   );
+  if (sending.tenant !== null) made.push("X-Cranewind-Tenant", sending.tenant);
   if (sending.lastEventId !== null) made.push("Last-Event-Id", sending.lastEventId);
   return made;
 }
--- /dev/null
+++ b/src/router/leaving.ts
@@ -0,0 +1,19 @@
+/** Leaving in order (design 7.11): out of the directory first; then what is at work is finished within the grace time. */
+import * as directory from "../control/directory.js";
+import * as link from "../wire/link.js";
+import type * as types from "../wire/types.js";
+import * as worlds from "../wire/world.js";
+import type * as servers from "./server.js";
+
+/** Of the grace time, kept for the end of the process itself. */
+const LAST_MS = 400;
+const STEP_MS = 50;
+
+/** Resolves when no request is at work any more, or the grace time is nearly over. The server is marked as leaving before. */
+export async function finishWork(clock: types.World, server: servers.RouterServer, graceMs: number): Promise<void> {
+  const startedAt = clock.now();
+  const until = startedAt + graceMs - LAST_MS;
+  await worlds.sleep(clock, Math.min(directory.LEAVE_MS + link.BEAT_MS, until - startedAt));
+  server.close();
+  while (server.activeCount > 0 && clock.now() < until) await worlds.sleep(clock, STEP_MS);
+}
--- /dev/null
+++ b/src/router/pending.ts
@@ -0,0 +1,60 @@
+/**
+ * Requests that came before this router may serve: just after a start the first configuration is a moment away
+ * (design 7.1). Each waits for a bounded time, and never past its deadline.
+ */
+import type * as nodeHttp from "node:http";
+import type * as types from "../wire/types.js";
+
+/** The longest wait, in milliseconds. */
+const MOST_MS = 800;
+
+/** What becomes of one that waits: exactly one of the two is called, none when its client leaves first. */
+export interface Outcomes {
+  go(): void;
+  late(): void;
+}
+
+/** All of one router. */
+export class PendingRequests {
+  private readonly waiting = new Set<() => void>();
+
+  /** `most`: how many may wait at once. */
+  constructor(
+    private readonly world: types.World,
+    private readonly most: number,
+  ) {}
+
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  /** arrivedAt and mostHeldMs: of the request, in milliseconds; where there is no room or time it is late at once. */
+  add(outgoing: nodeHttp.ServerResponse, arrivedAt: number, mostHeldMs: number, outcomes: Outcomes): void {
+    const { waiting } = this;
+    const leftMs = arrivedAt + Math.min(MOST_MS, mostHeldMs) - this.world.now();
+    if (waiting.size >= this.most || leftMs <= 0) {
+      outcomes.late();
+      return;
+    }
+    const tick = this.world.after(leftMs, late);
+    waiting.add(go);
+    outgoing.once("close", gone);
+    function late(): void {
+      if (waiting.delete(go)) outcomes.late();
+    }
+    function gone(): void {
+      if (waiting.delete(go)) tick.stop();
+    }
+    function go(): void {
+      tick.stop();
+      outcomes.go();
+    }
+  }
+
+  /** This router may serve now. */
+  open(): void {
+    const ready = [...this.waiting];
+    this.waiting.clear();
+    for (const go of ready) go();
+  }
+}
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -1,5 +1,6 @@
 // What the chain of policies works on, and their one interface (design 7.2).
 import type * as routes from "../config/routes.js";
+import type * as tenants from "../tenants/tenant.js";
 import type * as types from "../wire/types.js";
 import type * as fleet from "./fleet.js";
 
@@ -23,6 +24,8 @@
   /** An item of a batch: it may only take room that nobody else wants (design/batch 6). */
   readonly isBatch: boolean;
   readonly entry: routes.RouteEntry;
+  /** Whose request it is; null where no key is needed. */
+  readonly tenant: tenants.Tenant | null;
   readonly service: string;
   /** The parts of the prompt that others share: all but the last. */
   readonly shared: readonly Part[];
--- a/src/router/policies/homes.ts
+++ b/src/router/policies/homes.ts
@@ -5,6 +5,11 @@
 
 const LEAVING_SLACK_MS = 300;
 
+/** A list that names no region allows all. */
+function allows(homes: readonly string[], region: string): boolean {
+  return homes.length === 0 || homes.includes(region);
+}
+
 /** The first policy of the chain. */
 export class HomesPolicy implements plans.Policy {
   readonly name = "homes";
@@ -15,9 +20,10 @@
 
   apply(plan: plans.Plan): plans.Denial | null {
     const { homes } = plan.entry;
+    const tenantHomes = plan.tenant?.homes ?? [];
     const regions = new Set<string>();
     for (const runner of this.fleet.of(plan.service)) {
-      if (homes.length > 0 && !homes.includes(runner.region)) continue;
+      if (!allows(homes, runner.region) || !allows(tenantHomes, runner.region)) continue;
       if (runner.status !== "ready" || plan.tried.has(runner.id)) continue;
       if (plan.now > runner.leavesAt - LEAVING_SLACK_MS) continue;
       if (!this.rotation.isIn(runner.instance.zone, plan.requestId)) continue;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -4,11 +4,9 @@
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
-import * as world from "../wire/world.js";
 import * as log from "../startup/log.js";
 import * as settings from "../startup/settings.js";
 import * as parts from "../config/parts.js";
-import * as directory from "../control/directory.js";
 import * as cuts from "../feed/cuts.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
@@ -23,18 +21,18 @@
 import * as choosers from "./chooser.js";
 import * as fleets from "./fleet.js";
 import * as leases from "./leases.js";
+import * as leaving from "./leaving.js";
 import * as readiness from "./readiness.js";
 import * as prompts from "./prompt-readings.js";
 import * as readings from "./readings.js";
 import * as rotations from "./rotation.js";
 import * as servers from "./server.js";
 import * as startGates from "./start-gate.js";
+import * as tenancies from "./tenancy.js";
 import * as topics from "./topics.js";
 
 const WATCH_MS = 100;
 const CHILL_MS = 2500;
-const LAST_MS = 400;
-const STEP_MS = 50;
 
 export type { Standing } from "./account.js";
 
@@ -56,6 +54,7 @@
   private readonly chooser: choosers.Chooser;
   private readonly server: servers.RouterServer;
   private readonly batches: batches.RouterBatches;
+  private readonly tenancy: tenancies.Tenancy;
   private epoch = types.NO_EPOCH;
   readonly root: supervisor.Supervisor;
 
@@ -76,21 +75,15 @@
     this.dial.on("beat", this.judgeStart.bind(this));
     this.batches = new batches.RouterBatches(this.life, this.known, this.chooser.admission);
     this.batches.register(this.handlers);
-    this.server = new servers.RouterServer(clock, this.chooser, this.gate.allows.bind(this.gate), sending, startup.limits, this.batches);
+    this.tenancy = new tenancies.Tenancy(clock, startup.region, this.dial.controls, startup.bounds);
+    const { chooser, gate, tenancy } = this;
+    this.server = new servers.RouterServer(clock, chooser, gate.allows.bind(gate), sending, startup.limits, this.batches, tenancy);
     this.follower = new followers.Follower(clock, startup.region, this.dial, this.handlers, this.topics.bind(this), this);
     this.borrower = new leases.Borrower(clock, this.life, this.dial, this.share);
     this.dial.know(settings.innerSeeds(startup));
-    const { dial } = this;
-    const { teller } = this.prompts;
-    this.handlers.on(calls.controls, function learn(_from, told) {
-      dial.learn(told.controls);
-      return null;
-    });
+    this.dial.register(this.handlers);
+    this.prompts.teller.register(this.handlers);
     this.chooser.admission.isOn = startup.admission === "on";
-    this.handlers.on(calls.signs, function signs(_from, told) {
-      teller.hear(told);
-      return null;
-    });
     this.root = new supervisor.Supervisor("router", clock, []);
     this.plan();
   }
@@ -101,7 +94,8 @@
 
   /** The first lists of all regions count together; later a region may come in while this router serves. */
   private judgeStart(): void {
-    this.gate.judge(this.epoch, this.chooser.table !== null && this.follower.hasAll(feeds.isListTopic));
+    const hasAll = this.chooser.table !== null && this.follower.hasAll(feeds.isListTopic) && this.tenancy.isReady;
+    this.gate.judge(this.epoch, hasAll);
   }
 
   private opened(): void {
@@ -148,6 +142,7 @@
     const dealer = this.follower.main;
     if (dealer?.beat && this.clock.now() - dealer.beatAt < link.BEAT_MS * 3) this.share.deal(dealer.beat.members);
     this.borrower.turn();
+    this.tenancy.turn();
     this.fleet.cohorts.routers = this.share.routers;
     this.server.watch();
     this.fleet.sweep();
@@ -186,6 +181,7 @@
     this.epoch = types.small(applied.stamp);
     this.chooser.table = config.table;
     if (config.table) this.server.limit(config.limits);
+    this.tenancy.take(this.epoch, config.tenants);
     for (const zone of this.rotation.take(config.evacuations, isFirst)) this.fleet.chill(zone, CHILL_MS);
     log.state(`config: epoch ${this.epoch}, revision ${config.revision} in force`);
     this.beat();
@@ -213,6 +209,7 @@
     this.startup = startup;
     this.dial.know(settings.innerSeeds(startup));
     this.share.resettle(startup.bounds);
+    this.tenancy.resettle(startup.bounds);
     this.chooser.admission.isOn = startup.admission === "on";
     log.state("settings: read again");
   }
@@ -233,15 +230,11 @@
     return { epoch: this.epoch, revision: this.config.revision, following: this.follower.main?.node.name ?? null };
   }
 
-  /** Out of the directory first; then what is at work is finished within grace_s (design 7.11). */
+  /** Finishes what is at work, then ends. */
   async stop(): Promise<void> {
-    const startedAt = this.clock.now();
-    const until = startedAt + this.startup.bounds.grace_s * 1000 - LAST_MS;
     this.server.isLeaving = true;
     this.beat();
-    await world.sleep(this.clock, Math.min(directory.LEAVE_MS + link.BEAT_MS, until - startedAt));
-    this.server.close();
-    while (this.server.activeCount > 0 && this.clock.now() < until) await world.sleep(this.clock, STEP_MS);
+    await leaving.finishWork(this.clock, this.server, this.startup.bounds.grace_s * 1000);
     log.state(this.chooser.admission.tally.line());
     await this.root.stop();
     this.dial.end();
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -4,6 +4,7 @@
 import * as routes from "../config/routes.js";
 import * as shares from "../shares/shares.js";
 import * as names from "../wire/names.js";
+import type * as tenants from "../tenants/tenant.js";
 import * as types from "../wire/types.js";
 import type * as attempts from "./attempt.js";
 import * as headers from "./headers.js";
@@ -18,6 +19,8 @@
 export interface Request {
   requestId: types.RequestId;
   entry: routes.RouteEntry;
+  /** Whose request it is; null where no key is needed. */
+  tenant: tenants.Tenant | null;
   service: string;
   /** 0 is the most urgent. */
   rank: number;
@@ -47,26 +50,26 @@
   return Math.min(asked > 0 ? asked : DEFAULT_BUDGET_MS, entry?.route.deadline_ms ?? Infinity);
 }
 
+/** What is known of a request once it was read whole. */
+export interface Received {
+  requestId: types.RequestId;
+  entry: routes.RouteEntry;
+  tenant: tenants.Tenant | null;
+  body: Buffer | null;
+  arrivedAt: number;
+  isBatch: boolean;
+}
+
 /** The request of what was read. */
-export function requestOf(
-  incoming: nodeHttp.IncomingMessage,
-  requestId: types.RequestId,
-  entry: routes.RouteEntry,
-  body: Buffer | null,
-  arrivedAt: number,
-  isBatch = false,
-): Request {
+export function requestOf(incoming: nodeHttp.IncomingMessage, received: Received): Request {
+  const { requestId, entry, tenant, arrivedAt, isBatch } = received;
   const parts = plans.readParts(single(incoming.headers[names.HEADER.prefix]));
   return {
-    requestId,
-    entry,
-    body,
-    isBatch,
-    rank: isBatch ? routes.BATCH_RANK : routes.rankOf(entry.route),
+    ...received,
+    rank: isBatch ? routes.BATCH_RANK : routes.rankOf(entry.route, tenant?.priority),
     service: routes.chooseService(entry, shares.hash(`${requestId}/split`) / HASHES),
     parts,
     keys: readings.chainKeys(parts),
-    arrivedAt,
     deadline: arrivedAt + mostHeldMs(incoming, entry),
     asked: plans.readAsked(single(incoming.headers[names.HEADER.tokens]), parts),
   };
@@ -76,14 +79,14 @@
 export function sendable(
   request: Request,
   incoming: nodeHttp.IncomingMessage,
-  sending: headers.Sending,
+  sending: Pick<headers.Sending, "target" | "budgetMs" | "lastEventId">,
   ticket: tickets.Ticket,
 ): attempts.Sendable {
   const { method, url, rawHeaders, headers: parsed } = incoming;
   return {
     method: method ?? "GET",
     path: url ?? "/",
-    headers: headers.forRunner(rawHeaders, parsed.connection, sending),
+    headers: headers.forRunner(rawHeaders, parsed.connection, { ...sending, rank: request.rank, tenant: request.tenant?.name ?? null }),
     body: request.body,
     requestId: request.requestId,
     isStream: request.entry.route.route_type === "streaming",
--- a/src/router/server.ts
+++ b/src/router/server.ts
@@ -9,9 +9,11 @@
 import type * as batches from "./batches.js";
 import * as bodies from "./body.js";
 import type * as contexts from "./context.js";
+import * as pendings from "./pending.js";
 import * as proper from "./proper.js";
 import * as replies from "./replies.js";
 import * as requests from "./request.js";
+import type * as tenancies from "./tenancy.js";
 import * as transactions from "./transaction.js";
 
 const DEFAULTS: Required<check.Limits> = {
@@ -25,7 +27,6 @@
 const PENDING_PER_MB = 1.5;
 const CONNECTIONS_SHARE = 0.5;
 const CHECK_MS = 1000;
-const PENDING_MS = 800;
 
 /** The machine's limits. */
 export interface Machine {
@@ -37,9 +38,8 @@
 export class RouterServer {
   private readonly server: nodeHttp.Server;
   private readonly active = new Set<transactions.Transaction>();
-  private readonly pending = new Set<() => void>();
+  private readonly pending: pendings.PendingRequests;
   private limits = DEFAULTS;
-  private readonly mostPending: number;
   private readonly held: bodies.HeldBytes;
   isLeaving = false;
 
@@ -50,9 +50,10 @@
     private readonly sending: contexts.Context["sending"],
     machine: Machine,
     private readonly batches: batches.RouterBatches,
+    private readonly tenancy: tenancies.Tenancy,
   ) {
     this.held = new bodies.HeldBytes(machine.memory_mb * 1024 * 1024 * HELD_SHARE);
-    this.mostPending = Math.floor(machine.memory_mb * PENDING_PER_MB);
+    this.pending = new pendings.PendingRequests(world, Math.floor(machine.memory_mb * PENDING_PER_MB));
     this.server = nodeHttp.createServer(
       { connectionsCheckingInterval: CHECK_MS, maxHeaderSize: DEFAULTS.max_header_bytes, requireHostHeader: false },
       this.take.bind(this),
@@ -159,46 +160,50 @@
       this.deny(outgoing, 400, "X-Cranewind-Request-Id is missing; send one id a try", null, false);
       return;
     }
+    const tenant = this.tenancy.identify(incoming.headers[names.HEADER.key], entry.route);
+    if (tenant && "status" in tenant) {
+      this.deny(outgoing, tenant.status, tenant.cause, tenant.retryAfterS, false);
+      return;
+    }
     const isBatch = this.batches.isItem(incoming.headers[names.HEADER.batchPass]);
     if (!isBatch) this.batches.countArrival(entry.route.name);
-    this.run(requests.requestOf(incoming, requestId, entry, body, arrivedAt, isBatch), incoming, outgoing);
+    this.admit(requests.requestOf(incoming, { requestId, entry, tenant, body, arrivedAt, isBatch }), incoming, outgoing);
   }
 
-  /** Just after a start the first configuration is a moment away: so long a request is pending, and never past its deadline. */
   private wait(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse, arrivedAt: number, body: Buffer | null): void {
-    const { pending } = this;
     const entry = this.chooser.table?.find(incoming.headers.host ?? "", incoming.url ?? "/") ?? null;
-    const leftMs = arrivedAt + Math.min(PENDING_MS, requests.mostHeldMs(incoming, entry)) - this.world.now();
-    const deny = this.deny.bind(this, outgoing, 503, "this node has no configuration yet; come back shortly", 0.3, true);
-    const begin = this.begin.bind(this, incoming, outgoing, arrivedAt, body);
-    if (pending.size >= this.mostPending || leftMs <= 0) {
-      deny();
-      return;
-    }
-    const tick = this.world.after(leftMs, late);
-    pending.add(go);
-    outgoing.once("close", gone);
-    function late(): void {
-      if (pending.delete(go)) deny();
-    }
-    function gone(): void {
-      if (pending.delete(go)) tick.stop();
-    }
-    function go(): void {
-      tick.stop();
-      begin();
-    }
+    this.pending.add(outgoing, arrivedAt, requests.mostHeldMs(incoming, entry), {
+      go: () => this.begin(incoming, outgoing, arrivedAt, body),
+      late: () => this.deny(outgoing, 503, "this node has no configuration yet; come back shortly", 0.3, true),
+    });
   }
 
   /** The first configuration and list are here. */
   takePending(): void {
-    const ready = [...this.pending];
-    this.pending.clear();
-    for (const go of ready) go();
+    this.pending.open();
+  }
+
+  /** Waits for a unit of the tenant's quota where there is a limit; a client that leaves meanwhile takes none. */
+  private admit(request: requests.Request, incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    const { tenancy } = this;
+    const claim = tenancy.admit(
+      request.tenant,
+      (admitted) => {
+        if (outgoing.destroyed) tenancy.giveBack(request.tenant, admitted);
+        else this.run(request, incoming, outgoing, admitted);
+      },
+      (refusal) => this.deny(outgoing, refusal.status, refusal.cause, refusal.retryAfterS, false),
+    );
+    if (claim?.isWaiting) outgoing.once("close", claim.cancel.bind(claim));
   }
 
-  private run(request: requests.Request, incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
-    const { world, chooser, active, held, sending } = this;
+  private run(
+    request: requests.Request,
+    incoming: nodeHttp.IncomingMessage,
+    outgoing: nodeHttp.ServerResponse,
+    admitted: tenancies.Admitted,
+  ): void {
+    const { world, chooser, active, held, sending, tenancy } = this;
     const isLeaving = this.isGoing.bind(this);
     const bytes = request.body?.length ?? 0;
     const transaction = new transactions.Transaction({ world, chooser, finished, sending, isLeaving }, request, incoming, outgoing);
@@ -206,7 +211,9 @@
     active.add(transaction);
     transaction.start();
     function finished(): void {
-      if (active.delete(transaction)) held.bytes -= bytes;
+      if (!active.delete(transaction)) return;
+      held.bytes -= bytes;
+      if (transaction.isUnsent) tenancy.giveBack(request.tenant, admitted);
     }
   }
 
--- /dev/null
+++ b/src/router/tenancy.ts
@@ -0,0 +1,104 @@
+/**
+ * Whose request it is, and whether its tenant may make it now (design/tenants 3, 4): the last question before a request
+ * that was read whole becomes a transaction. Public routes, and configurations without tenants, need no key.
+ */
+import type * as check from "../config/check.js";
+import type * as dialers from "../feed/dialer.js";
+import * as log from "../startup/log.js";
+import * as keyLeases from "../tenants/key-lease.js";
+import type * as claims from "../tenants/quota-claim.js";
+import * as quotaClients from "../tenants/quota-client.js";
+import * as sources from "../tenants/quota-sources.js";
+import * as tenants from "../tenants/tenant.js";
+import type * as types from "../wire/types.js";
+
+/** When a machine that does not know enough may know more, in seconds (*ours*). */
+const UNKNOWING_RETRY_S = 0.5;
+const UNREACHED_RETRY_S = 0.3;
+const LEAST_RETRY_S = 0.2;
+const MS_PER_S = 1000;
+
+/** An answer of the router in place of a runner's; retryAfterS: seconds, null where coming back is no use. */
+export interface Refusal {
+  status: 401 | 429 | 503;
+  cause: string;
+  retryAfterS: number | null;
+}
+
+/** What a request that was admitted holds; handed back when it was never sent. */
+export type Admitted = claims.Unit | null;
+
+/** One for each router. */
+export class Tenancy {
+  private table = new tenants.TenantTable();
+  private readonly lease: keyLeases.KeyLease;
+  private readonly quota: quotaClients.QuotaClient;
+
+  constructor(world: types.World, region: string, controls: ReadonlyMap<string, dialers.Control>, bounds: keyLeases.RevocationBounds) {
+    this.lease = new keyLeases.KeyLease(world, bounds);
+    const owners = new sources.Sources(world, region, controls);
+    this.quota = new quotaClients.QuotaClient(world, owners, this.lease.hear.bind(this.lease));
+  }
+
+  /** The settings were read again. */
+  resettle(bounds: keyLeases.RevocationBounds): void {
+    this.lease.resettle(bounds);
+  }
+
+  /** A configuration is in force, with these tenants. */
+  take(epoch: types.Epoch, table: tenants.TenantTable): void {
+    this.table = table;
+    this.lease.take(epoch);
+    this.turn();
+  }
+
+  /** Called often. Without tenants nothing is asked of anybody. */
+  turn(): void {
+    if (!this.table.isEmpty) this.quota.turn();
+  }
+
+  /** Whether keys may be honoured, or none are needed: a starting router waits for it. */
+  get isReady(): boolean {
+    return this.table.isEmpty || this.lease.mayHonour();
+  }
+
+  /** The tenant that holds the key, null where the route needs none, or why the request is refused. */
+  identify(key: string | string[] | undefined, route: check.Route): tenants.Tenant | null | Refusal {
+    if (this.table.isEmpty || route.public === true) return null;
+    const tenant = typeof key === "string" && key !== "" ? this.table.find(key) : null;
+    if (tenant && this.lease.mayHonour()) return tenant;
+    if (!tenant && this.lease.mayDeny()) return this.refuse(401, "the key is missing or not known; send a valid Api-Key", null);
+    return this.refuse(503, "this node cannot tell which keys are valid now; come back shortly", UNKNOWING_RETRY_S);
+  }
+
+  /**
+   * Asks for a unit of the tenant's quota. One of the two is called once, perhaps before this returns; the claim's
+   * cancel() ends the wait.
+   */
+  admit(tenant: tenants.Tenant | null, go: (admitted: Admitted) => void, refuse: (refusal: Refusal) => void): claims.Claim | null {
+    if (!tenant?.isLimited) {
+      go(null);
+      return null;
+    }
+    return this.quota.take(tenant.name, (verdict) => {
+      if (verdict.kind === "granted") go(verdict.unit);
+      else refuse(this.refusalOf(verdict));
+    });
+  }
+
+  private refusalOf(verdict: Exclude<claims.Verdict, { kind: "granted" }>): Refusal {
+    if (verdict.kind === "unreached")
+      return this.refuse(503, "no control node counts the tenant's requests now; come back shortly", UNREACHED_RETRY_S);
+    return this.refuse(429, "the tenant is over its rate_per_s and burst", Math.max(LEAST_RETRY_S, verdict.waitMs / MS_PER_S));
+  }
+
+  private refuse(status: Refusal["status"], cause: string, retryAfterS: number | null): Refusal {
+    log.count(`tenants.refused_${status}`);
+    return { status, cause, retryAfterS };
+  }
+
+  /** The request was never sent: its unit serves another. */
+  giveBack(tenant: tenants.Tenant | null, admitted: Admitted): void {
+    if (tenant && admitted) this.quota.hold(tenant.name, admitted);
+  }
+}
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -71,12 +71,7 @@
     const left = this.request.deadline - this.context.world.now();
     this.tried.add(choice.runner.id);
     this.sends += 1;
-    const sending = {
-      target: choice.runner.id,
-      budgetMs: Math.max(1, Math.floor(left)),
-      lastEventId: this.reply.lastEventId,
-      rank: this.request.rank,
-    };
+    const sending = { target: choice.runner.id, budgetMs: Math.max(1, Math.floor(left)), lastEventId: this.reply.lastEventId };
     this.attempt = new attempts.Attempt(
       this.context.world,
       choice.runner,
@@ -89,6 +84,11 @@
     this.attempt.start(this.reading.tokens);
   }
 
+  /** Whether no runner was ever chosen for it. */
+  get isUnsent(): boolean {
+    return this.tried.size === 0;
+  }
+
   /** Nothing has run, and nothing will: only then may a promise be given. */
   private deny(denial: plans.Denial): void {
     log.count("router.denied");
--- a/src/shares/parts.ts
+++ b/src/shares/parts.ts
@@ -27,7 +27,8 @@
 /** Rather a slower refill than a cold runner that hangs on few owners; not under this part of its rate (*ours*). */
 const LEAST_RATE = 0.5;
 
-interface Whole {
+/** A whole bound: units at once, and units a second. */
+export interface Whole {
   burst: number;
   perS: number;
 }
@@ -40,7 +41,7 @@
 }
 
 /** Whole units go round the slots by rendezvous on the key; the refill goes with them. */
-function partOf(whole: Whole, slots: number, slot: number, key: string): Part {
+export function partOf(whole: Whole, slots: number, slot: number, key: string): Part {
   const own = hashes.hash(`${slot}|${key}`);
   let place = 0;
   for (let other = 0; other < slots; other += 1) {
--- a/src/shares/tenure.ts
+++ b/src/shares/tenure.ts
@@ -10,6 +10,16 @@
 export const MOST_LIFE_MS = 1800;
 const SLACK_MS = 200;
 
+/** How long words and leases of one kind of bound hold, in milliseconds. */
+export interface Terms {
+  /** A voter's word that it knows no newer voters, from when it was asked. */
+  fenceMs: number;
+  /** The longest lease. */
+  lifeMs: number;
+}
+
+const LEASES: Terms = { fenceMs: FENCE_MS, lifeMs: MOST_LIFE_MS };
+
 interface Era {
   epoch: types.Epoch;
   voters: ReadonlySet<string>;
@@ -29,7 +39,10 @@
   /** Grows whenever what was held before no longer counts. */
   round = 0;
 
-  constructor(protected readonly world: types.World) {
+  constructor(
+    protected readonly world: types.World,
+    private readonly terms = LEASES,
+  ) {
     this.startedAt = world.now();
   }
 
@@ -47,7 +60,7 @@
 
   /** Leases of an earlier life, or of the slot's former owner, have run out after this long. */
   protected restMs(): number {
-    return MOST_LIFE_MS + SLACK_MS;
+    return this.terms.lifeMs + SLACK_MS;
   }
 
   /** What is chosen, and the own disk: all changes of tenure pass here. */
@@ -74,7 +87,7 @@
   }
 
   private opening(chosenAt: number): number {
-    return Math.max(this.startedAt + this.restMs(), chosenAt + FENCE_MS + this.restMs());
+    return Math.max(this.startedAt + this.restMs(), chosenAt + this.terms.fenceMs + this.restMs());
   }
 
   /** For how long the epoch is known here as chosen; -1: it isn't. */
@@ -98,7 +111,7 @@
   }
 
   protected hasMajority(slots: number): boolean {
-    const since = this.world.now() - FENCE_MS;
+    const since = this.world.now() - this.terms.fenceMs;
     let count = 1;
     for (const [disk, sentAt] of this.acks) if (disk !== this.disk && sentAt > since) count += 1;
     return count > slots / 2;
--- a/src/signs/teller.ts
+++ b/src/signs/teller.ts
@@ -1,4 +1,6 @@
 /** The router's side of signs (design/usage 2): what it sends to others, and how it takes what others send. */
+import * as calls from "../wire/calls.js";
+import type * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
@@ -31,6 +33,14 @@
     this.throttle = new throttles.Throttle(world, this.flush.bind(this));
   }
 
+  /** Hears signs from the links. */
+  register(handlers: link.Handlers): void {
+    handlers.on(calls.signs, (_from, told) => {
+      this.hear(told);
+      return null;
+    });
+  }
+
   /** A reading sent from here; `keys` are those of its unread parts: the others were told when they were read. */
   reading(runner: types.RunnerId, unread: number, keys: readonly number[]): void {
     const mark = this.marks.markOf(runner);
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -50,6 +50,11 @@
     warmup_overshoot: superstruct.defaulted(positive, 1),
     warmup_tolerance: superstruct.defaulted(nonNegative, 0),
     ttl_max_s: superstruct.defaulted(positive, 5),
+    quota_window_s: superstruct.defaulted(positive, 5),
+    quota_overshoot: superstruct.defaulted(nonNegative, 0),
+    quota_tolerance: superstruct.defaulted(nonNegative, 0),
+    revocation_strict: superstruct.defaulted(superstruct.boolean(), false),
+    revoke_delay_ms: superstruct.defaulted(positive, 5000),
   }),
   cloud_api: superstruct.type({
     address: superstruct.optional(address),
--- /dev/null
+++ b/src/tenants/quota-owner.ts
@@ -0,0 +1,122 @@
+/**
+ * The owner of one slot of all quotas, at one control node (design/tenants 4): grants units of a tenant's quota to
+ * requests that wait for them at routers. It knows limits from the configuration that is chosen; its slot is fenced like
+ * that of the other bounds, by a tenure of its own.
+ */
+import type * as tenures from "../shares/tenure.js";
+import type * as tenantSchema from "../wire/tenant-schema.js";
+import * as types from "../wire/types.js";
+import * as buckets from "./quota-bucket.js";
+import * as parts from "./quota-part.js";
+
+/** The longest wait that is told, in milliseconds; also of quotas that this slot holds nothing of. */
+const MOST_WAIT_MS = 3000;
+const SWEEP_MS = 1000;
+
+/** What the owner did for one tenant since its start. */
+export interface Use {
+  granted: number;
+  denied: number;
+}
+
+/** Grants units of one slot. */
+export class QuotaOwner {
+  private round = -1;
+  private sweptAt = 0;
+  private nextId = 1;
+  private limits: ReadonlyMap<string, parts.Limit> = new Map();
+  private readonly buckets = new Map<string, buckets.QuotaBucket>();
+  private readonly uses = new Map<string, Use>();
+
+  constructor(
+    private readonly world: types.World,
+    readonly life: string,
+    private bounds: parts.QuotaBounds,
+    private readonly tenure: tenures.Tenure,
+  ) {}
+
+  /** The settings were read again. */
+  resettle(bounds: parts.QuotaBounds): void {
+    this.bounds = bounds;
+    this.resizeAll();
+  }
+
+  /** The limits of the chosen configuration, by tenant. */
+  setLimits(limits: ReadonlyMap<string, parts.Limit>): void {
+    this.limits = limits;
+    this.resizeAll();
+  }
+
+  private resizeAll(): void {
+    const now = this.world.now();
+    for (const [tenant, bucket] of this.buckets) {
+      const limit = this.limits.get(tenant);
+      if (limit) bucket.resize(this.partOf(tenant, limit), now);
+    }
+  }
+
+  private partOf(tenant: string, limit: parts.Limit): ReturnType<typeof parts.quotaPart> {
+    return parts.quotaPart(this.bounds, limit, this.tenure.slots, this.tenure.slot, tenant);
+  }
+
+  /** accepted: the newest voter epoch on the own disk. Null: this node grants nothing now. */
+  reply(ask: tenantSchema.QuotaAsk, accepted: types.Epoch): tenantSchema.Given[] | null {
+    if (!this.tenure.isGranting(accepted)) return null;
+    this.sweep();
+    return ask.takings.map((taking) => this.give(taking, ask.life === this.life));
+  }
+
+  private give(taking: tenantSchema.Taking, isOwnLife: boolean): tenantSchema.Given {
+    const { tenant } = taking;
+    const limit = this.limits.get(tenant);
+    // A tenant without a limit here: the router's configuration is another than the chosen one for a moment.
+    if (!limit) return { amount: taking.wanted, id: 0, waitMs: 0 };
+    const now = this.world.now();
+    const bucket = this.bucketOf(tenant, limit, now);
+    if (isOwnLife) for (const unused of taking.unused) bucket.giveBack(unused, now);
+    const id = this.nextId;
+    this.nextId += 1;
+    const amount = bucket.take(taking.wanted, id, now);
+    this.count(tenant, amount, taking.wanted - amount);
+    return { amount, id, waitMs: amount < taking.wanted ? Math.min(MOST_WAIT_MS, bucket.waitMs(now)) : 0 };
+  }
+
+  private bucketOf(tenant: string, limit: parts.Limit, now: number): buckets.QuotaBucket {
+    let bucket = this.buckets.get(tenant);
+    if (!bucket) {
+      bucket = new buckets.QuotaBucket(this.partOf(tenant, limit), this.earnedSince(), now);
+      this.buckets.set(tenant, bucket);
+    }
+    return bucket;
+  }
+
+  /** Since when a bucket that was never asked for has been filling. */
+  protected earnedSince(): number {
+    return this.tenure.openAt;
+  }
+
+  private count(tenant: string, granted: number, denied: number): void {
+    const use = this.uses.get(tenant) ?? { granted: 0, denied: 0 };
+    use.granted += granted;
+    use.denied += denied;
+    this.uses.set(tenant, use);
+  }
+
+  /** Another tenure begins with nothing; buckets of tenants that are gone and full are forgotten. */
+  private sweep(): void {
+    const now = this.world.now();
+    if (this.round !== this.tenure.round) {
+      this.round = this.tenure.round;
+      this.buckets.clear();
+    }
+    if (now - this.sweptAt < SWEEP_MS) return;
+    this.sweptAt = now;
+    for (const [tenant, bucket] of this.buckets) if (bucket.isSpare(now)) this.buckets.delete(tenant);
+    for (const tenant of this.uses.keys()) if (!this.limits.has(tenant)) this.uses.delete(tenant);
+  }
+
+  /** What was granted and denied of each tenant that was asked for. */
+  used(): ReadonlyMap<string, Use> {
+    return this.uses;
+  }
+}
--- /dev/null
+++ b/src/tenants/quota-part.ts
@@ -0,0 +1,43 @@
+/**
+ * The fixed part of a tenant's quota that one slot of the voters holds (design/tenants 4.2): a burst of whole units and
+ * a refill, so that burst + refill over any window, summed over all slots, stays within the bound on the window.
+ */
+import * as parts from "../shares/parts.js";
+
+/** The figures of the settings that the bound on a window is made from. */
+export interface QuotaBounds {
+  /** Seconds. */
+  quota_window_s: number;
+  /** The part of the limit by which a window may pass it. */
+  quota_overshoot: number;
+  /** Requests by which a window may pass it on top. */
+  quota_tolerance: number;
+}
+
+/** A tenant's limit as configured: requests a second, and requests on top. */
+export interface Limit {
+  perS: number;
+  burst: number;
+}
+
+/**
+ * A unit is used, and its request arrives, this much later after its grant at one router than at another: the life of a
+ * unit, the way, and connections that do not come up at first (*ours*).
+ */
+export const SPREAD_MS = 450;
+/** The part of the tolerance that is set aside for routers that stand still between taking a unit and sending (*ours*). */
+const RESERVE = 0.2;
+
+/** Requests that a window may see. */
+export function boundOf(bounds: QuotaBounds, limit: Limit): number {
+  return (limit.perS * bounds.quota_window_s + limit.burst) * (1 + bounds.quota_overshoot) + bounds.quota_tolerance;
+}
+
+/** The part of one slot of so many. */
+export function quotaPart(bounds: QuotaBounds, limit: Limit, slots: number, slot: number, tenant: string): parts.Part {
+  const bound = boundOf(bounds, limit) - RESERVE * bounds.quota_tolerance;
+  const spanS = bounds.quota_window_s + SPREAD_MS / 1000;
+  const burst = Math.max(1, Math.floor(bound - limit.perS * spanS));
+  const perS = Math.max(0, Math.min(limit.perS, (bound - burst) / spanS));
+  return parts.partOf({ burst, perS }, slots, slot, tenant);
+}
--- /dev/null
+++ b/src/tenants/quota-sources.ts
@@ -0,0 +1,104 @@
+/** The owners of quotas as one router knows them: which grant, and whose part of a tenant's quota is spent (design/tenants 4.4). */
+import type * as dialers from "../feed/dialer.js";
+import type * as tenantSchema from "../wire/tenant-schema.js";
+import type * as types from "../wire/types.js";
+
+/** One that said it does not grant is asked again after so long. */
+const REST_MS = 600;
+/** Spent quotas that are remembered of one owner. */
+const MOST_SPENT = 4096;
+
+/** One owner. */
+export class Source {
+  /** Not asked for units before; 0: it grants as far as is known. */
+  restsUntil = 0;
+  private readonly spentUntil = new Map<string, number>();
+  /** Ids of its units that no request used, by tenant. */
+  private readonly unused = new Map<string, number[]>();
+
+  constructor(
+    private readonly world: types.World,
+    readonly control: dialers.Control,
+  ) {}
+
+  get life(): string {
+    return this.control.node.life;
+  }
+
+  /** It said that it does not grant, or did not reply. */
+  rest(): void {
+    this.restsUntil = this.world.now() + REST_MS;
+  }
+
+  /** Its part of the tenant's quota is spent for so many milliseconds. */
+  spend(tenant: string, waitMs: number): void {
+    if (this.spentUntil.size >= MOST_SPENT) this.spentUntil.clear();
+    this.spentUntil.set(tenant, this.world.now() + waitMs);
+  }
+
+  /** How long its part of the tenant's quota is still known to be spent, in milliseconds. */
+  spentMs(tenant: string): number {
+    return Math.max(0, (this.spentUntil.get(tenant) ?? 0) - this.world.now());
+  }
+
+  /** A unit of it was not used in its time. */
+  returnUnused(tenant: string, id: number): void {
+    const ids = this.unused.get(tenant);
+    if (ids) ids.push(id);
+    else this.unused.set(tenant, [id]);
+  }
+
+  /** The ids of the tenant's unused units that are to be reported; reported once. */
+  takeUnused(tenant: string): number[] {
+    const ids = this.unused.get(tenant) ?? [];
+    this.unused.delete(tenant);
+    return ids;
+  }
+
+  /** The same of all tenants. */
+  takeAllUnused(): tenantSchema.Taking[] {
+    const takings: tenantSchema.Taking[] = [];
+    for (const [tenant, unused] of this.unused) takings.push({ tenant, wanted: 0, unused });
+    this.unused.clear();
+    return takings;
+  }
+
+  isResting(): boolean {
+    return this.restsUntil > this.world.now();
+  }
+}
+
+/** All owners that this router has a link to. */
+export class Sources {
+  private readonly byLife = new Map<string, Source>();
+
+  constructor(
+    private readonly world: types.World,
+    private readonly region: string,
+    private readonly controls: ReadonlyMap<string, dialers.Control>,
+  ) {}
+
+  /** The own region's first, then the nearest by their hellos. */
+  ordered(): Source[] {
+    const sources: Source[] = [];
+    for (const control of this.controls.values()) if (control.link.isOpen) sources.push(this.sourceOf(control));
+    return sources.sort((left, right) => this.distance(left) - this.distance(right));
+  }
+
+  private distance({ control }: Source): number {
+    return control.node.region === this.region ? -1 : control.tripMs;
+  }
+
+  private sourceOf(control: dialers.Control): Source {
+    const known = this.byLife.get(control.node.life);
+    if (known?.control === control) return known;
+    const source = new Source(this.world, control);
+    this.byLife.set(control.node.life, source);
+    return source;
+  }
+
+  /** Forgets owners whose links have ended. */
+  sweep(): void {
+    for (const [life, source] of this.byLife) if (!source.control.link.isOpen) this.byLife.delete(life);
+  }
+}
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -119,6 +119,7 @@
     service: "model",
     rank: routes.rankOf(entry.route),
     isBatch: false,
+    tenant: null,
     parts,
     keys: readings.chainKeys(parts),
     arrivedAt: 0,
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -2,6 +2,7 @@
 import * as batchSchema from "./batch-schema.js";
 import * as leaseSchema from "./lease-schema.js";
 import * as schema from "./schema.js";
+import * as tenantSchema from "./tenant-schema.js";
 
 /** A call: its code on the wire, and the codecs of both directions. */
 export interface Pair<Ask, Reply> {
@@ -96,3 +97,7 @@
 export const routerLoads = optionalPair(52, "router_loads", schema.empty, batchSchema.routerLoads);
 /** Loads that a control node gathered, to its siblings. */
 export const loadReport = optionalPair(53, "load_report", batchSchema.loadReport, schema.empty);
+
+// Of tenants: used only while a configuration with tenants is in force (design/tenants 6).
+/** A router asks for units of quotas, and for a control node's word on the configuration. */
+export const quota = optionalPair(54, "quota", tenantSchema.quotaAsk, tenantSchema.quotaReply);
--- a/src/wire/names.ts
+++ b/src/wire/names.ts
@@ -16,4 +16,6 @@
   lastEventId: "last-event-id",
   retryAfter: "retry-after",
   base: "x-cranewind-base-version",
+  tenant: "x-cranewind-tenant",
+  key: "api-key",
 } as const;
--- a/tests/admission-judge.test.ts
+++ b/tests/admission-judge.test.ts
@@ -11,8 +11,8 @@
 import * as plans from "../src/router/plan.js";
 import * as readings from "../src/router/readings.js";
 import * as types from "../src/wire/types.js";
+import { NOBODYS } from "./sim/plans.js";
 import * as sim from "./sim/world.js";
-
 const AIM_MS = 500;
 const CONFIG = check
   .check({
@@ -78,7 +78,7 @@
       deadline: this.clock.now() + 4000,
       asked: { prompt: tokens, mostOut: 10 },
       rank,
-      isBatch: false,
+      ...NOBODYS,
       returnKey: key,
       cells: ["r"],
       candidates: [...this.fleet.of("s")],
--- a/tests/admission.test.ts
+++ b/tests/admission.test.ts
@@ -8,6 +8,7 @@
 import * as readings from "../src/router/readings.js";
 import * as settings from "../src/startup/settings.js";
 import * as types from "../src/wire/types.js";
+import { NOBODYS } from "./sim/plans.js";
 import * as sim from "./sim/world.js";
 
 const CONFIG = check
@@ -73,7 +74,7 @@
       deadline: clock.now() + 3000,
       asked: { prompt: 100, mostOut: 10 },
       rank,
-      isBatch: false,
+      ...NOBODYS,
       returnKey: key,
       cells: ["r"],
       candidates: [...fleet.of("s")],
--- a/tests/choice.test.ts
+++ b/tests/choice.test.ts
@@ -61,6 +61,7 @@
     asked: { prompt: 0, mostOut: 0 },
     rank: 1,
     isBatch: false,
+    tenant: null,
     returnKey: 0,
     cells,
     candidates: [...fleet.all()],
--- a/tests/headers.test.ts
+++ b/tests/headers.test.ts
@@ -22,11 +22,13 @@
   ["X-Cranewind-Request-Id", "r1", true],
   ["X-Cranewind-Prompt-Prefix", "a:1", true],
   ["Upgrade", "h2c", false],
+  ["Api-Key", "k-secret", false],
+  ["X-Cranewind-Tenant", "somebody-else", false],
 ];
 
 test.each(HEADERS)("header %s: %s is passed on: %s", function header(name, value, isKept) {
   const raw = ["Connection", CONNECTION, name, value];
-  const made = headers.forRunner(raw, CONNECTION, { target: "i-1", budgetMs: 12, rank: 1, lastEventId: null });
+  const made = headers.forRunner(raw, CONNECTION, { target: "i-1", budgetMs: 12, rank: 1, lastEventId: null, tenant: null });
   expect(made.includes(value) && made.includes(name)).toBe(isKept);
   expect(made[made.indexOf("X-Cranewind-Target-Instance") + 1]).toBe("i-1");
 });
@@ -42,6 +44,15 @@
     budgetMs: 12,
     rank,
     lastEventId: null,
+    tenant: null,
   });
   expect(made.filter((_item, index) => made[index - 1] === "X-Cranewind-Request-Priority")).toEqual([priority]);
 });
+
+test("the tenant is the key's, set once, whatever the client sent", () => {
+  const raw = ["X-Cranewind-Tenant", "other", "x-cranewind-tenant", "third", "Api-Key", "k"];
+  const made = headers.forRunner(raw, undefined, { target: "i-1", budgetMs: 12, rank: 1, lastEventId: null, tenant: "own" });
+  const values = made.filter((_item, index) => index % 2 === 1 && made[index - 1].toLowerCase() === "x-cranewind-tenant");
+  expect(values).toEqual(["own"]);
+  expect(made).not.toContain("k");
+});
--- a/tests/release.test.ts
+++ b/tests/release.test.ts
@@ -18,16 +18,25 @@
   return (message as { schema(): unknown }).schema();
 }
 
+interface Feature {
+  name: string;
+  codes: [first: number, last: number];
+  digest: string;
+}
+
 /**
- * The same of the calls that a feature adds (calls.isOptional). Nodes with it turned on run one build, or builds with one
- * digest; a change of it is told in docs/batch.md, "An upgrade".
+ * The same of the calls that a feature adds (calls.isOptional). Nodes that use it run one build, or builds with one
+ * digest; a change is told on the feature's page, under upgrades.
  */
-const OPTIONAL_LAYOUT = "82c97917eeead592";
+const FEATURES: Feature[] = [
+  { name: "batches (docs/batch.md)", codes: [44, 53], digest: "82c97917eeead592" },
+  { name: "tenants (design/tenants 6)", codes: [54, 54], digest: "56617daec31c8ee2" },
+];
 
 /** All messages and their codes, those of a release or those of features. */
-function layoutOf(isOptional: boolean): unknown[] {
+function layoutOf(isOptional: boolean, first = 0, last = 255): unknown[] {
   const layout: unknown[] = [];
-  for (let code = 0; code < 256; code += 1) {
+  for (let code = first; code <= last; code += 1) {
     const pair = calls.byCode(code);
     if (pair && calls.isOptional(code) === isOptional) layout.push([code, schemaOf(pair.ask), schemaOf(pair.reply)]);
   }
@@ -46,10 +55,15 @@
   expect(Math.max(...LAYOUTS.keys())).toBe(schema.RELEASE);
 });
 
-test("who changes a message of a feature, or its code, says so", () => {
-  const layout = layoutOf(true);
-  expect(layout.length).toBe(10);
-  expect(digestOf(layout)).toBe(OPTIONAL_LAYOUT);
+test.each(FEATURES)("who changes a message of $name, or its code, says so", ({ codes: [first, last], digest }) => {
+  const layout = layoutOf(true, first, last);
+  expect(layout.length).toBe(last - first + 1);
+  expect(digestOf(layout)).toBe(digest);
+});
+
+test("each optional call belongs to one feature", () => {
+  const counts = FEATURES.map(({ codes: [first, last] }) => layoutOf(true, first, last).length);
+  expect(counts.reduce((sum, count) => sum + count, 0)).toBe(layoutOf(true).length);
 });
 
 interface Heard {
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -9,6 +9,7 @@
 import * as rotations from "../src/router/rotation.js";
 import * as batches from "../src/router/batches.js";
 import * as servers from "../src/router/server.js";
+import * as tenancies from "../src/router/tenancy.js";
 import * as shares from "../src/shares/shares.js";
 import * as standin from "../src/standin/runner.js";
 import * as types from "../src/wire/types.js";
@@ -79,6 +80,7 @@
     () => 0,
     { memory_mb: 256, max_open_files: 1024 },
     new batches.RouterBatches("life", chooser.known, chooser.admission),
+    new tenancies.Tenancy(clock, "r", new Map(), { revocation_strict: false, revoke_delay_ms: 5000 }),
   );
   server.limit(CONFIG.limits);
   await server.listen("127.0.0.1:0");
--- a/tests/sim/edge.ts
+++ b/tests/sim/edge.ts
@@ -7,6 +7,7 @@
 import * as rotations from "../../src/router/rotation.js";
 import * as batches from "../../src/router/batches.js";
 import * as servers from "../../src/router/server.js";
+import * as tenancies from "../../src/router/tenancy.js";
 import * as shares from "../../src/shares/shares.js";
 import * as standin from "../../src/standin/runner.js";
 import * as types from "../../src/wire/types.js";
@@ -33,7 +34,7 @@
     revision: 1,
     services: [{ name: "s", max_connections: 100 }],
     limits: { max_body_bytes: 2000, max_header_bytes: 4096, header_timeout_ms: 5000 },
-    routes: [routeOf("once", "mutating"), routeOf("read", "read_only")],
+    routes: [routeOf("once", "mutating"), routeOf("read", "read_only"), routeOf("open", "read_only", { public: true })],
   })
   .unwrapOr(null)!;
 
@@ -54,6 +55,7 @@
   private constructor(
     readonly clock: types.World,
     readonly runners: Runner[],
+    tenancy = new tenancies.Tenancy(clock, "r", new Map(), { revocation_strict: false, revoke_delay_ms: 5000 }),
   ) {
     this.fleet = new fleets.Fleet(clock, new Map([["z", "r"]]));
     const share = new shares.Shares(clock, {
@@ -86,20 +88,22 @@
       () => 0,
       { memory_mb: 256, max_open_files: 1024 },
       new batches.RouterBatches("life", chooser.known, chooser.admission),
+      tenancy,
     );
     this.server.limit(CONFIG.limits);
   }
 
-  static start(clock: types.World, options: Partial<standin.RunnerOptions>[]): Promise<Edge> {
+  static start(clock: types.World, options: Partial<standin.RunnerOptions>[], tenancy?: tenancies.Tenancy): Promise<Edge> {
     return Edge.over(
       clock,
       options.map((item) => new standin.StandInRunner(item)),
+      tenancy,
     );
   }
 
-  static async over<Runner extends EdgeRunner>(clock: types.World, runners: Runner[]): Promise<Edge<Runner>> {
+  static async over<Runner extends EdgeRunner>(clock: types.World, runners: Runner[], tenancy?: tenancies.Tenancy): Promise<Edge<Runner>> {
     for (const runner of runners) await runner.start();
-    const edge = new Edge(clock, runners);
+    const edge = new Edge(clock, runners, tenancy);
     await edge.server.listen("127.0.0.1:0");
     return edge;
   }
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -23,7 +23,16 @@
 import * as networks from "./network.js";
 
 export const ZONES = new Set(["z0", "z1", "z2", "z3", "z4", "z5", "z6", "z7"]);
-const BOUNDS = { retry_ratio: 0.1, retry_window_s: 10, retry_extra: 20, warmup_overshoot: 1.5, warmup_tolerance: 3 };
+const BOUNDS = {
+  retry_ratio: 0.1,
+  retry_window_s: 10,
+  retry_extra: 20,
+  warmup_overshoot: 1.5,
+  warmup_tolerance: 3,
+  quota_window_s: 5,
+  quota_overshoot: 0.1,
+  quota_tolerance: 20,
+};
 
 export class MemberDialer extends dialers.Dialer {
   reach: (address: string) => Promise<link.Link | null> = () => Promise.resolve(null);
--- /dev/null
+++ b/tests/sim/quotas.ts
@@ -0,0 +1,208 @@
+// Owners of quotas and routers that ask them for units, over a simulated network with faults by seed, and a record of
+// what ran that knows nothing of units.
+import type * as dialers from "../../src/feed/dialer.js";
+import * as tenures from "../../src/shares/tenure.js";
+import type * as claims from "../../src/tenants/quota-claim.js";
+import * as clients from "../../src/tenants/quota-client.js";
+import * as owners from "../../src/tenants/quota-owner.js";
+import type * as parts from "../../src/tenants/quota-part.js";
+import * as sources from "../../src/tenants/quota-sources.js";
+import type * as schema from "../../src/wire/schema.js";
+import type * as tenantSchema from "../../src/wire/tenant-schema.js";
+import * as types from "../../src/wire/types.js";
+import * as voters from "./voters.js";
+
+/** A guard that a test may break on purpose, to see the checker fail. */
+export type Broken = "none" | "full_bucket" | "no_fence" | "stale_units";
+
+const FENCE_MS = 4000;
+export const BOUNDS: parts.QuotaBounds = { quota_window_s: 5, quota_overshoot: 0.1, quota_tolerance: 20 };
+const STEP_MS = 10;
+
+class SimTenure extends tenures.Tenure {
+  constructor(private readonly sim: QuotaSim) {
+    super(sim.clock, { fenceMs: FENCE_MS, lifeMs: clients.UNIT_MS });
+  }
+  protected override hasMajority(slots: number): boolean {
+    return this.sim.broken === "no_fence" || super.hasMajority(slots);
+  }
+}
+
+class SimOwner extends owners.QuotaOwner {
+  constructor(
+    private readonly sim: QuotaSim,
+    life: string,
+    tenure: tenures.Tenure,
+  ) {
+    super(sim.clock, life, BOUNDS, tenure);
+  }
+  protected override earnedSince(): number {
+    return this.sim.broken === "full_bucket" ? -1e9 : super.earnedSince();
+  }
+}
+
+class SimClient extends clients.QuotaClient {
+  constructor(
+    private readonly sim: QuotaSim,
+    known: sources.Sources,
+  ) {
+    super(sim.clock, known, () => undefined);
+  }
+  protected override endOf(sentAt: types.SteadyMs): types.SteadyMs {
+    return this.sim.broken === "stale_units" ? types.small(Infinity) : super.endOf(sentAt);
+  }
+}
+
+export class Owner extends voters.VoterNode {
+  owner!: SimOwner;
+
+  constructor(
+    private readonly sim: QuotaSim,
+    disk: string,
+    first: schema.Value,
+  ) {
+    super(sim, disk, first);
+  }
+
+  protected override begin(): void {
+    this.tenure = new SimTenure(this.sim);
+    this.owner = new SimOwner(this.sim, this.life, this.tenure);
+    this.owner.setLimits(this.sim.limits);
+  }
+}
+
+/** What ran of one tenant, in ms, and what became of the rest. */
+export interface Record {
+  ran: number[];
+  exhausted: number;
+  unreached: number;
+}
+
+/** A router with links to all owners, or to some. */
+export class Router {
+  readonly controls = new Map<string, dialers.Control>();
+  readonly client: clients.QuotaClient;
+  frozenUntil = 0;
+  asks = 0;
+  private thawing: (() => void)[] = [];
+
+  constructor(
+    private readonly sim: QuotaSim,
+    readonly name: string,
+    region: string,
+  ) {
+    const known = new sources.Sources(sim.clock, region, this.controls);
+    this.client = new SimClient(sim, known);
+  }
+
+  link(owner: Owner, region: string, tripMs: number): void {
+    const call = (_pair: unknown, ask: tenantSchema.QuotaAsk, withinMs: number): Promise<tenantSchema.QuotaReply | null> =>
+      this.call(owner, ask, withinMs, tripMs);
+    const node = { region } as schema.NodeInfo;
+    Object.defineProperty(node, "life", { get: () => owner.life });
+    const control = { address: owner.disk, node, link: { isOpen: true, call }, tripMs } as unknown as dialers.Control;
+    this.controls.set(owner.disk, control);
+  }
+
+  private call(owner: Owner, ask: tenantSchema.QuotaAsk, withinMs: number, tripMs: number): Promise<tenantSchema.QuotaReply | null> {
+    this.asks += 1;
+    return new Promise((resolve) => {
+      const tick = this.sim.clock.after(withinMs, () => this.whenAwake(() => resolve(null)));
+      this.sim.ask(this, owner, ask, tripMs, (reply) => {
+        tick.stop();
+        this.whenAwake(() => resolve(reply));
+      });
+    });
+  }
+
+  /** A process that stands still takes what arrived once it goes on. */
+  private whenAwake(run: () => void): void {
+    if (this.sim.clock.now() < this.frozenUntil) this.thawing.push(run);
+    else run();
+  }
+
+  turn(): void {
+    if (this.sim.clock.now() < this.frozenUntil) return;
+    for (const run of this.thawing.splice(0)) run();
+    this.client.turn();
+  }
+
+  /** A request of the tenant; it runs as soon as it has its unit. */
+  request(tenant: string): void {
+    const record = this.sim.recordOf(tenant);
+    this.client.take(tenant, (verdict: claims.Verdict) => {
+      if (verdict.kind === "exhausted") record.exhausted += 1;
+      else if (verdict.kind === "unreached") record.unreached += 1;
+      else record.ran.push(this.sim.clock.now());
+    });
+  }
+}
+
+export class QuotaSim extends voters.VoterSim<Owner> {
+  readonly routers: Router[] = [];
+  readonly records = new Map<string, Record>();
+  limits = new Map<string, parts.Limit>();
+
+  constructor(
+    seed: number,
+    disks: number,
+    voting: number,
+    limits: Iterable<[string, parts.Limit]>,
+    readonly broken: Broken = "none",
+  ) {
+    super(seed, disks, voting);
+    this.limits = new Map(limits);
+    this.startNodes(disks, (disk) => new Owner(this, disk, this.value));
+  }
+
+  /** Routers of so many regions, each with links to that many owners: one of its own region, then by turns of the others. */
+  join(count: number, regions: number, links = 3): void {
+    const sites = this.nodes.map((owner, place) => ({ owner, region: `g${place % regions}` }));
+    for (let index = 0; index < count; index += 1) {
+      const region = `g${index % regions}`;
+      const turned = [...sites.slice(index % sites.length), ...sites.slice(0, index % sites.length)];
+      const own = turned.filter((site) => site.region === region);
+      const others = turned.filter((site) => site.region !== region);
+      const router = new Router(this, `r${this.routers.length}`, region);
+      for (const site of [...own.slice(0, 1), ...others, ...own.slice(1)].slice(0, links))
+        router.link(site.owner, site.region, site.region === region ? 4 : 110);
+      this.routers.push(router);
+    }
+  }
+
+  recordOf(tenant: string): Record {
+    let record = this.records.get(tenant);
+    if (!record) {
+      record = { ran: [], exhausted: 0, unreached: 0 };
+      this.records.set(tenant, record);
+    }
+    return record;
+  }
+
+  setLimits(limits: Iterable<[string, parts.Limit]>): void {
+    this.limits = new Map(limits);
+    for (const node of this.nodes) node.owner.setLimits(this.limits);
+  }
+
+  ask(router: Router, owner: Owner, ask: tenantSchema.QuotaAsk, tripMs: number, reply: (told: tenantSchema.QuotaReply) => void): void {
+    this.toNode(
+      router.name,
+      owner,
+      () => {
+        owner.follow();
+        const given = owner.owner.reply(ask, owner.accepted);
+        const told = { isGranting: given !== null, isConfirmed: false, epoch: types.NO_EPOCH, given: given ?? [] };
+        this.later(tripMs / 2, () => {
+          if (!this.isCut(owner.disk, router.name)) reply(told);
+        });
+      },
+      tripMs / 2,
+    );
+  }
+
+  async step(): Promise<void> {
+    this.nodesTurn();
+    for (const router of this.routers) router.turn();
+    await this.clock.play(STEP_MS);
+  }
+}
