--- a/src/cli/ask.ts
+++ b/src/cli/ask.ts
@@ -13,6 +13,8 @@
   path: string;
   /** Parts of the prompt as ID:TOKENS pairs; empty for a plain request. */
   prompt: string;
+  /** Key of a tenant; empty where the route needs none. */
+  key: string;
   /** The client's time budget in milliseconds. */
   budgetMs: string;
 }
@@ -26,6 +28,7 @@
     "X-Cranewind-Time-Budget-Ms": options.budgetMs,
     "X-Cranewind-Model": "m",
   };
+  if (options.key !== "") headers["Api-Key"] = options.key;
   if (options.prompt !== "") {
     headers["X-Cranewind-Prompt-Prefix"] = options.prompt;
     headers["X-Cranewind-Token-Usage"] = "100,100";
--- a/src/cli/cranewind.ts
+++ b/src/cli/cranewind.ts
@@ -8,10 +8,11 @@
 import * as nodeModule from "node:module";
 import * as path from "node:path";
 
-type RoleFile = Record<string, () => void>;
+type RoleFile = Record<string, (options: { metrics?: string }) => void>;
 
-const [, , role, ...rest] = process.argv;
-const isRole = (role === "router" || role === "control") && rest.length === 0;
+const [, , role, option, metrics, ...rest] = process.argv;
+const isPlain = option === undefined || (option === "--metrics" && metrics !== undefined && rest.length === 0);
+const isRole = (role === "router" || role === "control") && isPlain;
 const load = nodeModule.createRequire(__filename);
 const loaded = load(path.join(__dirname, isRole ? "roles.js" : "commands.js")) as RoleFile;
-if (isRole) loaded[role]();
+if (isRole) loaded[role]({ metrics });
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
 import * as capacities from "./capacity.js";
 import * as commands from "./commands.js";
 import * as roles from "./roles.js";
+import * as tenants from "./tenants.js";
 import * as trials from "./try.js";
 
 const clock = new world.RealWorld();
@@ -26,6 +27,7 @@
   control: string;
   base: string;
   json?: boolean;
+  watch?: boolean;
   folder: string;
 }
 
@@ -45,8 +47,17 @@
   .version("0.1.0")
   .addHelpText("after", "\nExit codes: 0 done, 1 denied, 2 wrong use, 3 unreachable or no majority, 78 bad settings.");
 
-program.command("router").description("run the Global Transaction Router on this node").action(roles.startRouter);
-program.command("control").description("run a control node").action(roles.startControl);
+const metricsOption = ["--metrics <port/path>", "tell the process's figures there, as Prometheus text"] as const;
+program
+  .command("router")
+  .description("run the Global Transaction Router on this node")
+  .option(...metricsOption)
+  .action(roles.startRouter);
+program
+  .command("control")
+  .description("run a control node")
+  .option(...metricsOption)
+  .action(roles.startControl);
 
 const controls = ["--control <host:port,...>", "control nodes to ask, one after the other"] as const;
 
@@ -116,6 +127,18 @@
     return withExitCode(capacities.capacity(clock, output, listOf(options.control), options.json === true));
   });
 
+program
+  .command("tenants")
+  .description("what each tenant uses of its limit (name all control nodes)")
+  .requiredOption(...controls)
+  .option("--json", "rows as JSON")
+  .option("--watch", "again every two seconds")
+  .action(function showTenants(options: Options) {
+    const { json, watch } = options;
+    const how = { isJson: json === true, isWatching: watch === true };
+    return withExitCode(tenants.tenants(clock, output, listOf(options.control), how));
+  });
+
 program
   .command("whatif <file>")
   .description("play a described day through the router's policies")
@@ -131,6 +154,7 @@
   .requiredOption("--host <name>", "host of the route")
   .requiredOption("--path <path>", "path of the request")
   .option("--prompt <id:tokens,...>", "parts of the prompt", "")
+  .option("--key <key>", "key of a tenant", "")
   .option("--budget-ms <ms>", "how long to wait", "10000")
   .action(function ask(options: asks.AskOptions) {
     return withExitCode(asks.ask(output, options));
--- a/src/cli/roles.ts
+++ b/src/cli/roles.ts
@@ -21,13 +21,29 @@
 
 const SETTINGS_CHECK_MS = 2000;
 
-async function run(createProgram: (startup: settings.Settings) => Program): Promise<void> {
+/** Options of a role's command line. */
+export interface RoleOptions {
+  /** PORT/PATH where the process tells its own figures; nowhere without it. */
+  metrics?: string;
+}
+
+function endWith(message: string, code: number): never {
+  process.stderr.write(`cranewind: ${message}\n`);
+  process.exit(code);
+}
+
+/** The library is loaded only where figures are asked for: a role starts faster without it. */
+async function addMetrics(root: supervisor.Supervisor, host: string, option: string): Promise<void> {
+  const metrics = await import("../startup/metrics.js");
+  const endpoint = metrics.parseEndpoint(option);
+  if (endpoint.isErr) endWith(endpoint.error.message, commands.EXIT.usage);
+  root.add(metrics.metricsChild(host, endpoint.value));
+}
+
+async function run(createProgram: (startup: settings.Settings) => Program, { metrics }: RoleOptions): Promise<void> {
   const file = settings.settingsPath();
   const read = settings.read(file);
-  if (read.isErr) {
-    process.stderr.write(`cranewind: ${read.error.message}\n`);
-    process.exit(commands.EXIT.startup);
-  }
+  if (read.isErr) endWith(read.error.message, commands.EXIT.startup);
   const program = createProgram(read.value);
   supervisor.superviseProcess(program.root);
   let isStopping = false;
@@ -36,6 +52,7 @@
   process.on("SIGINT", stop);
   process.on("SIGHUP", reload);
   program.root.add(program.root.turns("settings", SETTINGS_CHECK_MS, checkFile));
+  if (metrics !== undefined) await addMetrics(program.root, read.value.ip_address, metrics);
   await program.root.start();
   log.state(`${read.value.node_name} is up`);
 
@@ -76,15 +93,15 @@
 }
 
 /** Runs a router until it is told to stop; ends the process with code 78 where the settings are bad. */
-export function startRouter(): Promise<void> {
+export function startRouter(options: RoleOptions): Promise<void> {
   return run(function createRouter(initial) {
     return new router.RouterProgram(new world.RealWorld(), initial);
-  });
+  }, options);
 }
 
 /** Runs a control node, in the same way. */
-export function startControl(): Promise<void> {
+export function startControl(options: RoleOptions): Promise<void> {
   return run(function createControl(initial) {
     return new control.ControlProgram(new world.RealWorld(), initial);
-  });
+  }, options);
 }
--- a/src/control/quotas.ts
+++ b/src/control/quotas.ts
@@ -75,9 +75,9 @@
     this.tenure.hear(asked, sentAt, reply);
   }
 
-  /** For `status`: what was granted and denied by tenant. */
+  /** For `status`: limits, and what was granted and denied by tenant. */
   status(): unknown {
-    return { isGranting: this.tenure.isGranting(this.core.acceptedVoterEpoch), used: Object.fromEntries(this.owner.used()) };
+    return { isGranting: this.tenure.isGranting(this.core.acceptedVoterEpoch), ...(this.owner.status() as object) };
   }
 }
 
--- a/src/shares/parts.ts
+++ b/src/shares/parts.ts
@@ -40,15 +40,20 @@
   return { burst, perS: Math.min(mostPerS, burst === 1 ? Math.max(perS, ALONE / spanS) : perS) };
 }
 
-/** Whole units go round the slots by rendezvous on the key; the refill goes with them. */
-export function partOf(whole: Whole, slots: number, slot: number, key: string): Part {
+/** The place of a slot among all by rendezvous on the key; 0 is the first. */
+export function placeOf(slots: number, slot: number, key: string): number {
   const own = hashes.hash(`${slot}|${key}`);
   let place = 0;
   for (let other = 0; other < slots; other += 1) {
     const mark = hashes.hash(`${other}|${key}`);
     if (mark > own || (mark === own && other < slot)) place += 1;
   }
-  const burst = Math.floor(whole.burst / slots) + (place < whole.burst % slots ? 1 : 0);
+  return place;
+}
+
+/** Whole units go round the slots by rendezvous on the key; the refill goes with them. */
+export function partOf(whole: Whole, slots: number, slot: number, key: string): Part {
+  const burst = Math.floor(whole.burst / slots) + (placeOf(slots, slot, key) < whole.burst % slots ? 1 : 0);
   return { burst, perMs: whole.burst > 0 ? ((whole.perS / 1000) * burst) / whole.burst : 0 };
 }
 
--- a/src/tenants/quota-bucket.ts
+++ b/src/tenants/quota-bucket.ts
@@ -1,5 +1,5 @@
 /** What one slot's owner holds of one tenant's quota: a token bucket whose refill never runs twice (design/tenants 4.3). */
-import type * as parts from "../shares/parts.js";
+import type * as parts from "./quota-part.js";
 
 /** A unit may come back unused for so long after its grant, in ms: its life, and the way of the report (*ours*). */
 export const RETURN_MS = 700;
@@ -21,25 +21,26 @@
  * at most the burst and the refill of the window.
  */
 export class QuotaBucket {
-  private level = 0;
+  private level: number;
   /** Grants that may still come back by their ids, the oldest first. */
   private readonly out = new Map<number, Granted>();
   private outUnits = 0;
   private denials = 0;
   private deniedAt: number;
 
-  /** earnedSince: when the slot's owner began, with nothing there; ms of the own clock. */
+  /** at: when the slot's owner began, with what its part starts with; ms of the own clock. */
   constructor(
-    private part: parts.Part,
+    private part: parts.QuotaPart,
     private at: number,
     now: number,
   ) {
+    this.level = part.start;
     this.deniedAt = now;
     this.refill(now);
   }
 
   /** Another limit is in force: what was earned under the former one is kept, up to the new burst. */
-  resize(part: parts.Part, now: number): void {
+  resize(part: parts.QuotaPart, now: number): void {
     this.refill(now);
     this.part = part;
     this.refill(now);
--- a/src/tenants/quota-owner.ts
+++ b/src/tenants/quota-owner.ts
@@ -8,17 +8,12 @@
 import * as types from "../wire/types.js";
 import * as buckets from "./quota-bucket.js";
 import * as parts from "./quota-part.js";
+import * as uses from "./quota-use.js";
 
 /** The longest wait that is told, in milliseconds; also of quotas that this slot holds nothing of. */
 const MOST_WAIT_MS = 3000;
 const SWEEP_MS = 1000;
 
-/** What the owner did for one tenant since its start. */
-export interface Use {
-  granted: number;
-  denied: number;
-}
-
 /** Grants units of one slot. */
 export class QuotaOwner {
   private round = -1;
@@ -26,14 +21,16 @@
   private nextId = 1;
   private limits: ReadonlyMap<string, parts.Limit> = new Map();
   private readonly buckets = new Map<string, buckets.QuotaBucket>();
-  private readonly uses = new Map<string, Use>();
+  private readonly uses: uses.QuotaUses;
 
   constructor(
     private readonly world: types.World,
     readonly life: string,
     private bounds: parts.QuotaBounds,
     private readonly tenure: tenures.Tenure,
-  ) {}
+  ) {
+    this.uses = new uses.QuotaUses(world);
+  }
 
   /** The settings were read again. */
   resettle(bounds: parts.QuotaBounds): void {
@@ -77,7 +74,7 @@
     const id = this.nextId;
     this.nextId += 1;
     const amount = bucket.take(taking.wanted, id, now);
-    this.count(tenant, amount, taking.wanted - amount);
+    if (taking.wanted > 0) this.uses.add(tenant, amount, taking.wanted - amount);
     return { amount, id, waitMs: amount < taking.wanted ? Math.min(MOST_WAIT_MS, bucket.waitMs(now)) : 0 };
   }
 
@@ -95,13 +92,6 @@
     return this.tenure.openAt;
   }
 
-  private count(tenant: string, granted: number, denied: number): void {
-    const use = this.uses.get(tenant) ?? { granted: 0, denied: 0 };
-    use.granted += granted;
-    use.denied += denied;
-    this.uses.set(tenant, use);
-  }
-
   /** Another tenure begins with nothing; buckets of tenants that are gone and full are forgotten. */
   private sweep(): void {
     const now = this.world.now();
@@ -112,11 +102,11 @@
     if (now - this.sweptAt < SWEEP_MS) return;
     this.sweptAt = now;
     for (const [tenant, bucket] of this.buckets) if (bucket.isSpare(now)) this.buckets.delete(tenant);
-    for (const tenant of this.uses.keys()) if (!this.limits.has(tenant)) this.uses.delete(tenant);
+    this.uses.retainOnly(this.limits);
   }
 
-  /** What was granted and denied of each tenant that was asked for. */
-  used(): ReadonlyMap<string, Use> {
-    return this.uses;
+  /** For `status`: limits, and what was granted and denied by tenant. */
+  status(): unknown {
+    return { limits: Object.fromEntries(this.limits), used: Object.fromEntries(this.uses.all()) };
   }
 }
--- a/src/tenants/quota-part.ts
+++ b/src/tenants/quota-part.ts
@@ -25,6 +25,10 @@
  * unit, the way, and connections that do not come up at first (*ours*).
  */
 export const SPREAD_MS = 450;
+/** Starts of all owners within one window that are provided for; the reserve covers what passes them (*ours*). */
+const STARTS = 2;
+/** The part of what lies above the refill that starts may take (*ours*). */
+const STARTS_SHARE = 0.4;
 /** The part of the tolerance that is set aside for routers that stand still between taking a unit and sending (*ours*). */
 const RESERVE = 0.2;
 
@@ -33,11 +37,24 @@
   return (limit.perS * bounds.quota_window_s + limit.burst) * (1 + bounds.quota_overshoot) + bounds.quota_tolerance;
 }
 
+/** A slot's part of a quota. */
+export interface QuotaPart extends parts.Part {
+  /**
+   * What a bucket holds when its owner begins, under one unit. The slots are staggered by rendezvous on the tenant, so that
+   * after a start of everything the first units do not all come in one refill late.
+   */
+  start: number;
+}
+
 /** The part of one slot of so many. */
-export function quotaPart(bounds: QuotaBounds, limit: Limit, slots: number, slot: number, tenant: string): parts.Part {
+export function quotaPart(bounds: QuotaBounds, limit: Limit, slots: number, slot: number, tenant: string): QuotaPart {
   const bound = boundOf(bounds, limit) - RESERVE * bounds.quota_tolerance;
   const spanS = bounds.quota_window_s + SPREAD_MS / 1000;
-  const burst = Math.max(1, Math.floor(bound - limit.perS * spanS));
+  const above = Math.max(0, bound - limit.perS * spanS);
+  const started = (slots - 1) / 2;
+  const stagger = Math.min(1, (STARTS_SHARE * above) / (STARTS * Math.max(1, started)));
+  const burst = Math.max(1, Math.floor(above - STARTS * started * stagger));
   const perS = Math.max(0, Math.min(limit.perS, (bound - burst) / spanS));
-  return parts.partOf({ burst, perS }, slots, slot, tenant);
+  const start = (stagger * parts.placeOf(slots, slot, tenant)) / Math.max(1, slots);
+  return { ...parts.partOf({ burst, perS }, slots, slot, tenant), start };
 }
