--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -5,9 +5,9 @@
  * This class owns the state; `judge.ts` decides, `predict.ts` computes, `ticket.ts` feeds back what each response
  * showed. Made once per router by the chooser. Nothing here waits or does I/O, and no call throws.
  */
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import type * as plans from "../router/plan.js";
-import type * as readings from "../router/readings.js";
+import type * as readings from "../router/runners/readings.js";
 import * as log from "../startup/log.js";
 import type * as schema from "../wire/schema.js";
 import type * as types from "../wire/types.js";
--- a/src/admission/cells.ts
+++ b/src/admission/cells.ts
@@ -5,7 +5,7 @@
  * Between two reports each router may spend only its lease of the free places, so that all routers together do not
  * fill the same places twice. Times are milliseconds of the steady clock.
  */
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import type * as schema from "../wire/schema.js";
 import type * as types from "../wire/types.js";
 import * as rooms from "./room.js";
--- a/src/admission/judge.ts
+++ b/src/admission/judge.ts
@@ -5,7 +5,7 @@
  * Called once per request by the last policy of the router's chain, so it is on the hot path: on calm days exactly
  * one runner is looked at.
  */
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import type * as plans from "../router/plan.js";
 import * as log from "../startup/log.js";
 import type * as types from "../wire/types.js";
--- a/src/admission/spare.ts
+++ b/src/admission/spare.ts
@@ -2,7 +2,7 @@
  * Whether there is room to spare for an item of a batch (design/batch 6): it goes only where a place is free, nobody
  * waits, no stream is held up, and most of the cell stays free for others. Also with the setting `admission` off.
  */
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import type * as plans from "../router/plan.js";
 import * as log from "../startup/log.js";
 import type * as cells from "./cells.js";
--- a/src/admission/ticket.ts
+++ b/src/admission/ticket.ts
@@ -1,5 +1,5 @@
 /** One admitted send: what was predicted for it, and what its response teaches (design/admission 3). */
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import type * as types from "../wire/types.js";
 import type * as cells from "./cells.js";
 import * as paces from "./pace.js";
--- a/src/admission/verdict.ts
+++ b/src/admission/verdict.ts
@@ -1,5 +1,5 @@
 /** The two ends of a judgment (design/admission 1): in, at that runner first, or denied with a time to come back. */
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import type * as plans from "../router/plan.js";
 import * as log from "../startup/log.js";
 
--- a/src/experiment/chain.ts
+++ b/src/experiment/chain.ts
@@ -1,13 +1,13 @@
 /** What one choice of the chain (design 7.2) costs a router, by the runners of the service (docs/experiment.md). */
 import * as admissions from "../admission/admission.js";
-import * as fleets from "../router/fleet.js";
+import * as fleets from "../router/runners/fleet.js";
 import * as plans from "../router/plan.js";
 import * as admitting from "../router/policies/admission.js";
 import * as cells from "../router/policies/cells.js";
 import * as homes from "../router/policies/homes.js";
 import * as runners from "../router/policies/runner.js";
-import * as readings from "../router/readings.js";
-import * as rotations from "../router/rotation.js";
+import * as readings from "../router/runners/readings.js";
+import * as rotations from "../router/runners/rotation.js";
 import type * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as rows from "./rows.js";
--- a/src/router/account.ts
+++ b/src/router/account.ts
@@ -6,7 +6,7 @@
 import type * as types from "../wire/types.js";
 import type * as shares from "../shares/shares.js";
 import type * as choosers from "./chooser.js";
-import type * as fleets from "./fleet.js";
+import type * as fleets from "./runners/fleet.js";
 
 /** What a router goes by now. */
 export interface Standing {
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -6,10 +6,10 @@
 import * as http from "../wire/http.js";
 import * as types from "../wire/types.js";
 import * as answers from "./answer.js";
-import type * as connections from "./connections.js";
-import type * as fleets from "./fleet.js";
-import * as idle from "./idle.js";
-import type * as signs from "./signs.js";
+import type * as connections from "./runners/connections.js";
+import type * as fleets from "./runners/fleet.js";
+import * as idle from "./runners/idle.js";
+import type * as signs from "./runners/signs.js";
 
 const CONNECT_MS = 450;
 /** After so many events the pace of a stream is known. */
--- a/src/router/batches.ts
+++ b/src/router/batches.ts
@@ -7,7 +7,7 @@
 import * as calls from "../wire/calls.js";
 import type * as link from "../wire/link.js";
 import type * as admissions from "../admission/admission.js";
-import type * as readings from "./readings.js";
+import type * as readings from "./runners/readings.js";
 
 /** Routes counted; the counts of others are left out. */
 const MOST_ROUTES = 4096;
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -6,16 +6,16 @@
 import * as log from "../startup/log.js";
 import * as shares from "../shares/shares.js";
 import * as types from "../wire/types.js";
-import type * as connections from "./connections.js";
-import type * as fleets from "./fleet.js";
+import type * as connections from "./runners/connections.js";
+import type * as fleets from "./runners/fleet.js";
 import * as plans from "./plan.js";
 import * as admitting from "./policies/admission.js";
 import * as cells from "./policies/cells.js";
 import * as homes from "./policies/homes.js";
 import * as runners from "./policies/runner.js";
-import type * as readings from "./readings.js";
+import type * as readings from "./runners/readings.js";
 import type * as requests from "./request.js";
-import type * as rotations from "./rotation.js";
+import type * as rotations from "./runners/rotation.js";
 
 /** Where a request goes, and by which connection. */
 export interface Choice {
--- a/src/router/client-reply.ts
+++ b/src/router/client/client-reply.ts
@@ -1,9 +1,9 @@
 // The answer to one client: its head, its body as it arrives from a runner, and its end (design 7.8, 7.9). An answer
 // that is not whole never looks complete: its connection is destroyed, so nothing else is ever sent over it.
 import type * as nodeHttp from "node:http";
-import type * as answers from "./answer.js";
+import type * as answers from "../answer.js";
 import * as events from "./events.js";
-import * as headers from "./headers.js";
+import * as headers from "../headers.js";
 import * as replies from "./replies.js";
 
 /** One answer; begun at most once. */
--- a/src/router/pending.ts
+++ b/src/router/client/pending.ts
@@ -3,7 +3,7 @@
  * (design 7.1). Each waits for a bounded time, and never past its deadline.
  */
 import type * as nodeHttp from "node:http";
-import type * as types from "../wire/types.js";
+import type * as types from "../../wire/types.js";
 
 /** The longest wait, in milliseconds. */
 const MOST_MS = 800;
--- a/src/router/server.ts
+++ b/src/router/client/server.ts
@@ -1,20 +1,20 @@
 // Where clients arrive (design 7.1): reads whole requests within the limits and starts their transactions.
 import * as nodeHttp from "node:http";
 import type * as net from "node:net";
-import type * as check from "../config/check.js";
-import * as log from "../startup/log.js";
-import * as listening from "../wire/listen.js";
-import * as types from "../wire/types.js";
-import * as names from "../wire/names.js";
-import type * as batches from "./batches.js";
+import type * as check from "../../config/check.js";
+import * as log from "../../startup/log.js";
+import * as listening from "../../wire/listen.js";
+import * as types from "../../wire/types.js";
+import * as names from "../../wire/names.js";
+import type * as batches from "../batches.js";
 import * as bodies from "./body.js";
-import type * as contexts from "./context.js";
+import type * as contexts from "../context.js";
 import * as pendings from "./pending.js";
 import * as proper from "./proper.js";
 import * as replies from "./replies.js";
-import * as requests from "./request.js";
-import type * as tenancies from "./tenancy.js";
-import * as transactions from "./transaction.js";
+import * as requests from "../request.js";
+import type * as tenancies from "../tenancy.js";
+import * as transactions from "../transaction.js";
 
 const DEFAULTS: Required<check.Limits> = {
   max_header_bytes: 16384,
--- a/src/router/leaving.ts
+++ b/src/router/leaving.ts
@@ -3,7 +3,7 @@
 import * as link from "../wire/link.js";
 import type * as types from "../wire/types.js";
 import * as worlds from "../wire/world.js";
-import type * as servers from "./server.js";
+import type * as servers from "./client/server.js";
 
 /** Of the grace time, kept for the end of the process itself. */
 const LAST_MS = 400;
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -2,7 +2,7 @@
 import type * as routes from "../config/routes.js";
 import type * as tenants from "../tenants/tenant.js";
 import type * as types from "../wire/types.js";
-import type * as fleet from "./fleet.js";
+import type * as fleet from "./runners/fleet.js";
 
 /** A part of a prompt. */
 export interface Part {
--- a/src/router/policies/cells.ts
+++ b/src/router/policies/cells.ts
@@ -2,9 +2,9 @@
 // else priority order: the own region, then the others in one fixed order.
 import * as shares from "../../shares/shares.js";
 import * as summaries from "../../usage/summary.js";
-import type * as fleets from "../fleet.js";
+import type * as fleets from "../runners/fleet.js";
 import * as plans from "../plan.js";
-import * as rotations from "../rotation.js";
+import * as rotations from "../runners/rotation.js";
 
 /** From so many shared tokens on, the request goes to the data. */
 export const DETERMINISTIC_TOKENS = 1000;
--- a/src/router/policies/homes.ts
+++ b/src/router/policies/homes.ts
@@ -1,7 +1,7 @@
 // Homes: whatever fails, only runners in the allowed regions, in use and not tried yet, remain (design 7.3).
-import type * as fleets from "../fleet.js";
+import type * as fleets from "../runners/fleet.js";
 import type * as plans from "../plan.js";
-import type * as rotations from "../rotation.js";
+import type * as rotations from "../runners/rotation.js";
 
 const LEAVING_SLACK_MS = 300;
 
--- a/src/router/request.ts
+++ b/src/router/request.ts
@@ -9,7 +9,7 @@
 import type * as attempts from "./attempt.js";
 import * as headers from "./headers.js";
 import * as plans from "./plan.js";
-import * as readings from "./readings.js";
+import * as readings from "./runners/readings.js";
 
 /** For clients that don't say how long they wait. */
 const DEFAULT_BUDGET_MS = 60_000;
--- a/src/router/connections.ts
+++ b/src/router/runners/connections.ts
@@ -1,5 +1,5 @@
 // Connections to one runner, kept and reused within this router's part of the bound (design 7.6).
-import * as http from "../wire/http.js";
+import * as http from "../../wire/http.js";
 import * as idle from "./idle.js";
 
 const CONNECT_MS = 700;
--- a/src/router/fleet.ts
+++ b/src/router/runners/fleet.ts
@@ -1,7 +1,7 @@
 // The runners as this router sees them: the pushed list and reports, and its own signs (design 7.4).
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import * as summaries from "../usage/summary.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import * as summaries from "../../usage/summary.js";
 import * as cohorts from "./cohort.js";
 import * as connections from "./connections.js";
 import * as departures from "./gone.js";
--- a/src/router/gone.ts
+++ b/src/router/runners/gone.ts
@@ -1,5 +1,5 @@
 // Runners that left the list: what an older list or another source still says of them is not believed for a while.
-import type * as schema from "../wire/schema.js";
+import type * as schema from "../../wire/schema.js";
 
 const KEPT_MS = 120_000;
 
--- a/src/router/idle.ts
+++ b/src/router/runners/idle.ts
@@ -1,7 +1,7 @@
 // How long a kept connection may have been idle (design/edge 7.13): what runners tell, and what is learned a service
 // from connections that were forgotten sooner.
-import * as log from "../startup/log.js";
-import type * as types from "../wire/types.js";
+import * as log from "../../startup/log.js";
+import type * as types from "../../wire/types.js";
 
 /** Told in whole seconds, and counted from another moment than ours: so much sooner a connection is let go. */
 export const MARGIN_MS = 1000;
--- a/src/router/outcomes.ts
+++ b/src/router/runners/outcomes.ts
@@ -1,6 +1,6 @@
 // The status of a runner from what became of the requests sent to it, from here and elsewhere (design/status 3).
-import * as log from "../startup/log.js";
-import type * as types from "../wire/types.js";
+import * as log from "../../startup/log.js";
+import type * as types from "../../wire/types.js";
 import * as cohorts from "./cohort.js";
 import * as decays from "./decaying.js";
 import * as health from "./health.js";
--- a/src/router/prompt-readings.ts
+++ b/src/router/runners/prompt-readings.ts
@@ -1,11 +1,11 @@
 // Which prompts are read where, by this router's own sends and by what other routers tell (design 7.4).
-import * as tellers from "../signs/teller.js";
-import type * as reader from "../usage/reader.js";
-import type * as schema from "../wire/schema.js";
-import type * as types from "../wire/types.js";
+import * as tellers from "../../signs/teller.js";
+import type * as reader from "../../usage/reader.js";
+import type * as schema from "../../wire/schema.js";
+import type * as types from "../../wire/types.js";
 import type * as fleets from "./fleet.js";
 import type * as readings from "./readings.js";
-import type * as requests from "./request.js";
+import type * as requests from "../request.js";
 
 /** The other routers learn of readings from so many tokens on. */
 const LEAST_TOKENS = 1000;
--- a/src/router/rotation.ts
+++ b/src/router/runners/rotation.ts
@@ -1,7 +1,7 @@
 // Zones in and out of rotation by percentage steps (design 7.5): drain goes down at once in steps well inside
 // the bound; failback goes up slowly, since what comes back may be cold.
-import * as shares from "../shares/shares.js";
-import * as types from "../wire/types.js";
+import * as shares from "../../shares/shares.js";
+import * as types from "../../wire/types.js";
 
 const DRAIN_MS = 800;
 const DRAIN_STEPS = 4;
--- a/src/router/runner.ts
+++ b/src/router/runners/runner.ts
@@ -1,9 +1,9 @@
 // One runner as this router sees it: what the list, the reports and this router's own sends say of it (design 7.4).
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import * as shares from "../shares/shares.js";
-import * as log from "../startup/log.js";
-import * as reports from "../usage/reported.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import * as shares from "../../shares/shares.js";
+import * as log from "../../startup/log.js";
+import * as reports from "../../usage/reported.js";
 import * as connections from "./connections.js";
 import * as idle from "./idle.js";
 import * as outcomes from "./outcomes.js";
--- a/src/router/standing.ts
+++ b/src/router/runners/standing.ts
@@ -1,5 +1,5 @@
 // Where a runner stands for one request, from all signs of it together (design/status 3, 6).
-import type * as types from "../wire/types.js";
+import type * as types from "../../wire/types.js";
 import type * as fleets from "./fleet.js";
 import * as rotations from "./rotation.js";
 
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -6,7 +6,7 @@
 import * as answers from "./answer.js";
 import * as attempts from "./attempt.js";
 import type * as choosers from "./chooser.js";
-import * as clientReplies from "./client-reply.js";
+import * as clientReplies from "./client/client-reply.js";
 import type * as contexts from "./context.js";
 import type * as plans from "./plan.js";
 import * as requests from "./request.js";
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -1,7 +1,7 @@
 /** The router's side of usage (design/usage 3, 4): which topics it follows, and what it takes from them. */
 import * as feeds from "../feed/feed.js";
 import type * as mirrors from "../feed/mirror.js";
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import * as marks from "../signs/marks.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
--- a/src/whatif/batch.ts
+++ b/src/whatif/batch.ts
@@ -3,7 +3,7 @@
  * memory for tokens, prompts read one after the other, and work that stops at its deadline.
  */
 import type * as plans from "../router/plan.js";
-import * as readings from "../router/readings.js";
+import * as readings from "../router/runners/readings.js";
 import type * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import type * as scenarios from "./scenario.js";
--- a/src/whatif/client.ts
+++ b/src/whatif/client.ts
@@ -1,5 +1,5 @@
 /** A client of an overload day: a deadline, retries as told by Retry-After, one router a try (design/admission 7). */
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import type * as plans from "../router/plan.js";
 import type * as tickets from "../admission/ticket.js";
 import type * as requests from "../router/request.js";
--- a/src/whatif/play.ts
+++ b/src/whatif/play.ts
@@ -1,6 +1,6 @@
 /** Plays a what-if day and counts it by phase: before, during and after the faults (design 11.2). */
 import * as plans from "../router/plan.js";
-import type * as fleets from "../router/fleet.js";
+import type * as fleets from "../router/runners/fleet.js";
 import * as owners from "./owner.js";
 import * as models from "./runner.js";
 import type * as scenarios from "./scenario.js";
--- a/src/whatif/runner.ts
+++ b/src/whatif/runner.ts
@@ -3,7 +3,7 @@
  * was read is cached (design 11.2).
  */
 import * as plans from "../router/plan.js";
-import * as readings from "../router/readings.js";
+import * as readings from "../router/runners/readings.js";
 import type * as scenarios from "./scenario.js";
 
 /** Milliseconds from now, and tokens that had to be read. */
--- a/src/whatif/system.ts
+++ b/src/whatif/system.ts
@@ -2,10 +2,10 @@
 import * as check from "../config/check.js";
 import * as routes from "../config/routes.js";
 import * as choosers from "../router/chooser.js";
-import * as fleets from "../router/fleet.js";
+import * as fleets from "../router/runners/fleet.js";
 import * as plans from "../router/plan.js";
-import * as readings from "../router/readings.js";
-import * as rotations from "../router/rotation.js";
+import * as readings from "../router/runners/readings.js";
+import * as rotations from "../router/runners/rotation.js";
 import * as shares from "../shares/shares.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
--- a/tests/choice.test.ts
+++ b/tests/choice.test.ts
@@ -1,10 +1,10 @@
 // The choice of a runner by its weight (design 7.4) against a plain reference: whole sorts, and a whole hash for each runner.
 import * as chains from "../src/experiment/chain.js";
 import * as clock from "../src/experiment/clock.js";
-import * as fleets from "../src/router/fleet.js";
+import * as fleets from "../src/router/runners/fleet.js";
 import * as plans from "../src/router/plan.js";
 import * as policies from "../src/router/policies/runner.js";
-import * as readings from "../src/router/readings.js";
+import * as readings from "../src/router/runners/readings.js";
 import * as shares from "../src/shares/shares.js";
 import * as schema from "../src/wire/schema.js";
 import * as types from "../src/wire/types.js";
--- a/tests/idle.test.ts
+++ b/tests/idle.test.ts
@@ -1,6 +1,6 @@
 // Kept connections and their idle times (design/edge 7.13): told, learned, forgotten; time is simulated.
-import * as connections from "../src/router/connections.js";
-import * as idle from "../src/router/idle.js";
+import * as connections from "../src/router/runners/connections.js";
+import * as idle from "../src/router/runners/idle.js";
 import * as edges from "./sim/edge.js";
 import * as sim from "./sim/world.js";
 
--- a/tests/outcomes.test.ts
+++ b/tests/outcomes.test.ts
@@ -1,7 +1,7 @@
 // Status of runners from outcomes (design/status): seeded plays of grey, lying, flapping and half reachable runners.
-import * as cohorts from "../src/router/cohort.js";
-import * as outcomes from "../src/router/outcomes.js";
-import * as signs from "../src/router/signs.js";
+import * as cohorts from "../src/router/runners/cohort.js";
+import * as outcomes from "../src/router/runners/outcomes.js";
+import * as signs from "../src/router/runners/signs.js";
 import * as types from "../src/wire/types.js";
 import * as sim from "./sim/runners.js";
 
--- a/tests/regions.test.ts
+++ b/tests/regions.test.ts
@@ -1,6 +1,6 @@
 // The runners of a region are found without a look at all others (design 7.4).
 import * as clock from "../src/experiment/clock.js";
-import * as fleets from "../src/router/fleet.js";
+import * as fleets from "../src/router/runners/fleet.js";
 import * as schema from "../src/wire/schema.js";
 import * as types from "../src/wire/types.js";
 
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -2,11 +2,11 @@
 import * as directory from "../src/control/directory.js";
 import * as policy from "../src/control/voters.js";
 import * as registers from "../src/register/value.js";
-import * as events from "../src/router/events.js";
-import * as fleets from "../src/router/fleet.js";
+import * as events from "../src/router/client/events.js";
+import * as fleets from "../src/router/runners/fleet.js";
 import * as plans from "../src/router/plan.js";
 import * as cells from "../src/router/policies/cells.js";
-import * as rotations from "../src/router/rotation.js";
+import * as rotations from "../src/router/runners/rotation.js";
 import * as parts from "../src/shares/parts.js";
 import * as shares from "../src/shares/shares.js";
 import * as types from "../src/wire/types.js";
--- a/tests/signs.test.ts
+++ b/tests/signs.test.ts
@@ -1,5 +1,5 @@
 // Signs between routers (design/usage 2): few frames, marks that name one runner, no echo, bounds.
-import * as readings from "../src/router/readings.js";
+import * as readings from "../src/router/runners/readings.js";
 import * as batches from "../src/signs/batch.js";
 import * as marks from "../src/signs/marks.js";
 import * as throttles from "../src/signs/throttle.js";
--- a/tests/sim/edge.ts
+++ b/tests/sim/edge.ts
@@ -2,11 +2,11 @@
 import * as check from "../../src/config/check.js";
 import * as routes from "../../src/config/routes.js";
 import * as choosers from "../../src/router/chooser.js";
-import * as fleets from "../../src/router/fleet.js";
-import * as readings from "../../src/router/readings.js";
-import * as rotations from "../../src/router/rotation.js";
+import * as fleets from "../../src/router/runners/fleet.js";
+import * as readings from "../../src/router/runners/readings.js";
+import * as rotations from "../../src/router/runners/rotation.js";
 import * as batches from "../../src/router/batches.js";
-import * as servers from "../../src/router/server.js";
+import * as servers from "../../src/router/client/server.js";
 import * as tenancies from "../../src/router/tenancy.js";
 import * as shares from "../../src/shares/shares.js";
 import * as standin from "../../src/standin/runner.js";
--- a/tests/sim/runners.ts
+++ b/tests/sim/runners.ts
@@ -1,7 +1,7 @@
 // Many routers before many runners in a planned world: the very fleets, policies and attempts, with runners
 // played by a function, and signs between the routers.
 import * as attempts from "../../src/router/attempt.js";
-import * as fleets from "../../src/router/fleet.js";
+import * as fleets from "../../src/router/runners/fleet.js";
 import * as schema from "../../src/wire/schema.js";
 import * as types from "../../src/wire/types.js";
 import * as systems from "../../src/whatif/system.js";
--- a/tests/sim/usage.ts
+++ b/tests/sim/usage.ts
@@ -1,7 +1,7 @@
 // Regions of runners with work that comes and goes, read each period and told to simulated routers.
 import * as feeds from "../../src/feed/feed.js";
 import type * as mirrors from "../../src/feed/mirror.js";
-import * as fleets from "../../src/router/fleet.js";
+import * as fleets from "../../src/router/runners/fleet.js";
 import * as publishers from "../../src/usage/publisher.js";
 import * as readers from "../../src/usage/reader.js";
 import * as schema from "../../src/wire/schema.js";
