--- a/src/control/batch-register.ts
+++ b/src/control/batch-register.ts
@@ -11,7 +11,7 @@
 import * as registers from "../register/value.js";
 import * as files from "../store/files.js";
 import * as owner from "../store/owner.js";
-import * as arrangers from "./arranger.js";
+import * as voterManagers from "./voter-manager.js";
 import type * as channels from "./channel.js";
 import * as cores from "./core.js";
 import * as disks from "./disk.js";
@@ -36,7 +36,7 @@
 export class BatchRegister {
   readonly core: cores.Core;
   private readonly disk: disks.VoterDisk;
-  private readonly arranger: arrangers.Arranger;
+  private readonly voterManager: voterManagers.VoterManager;
   /** Disks of the siblings in this register, by their address. */
   private readonly disksByAddress = new Map<string, string>();
   private toldAt = -Infinity;
@@ -54,7 +54,7 @@
     const folder = new files.RealFolder(path.join(options.dataDir, FOLDER));
     const machine = { world, folder, processes: owner.realProcesses };
     this.disk = new disks.VoterDisk(machine, { address, seeds, isBootstrap }, this.core.enter.bind(this.core));
-    this.arranger = new arrangers.Arranger(world, this.core, this.nodes.bind(this));
+    this.voterManager = new voterManagers.VoterManager(world, this.core, this.nodes.bind(this));
     dial.on("up", this.tell.bind(this));
     dial.on("down", (control) => this.disksByAddress.delete(control.address));
   }
@@ -108,7 +108,7 @@
       this.catchUp();
     }
     this.core.turn();
-    this.arranger.turn();
+    this.voterManager.turn();
   }
 
   /** News of a choice may be lost with a link: one sibling after the other is asked what it knows. */
@@ -127,7 +127,7 @@
 
   /** Hands its vote over while the links still stand. */
   handOver(withinMs: number): Promise<void> {
-    return this.arranger.handOver(withinMs);
+    return this.voterManager.handOver(withinMs);
   }
 
   async stop(): Promise<void> {
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -15,7 +15,7 @@
 import * as owner from "../store/owner.js";
 import * as supervisor from "../supervisor/tree.js";
 import * as account from "./account.js";
-import * as arrangers from "./arranger.js";
+import * as voterManagers from "./voter-manager.js";
 import * as batches from "./batches.js";
 import * as cells from "./cells.js";
 import * as contacts from "./contact.js";
@@ -48,7 +48,7 @@
   private readonly contact: contacts.Contact;
   private readonly cells: cells.Cells;
   private readonly leases: leases.Lessor;
-  private readonly arranger: arrangers.Arranger;
+  private readonly voterManager: voterManagers.VoterManager;
   /** Null where the setting `batches` is off. */
   private readonly batches: batches.Batches | null;
   private isLeaving = false;
@@ -71,7 +71,7 @@
     this.leases = new leases.Lessor(world, this.life, startup.bounds, this.core);
     this.contact = new contacts.Contact(world, this.core, this.dial, this.leases.takeReply.bind(this.leases));
     this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members, this.fitness.bind(this));
-    this.arranger = new arrangers.Arranger(world, this.core, this.heldControls.bind(this));
+    this.voterManager = new voterManagers.VoterManager(world, this.core, this.heldControls.bind(this));
     this.batches = this.makeBatches(seeds);
     this.root = new supervisor.Supervisor("control", world, []);
     this.handle();
@@ -199,7 +199,7 @@
     this.core.turn();
     this.contact.turn();
     this.cells.turn();
-    this.arranger.turn();
+    this.voterManager.turn();
     this.batches?.turn();
   }
 
@@ -241,7 +241,7 @@
     this.contact.withdraw();
     this.tell();
     const pause = worlds.sleep(this.world, LEAVE_MS);
-    await Promise.all([pause, this.arranger.handOver(HAND_OVER_MS), this.batches?.handOver(HAND_OVER_MS)]);
+    await Promise.all([pause, this.voterManager.handOver(HAND_OVER_MS), this.batches?.handOver(HAND_OVER_MS)]);
     this.dial.end();
     this.members.end();
     await this.root.stop();
--- a/src/control/arranger.ts
+++ b/src/control/voter-manager.ts
@@ -12,7 +12,7 @@
 const RANK_MS = 600;
 const PAUSE_MS = 200;
 
-/** What the arranger uses of a control node's core. */
+/** What the voterManager uses of a control node's core. */
 export interface Register {
   readonly chosen: schema.Value | null;
   readonly disk: string;
@@ -27,7 +27,7 @@
 }
 
 /** One for each register of a control node; turned by its timer. */
-export class Arranger {
+export class VoterManager {
   private readonly heardAt = new Map<string, number>();
   private readonly failed = new Map<string, number>();
   private readonly startedAt: number;
--- /dev/null
+++ b/src/feed/control-link.ts
@@ -0,0 +1,49 @@
+// A link to a control node, and an address that may be one, as dialers and selectors see them (design 4.2).
+import type * as link from "../wire/link.js";
+import type * as schema from "../wire/schema.js";
+
+/** A control node with an open link. */
+export interface Control {
+  address: string;
+  node: schema.NodeInfo;
+  place: string;
+  link: link.Link;
+  beat: schema.Beat | null;
+  /** When the last beat came, or the hello, on the own clock. */
+  beatAt: number;
+  /** What its hello said; isConfirmed() tells its newest word. */
+  wasConfirmed: boolean;
+  /** How long its hello took, there and back, in milliseconds. */
+  tripMs: number;
+}
+
+/** A control node's newest word tells of now for so long, in ms: two beats and their way. */
+const FRESH_MS = 700;
+
+/** Whether a word of the control node came lately; now: on the own clock. */
+export function isFresh(control: Control, now: number): boolean {
+  return now - control.beatAt < FRESH_MS;
+}
+
+/** Whether the control node said, by its newest word, that a majority of the voters confirmed it lately. */
+export function isConfirmed(control: Control): boolean {
+  return control.beat ? control.beat.isSettled : control.wasConfirmed;
+}
+
+/** Whether it said that it leaves. */
+export function isLeaving(control: Control): boolean {
+  return control.beat !== null && !control.beat.isReady;
+}
+
+/** A known address. failures: in a row, since it was last up; dueAt, urgency: when and why it is dialled (selector.ts). */
+export interface Target {
+  state: "idle" | "dialing" | "up";
+  notBefore: number;
+  pauseMs: number;
+  failures: number;
+  dialedAt: number;
+  dueAt: number;
+  urgency: number;
+  isReleased: boolean;
+  region: string;
+}
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -1,11 +1,14 @@
-// Keeps links to the known control nodes, to all or to a few: from the seeds, later from what is told (design 4.2).
+// Keeps links to the known control nodes, to all or to those that a selector names: from the seeds, later from what is told (design 4.2).
 import * as events from "node:events";
 import * as calls from "../wire/calls.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
-import type * as fews from "./few.js";
+import type * as selectors from "./session-selector.js";
+import type { Control, Target } from "./control-link.js";
+
+export { isConfirmed, isFresh, isLeaving, type Control, type Target } from "./control-link.js";
 
 const CONNECT_MS = 900;
 const FIRST_PAUSE_MS = 150;
@@ -16,21 +19,6 @@
 /** A region whose control nodes were all silent for so long is cut off from here. */
 const CUT_MS = 750;
 
-/** A control node with an open link. */
-export interface Control {
-  address: string;
-  node: schema.NodeInfo;
-  place: string;
-  link: link.Link;
-  beat: schema.Beat | null;
-  /** When the last beat came, or the hello, on the own clock. */
-  beatAt: number;
-  /** What its hello said; isConfirmed() tells its newest word. */
-  wasConfirmed: boolean;
-  /** How long its hello took, there and back, in milliseconds. */
-  tripMs: number;
-}
-
 /** What happens to links with control nodes. */
 export interface DialerEvents {
   up: [control: Control];
@@ -39,37 +27,6 @@
   beat: [control: Control];
 }
 
-/** A control node's newest word tells of now for so long, in ms: two beats and their way. */
-const FRESH_MS = 700;
-
-/** Whether a word of the control node came lately; now: on the own clock. */
-export function isFresh(control: Control, now: number): boolean {
-  return now - control.beatAt < FRESH_MS;
-}
-
-/** Whether the control node said, by its newest word, that a majority of the voters confirmed it lately. */
-export function isConfirmed(control: Control): boolean {
-  return control.beat ? control.beat.isSettled : control.wasConfirmed;
-}
-
-/** Whether it said that it leaves. */
-export function isLeaving(control: Control): boolean {
-  return control.beat !== null && !control.beat.isReady;
-}
-
-/** A known address. failures: in a row, since it was last up; dueAt, urgency: when and why it is dialled (few.ts). */
-export interface Target {
-  state: "idle" | "dialing" | "up";
-  notBefore: number;
-  pauseMs: number;
-  failures: number;
-  dialedAt: number;
-  dueAt: number;
-  urgency: number;
-  isReleased: boolean;
-  region: string;
-}
-
 /**
  * Keeps links to control nodes: dials known addresses, with pauses that grow after failures, and ends links that are
  * silent. Emits "up" after a hello, "beat" with each beat, "down" when a link has ended.
@@ -85,7 +42,7 @@
     private readonly handlers: link.Handlers,
     private readonly describe: () => schema.NodeInfo,
     private readonly silentMs: number,
-    private readonly few: fews.Few | null = null,
+    private readonly selector: selectors.SessionSelector | null = null,
   ) {
     super();
   }
@@ -161,9 +118,9 @@
     for (const control of [...this.controls.values()]) {
       if (control.link.silentMs() > this.silentMs) control.link.end("silent");
     }
-    this.few?.plan(this.targets, this.controls);
+    this.selector?.plan(this.targets, this.controls);
     for (const [address, target] of this.targets) {
-      if (this.few && target.dueAt > now) continue;
+      if (this.selector && target.dueAt > now) continue;
       if (target.state !== "idle" || target.notBefore > now || this.controls.size >= MOST_LINKS) continue;
       target.state = "dialing";
       target.dialedAt = now;
@@ -184,8 +141,8 @@
       made?.end("no hello");
       target.state = "idle";
       target.failures += 1;
-      this.few?.forget(target);
-      const mostMs = this.few?.hasEnough ? CALM_PAUSE_MS : MOST_PAUSE_MS;
+      this.selector?.forget(target);
+      const mostMs = this.selector?.hasEnough ? CALM_PAUSE_MS : MOST_PAUSE_MS;
       target.notBefore = this.world.now() + Math.min(mostMs, target.pauseMs) * (0.7 + 0.6 * this.world.random());
       target.pauseMs = Math.min(mostMs, target.pauseMs * 2);
       return;
@@ -195,7 +152,7 @@
     target.failures = 0;
     target.isReleased = false;
     target.region = known.node.region;
-    this.few?.forget(target);
+    this.selector?.forget(target);
     const control: Control = {
       address,
       node: known.node,
--- a/src/feed/few.ts
+++ b/src/feed/session-selector.ts
@@ -2,10 +2,10 @@
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import * as shares from "../shares/shares.js";
-import type * as dialers from "./dialer.js";
+import type * as links from "./control-link.js";
 
 /** Control nodes that a router holds sessions with. */
-export const FEW = 3;
+export const MOST_SESSIONS = 3;
 /** Fewer than these left: a replacement is dialled at once. */
 const ENOUGH = 2;
 const REPLACE_MS = 600;
@@ -44,7 +44,7 @@
 }
 
 /**
- * The own region's best, the best of another region, then the best of the rest, up to FEW. Weights come from all that
+ * The own region's best, the best of another region, then the best of the rest, up to MOST_SESSIONS. Weights come from all that
  * are known, usable or not: one that is lost then moves nobody but those that held it.
  */
 export function choose(places: readonly Place[], self: Self, known: readonly Place[] = places): Set<string> {
@@ -54,7 +54,7 @@
   if (own) chosen.add(own.address);
   const other = ranked.find(isOther);
   if (other) chosen.add(other.address);
-  for (const { address } of ranked) if (chosen.size < FEW) chosen.add(address);
+  for (const { address } of ranked) if (chosen.size < MOST_SESSIONS) chosen.add(address);
   return chosen;
   function isOwn(place: Place): boolean {
     return place.region === self.region;
@@ -80,7 +80,7 @@
 }
 
 /** Chooses which control nodes one router holds sessions with. */
-export class Few {
+export class SessionSelector {
   private releaseAt = Infinity;
   private plannedAt = -Infinity;
   private startedAt = -1;
@@ -93,16 +93,16 @@
   ) {}
 
   /** One that says it is not settled, or is silent, does not count toward the few. */
-  private isGood(control: dialers.Control, isLate: boolean): boolean {
+  private isGood(control: links.Control, isLate: boolean): boolean {
     return this.isHeard(control, isLate) && (!control.beat || control.beat.isSettled);
   }
 
-  private isHeard(control: dialers.Control, isLate: boolean): boolean {
+  private isHeard(control: links.Control, isLate: boolean): boolean {
     return control.link.isOpen && (isLate || control.link.silentMs() < FRESH_MS);
   }
 
   /** Sets when each target is due to be dialled; releases those that are held beyond the few. */
-  plan(targets: ReadonlyMap<string, dialers.Target>, controls: ReadonlyMap<string, dialers.Control>): void {
+  plan(targets: ReadonlyMap<string, links.Target>, controls: ReadonlyMap<string, links.Control>): void {
     const now = this.world.now();
     const isLate = now - this.plannedAt > LATE_MS;
     this.plannedAt = now;
@@ -121,10 +121,10 @@
       return;
     }
     const goal = choose(counted, this.self, all);
-    const isShort = goal.size < Math.min(FEW, all.length);
+    const isShort = goal.size < Math.min(MOST_SESSIONS, all.length);
     const ideal = choose(all, this.self);
-    this.hasEnough = good >= FEW;
-    const urgency = good < ENOUGH ? AT_ONCE : good < FEW ? TO_REPLACE : TO_MOVE;
+    this.hasEnough = good >= MOST_SESSIONS;
+    const urgency = good < ENOUGH ? AT_ONCE : good < MOST_SESSIONS ? TO_REPLACE : TO_MOVE;
     for (const [address, target] of targets) {
       const isWanted = isShort || goal.has(address) || ideal.has(address);
       if (target.state === "idle") this.setDue(target, isWanted ? urgency : NOT_DUE);
@@ -133,7 +133,7 @@
   }
 
   /** Nobody was met yet: whoever replies first tells of all the others. */
-  private start(all: readonly Place[], targets: ReadonlyMap<string, dialers.Target>): void {
+  private start(all: readonly Place[], targets: ReadonlyMap<string, links.Target>): void {
     if (this.startedAt < 0) this.startedAt = this.world.now();
     for (const [index, place] of rank(all, this.self, all).entries()) {
       const target = targets.get(place.address)!;
@@ -142,7 +142,7 @@
   }
 
   /** A target's urgency only grows while it is idle, so that each wait is drawn once. */
-  private setDue(target: dialers.Target, urgency: number): void {
+  private setDue(target: links.Target, urgency: number): void {
     if (urgency === NOT_DUE) {
       this.forget(target);
       return;
@@ -157,18 +157,18 @@
   }
 
   /** Dialled, up or no longer wanted: the next wait is drawn anew. */
-  forget(target: dialers.Target): void {
+  forget(target: links.Target): void {
     target.urgency = NOT_DUE;
     target.dueAt = Infinity;
   }
 
   private release(
-    targets: ReadonlyMap<string, dialers.Target>,
-    controls: ReadonlyMap<string, dialers.Control>,
+    targets: ReadonlyMap<string, links.Target>,
+    controls: ReadonlyMap<string, links.Control>,
     kept: ReadonlySet<string>,
     isAllowed: boolean,
   ): void {
-    const extra: dialers.Control[] = [];
+    const extra: links.Control[] = [];
     for (const control of controls.values()) if (!kept.has(control.address)) extra.push(control);
     if (!isAllowed || extra.length === 0) {
       this.releaseAt = Infinity;
@@ -190,7 +190,7 @@
 }
 
 /** Not known to be down: never tried, let go while it was good, or being dialled for a short while. */
-function isFresh(target: dialers.Target, now: number): boolean {
+function isFresh(target: links.Target, now: number): boolean {
   return target.failures === 0 && (target.state !== "dialing" || now - target.dialedAt < SLOW_MS);
 }
 
@@ -198,7 +198,7 @@
   return place.region !== "";
 }
 
-function isAllUp(goal: ReadonlySet<string>, controls: ReadonlyMap<string, dialers.Control>): boolean {
+function isAllUp(goal: ReadonlySet<string>, controls: ReadonlyMap<string, links.Control>): boolean {
   for (const address of goal) if (!controls.has(address)) return false;
   return true;
 }
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -10,7 +10,7 @@
 import * as cuts from "../feed/cuts.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
-import * as fews from "../feed/few.js";
+import * as selectors from "../feed/session-selector.js";
 import * as followers from "../feed/follower.js";
 import type * as mirrors from "../feed/mirror.js";
 import * as shares from "../shares/shares.js";
@@ -69,8 +69,8 @@
     this.usage = new usages.Reader(clock, this.fleet, startup.region, this.reported.bind(this));
     this.prompts = new prompts.PromptReadings(clock, this.fleet, this.known, this.usage, this.tellSigns.bind(this));
     const sending = this.prompts.sending.bind(this.prompts);
-    const few = new fews.Few(clock, { name: startup.node_name, region: startup.region });
-    this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS, few);
+    const selector = new selectors.SessionSelector(clock, { name: startup.node_name, region: startup.region });
+    this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS, selector);
     this.gate = new startGates.StartGate(clock, this.dial.controls, this.opened.bind(this));
     this.dial.on("beat", this.judgeStart.bind(this));
     this.batches = new batches.RouterBatches(this.life, this.known, this.chooser.admission);
@@ -82,7 +82,7 @@
     this.borrower = new leases.Borrower(clock, this.life, this.dial, this.share);
     this.dial.know(settings.innerSeeds(startup));
     this.dial.register(this.handlers);
-    this.prompts.teller.register(this.handlers);
+    this.prompts.signSender.register(this.handlers);
     this.chooser.admission.isOn = startup.admission === "on";
     this.root = new supervisor.Supervisor("router", clock, []);
     this.plan();
@@ -146,7 +146,7 @@
     this.fleet.cohorts.routers = this.share.routers;
     this.server.watch();
     this.fleet.sweep();
-    this.prompts.teller.silence(this.fleet.newDoubts());
+    this.prompts.signSender.silence(this.fleet.newDoubts());
     this.cutRegions();
   }
 
--- a/src/router/runners/prompt-readings.ts
+++ b/src/router/runners/prompt-readings.ts
@@ -1,5 +1,5 @@
 // Which prompts are read where, by this router's own sends and by what other routers tell (design 7.4).
-import * as tellers from "../../signs/teller.js";
+import * as signSenders from "../../signs/sign-sender.js";
 import type * as reader from "../../usage/reader.js";
 import type * as schema from "../../wire/schema.js";
 import type * as types from "../../wire/types.js";
@@ -11,8 +11,8 @@
 const LEAST_TOKENS = 1000;
 
 /** Joins what is read here and elsewhere. */
-export class PromptReadings implements tellers.Hearer {
-  readonly teller: tellers.Teller;
+export class PromptReadings implements signSenders.Hearer {
+  readonly signSender: signSenders.SignSender;
 
   /** `send`: brings signs to the other routers, by way of a control node. */
   constructor(
@@ -22,7 +22,7 @@
     private readonly usage: reader.Reader,
     send: (signs: schema.Signs) => void,
   ) {
-    this.teller = new tellers.Teller(world, usage.marks, this, send);
+    this.signSender = new signSenders.SignSender(world, usage.marks, this, send);
   }
 
   /** A request goes to a runner: the tokens of its prompt that the runner has to read. */
@@ -32,7 +32,7 @@
     const unread = Math.round(this.known.unread(runner, request.parts, request.keys));
     const news = request.keys.slice(this.known.keptParts(runner, request.keys));
     this.read(runner, unread, request.keys);
-    if (unread >= LEAST_TOKENS) this.teller.reading(runner, unread, news);
+    if (unread >= LEAST_TOKENS) this.signSender.reading(runner, unread, news);
     return unread;
   }
 
--- a/src/signs/teller.ts
+++ b/src/signs/sign-sender.ts
@@ -20,7 +20,7 @@
 }
 
 /** Sends and takes the signs of one router. Runners whose mark is shared are left out. */
-export class Teller {
+export class SignSender {
   private readonly batch = new batches.Batch();
   private readonly throttle: throttles.Throttle;
 
--- a/tests/model/node.ts
+++ b/tests/model/node.ts
@@ -1,5 +1,5 @@
 // One control node of the model: the real core, voter, ring, proposer and membership over a simulated machine.
-import * as arrangers from "../../src/control/arranger.js";
+import * as voterManagers from "../../src/control/voter-manager.js";
 import * as cores from "../../src/control/core.js";
 import * as dialer from "../../src/feed/dialer.js";
 import * as proposers from "../../src/register/proposer.js";
@@ -48,7 +48,7 @@
   core: cores.Core | null = null;
   voter: voters.Voter | null = null;
   private dial: dialer.Dialer | null = null;
-  private arranger: arrangers.Arranger | null = null;
+  private voterManager: voterManagers.VoterManager | null = null;
   private held: (() => void)[] = [];
   private identities = 0;
 
@@ -104,7 +104,7 @@
     this.core = this.mutations.makeCore(this.world, { life, address: this.address, first }, this.dial);
     this.core.on("chosen", this.onChosen);
     this.core.register(this.handlers);
-    this.arranger = new arrangers.Arranger(this.world, this.core, this.members.bind(this));
+    this.voterManager = new voterManagers.VoterManager(this.world, this.core, this.members.bind(this));
     this.world.after(UPKEEP_MS * this.world.random(), this.upkeep.bind(this));
     await this.readDisk(isBootstrap);
   }
@@ -174,7 +174,7 @@
     for (const held of this.links.values()) peers.add(held.to);
     for (const peer of peers) if (peer !== this) this.keepLink(peer);
     this.core?.turn();
-    this.arranger?.turn();
+    this.voterManager?.turn();
   }
 
   /** Opens, beats on, or ends the link to one peer, as the dialer and the beats do. */
@@ -211,7 +211,7 @@
 
   /** The process is told to stop: it hands over before it does. */
   handOver(withinMs: number): Promise<void> | null {
-    return this.arranger ? this.arranger.handOver(withinMs) : null;
+    return this.voterManager ? this.voterManager.handOver(withinMs) : null;
   }
 
   /** One change through this node's core, as the operator's call does it. */
--- a/tests/signs.test.ts
+++ b/tests/signs.test.ts
@@ -3,7 +3,7 @@
 import * as batches from "../src/signs/batch.js";
 import * as marks from "../src/signs/marks.js";
 import * as throttles from "../src/signs/throttle.js";
-import * as tellers from "../src/signs/teller.js";
+import * as signSenders from "../src/signs/sign-sender.js";
 import * as schema from "../src/wire/schema.js";
 import * as types from "../src/wire/types.js";
 import * as sim from "./sim/world.js";
@@ -22,25 +22,25 @@
   expect(ran).toEqual(expected);
 });
 
-function tellerTo(clock: sim.SimWorld): { teller: tellers.Teller; told: schema.Signs[]; heard: unknown[] } {
+function signSenderTo(clock: sim.SimWorld): { signSender: signSenders.SignSender; told: schema.Signs[]; heard: unknown[] } {
   const told: schema.Signs[] = [];
   const heard: unknown[] = [];
-  const hearer: tellers.Hearer = {
+  const hearer: signSenders.Hearer = {
     doubted: (silent) => heard.push(silent),
     read: (id, unread, keys) => heard.push([id, unread, [...keys]]),
   };
   const known = new marks.Marks<types.RunnerId>();
   known.takeList(signs.ids("a", "b", "c"));
-  const teller = new tellers.Teller(clock, known, hearer, (frame) => told.push(frame));
-  return { teller, told, heard };
+  const signSender = new signSenders.SignSender(clock, known, hearer, (frame) => told.push(frame));
+  return { signSender, told, heard };
 }
 
 test.each([10, 100, 1000])("frames of a router do not grow with its requests: %d a second", async (perS) => {
   const clock = new sim.SimWorld(1);
-  const { teller, told } = tellerTo(clock);
+  const { signSender, told } = signSenderTo(clock);
   for (let index = 0; index < perS; index += 1) {
     const runner = ["a", "b", "c"][index % 3];
-    clock.after((index * 1000) / perS, () => teller.reading(types.small(runner), 2000, [index]));
+    clock.after((index * 1000) / perS, () => signSender.reading(types.small(runner), 2000, [index]));
   }
   await clock.play(1100);
   expect(told.length).toBeLessThanOrEqual(Math.ceil(1000 / throttles.PERIOD_MS) + 1);
@@ -50,14 +50,14 @@
 
 test("a router tells marks and hears ids; what it cannot name it ignores", () => {
   const clock = new sim.SimWorld(1);
-  const { teller, told, heard } = tellerTo(clock);
-  teller.silence(signs.ids("b"));
+  const { signSender, told, heard } = signSenderTo(clock);
+  signSender.silence(signs.ids("b"));
   expect(told).toEqual([{ isRelayed: false, silent: [marks.markOf("b")], readings: [] }]);
   const unknown = signs.counted("signs.unknown");
-  teller.hear({ isRelayed: true, silent: [marks.markOf("c"), 77], readings: [signs.reading("a", 1500, [4, 5]), signs.reading("x")] });
+  signSender.hear({ isRelayed: true, silent: [marks.markOf("c"), 77], readings: [signs.reading("a", 1500, [4, 5]), signs.reading("x")] });
   expect(heard).toEqual([["c"], ["a", 1500, [4, 5]]]);
   expect(signs.counted("signs.unknown") - unknown).toBe(1);
-  teller.silence([]);
+  signSender.silence([]);
   expect(told).toHaveLength(1);
 });
 
--- a/tests/sim/durable-node.ts
+++ b/tests/sim/durable-node.ts
@@ -1,7 +1,7 @@
 // Control nodes with a disk of their own over a simulated network: restarted, wiped, stalled and filled by a test. The
 // register, its membership and the feed are the program's own.
 import * as parts from "../../src/config/parts.js";
-import * as arrangers from "../../src/control/arranger.js";
+import * as voterManagers from "../../src/control/voter-manager.js";
 import * as cores from "../../src/control/core.js";
 import * as operators from "../../src/control/operator.js";
 import type * as serve from "../../src/control/serve.js";
@@ -61,7 +61,7 @@
   readonly core: cores.Core;
   readonly feed: feeds.Feed;
   private readonly operator: operators.Operator;
-  private readonly arranger: arrangers.Arranger;
+  private readonly voterManager: voterManagers.VoterManager;
   private readonly callers = new Set<link.Link>();
   isOver = false;
 
@@ -77,7 +77,7 @@
     this.feed = new feeds.Feed(life);
     this.core = new cores.Core(world, { life, address: addressOf(name), first }, this.dial);
     this.operator = new operators.Operator(this.core, new Set(["north"]), () => null);
-    this.arranger = new arrangers.Arranger(world, this.core, () => [this.describe(), ...this.peers()]);
+    this.voterManager = new voterManagers.VoterManager(world, this.core, () => [this.describe(), ...this.peers()]);
     this.handle();
     this.every(TURN_MS, () => this.turn());
     this.every(link.BEAT_MS, () => this.beat());
@@ -131,7 +131,7 @@
   private turn(): void {
     this.dial.turn();
     this.core.turn();
-    this.arranger.turn();
+    this.voterManager.turn();
   }
 
   private beat(): void {
--- a/tests/sim/fleet.ts
+++ b/tests/sim/fleet.ts
@@ -3,7 +3,7 @@
 import type * as net from "node:net";
 import * as sessions from "../../src/control/sessions.js";
 import * as dialers from "../../src/feed/dialer.js";
-import * as fews from "../../src/feed/few.js";
+import * as selectors from "../../src/feed/session-selector.js";
 import * as calls from "../../src/wire/calls.js";
 import * as link from "../../src/wire/link.js";
 import * as schema from "../../src/wire/schema.js";
@@ -113,14 +113,14 @@
     readonly region: string,
     seeds: string[],
   ) {
-    const few = new fews.Few(fleet.clock, { name, region });
+    const selector = new selectors.SessionSelector(fleet.clock, { name, region });
     this.dial = new SimDialer(
       fleet.clock,
       "",
       this.handlers,
       () => ({ ...nodeOf(name, "router", region, ""), isReady: this.isReady }),
       link.SILENT_MS,
-      few,
+      selector,
     );
     this.dial.reach = (address) => {
       this.dials.push({ address, at: fleet.clock.now() });
--- a/tests/sim/membership.ts
+++ b/tests/sim/membership.ts
@@ -1,6 +1,6 @@
 // Control nodes over the simulated core that run the real membership policy: news of chosen values, heartbeats,
-// driving of values not known to be chosen, and the arranger.
-import * as arrangers from "../../src/control/arranger.js";
+// driving of values not known to be chosen, and the voterManager.
+import * as voterManagers from "../../src/control/voter-manager.js";
 import * as drivers from "../../src/register/driver.js";
 import * as proposers from "../../src/register/proposer.js";
 import * as registers from "../../src/register/value.js";
@@ -14,9 +14,9 @@
 /** A link with no word for so long is down. */
 const SILENT_MS = 1800;
 
-export class Member implements arrangers.Register, drivers.Register {
+export class Member implements voterManagers.Register, drivers.Register {
   chosen: schema.Value | null = null;
-  private arranger: arrangers.Arranger;
+  private voterManager: voterManagers.VoterManager;
   private readonly heard = new Map<Member, number>();
   private driver: drivers.Driver;
   private nextBeat = 0;
@@ -26,7 +26,7 @@
     readonly node: core.SimNode,
   ) {
     this.driver = new drivers.Driver(fleet.made.clock, this);
-    this.arranger = new arrangers.Arranger(fleet.made.clock, this, this.nodesInTouch.bind(this));
+    this.voterManager = new voterManagers.VoterManager(fleet.made.clock, this, this.nodesInTouch.bind(this));
     this.begin();
   }
 
@@ -60,7 +60,7 @@
     this.heard.clear();
     const accepted = this.node.voter?.accepted;
     if (accepted) this.node.proposer.learnAccepted(accepted.value);
-    this.arranger = new arrangers.Arranger(this.fleet.made.clock, this, this.nodesInTouch.bind(this));
+    this.voterManager = new voterManagers.VoterManager(this.fleet.made.clock, this, this.nodesInTouch.bind(this));
     this.driver = new drivers.Driver(this.fleet.made.clock, this);
   }
 
@@ -111,7 +111,7 @@
   }
 
   handOver(withinMs: number): Promise<void> {
-    return this.arranger.handOver(withinMs);
+    return this.voterManager.handOver(withinMs);
   }
 
   turn(): void {
@@ -122,7 +122,7 @@
       this.fleet.tell(this);
     }
     this.driver.turn();
-    this.arranger.turn();
+    this.voterManager.turn();
   }
 }
 
--- a/tests/sim/router-node.ts
+++ b/tests/sim/router-node.ts
@@ -1,5 +1,5 @@
 // Routers over a simulated network, as far as they follow control nodes and start.
-import * as fews from "../../src/feed/few.js";
+import * as selectors from "../../src/feed/session-selector.js";
 import * as followers from "../../src/feed/follower.js";
 import * as startGates from "../../src/router/start-gate.js";
 import * as calls from "../../src/wire/calls.js";
@@ -26,9 +26,9 @@
     seeds: readonly string[],
   ) {
     const world = new networks.NodeWorld(network, name);
-    const few = new fews.Few(world, { name, region });
+    const selector = new selectors.SessionSelector(world, { name, region });
     const describe = (): schema.NodeInfo => ({ ...fleet.nodeOf(name, "router", region, ""), isReady: this.gate.isOpen });
-    this.dial = new members.MemberDialer(world, "", this.handlers, describe, link.SILENT_MS, few);
+    this.dial = new members.MemberDialer(world, "", this.handlers, describe, link.SILENT_MS, selector);
     this.dial.reach = (address) => network.connect(name, address, this.handlers, world);
     this.gate = new startGates.StartGate(world, this.dial.controls, () => (this.openedAt = network.clock.now()));
     this.dial.on("beat", () => this.judge());
