--- a/src/cli/try.ts
+++ b/src/cli/try.ts
@@ -56,6 +56,8 @@
     "bounds.retry_extra=50",
     "bounds.warmup_overshoot=1.5",
     "bounds.warmup_tolerance=5",
+    "bounds.quota_overshoot=0.1",
+    "bounds.quota_tolerance=10",
     "batches=on",
   ];
   if (node.role === "router")
