Quotas: an owner notes its opened slot on disk, so that a start of all does not wait out the fence

Ruled out: a shorter fence (owners of cut regions would stop sooner), asking siblings (all started anew). Change: a synced note of disk, epoch and place, kept only where there are limits; a torn or missing one costs the wait.

--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -131,7 +131,7 @@
   private plan(seeds: string[]): void {
     const { root, startup } = this;
     const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this), this.batches);
-    const redirector = new redirects.Redirector(this.world, this.contact, this.peers.bind(this), operator.reply.bind(operator));
+    const redirector = new redirects.Redirector(this.world, this.contact, () => this.dial.controls.values(), operator.reply.bind(operator));
     this.dial.on("beat", redirector.remember.bind(redirector));
     const stillServes = this.members.stillServes.bind(this.members);
     const view = { routers: this.resolvable.bind(this), stillServes, ttlMostS: startup.bounds.ttl_max_s };
@@ -152,6 +152,7 @@
     const machine = { world: this.world, folder: new files.RealFolder(name), processes: owner.realProcesses };
     this.disk = new disks.VoterDisk(machine, { address: this.address, seeds, isBootstrap }, this.core.enter.bind(this.core));
     this.disk.start();
+    void this.leases.quotas.open(machine.folder);
   }
 
   private async stopDisk(): Promise<void> {
@@ -173,10 +174,6 @@
     this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
   }
 
-  private peers(): Iterable<dialers.Control> {
-    return this.dial.controls.values();
-  }
-
   /** The routers that the directory names: while nobody confirms this node, those that it hears itself. */
   private resolvable(): doubts.Seen[] {
     return this.contact.isConfirmed() ? this.members.routers() : this.members.ownRouters();
--- a/src/control/quotas.ts
+++ b/src/control/quotas.ts
@@ -8,6 +8,7 @@
 import * as owners from "../tenants/quota-owner.js";
 import type * as parts from "../tenants/quota-part.js";
 import * as tenures from "../tenants/quota-tenure.js";
+import type * as files from "../store/files.js";
 import * as calls from "../wire/calls.js";
 import type * as leaseSchema from "../wire/lease-schema.js";
 import type * as link from "../wire/link.js";
@@ -15,6 +16,7 @@
 import * as types from "../wire/types.js";
 import type * as contacts from "./contact.js";
 import type * as cores from "./core.js";
+import * as slotNotes from "./slot-note.js";
 
 /**
  * An owner that is cut off grants on for so long (*ours*): routers beside it honour keys about as long, and a limit that
@@ -27,6 +29,10 @@
   private readonly tenure: tenures.QuotaTenure;
   private readonly owner: owners.QuotaOwner;
   private config: Buffer | null = null;
+  private hasLimits = false;
+  private note: slotNotes.SlotNote | null = null;
+  /** Of a former life; null once it was used, or where there is none. */
+  private formerNote: slotNotes.Note | null = null;
 
   constructor(
     world: types.World,
@@ -38,6 +44,13 @@
     this.owner = new owners.QuotaOwner(world, life, bounds, this.tenure);
   }
 
+  /** Reads what a former life noted on this disk. */
+  async open(folder: files.StoreFolder): Promise<void> {
+    this.note = new slotNotes.SlotNote(folder);
+    this.formerNote = await this.note.read();
+    this.follow();
+  }
+
   /** The settings were read again. */
   resettle(bounds: parts.QuotaBounds): void {
     this.owner.resettle(bounds);
@@ -65,9 +78,21 @@
     const { chosen, disk } = this.core;
     if (!chosen) return;
     this.tenure.take(chosen, disk);
+    this.useNotes(disk);
     if (this.config?.equals(chosen.config)) return;
     this.config = chosen.config;
-    this.owner.setLimits(limitsOf(registers.unpack(chosen.config) as check.Configuration | null));
+    const limits = limitsOf(registers.unpack(chosen.config) as check.Configuration | null);
+    this.hasLimits = limits.size > 0;
+    this.owner.setLimits(limits);
+  }
+
+  /** Once the own disk is known its former note counts; without limits no note is kept. */
+  private useNotes(disk: string): void {
+    if (disk === "") return;
+    if (this.formerNote) this.tenure.restore(this.formerNote.disk, types.small(this.formerNote.epoch), this.formerNote);
+    this.formerNote = null;
+    if (!this.hasLimits || !this.tenure.isSettledIn()) return;
+    this.note?.keep({ disk, epoch: this.tenure.epoch, slot: this.tenure.slot, slots: this.tenure.slots });
   }
 
   /** A voter's reply to one of the contact's asks. */
--- a/src/shares/tenure.ts
+++ b/src/shares/tenure.ts
@@ -62,6 +62,16 @@
     return this.era?.epoch ?? types.NO_EPOCH;
   }
 
+  /** The disk whose slot this is; "" until it is known. */
+  protected get ownDisk(): string {
+    return this.disk;
+  }
+
+  /** Opens as soon as leases of an earlier life of this process have run out. */
+  protected openEarly(): void {
+    this.openAt = Math.min(this.openAt, this.startedAt + this.restMs());
+  }
+
   /** Leases of an earlier life, or of the slot's former owner, have run out after this long. */
   protected restMs(): number {
     return this.terms.lifeMs + SLACK_MS;
--- a/src/tenants/quota-tenure.ts
+++ b/src/tenants/quota-tenure.ts
@@ -33,6 +33,21 @@
     return isKept;
   }
 
+  /**
+   * A former life of this disk had opened the slot in that epoch: whoever held it before had stopped then. So this life
+   * opens as soon as units of the former one are over; in the epoch after that one like one that stayed.
+   */
+  restore(disk: string, epoch: types.Epoch, place: tenures.Place): void {
+    if (disk !== this.ownDisk || this.slot < 0) return;
+    if (epoch === this.epoch) this.openEarly();
+    else if (epoch + 1 === this.epoch && this.isKept(place, { slot: this.slot, slots: this.slots })) this.openEarly();
+  }
+
+  /** Whether a former life may rely on this one: it is open, and nobody's former place binds any more. */
+  isSettledIn(): boolean {
+    return this.slot >= 0 && this.world.now() >= this.openAt && this.places().length === 1;
+  }
+
   /** The own place, and former ones that bind as well for now: of all parts the least may be granted. */
   places(): tenures.Place[] {
     const now = this.world.now();
