--- a/tests/sim/quotas.ts
+++ b/tests/sim/quotas.ts
@@ -64,7 +64,20 @@
     super(sim, disk, first);
   }
 
+  /** As its disk keeps it over the lives of the process. */
+  private note: { epoch: types.Epoch; slot: number; slots: number } | null = null;
+  private isRestored = false;
+
+  override follow(): void {
+    super.follow();
+    const { tenure, note } = this;
+    if (!this.isRestored && note) tenure.restore(this.disk, note.epoch, note);
+    this.isRestored = true;
+    if (tenure.isSettledIn()) this.note = { epoch: tenure.epoch, slot: tenure.slot, slots: tenure.slots };
+  }
+
   protected override begin(): void {
+    this.isRestored = false;
     this.tenure = new SimTenure(this.sim);
     this.owner = new SimOwner(this.sim, this.life, this.tenure);
     this.owner.setLimits(this.sim.limits);
