--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -15,9 +15,6 @@
 /** The figures of all bounds that are leased. */
 export type LeaseBounds = parts.Bounds & quotaParts.QuotaBounds;
 
-/** Higher than any epoch: an owner that is not confirmed grants nothing. */
-const BEYOND = types.small<types.Epoch>(Number.MAX_SAFE_INTEGER);
-
 /** Grants leases while this node is confirmed. */
 export class Lessor {
   private readonly tenure: tenures.Tenure;
@@ -50,7 +47,7 @@
 
   private lease(contact: contacts.Contact, _from: link.Link, ask: leaseSchema.LeaseAsk): leaseSchema.LeaseReply {
     this.follow();
-    return this.owner.reply(ask, contact.isConfirmed() ? this.core.acceptedVoterEpoch : BEYOND);
+    return this.owner.reply(ask, contact.isConfirmed() ? this.core.acceptedVoterEpoch : null);
   }
 
   private fence(_from: link.Link, ask: leaseSchema.FenceAsk): leaseSchema.FenceReply {
--- a/src/shares/owner.ts
+++ b/src/shares/owner.ts
@@ -49,12 +49,12 @@
     for (const [key, holding] of this.holdings) this.resize(key, holding);
   }
 
-  /** accepted: the newest voter epoch on the own disk. */
-  reply(ask: leaseSchema.LeaseAsk, accepted: types.Epoch): leaseSchema.LeaseReply {
+  /** accepted: the newest voter epoch on the own disk; null: this node is not confirmed now, and grants nothing. */
+  reply(ask: leaseSchema.LeaseAsk, accepted: types.Epoch | null): leaseSchema.LeaseReply {
     const now = this.world.now();
     this.sweep(now);
     if (ask.life === this.life) for (const done of ask.done) this.settle(ask.router, done, now);
-    const isGranting = this.tenure.isGranting(accepted);
+    const isGranting = accepted !== null && this.tenure.isGranting(accepted);
     const grants: leaseSchema.Grant[] = [];
     if (isGranting) for (const need of ask.needs) this.grant(ask.router, need, now, grants);
     return { life: this.life, isGranting, grants };
