Read again: state kept twice, work at each ask, and one loop for statuses

No change of behaviour. The tenure of quotas used copies of terms and disk that its base holds; an owner compared whole configurations at each ask once an equal one came in other bytes, and wrote its note as JSON at each ask to see that it was kept; capacity and tenants each had the loop that asks every node for its status. goOn() is named for what it does: it also notes the former place. A file name and a blank line in comments.

--- a/src/cli/capacity.ts
+++ b/src/cli/capacity.ts
@@ -5,8 +5,7 @@
 import type * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as rooms from "../admission/room.js";
-import * as client from "./client.js";
-import type * as commands from "./commands.js";
+import * as commands from "./commands.js";
 
 interface CellRoom {
   region: string;
@@ -105,17 +104,9 @@
   addresses: readonly string[],
   isJson: boolean,
 ): Promise<number> {
-  const statuses: NodeStatus[] = [];
-  let lastFailure = "no address was given; name one with --control HOST:PORT";
-  for (const address of addresses) {
-    const outcome = await client.send(world, [address], { method: "GET", path: "/-/status" });
-    if (outcome.isErr) lastFailure = outcome.error.message;
-    else statuses.push(outcome.value.json as NodeStatus);
-  }
-  if (statuses.length === 0) {
-    output.failure(lastFailure);
-    return addresses.length === 0 ? 2 : 3;
-  }
+  const noAddress = "no address was given; name one with --control HOST:PORT";
+  const statuses = await commands.statusesOf<NodeStatus>(world, output, addresses, noAddress);
+  if (typeof statuses === "number") return statuses;
   const rows = rowsOf(statuses);
   if (isJson) output.line(JSON.stringify(rows, null, 2));
   else for (const line of lines(rows)) output.line(line);
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -146,3 +146,22 @@
   else for (const line of view.lines(json)) output.line(line);
   return EXIT.ok;
 }
+
+/** The statuses of all nodes that reply, or the exit code once the failure was told. */
+export async function statusesOf<Status>(
+  world: types.World,
+  output: Output,
+  addresses: readonly string[],
+  noAddress: string,
+): Promise<Status[] | number> {
+  const statuses: Status[] = [];
+  let lastFailure = noAddress;
+  for (const address of addresses) {
+    const outcome = await client.send(world, [address], { method: "GET", path: "/-/status" });
+    if (outcome.isErr) lastFailure = outcome.error.message;
+    else statuses.push(outcome.value.json as Status);
+  }
+  if (statuses.length > 0) return statuses;
+  output.failure(lastFailure);
+  return addresses.length === 0 ? EXIT.usage : EXIT.unreachable;
+}
--- a/src/cli/tenants.ts
+++ b/src/cli/tenants.ts
@@ -7,7 +7,6 @@
 import type * as schema from "../wire/schema.js";
 import type * as types from "../wire/types.js";
 import * as worlds from "../wire/world.js";
-import * as client from "./client.js";
 import * as commands from "./commands.js";
 
 const WATCH_MS = 2000;
@@ -97,17 +96,9 @@
 }
 
 async function printOnce(world: types.World, output: commands.Output, controls: readonly string[], isJson: boolean): Promise<number> {
-  const statuses: OwnerStatus[] = [];
-  let lastFailure = "no address was given; name all control nodes with --control HOST:PORT,...";
-  for (const address of controls) {
-    const outcome = await client.send(world, [address], { method: "GET", path: "/-/status" });
-    if (outcome.isErr) lastFailure = outcome.error.message;
-    else statuses.push(outcome.value.json as OwnerStatus);
-  }
-  if (statuses.length === 0) {
-    output.failure(lastFailure);
-    return controls.length === 0 ? commands.EXIT.usage : commands.EXIT.unreachable;
-  }
+  const noAddress = "no address was given; name all control nodes with --control HOST:PORT,...";
+  const statuses = await commands.statusesOf<OwnerStatus>(world, output, controls, noAddress);
+  if (typeof statuses === "number") return statuses;
   const rows = rowsOf(statuses);
   if (isJson) output.line(JSON.stringify(rows));
   else for (const line of lines(rows, statuses, controls.length)) output.line(line);
--- a/src/control/quotas.ts
+++ b/src/control/quotas.ts
@@ -79,8 +79,11 @@
     if (!chosen) return;
     this.tenure.take(chosen, disk);
     this.useNotes(disk);
-    if (this.config?.equals(chosen.config)) return;
+    if (this.config === chosen.config) return;
+    // Another epoch may bring equal bytes anew: they are compared once, not at each ask.
+    const isEqual = this.config?.equals(chosen.config) === true;
     this.config = chosen.config;
+    if (isEqual) return;
     const limits = limitsOf(registers.unpack(chosen.config) as check.Configuration | null);
     this.hasLimits = limits.size > 0;
     this.owner.setLimits(limits);
--- a/src/control/slot-note.ts
+++ b/src/control/slot-note.ts
@@ -44,7 +44,7 @@
 /** Reads and writes the note of one node; a disk that fails or hangs keeps nobody waiting. */
 export class SlotNote {
   private isWriting = false;
-  private written: string | null = null;
+  private written: Note | null = null;
 
   constructor(private readonly folder: files.StoreFolder) {}
 
@@ -64,19 +64,19 @@
 
   /** Keeps the note unless it is kept already, or a write is under way: whoever calls often writes it later. */
   keep(note: Note): void {
-    const body = JSON.stringify(note);
-    if (this.isWriting || this.written === body) return;
+    // The place follows from the disk and the epoch.
+    if (this.isWriting || (this.written?.epoch === note.epoch && this.written.disk === note.disk)) return;
     this.isWriting = true;
     this.write(note).then(
-      () => this.ended(body),
+      () => this.ended(note),
       () => this.ended(null),
     );
   }
 
-  private ended(body: string | null): void {
+  private ended(note: Note | null): void {
     this.isWriting = false;
-    this.written = body ?? this.written;
-    if (body === null) log.count("quota.note_failed");
+    this.written = note ?? this.written;
+    if (note === null) log.count("quota.note_failed");
   }
 
   private async write(note: Note): Promise<void> {
--- a/src/feed/control-link.ts
+++ b/src/feed/control-link.ts
@@ -35,7 +35,7 @@
   return control.beat !== null && !control.beat.isReady;
 }
 
-/** A known address. failures: in a row, since it was last up; dueAt, urgency: when and why it is dialled (selector.ts). */
+/** A known address. failures: in a row, since it was last up; dueAt, urgency: when and why it is dialled (session-selector.ts). */
 export interface Target {
   state: "idle" | "dialing" | "up";
   notBefore: number;
--- a/src/shares/tenure.ts
+++ b/src/shares/tenure.ts
@@ -35,7 +35,8 @@
 /** Fences one slot: isGranting() holds only while a majority of the voters knows no newer set of voters. */
 export class Tenure {
   private era: Era | null = null;
-  private disk = "";
+  /** The disk whose slot this is; "" until it is known. */
+  protected disk = "";
   private readonly acks = new Map<string, number>();
   private readonly startedAt: number;
   /** From then on this process may grant and earn. */
@@ -45,7 +46,7 @@
 
   constructor(
     protected readonly world: types.World,
-    private readonly terms = LEASES,
+    protected readonly terms = LEASES,
   ) {
     this.startedAt = world.now();
   }
@@ -62,11 +63,6 @@
     return this.era?.epoch ?? types.NO_EPOCH;
   }
 
-  /** The disk whose slot this is; "" until it is known. */
-  protected get ownDisk(): string {
-    return this.disk;
-  }
-
   /** Opens as soon as leases of an earlier life of this process have run out. */
   protected openEarly(): void {
     this.openAt = Math.min(this.openAt, this.startedAt + this.restMs());
@@ -85,7 +81,7 @@
     const disks = value.voters.map(diskOf);
     const slot = disk === "" ? -1 : disks.indexOf(disk);
     const isNext = before !== null && disk === this.disk && value.voterEpoch === before.epoch + 1;
-    const isKept = isNext && this.isKept(before, { slot, slots: disks.length });
+    const isKept = isNext && this.goOn(before, { slot, slots: disks.length });
     const isSame = before !== null && value.voterEpoch === before.epoch;
     this.era = { epoch: value.voterEpoch, voters: new Set(disks), slots: disks.length, slot, knownAt: isSame ? before.knownAt : now };
     this.disk = disk;
@@ -96,8 +92,8 @@
     this.openAt = value.voterEpoch === types.FIRST_EPOCH ? this.startedAt + this.restMs() : this.opening(this.era.knownAt);
   }
 
-  /** Whether this process goes on without a pause at the next epoch: what it held is no one else's there. */
-  protected isKept(before: Place, next: Place): boolean {
+  /** Called at the next epoch: whether this process goes on without a pause, as what it held is no one else's there. */
+  protected goOn(before: Place, next: Place): boolean {
     return next.slot >= 0 && next.slot === before.slot && next.slots === before.slots;
   }
 
--- a/src/tenants/quota-claim.ts
+++ b/src/tenants/quota-claim.ts
@@ -1,5 +1,4 @@
 /** A request that waits for a unit of its tenant's quota, and what became of it (design/tenants 4.4). */
-
 import type * as types from "../wire/types.js";
 import type * as sources from "./quota-sources.js";
 
--- a/src/tenants/quota-sources.ts
+++ b/src/tenants/quota-sources.ts
@@ -11,7 +11,7 @@
 /** One owner. */
 export class Source {
   /** Not asked for units before; 0: it grants as far as is known. */
-  restsUntil = 0;
+  private restsUntil = 0;
   private readonly spentUntil = new Map<string, number>();
   /** Ids of its units that no request used, by tenant. */
   private readonly unused = new Map<string, number[]>();
--- a/src/tenants/quota-tenure.ts
+++ b/src/tenants/quota-tenure.ts
@@ -16,21 +16,14 @@
   /** Grows whenever places() may have changed. */
   version = 0;
 
-  constructor(
-    world: types.World,
-    private readonly quotaTerms: tenures.Terms,
-  ) {
-    super(world, quotaTerms);
-  }
-
-  protected override isKept(before: tenures.Place, next: tenures.Place): boolean {
-    const isKept = before.slot >= 0 && next.slot >= 0;
-    if (isKept && (before.slot !== next.slot || before.slots !== next.slots)) {
-      const until = (this.world.now() + this.quotaTerms.fenceMs + this.restMs()) as types.SteadyMs;
+  protected override goOn(before: tenures.Place, next: tenures.Place): boolean {
+    const goesOn = before.slot >= 0 && next.slot >= 0;
+    if (goesOn && (before.slot !== next.slot || before.slots !== next.slots)) {
+      const until = (this.world.now() + this.terms.fenceMs + this.restMs()) as types.SteadyMs;
       this.former.push({ slot: before.slot, slots: before.slots, until });
     }
     this.version += 1;
-    return isKept;
+    return goesOn;
   }
 
   /**
@@ -38,9 +31,9 @@
    * opens as soon as units of the former one are over; in the epoch after that one like one that stayed.
    */
   restore(disk: string, epoch: types.Epoch, place: tenures.Place): void {
-    if (disk !== this.ownDisk || this.slot < 0) return;
+    if (disk !== this.disk || this.slot < 0) return;
     if (epoch === this.epoch) this.openEarly();
-    else if (epoch + 1 === this.epoch && this.isKept(place, { slot: this.slot, slots: this.slots })) this.openEarly();
+    else if (epoch + 1 === this.epoch && this.goOn(place, { slot: this.slot, slots: this.slots })) this.openEarly();
   }
 
   /** Whether a former life may rely on this one: it is open, and nobody's former place binds any more. */
