Orders at several nodes are passed on to one proposer while others propose

Cause: five proposers on slow disks end each other's rounds; each order costs a round of its own at its own node. Change: while a node sees other proposers at work it passes orders to the first voter in touch that names the feature in its beats; silence, a lost link or a 5xx sends the order on to the next one or to its own queue. Orders whose caller's time is over are no longer applied by a process that stood still. VoterReach and the operator chain are files of their own. Membership: a disk that leaves is given no vote; where a joiner fails, the others are proposed at once. Ruled out: a lease on proposing, 307 (docs/design/hardening/2-orders 7).

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -8,10 +8,10 @@
 import * as drivers from "../register/driver.js";
 import * as batch from "../register/batch.js";
 import * as proposers from "../register/proposer.js";
-import * as registers from "../register/value.js";
 import * as voters from "../register/voter.js";
 import * as result from "true-myth/result";
 import * as channels from "./channel.js";
+import * as reaches from "./voter-reach.js";
 
 const VOTE_MS = 1300;
 
@@ -35,6 +35,7 @@
   readonly proposer: proposers.Proposer;
   private readonly queue: batch.StepQueue;
   chosen: schema.Value | null = null;
+  private readonly voterReach: reaches.VoterReach;
   private readonly channel: channels.Channel;
 
   constructor(
@@ -44,6 +45,7 @@
   ) {
     super();
     this.channel = options.channel ?? channels.CONFIGURATION;
+    this.voterReach = new reaches.VoterReach(options.address, this.channel, dial, () => this.disk);
     this.proposer = new proposers.Proposer(world, options.life, this, options.first, this.learnOwn.bind(this));
     this.driver = new drivers.Driver(world, this);
     this.queue = new batch.StepQueue(world, this.proposer.change.bind(this.proposer));
@@ -102,15 +104,14 @@
     });
   }
 
-  /** The link to a voter: by its disk, which may have moved to another machine, else by its address. */
+  /** The link to a voter; null while there is none. */
   linkTo(voter: schema.Voter): link.Link | null {
-    for (const control of this.dial.controls.values()) if (this.channel.diskOf(control) === voter.disk) return control.link;
-    return this.dial.controls.get(voter.address)?.link ?? null;
+    return this.voterReach.linkTo(voter);
   }
 
   /** Whether the voter is this node's own disk. */
   isOwn(voter: schema.Voter): boolean {
-    return voter.disk === this.disk || (voter.address === this.options.address && !this.linkTo(voter));
+    return this.voterReach.isOwn(voter);
   }
 
   prepare(voter: schema.Voter, ask: schema.Prepare): Promise<schema.Vote | null> {
@@ -138,39 +139,24 @@
     return this.voter ? this.voter.accept(ask) : Promise.resolve(null);
   }
 
-  /** Whether the voter's very disk is in touch; one that isn't known yet, just after a start, counts by its address. */
-  private isInTouch(voter: schema.Voter): boolean {
-    if (this.disk !== "" && voter.disk === this.disk) return true;
-    const { channel } = this;
-    const controls = [...this.dial.controls.values()];
-    if (controls.some((control) => channel.diskOf(control) === voter.disk)) return true;
-    const atItsAddress = this.dial.controls.get(voter.address);
-    return atItsAddress !== undefined && channel.diskOf(atItsAddress) === "";
-  }
-
   /** Whether a majority of the voters can be reached now. */
   isSettled(): boolean {
-    if (!this.chosen) return false;
-    const disks = this.chosen.voters.filter(this.isInTouch.bind(this)).map((voter) => voter.disk);
-    return registers.isQuorum({ ...this.chosen, former: [] }, new Set(disks));
+    return this.voterReach.isSettled(this.chosen);
   }
 
   /** How many of the voters in touch may be lost now with the register still deciding; 0 also when it can't. */
   lossesBorne(): number {
-    if (!this.chosen) return 0;
-    const isInTouch = this.isInTouch.bind(this);
-    const { voters, former } = this.chosen;
-    const sets = former.length > 0 ? [voters, former] : [voters];
-    return Math.max(0, Math.min(...sets.map(spare)));
-    function spare(set: schema.Voter[]): number {
-      return set.filter(isInTouch).length - (Math.floor(set.length / 2) + 1);
-    }
+    return this.voterReach.lossesBorne(this.chosen);
   }
 
   /** How many voters in touch come before this node in the order of addresses. */
   voterRank(): number {
-    const before = this.chosen?.voters.filter((voter) => voter.address < this.options.address) ?? [];
-    return before.filter(this.isInTouch.bind(this)).length;
+    return this.voterReach.rank(this.chosen);
+  }
+
+  /** Whether other proposers were at work lately, as the own voter saw it. */
+  isContended(): boolean {
+    return this.proposer.contention.isActive();
   }
 
   private learnOwn(value: schema.Value): void {
--- /dev/null
+++ b/src/control/operator-chain.ts
@@ -0,0 +1,31 @@
+// What an operator's call passes at a control node: redirector, forwarder, and the calls themselves (design 6.2).
+import type * as link from "../wire/link.js";
+import type * as types from "../wire/types.js";
+import type * as dialers from "../feed/dialer.js";
+import type * as contacts from "./contact.js";
+import type * as cores from "./core.js";
+import * as forwarders from "./order-forwarder.js";
+import * as redirects from "./redirect.js";
+import type * as serve from "./serve.js";
+
+/** The parts of one control node that decide where a call is answered. */
+export interface OperatorParts {
+  world: types.World;
+  handlers: link.Handlers;
+  dial: dialers.Dialer;
+  core: cores.Core;
+  contact: contacts.Contact;
+}
+
+/** Puts both before `calls`, which decides what reaches it. */
+export function chain(parts: OperatorParts, calls: serve.Reply): serve.Reply {
+  const { world, handlers, dial, core, contact } = parts;
+  function controls(): Iterable<dialers.Control> {
+    return dial.controls.values();
+  }
+  const forwarder = new forwarders.OrderForwarder(world, core, controls, calls);
+  forwarder.register(handlers, contact);
+  const redirector = new redirects.Redirector(world, contact, controls, forwarder.reply.bind(forwarder));
+  dial.on("beat", redirector.remember.bind(redirector));
+  return redirector.reply.bind(redirector);
+}
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -1,6 +1,7 @@
 // The control role put together: register, sessions, feed, cells, directory, operator (design 4, 5, 6).
 import * as crypto from "node:crypto";
 import * as calls from "../wire/calls.js";
+import * as features from "../wire/features.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
@@ -27,7 +28,7 @@
 import * as leases from "./leases.js";
 import * as membership from "./membership.js";
 import * as operators from "./operator.js";
-import * as redirects from "./redirect.js";
+import * as operatorChains from "./operator-chain.js";
 import * as sessions from "./sessions.js";
 
 const TURN_MS = 100;
@@ -131,12 +132,14 @@
   private plan(seeds: string[]): void {
     const { root, startup } = this;
     const operator = new operators.Operator(this.core, new Set(Object.keys(startup.zones)), this.status.bind(this), this.batches);
-    const redirector = new redirects.Redirector(this.world, this.contact, () => this.dial.controls.values(), operator.reply.bind(operator));
-    this.dial.on("beat", redirector.remember.bind(redirector));
+    const reply = operatorChains.chain(
+      { world: this.world, handlers: this.handlers, dial: this.dial, core: this.core, contact: this.contact },
+      operator.reply.bind(operator),
+    );
     const stillServes = this.members.stillServes.bind(this.members);
     const view = { routers: this.resolvable.bind(this), stillServes, ttlMostS: startup.bounds.ttl_max_s };
     root.add(endpoints.internalChild(this.world, this.address, this.handlers));
-    root.add(endpoints.operatorChild(startup, redirector.reply.bind(redirector)));
+    root.add(endpoints.operatorChild(startup, reply));
     root.add(endpoints.directoryChild(startup, view));
     root.add(root.turns("beats", link.BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("turn", TURN_MS, this.turn.bind(this)));
@@ -170,7 +173,7 @@
     const { epoch, isReady } = this.describe();
     const base = { isReady, epoch, isSettled: this.contact.isConfirmed(), silentRegions: this.dial.silentRegions() };
     this.members.tellBeats(base);
-    this.dial.tellAll({ ...base, index: 0, members: 1 });
+    this.dial.tellAll({ ...base, index: features.OWN_FEATURES, members: 1 });
     this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
   }
 
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -1,6 +1,7 @@
 // A node is a member while its session with a control node stands; siblings tell theirs, by differences
 // (design 4.1, design/members 1).
 import * as calls from "../wire/calls.js";
+import * as features from "../wire/features.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
@@ -217,7 +218,7 @@
     const places = new Map<string, number>();
     for (const [index, node] of routers.entries()) places.set(node.name, index);
     for (const session of this.own.values()) {
-      const index = places.get(session.node.name) ?? 0;
+      const index = session.node.role === "control" ? features.OWN_FEATURES : (places.get(session.node.name) ?? 0);
       session.link.tell(calls.beat, { ...base, index, members: Math.max(1, routers.length) });
     }
   }
--- a/src/control/voter-manager.ts
+++ b/src/control/voter-manager.ts
@@ -58,7 +58,8 @@
     const alive: policy.Alive[] = [];
     for (const node of this.nodes()) {
       this.heardAt.set(node.disk, now);
-      alive.push({ disk: node.disk, node: node.name, address: node.address, isCounted: node.isCounted });
+      const { disk, name, address, isCounted, isReady } = node;
+      alive.push({ disk, node: name, address, isCounted, isReady });
     }
     return alive;
   }
@@ -102,8 +103,9 @@
   /** Has the voters chosen together with the former ones, then settles them. Null: settles what stands. */
   private async change(value: schema.Value, voters: schema.Voter[] | null): Promise<boolean> {
     if (voters) {
-      if (!(await this.teach(value, voters))) return false;
-      const outcome = await this.core.change(policy.voterStep(value, voters), CHANGE_MS);
+      const taught = await this.teachAny(value, voters);
+      if (!taught) return false;
+      const outcome = await this.core.change(policy.voterStep(value, taught), CHANGE_MS);
       if (outcome.isErr) return false;
     }
     const joint = this.core.chosen;
@@ -111,6 +113,17 @@
     return (await this.core.change(policy.settleStep(joint), CHANGE_MS)).isOk;
   }
 
+  /**
+   * The voters to propose, each of whose joiners learned the value. Where some joiners failed, the policy is asked once
+   * more without them, so that a hung disk costs those beside it no pause; null where nobody is left to propose.
+   */
+  private async teachAny(value: schema.Value, voters: schema.Voter[]): Promise<schema.Voter[] | null> {
+    if (await this.teach(value, voters)) return voters;
+    if (this.isLeaving) return null;
+    const others = policy.nextVoters(value, this.alive(), this.silentMs, this.failures);
+    return others && (await this.teach(value, others)) ? others : null;
+  }
+
   /** Learners first: nobody is proposed before its synced disk holds the chosen value. Those that fail come last from then on. */
   private async teach(value: schema.Value, voters: schema.Voter[]): Promise<boolean> {
     const before = new Set(value.voters.map((voter) => voter.disk));
--- /dev/null
+++ b/src/control/voter-reach.ts
@@ -0,0 +1,64 @@
+// Which voters of a register one control node can reach now, by the disks that its links lead to (design 5.5).
+import type * as link from "../wire/link.js";
+import type * as schema from "../wire/schema.js";
+import type * as dialer from "../feed/dialer.js";
+import * as registers from "../register/value.js";
+import type * as channels from "./channel.js";
+
+/** Reads the links of one node as they stand at each call. */
+export class VoterReach {
+  /** `ownDisk`: the disk that votes here; empty when none does. */
+  constructor(
+    private readonly address: string,
+    private readonly channel: channels.Channel,
+    private readonly dial: dialer.Dialer,
+    private readonly ownDisk: () => string,
+  ) {}
+
+  /** The link to a voter: by its disk, which may have moved to another machine, else by its address. */
+  linkTo(voter: schema.Voter): link.Link | null {
+    for (const control of this.dial.controls.values()) if (this.channel.diskOf(control) === voter.disk) return control.link;
+    return this.dial.controls.get(voter.address)?.link ?? null;
+  }
+
+  /** Whether the voter is this node's own disk. */
+  isOwn(voter: schema.Voter): boolean {
+    return voter.disk === this.ownDisk() || (voter.address === this.address && !this.linkTo(voter));
+  }
+
+  /** Whether the voter's very disk is in touch; one that isn't known yet, just after a start, counts by its address. */
+  private isInTouch(voter: schema.Voter): boolean {
+    const ownDisk = this.ownDisk();
+    if (ownDisk !== "" && voter.disk === ownDisk) return true;
+    const { channel } = this;
+    const controls = [...this.dial.controls.values()];
+    if (controls.some((control) => channel.diskOf(control) === voter.disk)) return true;
+    const atItsAddress = this.dial.controls.get(voter.address);
+    return atItsAddress !== undefined && channel.diskOf(atItsAddress) === "";
+  }
+
+  /** Whether a majority of the value's voters can be reached now. */
+  isSettled(value: schema.Value | null): boolean {
+    if (!value) return false;
+    const disks = value.voters.filter(this.isInTouch.bind(this)).map((voter) => voter.disk);
+    return registers.isQuorum({ ...value, former: [] }, new Set(disks));
+  }
+
+  /** How many of the voters in touch may be lost now with the register still deciding; 0 also when it can't. */
+  lossesBorne(value: schema.Value | null): number {
+    if (!value) return 0;
+    const isInTouch = this.isInTouch.bind(this);
+    const { voters, former } = value;
+    const sets = former.length > 0 ? [voters, former] : [voters];
+    return Math.max(0, Math.min(...sets.map(spare)));
+    function spare(set: schema.Voter[]): number {
+      return set.filter(isInTouch).length - (Math.floor(set.length / 2) + 1);
+    }
+  }
+
+  /** How many voters in touch come before this node in the order of addresses. */
+  rank(value: schema.Value | null): number {
+    const before = value?.voters.filter((voter) => voter.address < this.address) ?? [];
+    return before.filter(this.isInTouch.bind(this)).length;
+  }
+}
--- a/src/control/voters.ts
+++ b/src/control/voters.ts
@@ -14,6 +14,8 @@
   node: string;
   address: string;
   isCounted: boolean;
+  /** It is heard and does not leave: only such a disk is given a vote. */
+  isReady: boolean;
 }
 
 /** For how long nothing was heard of a voter. */
@@ -59,7 +61,7 @@
   const voting = new Set(value.voters.map(diskOf));
   const joiners = alive.filter(isJoiner).sort(byNode);
   function isJoiner(item: Alive): boolean {
-    return item.disk !== "" && item.isCounted && !voting.has(item.disk);
+    return item.disk !== "" && item.isCounted && item.isReady && !voting.has(item.disk);
   }
   const fit = joiners.filter((item) => failures(item.disk) === 0);
   if (fit.length > 0) return fit;
--- a/src/register/batch.ts
+++ b/src/register/batch.ts
@@ -119,6 +119,8 @@
     judged.clear();
     let value = read;
     for (const item of [...this.waiting]) {
+      // A process that stood still: the timer is late, and the caller has long gone on to another node.
+      if (item.until <= this.clock.now()) continue;
       const outcome = this.apply(item, value);
       if (!outcome) continue;
       // A change of voters is the first of its batch and the last: no other step builds on voters not chosen yet.
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -1,6 +1,7 @@
 // Calls and their replies are pairs of types behind one generic handler (design 3.3).
 import * as batchSchema from "./batch-schema.js";
 import * as leaseSchema from "./lease-schema.js";
+import * as orderSchema from "./order-schema.js";
 import * as schema from "./schema.js";
 import * as tenantSchema from "./tenant-schema.js";
 
@@ -101,3 +102,7 @@
 // Of tenants: used only while a configuration with tenants is in force (design/tenants 6).
 /** A router asks for units of quotas, and for a control node's word on the configuration. */
 export const quota = optionalPair(54, "quota", tenantSchema.quotaAsk, tenantSchema.quotaReply);
+
+// Of orders: sent only to nodes that name the feature in their beats (features.ts).
+/** An operator's order, passed on to the control node that proposes for all. */
+export const order = optionalPair(55, "order", orderSchema.forwardedOrder, orderSchema.orderAnswer);
--- /dev/null
+++ b/src/wire/features.ts
@@ -0,0 +1,16 @@
+/**
+ * What a build understands beyond the frames of its release. A control node names its features in each beat, so that a
+ * message of a newer build is sent only to nodes that understand it, and a release still talks to the one before it.
+ */
+import type * as schema from "./schema.js";
+
+/** Takes orders that another control node passes on (control/order-forwarder.ts). */
+export const FORWARDED_ORDERS = 1;
+
+/** The features of this build, for its beats. */
+export const OWN_FEATURES = FORWARDED_ORDERS;
+
+/** Whether the teller of the beat has the feature; builds from before features say 0. */
+export function hasFeature(beat: schema.Beat, feature: number): boolean {
+  return (beat.index & feature) !== 0;
+}
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -144,7 +144,8 @@
 
 /**
  * isReady: a router takes requests; a control node is not leaving. isSettled: a majority of the voters confirmed the
- * teller's configuration lately (design/hardening/1-cut-off). silentRegions: of these it hears no control node now
+ * teller's configuration lately (design/hardening/1-cut-off). index: the teller's features, as bits (features.ts); the
+ * name is that of a field which older builds send as 0. silentRegions: of these it hears no control node now
  * (design/members 4).
  */
 export interface Beat {
--- a/tests/model/player.ts
+++ b/tests/model/player.ts
@@ -165,7 +165,7 @@
     const alive: policy.Alive[] = [];
     for (const node of this.network.nodes.values()) {
       const { disk, address } = node.describe();
-      if (node.isUp && disk !== "") alive.push({ disk, node: address, address, isCounted: true });
+      if (node.isUp && disk !== "") alive.push({ disk, node: address, address, isCounted: true, isReady: true });
     }
     return alive;
   }
--- a/tests/register.test.ts
+++ b/tests/register.test.ts
@@ -119,7 +119,7 @@
 }
 
 function aliveOf(node: core.SimNode): policy.Alive {
-  return { disk: node.voter?.disk ?? "", node: node.address, address: node.address, isCounted: true };
+  return { disk: node.voter?.disk ?? "", node: node.address, address: node.address, isCounted: true, isReady: true };
 }
 
 function never(): number {
--- a/tests/release.test.ts
+++ b/tests/release.test.ts
@@ -31,6 +31,7 @@
 const FEATURES: Feature[] = [
   { name: "batches (docs/batch.md)", codes: [44, 53], digest: "82c97917eeead592" },
   { name: "tenants (design/tenants 6)", codes: [54, 54], digest: "56617daec31c8ee2" },
+  { name: "forwarded orders (design/hardening/2-orders)", codes: [55, 55], digest: "f4587b8298424331" },
 ];
 
 /** All messages and their codes, those of a release or those of features. */
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -267,12 +267,14 @@
 
 test("who votes: two joiners grow an odd core at once, one alone waits, an even core sheds a silent voter", function voters() {
   const value = registers.firstValue(["a:1", "b:1", "c:1"]);
-  const joiner = { disk: "d", node: "d", address: "d:1", isCounted: true };
-  const other = { disk: "e", node: "e", address: "e:1", isCounted: true };
+  const joiner = { disk: "d", node: "d", address: "d:1", isCounted: true, isReady: true };
+  const other = { disk: "e", node: "e", address: "e:1", isCounted: true, isReady: true };
   const calm = (): number => 0;
   expect(policy.nextVoters(value, [joiner], calm)).toBeNull();
   expect(policy.nextVoters(value, [joiner, other], calm)).toHaveLength(5); // never by way of an even core
   expect(policy.nextVoters(value, [{ ...joiner, isCounted: false }, other], calm)).toBeNull();
+  expect(policy.nextVoters(value, [{ ...joiner, isReady: false }, other], calm)).toBeNull(); // it leaves
+  expect(policy.handedOver(value, [{ ...joiner, isReady: false }], () => 0, value.voters[0].disk)).toBeNull();
   const even = { ...value, voters: [...value.voters, { disk: "d", node: "d", address: "d:1" }] };
   expect(policy.nextVoters(even, [other], calm)).toHaveLength(5);
   expect(policy.nextVoters(even, [], (voter) => (voter.disk === "d" ? 9000 : 0))).toHaveLength(3);
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -8,6 +8,7 @@
 import * as leases from "../../src/control/leases.js";
 import * as membership from "../../src/control/membership.js";
 import * as operators from "../../src/control/operator.js";
+import * as forwarders from "../../src/control/order-forwarder.js";
 import * as redirects from "../../src/control/redirect.js";
 import type * as serve from "../../src/control/serve.js";
 import * as sessions from "../../src/control/sessions.js";
@@ -16,6 +17,7 @@
 import * as registers from "../../src/register/value.js";
 import * as voters from "../../src/register/voter.js";
 import * as calls from "../../src/wire/calls.js";
+import * as features from "../../src/wire/features.js";
 import * as link from "../../src/wire/link.js";
 import type * as schema from "../../src/wire/schema.js";
 import * as types from "../../src/wire/types.js";
@@ -111,7 +113,9 @@
     this.contact = new contacts.Contact(world, this.core, this.dial, this.lessor.takeReply.bind(this.lessor), confirmation);
     const operator = new operators.Operator(this.core, ZONES, () => ({ contact: this.contact.status() }));
     const peers = (): Iterable<dialers.Control> => this.dial.controls.values();
-    this.redirector = new redirects.Redirector(world, this.contact, peers, operator.reply.bind(operator));
+    const forwarder = new forwarders.OrderForwarder(world, this.core, peers, operator.reply.bind(operator));
+    forwarder.register(this.handlers, this.contact);
+    this.redirector = new redirects.Redirector(world, this.contact, peers, forwarder.reply.bind(forwarder));
     this.dial.on("beat", () => this.redirector.remember());
     this.handle();
     if (options.isVoter !== false) this.vote(first);
@@ -171,7 +175,7 @@
     this.said.push({ at: this.world.now(), isSettled, epoch: this.epoch });
     const base = { isReady: !this.isLeaving, epoch: this.epoch, isSettled, silentRegions: this.dial.silentRegions() };
     this.members.tellBeats(base);
-    this.dial.tellAll({ ...base, index: 0, members: 1 });
+    this.dial.tellAll({ ...base, index: features.OWN_FEATURES, members: 1 });
     this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
   }
 
--- a/tests/sim/membership.ts
+++ b/tests/sim/membership.ts
@@ -20,6 +20,7 @@
   private readonly heard = new Map<Member, number>();
   private driver: drivers.Driver;
   private nextBeat = 0;
+  isLeaving = false;
 
   constructor(
     private readonly fleet: Fleet,
@@ -110,7 +111,9 @@
     return this.node.proposer.spread(withinMs);
   }
 
+  /** It says in its heartbeats that it leaves, and hands its vote over. */
   handOver(withinMs: number): Promise<void> {
+    this.isLeaving = true;
     return this.voterManager.handOver(withinMs);
   }
 
@@ -219,5 +222,14 @@
   const { address } = member.node;
   const name = address.split(":")[0];
   const place = { zone: "z", region: "r", outside: "", life: "" };
-  return { ...place, name, role: "control", address, disk: member.disk, isCounted: true, isReady: true, epoch: types.NO_EPOCH };
+  return {
+    ...place,
+    name,
+    role: "control",
+    address,
+    disk: member.disk,
+    isCounted: true,
+    isReady: !member.isLeaving,
+    epoch: types.NO_EPOCH,
+  };
 }
