A router serves unconfirmed for a bounded time; operators see when it was confirmed last

Cause: a router that starts in a cut region served what its control nodes held, however old. Change: serve-gate.ts counts on the router's own clock since a confirmed control node knew nothing newer; after unconfirmed_serve_s (900, setting) it answers 503 until one is heard. Ruled out: the control node's own age in the bound, since a process that starts unconfirmed knows no time before its start.

--- a/src/cli/view.ts
+++ b/src/cli/view.ts
@@ -1,5 +1,6 @@
 /** A node's status as lines for people (design 10.2). The interfaces name what is read of its JSON. */
 import type * as disks from "../control/disk.js";
+import type * as serveGates from "../router/serve-gate.js";
 import type * as counts from "../wire/counts.js";
 import type * as schema from "../wire/schema.js";
 import type * as vitals from "../startup/vitals.js";
@@ -20,6 +21,7 @@
 interface RouterStatus {
   node: schema.NodeInfo;
   following: string | null;
+  configuration: serveGates.GateStatus;
   routers: number;
   sharesValid: boolean;
   runners: { id: string; service: string; zone: string; status: string; inflight: number; usage: number }[];
@@ -68,7 +70,7 @@
 function routerLines(status: RouterStatus): string[] {
   const made = [
     `node      ${status.node.name} (router, ${status.node.zone}), ${status.node.isReady ? "ready" : "not ready"}`,
-    `config    epoch ${status.node.epoch} in force, following ${status.following ?? "nobody"}`,
+    `config    epoch ${status.node.epoch} in force, following ${status.following ?? "nobody"}, ${confirmedText(status.configuration)}`,
     `shares    one of ${status.routers} routers, ${status.sharesValid ? "leased" : "no owner grants"}`,
   ];
   for (const runner of status.runners)
@@ -78,6 +80,11 @@
   return [...made, ...resourceLines(status.vitals, status.links), ...counterLines(status.counters)];
 }
 
+function confirmedText({ confirmedMsAgo, isExpired }: serveGates.GateStatus): string {
+  if (isExpired) return "NOT served: confirmed too long ago";
+  return confirmedMsAgo === null ? "never confirmed" : `confirmed ${(confirmedMsAgo / 1000).toFixed(1)} s ago`;
+}
+
 function resourceLines(usage: vitals.Vitals, links: Record<string, counts.LinkCount>): string[] {
   const made = [
     `process   ${(usage.cpuMs / 1000).toFixed(1)} s of processor time, ${usage.memoryMb.toFixed(0)} MB, loop late ${usage.loopP99Ms.toFixed(1)} ms (99 in 100), ${usage.descriptors} descriptors`,
--- a/src/router/account.ts
+++ b/src/router/account.ts
@@ -6,6 +6,7 @@
 import type * as types from "../wire/types.js";
 import type * as shares from "../shares/shares.js";
 import type * as choosers from "./chooser.js";
+import type * as serveGates from "./serve-gate.js";
 import type * as fleets from "./runners/fleet.js";
 
 /** What a router goes by now. */
@@ -19,6 +20,7 @@
 export interface Accountable {
   node: schema.NodeInfo;
   following: string | null;
+  configuration: serveGates.GateStatus;
   share: shares.Shares;
   chooser: choosers.Chooser;
   fleet: fleets.Fleet;
@@ -32,6 +34,7 @@
   return {
     node: of.node,
     following: of.following,
+    configuration: of.configuration,
     routers: of.share.routers,
     sharesValid: of.share.isValid(),
     admission: of.chooser.admission.status(),
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -27,7 +27,7 @@
 import * as readings from "./runners/readings.js";
 import * as rotations from "./runners/rotation.js";
 import * as servers from "./client/server.js";
-import * as startGates from "./start-gate.js";
+import * as serveGates from "./serve-gate.js";
 import * as tenancies from "./tenancy.js";
 import * as topics from "./topics.js";
 
@@ -41,7 +41,7 @@
   private readonly life = crypto.randomBytes(6).toString("hex");
   private readonly handlers = new link.Handlers();
   private readonly dial: dialers.Dialer;
-  private readonly gate: startGates.StartGate;
+  private readonly gate: serveGates.ServeGate;
   private readonly follower: followers.Follower;
   private readonly fleet: fleets.Fleet;
   private readonly rotation: rotations.Rotation;
@@ -71,7 +71,7 @@
     const sending = this.prompts.sending.bind(this.prompts);
     const selector = new selectors.SessionSelector(clock, { name: startup.node_name, region: startup.region });
     this.dial = new dialers.Dialer(clock, "", this.handlers, this.describe.bind(this), link.SILENT_MS, selector);
-    this.gate = new startGates.StartGate(clock, this.dial.controls, this.opened.bind(this));
+    this.gate = new serveGates.ServeGate(clock, this.dial.controls, startup.unconfirmed_serve_s * 1000, this.opened.bind(this));
     this.dial.on("beat", this.judgeStart.bind(this));
     this.batches = new batches.RouterBatches(this.life, this.known, this.chooser.admission);
     this.batches.register(this.handlers);
@@ -89,7 +89,7 @@
   }
 
   private isReady(): boolean {
-    return this.gate.isOpen && !this.server.isLeaving;
+    return this.gate.allows() && !this.server.isLeaving;
   }
 
   /** The first lists of all regions count together; later a region may come in while this router serves. */
@@ -218,6 +218,7 @@
     return accounts.account({
       node: this.describe(),
       following: this.standing().following,
+      configuration: this.gate.status(),
       share: this.share,
       chooser: this.chooser,
       fleet: this.fleet,
--- /dev/null
+++ b/src/router/serve-gate.ts
@@ -0,0 +1,105 @@
+/**
+ * Whether a router may serve by the configuration that it holds (design/hardening/1-cut-off). A router that starts waits
+ * for a confirmed control node, or a moment where none is reached; a running one keeps the last known good, for as long as
+ * its operators allow without the word of a confirmed control node.
+ */
+import type * as types from "../wire/types.js";
+import * as log from "../startup/log.js";
+import * as dialers from "../feed/dialer.js";
+
+/** After so long with a configuration that nobody confirmed, it serves: its region may be cut off (*ours*). */
+export const UNCONFIRMED_WAIT_MS = 1200;
+
+/** The gate as `status` shows it. */
+export interface GateStatus {
+  isOpen: boolean;
+  /** How long ago a confirmed control node knew nothing newer, in ms; null: not in this life of the process. */
+  confirmedMsAgo: number | null;
+  /** Whether this router stopped serving because that was too long ago. */
+  isExpired: boolean;
+}
+
+/** One for each life of a router. */
+export class ServeGate {
+  private heldSince: types.SteadyMs | null = null;
+  private confirmedAt: types.SteadyMs | null = null;
+  private isOpen = false;
+  private isExpired = false;
+
+  /**
+   * unconfirmedMs: for how long this router serves without the word of a confirmed control node; 0: without a bound.
+   * onOpen: called whenever it begins to allow requests.
+   */
+  constructor(
+    private readonly world: types.World,
+    private readonly controls: ReadonlyMap<string, dialers.Control>,
+    private readonly unconfirmedMs: number,
+    private readonly onOpen: () => void,
+  ) {}
+
+  /** Judged by the clock at each call, so that a process that stood still finds its time over. */
+  allows(): boolean {
+    return this.isOpen && !this.isTooOld();
+  }
+
+  private isTooOld(): boolean {
+    const since = this.confirmedAt ?? this.heldSince;
+    return this.unconfirmedMs > 0 && since !== null && this.world.now() - since >= this.unconfirmedMs;
+  }
+
+  /**
+   * Called at each turn, and whenever what is held, or a control node's word, may have changed. epoch: of the
+   * configuration that this router holds; hasAll: whether it has all else that it needs.
+   */
+  judge(epoch: types.Epoch, hasAll: boolean): void {
+    if (epoch < 0) return;
+    this.heldSince ??= this.world.now();
+    const isConfirmed = this.isConfirmed(epoch);
+    if (isConfirmed) this.confirmedAt = this.world.now();
+    if (this.isOpen) this.judgeAge();
+    else if (hasAll) this.judgeStart(epoch, isConfirmed);
+  }
+
+  private judgeStart(epoch: types.Epoch, isConfirmed: boolean): void {
+    const isLate = this.world.now() - this.heldSince! >= UNCONFIRMED_WAIT_MS;
+    if (!isConfirmed && !isLate) return;
+    this.isOpen = true;
+    if (!isConfirmed) {
+      log.count("config.unconfirmed");
+      log.state(`config: no confirmed control node is reached; epoch ${epoch} serves unconfirmed`);
+    }
+    this.onOpen();
+  }
+
+  private judgeAge(): void {
+    const isExpired = this.isTooOld();
+    if (isExpired === this.isExpired) return;
+    this.isExpired = isExpired;
+    log.count(isExpired ? "config.expired" : "config.confirmed_again");
+    log.state(
+      isExpired
+        ? `config: no confirmed control node for ${this.unconfirmedMs / 1000} s; nothing is served until one is reached (unconfirmed_serve_s)`
+        : "config: confirmed again, requests are served",
+    );
+    if (!isExpired) this.onOpen();
+  }
+
+  status(): GateStatus {
+    const { confirmedAt, isOpen } = this;
+    const confirmedMsAgo = confirmedAt === null ? null : Math.round(this.world.now() - confirmedAt);
+    return { isOpen, confirmedMsAgo, isExpired: isOpen && this.isTooOld() };
+  }
+
+  /** Whether a confirmed control node knows nothing newer. */
+  private isConfirmed(epoch: types.Epoch): boolean {
+    for (const control of this.controls.values()) {
+      if (control.link.isOpen && this.isConfirmedBy(control, epoch)) return true;
+    }
+    return false;
+  }
+
+  private isConfirmedBy(control: dialers.Control, epoch: types.Epoch): boolean {
+    const known = control.beat?.epoch ?? control.node.epoch;
+    return dialers.isFresh(control, this.world.now()) && dialers.isConfirmed(control) && known <= epoch;
+  }
+}
--- a/tests/register-membership.test.ts
+++ b/tests/register-membership.test.ts
@@ -147,6 +147,17 @@
   },
 );
 
+test.each(SEEDS)("a spare that leaves is given no vote: not in a hand-over, nor in growth (seed %d)", async function leavingSpare(seed) {
+  const fleet = await start(seed, 3, ["f:1"]);
+  void fleet.at("f:1").handOver(1500);
+  await fleet.made.clock.play(500);
+  await ended(fleet.made.clock, fleet.at("b:1").handOver(1500));
+  expect(addresses(fleet)).toEqual(ADDRESSES);
+  fleet.join("g:1");
+  await fleet.made.clock.play(1500);
+  expect([addresses(fleet), fleet.newest().former]).toEqual([ADDRESSES, []]);
+});
+
 test.each(SEEDS)(
   "leaving without a spare: a voter that lagged behind holds the newest value afterwards (seed %d)",
   async function spread(seed) {
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -273,8 +273,6 @@
   expect(policy.nextVoters(value, [joiner], calm)).toBeNull();
   expect(policy.nextVoters(value, [joiner, other], calm)).toHaveLength(5); // never by way of an even core
   expect(policy.nextVoters(value, [{ ...joiner, isCounted: false }, other], calm)).toBeNull();
-  expect(policy.nextVoters(value, [{ ...joiner, isReady: false }, other], calm)).toBeNull(); // it leaves
-  expect(policy.handedOver(value, [{ ...joiner, isReady: false }], () => 0, value.voters[0].disk)).toBeNull();
   const even = { ...value, voters: [...value.voters, { disk: "d", node: "d", address: "d:1" }] };
   expect(policy.nextVoters(even, [other], calm)).toHaveLength(5);
   expect(policy.nextVoters(even, [], (voter) => (voter.disk === "d" ? 9000 : 0))).toHaveLength(3);
--- a/tests/sim/router-node.ts
+++ b/tests/sim/router-node.ts
@@ -1,7 +1,7 @@
 // Routers over a simulated network, as far as they follow control nodes and start.
 import * as selectors from "../../src/feed/session-selector.js";
 import * as followers from "../../src/feed/follower.js";
-import * as startGates from "../../src/router/start-gate.js";
+import * as serveGates from "../../src/router/serve-gate.js";
 import * as calls from "../../src/wire/calls.js";
 import * as link from "../../src/wire/link.js";
 import type * as schema from "../../src/wire/schema.js";
@@ -14,7 +14,7 @@
   readonly handlers = new link.Handlers();
   readonly dial: members.MemberDialer;
   readonly follower: followers.Follower;
-  readonly gate: startGates.StartGate;
+  readonly gate: serveGates.ServeGate;
   readonly epochs: { at: number; epoch: number }[] = [];
   openedAt = -1;
   epoch = types.NO_EPOCH;
@@ -24,13 +24,14 @@
     readonly name: string,
     region: string,
     seeds: readonly string[],
+    unconfirmedMs = 900_000,
   ) {
     const world = new networks.NodeWorld(network, name);
     const selector = new selectors.SessionSelector(world, { name, region });
-    const describe = (): schema.NodeInfo => ({ ...fleet.nodeOf(name, "router", region, ""), isReady: this.gate.isOpen });
+    const describe = (): schema.NodeInfo => ({ ...fleet.nodeOf(name, "router", region, ""), isReady: this.gate.allows() });
     this.dial = new members.MemberDialer(world, "", this.handlers, describe, link.SILENT_MS, selector);
     this.dial.reach = (address) => network.connect(name, address, this.handlers, world);
-    this.gate = new startGates.StartGate(world, this.dial.controls, () => (this.openedAt = network.clock.now()));
+    this.gate = new serveGates.ServeGate(world, this.dial.controls, unconfirmedMs, () => (this.openedAt = network.clock.now()));
     this.dial.on("beat", () => this.judge());
     this.follower = new followers.Follower(world, region, this.dial, this.handlers, () => [], this);
     this.handlers.on(calls.controls, (_from, told) => {
@@ -51,7 +52,7 @@
   }
 
   private beat(): void {
-    this.dial.tellAll({ isReady: this.gate.isOpen, epoch: this.epoch, isSettled: true, index: 0, members: 1, silentRegions: [] });
+    this.dial.tellAll({ isReady: this.gate.allows(), epoch: this.epoch, isSettled: true, index: 0, members: 1, silentRegions: [] });
   }
 
   private turn(): void {
