Files of release 1 are converted on start, wherever the start is cut

Cause: records of the release before versions were refused; an upgrade meant an emptied disk. Change: the newest old record is copied and made durable before an old file is touched (store/conversion.ts); a new set with origin 'converted' takes its record; the copy is cleared before the voter is entered. register/release-1.ts carries identity, promise, value and remembered orders over. Ruled out: renaming old files (no rename in the store's interface); a copy left in place, which a damaged set could take for its own.

--- a/src/control/disk.ts
+++ b/src/control/disk.ts
@@ -4,8 +4,10 @@
  */
 import * as crypto from "node:crypto";
 import * as log from "../startup/log.js";
+import * as release1 from "../register/release-1.js";
 import * as registers from "../register/value.js";
 import * as voters from "../register/voter.js";
+import * as conversion from "../store/conversion.js";
 import type * as files from "../store/files.js";
 import * as format from "../store/format.js";
 import * as owner from "../store/owner.js";
@@ -65,6 +67,11 @@
   return { disk, promised: registers.NO_BALLOT, accepted };
 }
 
+function stateOf(opened: rings.OpenedRing, place: Place): schema.Disk {
+  if (opened.newest) return voters.Voter.restore(opened.newest);
+  return opened.unconverted ? release1.convert(opened.unconverted) : blankState(place, opened.isPristine);
+}
+
 /** The disk of one voter; `start` begins to open it. */
 export class VoterDisk implements voters.Keep {
   private ring: rings.Ring | null = null;
@@ -123,9 +130,10 @@
     await owner.claim(folder, processes);
     const opened = await rings.Ring.open(folder, { layout: recordLayout(), newSetId });
     try {
-      const state = opened.newest ? voters.Voter.restore(opened.newest) : blankState(this.place, opened.isPristine);
+      const state = stateOf(opened, this.place);
       if (!opened.newest) await opened.ring.write(schema.disk.toBuffer(state));
-      if (!opened.newest) log.state(`store: no record on disk, new identity ${state.disk}`);
+      if (opened.unconverted) await conversion.discard(folder);
+      else if (!opened.newest) log.state(`store: no record on disk, new identity ${state.disk}`);
       this.enter(opened.ring, state);
     } catch (cause) {
       await opened.ring.close();
--- a/src/store/format.ts
+++ b/src/store/format.ts
@@ -16,7 +16,7 @@
 
 const HEADER_MAGIC = 0x43574e53;
 const RECORD_MAGIC = 0x43574e52;
-/** First bytes of files that were written before the layout had a version. */
+/** First bytes of files that were written before the layout had a version (unversioned.ts). */
 const UNVERSIONED_MAGIC = 0x43574e44;
 const HEADER_CHECKED_BYTES = 24;
 const HEADER_BYTES = HEADER_CHECKED_BYTES + 4;
@@ -24,6 +24,14 @@
 /** Length of what stands before a body. */
 export const RECORD_HEAD_BYTES = RECORD_CHECKED_BYTES + 4;
 
+/**
+ * How a set came to be: `first`: the folder held no trace of an older set; `later`: it did; `converted`: from the files of
+ * release 1, so that the copy of their newest record may still be there (conversion.ts).
+ */
+export type Origin = "first" | "later" | "converted";
+/** By their byte in the header; one that is not known here counts as a later set. */
+const ORIGINS: Origin[] = ["later", "first", "converted"];
+
 /** What ties a file to its set. */
 export interface Header {
   /** Random, made anew with each set. */
@@ -31,8 +39,7 @@
   /** How many files the set has, and which of them this is. */
   files: number;
   index: number;
-  /** Whether the folder held no trace of an older set when this one was made. */
-  isFirstSet: boolean;
+  origin: Origin;
 }
 
 /** One record. */
@@ -45,7 +52,7 @@
   body: Buffer;
 }
 
-// magic u32, version u8, files u8, index u8, first set u8, set id, checksum u32
+// magic u32, version u8, files u8, index u8, origin u8, set id, checksum u32
 /** The header block of a file. */
 export function encodeHeader(header: Header): Buffer {
   const bytes = Buffer.alloc(BLOCK_BYTES);
@@ -53,7 +60,7 @@
   bytes.writeUInt8(FORMAT_VERSION, 4);
   bytes.writeUInt8(header.files, 5);
   bytes.writeUInt8(header.index, 6);
-  bytes.writeUInt8(header.isFirstSet ? 1 : 0, 7);
+  bytes.writeUInt8(ORIGINS.indexOf(header.origin), 7);
   header.setId.copy(bytes, 8, 0, SET_ID_BYTES);
   bytes.writeUInt32BE(checksum(bytes.subarray(0, HEADER_CHECKED_BYTES)), HEADER_CHECKED_BYTES);
   return bytes;
@@ -72,7 +79,7 @@
   return {
     files: bytes.readUInt8(5),
     index: bytes.readUInt8(6),
-    isFirstSet: bytes.readUInt8(7) === 1,
+    origin: ORIGINS[bytes.readUInt8(7)] ?? "later",
     setId: Buffer.from(bytes.subarray(8, 8 + SET_ID_BYTES)),
   };
 }
--- a/src/store/inspection.ts
+++ b/src/store/inspection.ts
@@ -17,6 +17,8 @@
   newest: NewestRecord | null;
   /** No promise can ever have been given by a set in this folder, as far as its files tell. */
   isPristine: boolean;
+  /** The newest record's set was made of the files of release 1. */
+  isConverted: boolean;
 }
 
 /** `contents` are the whole files, in the order of their index; a missing file is an empty one. */
@@ -27,12 +29,12 @@
   const setId = commonSetId(headers);
   if (setId === null) {
     if (!isPristine) reportIncomplete(headers);
-    return { newest: null, isPristine };
+    return { newest: null, isPristine, isConverted: false };
   }
   const newest = newestOf(setId, records);
   if (newest && newest.layout !== layout) throw unknownLayout();
   reportTorn(setId, records, contents);
-  return { newest, isPristine };
+  return { newest, isPristine, isConverted: newest !== null && headers[0]?.origin === "converted" };
 }
 
 function recordOf(content: Buffer): format.StoredRecord | null {
@@ -73,7 +75,7 @@
 }
 
 function isLaterSet(header: format.Header | null): boolean {
-  return header !== null && !header.isFirstSet;
+  return header !== null && header.origin !== "first";
 }
 
 function hasRecordBytes(content: Buffer): boolean {
--- a/src/store/ring.ts
+++ b/src/store/ring.ts
@@ -4,6 +4,7 @@
  * file. So a torn write hurts a record that was never acknowledged, and never the newest acknowledged one.
  */
 import * as log from "../startup/log.js";
+import * as conversion from "./conversion.js";
 import * as files from "./files.js";
 import * as format from "./format.js";
 import * as inspection from "./inspection.js";
@@ -31,6 +32,8 @@
   newest: Buffer | null;
   /** With no record: whether the folder shows no trace of any earlier promise. */
   isPristine: boolean;
+  /** With no record: the newest one of release 1, to be written converted; then `conversion.discard` is called. */
+  unconverted: Buffer | null;
 }
 
 interface Position {
@@ -58,20 +61,38 @@
     const opened = await openAll(folder);
     try {
       const contents = await Promise.all(opened.map(readFile));
-      const { newest, isPristine } = inspection.inspect(contents, options.layout);
+      const unconverted = await conversion.preserve(folder, contents);
+      if (unconverted) return await Ring.openConverted(folder, opened, contents, options, unconverted);
+      const { newest, isPristine, isConverted } = inspection.inspect(contents, options.layout);
       const position = newest
         ? { setId: newest.setId, number: newest.number, place: newest.place }
         : { setId: options.newSetId(), number: 0, place: 0 };
       if (newest) await makeDurable(opened[newest.place], contents[newest.place], newest);
-      else await makeSet(folder, opened, contents, position.setId, isPristine);
+      else await makeSet(folder, opened, contents, { setId: position.setId, origin: isPristine ? "first" : "later" });
+      if (isConverted) await conversion.discard(folder);
       const capacities = contents.map(capacityOf);
-      return { ring: new Ring(opened, capacities, options.layout, position), newest: newest?.body ?? null, isPristine };
+      const ring = new Ring(opened, capacities, options.layout, position);
+      return { ring, newest: newest?.body ?? null, isPristine, unconverted: null };
     } catch (cause) {
       await closeAll(opened);
       throw cause;
     }
   }
 
+  /** A new set in the place of the files of release 1, whose newest record is durable elsewhere by now. */
+  private static async openConverted(
+    folder: files.StoreFolder,
+    opened: readonly files.StoreFile[],
+    contents: readonly Buffer[],
+    options: RingOptions,
+    unconverted: Buffer,
+  ): Promise<OpenedRing> {
+    const position = { setId: options.newSetId(), number: 0, place: 0 };
+    await makeSet(folder, opened, contents, { setId: position.setId, origin: "converted" });
+    const ring = new Ring(opened, contents.map(capacityOf), options.layout, position);
+    return { ring, newest: null, isPristine: false, unconverted };
+  }
+
   async close(): Promise<void> {
     await this.reservation;
     await closeAll(this.files);
@@ -150,6 +171,12 @@
   await file.sync();
 }
 
+/** What the headers of a new set tell. */
+interface NewSet {
+  setId: Buffer;
+  origin: format.Origin;
+}
+
 /**
  * Writes the headers of a new set and makes files and names durable, all before the first record. Record bytes of an
  * older set stay until then, as the trace that it was there; they belong to another set and are never read as this one's.
@@ -158,13 +185,12 @@
   folder: files.StoreFolder,
   opened: readonly files.StoreFile[],
   contents: readonly Buffer[],
-  setId: Buffer,
-  isPristine: boolean,
+  { setId, origin }: NewSet,
 ): Promise<void> {
   async function makeFile(file: files.StoreFile, index: number): Promise<void> {
     const bytes = Buffer.alloc(capacityOf(contents[index]));
-    if (!isPristine) contents[index].copy(bytes);
-    format.encodeHeader({ setId, files: opened.length, index, isFirstSet: isPristine }).copy(bytes);
+    if (origin === "later") contents[index].copy(bytes);
+    format.encodeHeader({ setId, files: opened.length, index, origin }).copy(bytes);
     await files.writeWhole(file, bytes, 0);
     await file.sync();
   }
