--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -70,7 +70,7 @@
   readonly cells: cells.Cells;
   readonly pauses = new pauses.Pauses();
   readonly slowness = new slowness.Slowness();
-  readonly recentDenials = new returns.RecentDenials();
+  readonly recentRejections = new returns.RecentRejections();
   readonly tally: tallies.Tally;
   private readonly paceByService = new lru.LruTable<string, paces.Pace>(MAX_SERVICES, newPace);
   private readonly sizesByRoute = new lru.LruTable<string, sizes.Sizes>(MAX_ROUTES, newSizes);
@@ -162,7 +162,7 @@
   }
 
   /** Called once per request, after the other policies: null lets it in, see `Judge.judge`. */
-  judge(plan: plans.Plan): plans.Denial | null {
+  judge(plan: plans.Plan): plans.Rejection | null {
     if (plan.isBatch) return spares.judge(this, plan);
     return this.isOn ? this.doorJudge.judge(plan) : null;
   }
@@ -181,7 +181,7 @@
 
   private recordAdmitted(plan: plans.Plan): void {
     log.count("admission.admitted");
-    this.recentDenials.forget(plan.returnKey);
+    this.recentRejections.forget(plan.returnKey);
     this.sizesOf(plan.entry.route.name).record(sizes.sizeOf(plan.asked.prompt, plan.asked.mostOut), true);
   }
 
@@ -216,7 +216,7 @@
       isOn: this.isOn,
       rate: this.dependencies.known.rate,
       lagMs: this.lagMs,
-      returners: this.recentDenials.size,
+      returners: this.recentRejections.size,
       tally: this.tally.status(),
       cells: this.cells.status(),
       services: this.paceByService.entries(),
--- a/src/admission/judge.ts
+++ b/src/admission/judge.ts
@@ -33,7 +33,7 @@
   readonly cells: cells.Cells;
   readonly pauses: pauses.Pauses;
   readonly slowness: slowness.Slowness;
-  readonly recentDenials: returns.RecentDenials;
+  readonly recentRejections: returns.RecentRejections;
   readonly tally: tallies.Tally;
   /** Learned timing of a service. */
   paceOf(service: string): paces.Pace;
@@ -84,7 +84,7 @@
    * of the places of the allowed runners are taken and each of them is predicted to miss: its deadline; past the first
    * rank also the aim of a newcomer, and the pauses of the streams there, were a long reading added (design/admission 11).
    */
-  judge(plan: plans.Plan): plans.Denial | null {
+  judge(plan: plans.Plan): plans.Rejection | null {
     const chosen = plan.candidates[0];
     if (plan.tried.size > 0 || !chosen || this.isCalmAt(plan, chosen)) return null;
     return this.judgeAll(plan);
@@ -108,10 +108,10 @@
     return !this.known.pauses.isNearLimit(runner.id, plan.now) || this.known.needOf(plan, runner).unread < LONG_TOKENS;
   }
 
-  private judgeAll(plan: plans.Plan): plans.Denial | null {
+  private judgeAll(plan: plans.Plan): plans.Rejection | null {
     const sure = plan.candidates.filter(isSure);
     function isSure(runner: fleets.Runner): boolean {
-      return !runner.isDoubtful(plan.now);
+      return !runner.isSuspect(plan.now);
     }
     if (sure.length === 0) return null;
     const terms = this.termsOf(plan);
@@ -165,7 +165,7 @@
   }
 
   private isReturning(plan: plans.Plan): boolean {
-    return this.known.recentDenials.count(plan.returnKey, plan.now) > 0;
+    return this.known.recentRejections.count(plan.returnKey, plan.now) > 0;
   }
 
   /**
@@ -178,12 +178,12 @@
     return this.isReturning(plan) || isHeldBack ? Math.sqrt(share) : share;
   }
 
-  private deny(plan: plans.Plan, excessMs: number): plans.Denial {
-    this.known.recentDenials.recordDenial(plan.returnKey, plan.now);
+  private deny(plan: plans.Plan, excessMs: number): plans.Rejection {
+    this.known.recentRejections.recordRejection(plan.returnKey, plan.now);
     this.known.sizesOf(plan.entry.route.name).record(sizeOf(plan), false);
     log.count("admission.denied");
     log.count(`admission.denied_rank_${plan.rank}`);
-    return verdicts.denial(plan, excessMs, this.known.world.random());
+    return verdicts.rejection(plan, excessMs, this.known.world.random());
   }
 }
 
--- a/src/admission/returns.ts
+++ b/src/admission/returns.ts
@@ -6,7 +6,7 @@
 const MAX_COUNT = 4;
 const BODY_BYTES = 128;
 
-interface DenialRecord {
+interface RejectionRecord {
   times: number;
   at: number;
 }
@@ -19,8 +19,8 @@
 }
 
 /** How often requests were denied lately, by their key. At most 4,096 keys, for 10 s each. */
-export class RecentDenials {
-  private readonly byKey = new Map<number, DenialRecord>();
+export class RecentRejections {
+  private readonly byKey = new Map<number, RejectionRecord>();
 
   /** How often it was denied lately; 0 where the key says nothing. */
   count(key: number, now: number): number {
@@ -29,7 +29,7 @@
   }
 
   /** It was denied now; key 0 is not recorded. */
-  recordDenial(key: number, now: number): void {
+  recordRejection(key: number, now: number): void {
     if (key === 0) return;
     const count = Math.min(MAX_COUNT, this.count(key, now) + 1);
     this.byKey.delete(key);
--- a/src/admission/spare.ts
+++ b/src/admission/spare.ts
@@ -25,11 +25,11 @@
 }
 
 /** Null lets the item in, its runner put first. */
-export function judge(known: Knowledge, plan: plans.Plan): plans.Denial | null {
+export function judge(known: Knowledge, plan: plans.Plan): plans.Rejection | null {
   const rooms = new Map<string, boolean>();
   for (const runner of plan.candidates) {
     if (!rooms.has(runner.region)) rooms.set(runner.region, hasRoom(known, plan, runner.region));
-    if (!rooms.get(runner.region) || runner.isDoubtful(plan.now) || known.pauses.isNearLimit(runner.id, plan.now)) continue;
+    if (!rooms.get(runner.region) || runner.isSuspect(plan.now) || known.pauses.isNearLimit(runner.id, plan.now)) continue;
     const predicted = known.predict(plan, runner, slowness.NO_SLOWDOWN, 1);
     if (predicted.hasPlace && !predicted.neverFits && predicted.endMs <= plan.deadline - plan.now) return verdicts.putFirst(plan, runner);
   }
--- a/src/admission/verdict.ts
+++ b/src/admission/verdict.ts
@@ -23,7 +23,7 @@
  * It fits once the excess has been worked off; chance (`random`, 0 to 1) keeps those denied together from returning
  * together.
  */
-export function denial(plan: plans.Plan, excessMs: number, random: number): plans.Denial {
+export function rejection(plan: plans.Plan, excessMs: number, random: number): plans.Rejection {
   const waitMs = Math.min(Math.max(0, plan.deadline - plan.now) * HONOURED_SHARE, Math.max(MIN_RETRY_S * 1000, excessMs));
   const jitter = MIN_JITTER + (1 - MIN_JITTER) * random;
   return {
--- a/src/control/batch-calls.ts
+++ b/src/control/batch-calls.ts
@@ -53,13 +53,13 @@
     if (method === "GET" && call === "Status") return this.withNumber(argument, (number) => this.status(number));
     if (method === "GET" && call === "Results") return this.withNumber(argument, (number) => this.results(number, asked.query));
     if (method === "GET" && call === "List") return this.list();
-    return serve.denial(errors.fail("not_found", `no call ${method} ${path}`, "see docs/batch.md for the calls"));
+    return serve.errorReply(errors.fail("not_found", `no call ${method} ${path}`, "see docs/batch.md for the calls"));
   }
 
   private withNumber(argument: string | undefined, run: (number: number) => Promise<serve.Told>): Promise<serve.Told> | serve.Told {
     const number = Number(argument);
     if (Number.isSafeInteger(number) && number > 0) return run(number);
-    return serve.denial(errors.fail("usage", `${argument ?? "nothing"} is no number of a batch`, "cranewind batch list shows all"));
+    return serve.errorReply(errors.fail("usage", `${argument ?? "nothing"} is no number of a batch`, "cranewind batch list shows all"));
   }
 
   /** What is known of the table here; it may lag behind by a moment. */
@@ -70,9 +70,9 @@
 
   private async quote(asked: serve.Asked): Promise<serve.Told> {
     const outline = submissions.parseOutline(asked.body);
-    if (outline.isErr) return serve.denial(outline.error);
+    if (outline.isErr) return serve.errorReply(outline.error);
     const denied = this.check(outline.value);
-    if (denied) return serve.denial(denied);
+    if (denied) return serve.errorReply(denied);
     return { status: 200, json: await this.project(outline.value, asked.query.get("table") === "true") };
   }
 
@@ -111,18 +111,18 @@
 
   private async submit(body: Buffer): Promise<serve.Told> {
     const parsed = submissions.parse(body);
-    if (parsed.isErr) return serve.denial(parsed.error);
+    if (parsed.isErr) return serve.errorReply(parsed.error);
     const submission = parsed.value;
     const outline = submissions.outlineOf(submission);
     const denied = this.check(outline);
-    if (denied) return serve.denial(denied);
+    if (denied) return serve.errorReply(denied);
     const digest = submissions.digestOf(body);
     const quote = (await this.project(outline, false)) as quotes.Quote;
-    if (!(await this.needs.replicas.put({ digest, ...records.SUBMISSION }, body))) return serve.denial(notDurable());
+    if (!(await this.needs.replicas.put({ digest, ...records.SUBMISSION }, body))) return serve.errorReply(notDurable());
     const step = owners.registerStep((table) => steps.submit(table, this.order(submission, body, digest, quote)));
     const outcome = await this.needs.register.order(step, CHANGE_MS);
     log.count(outcome.isOk ? "batch.submitted" : `batch.submit_${outcome.error.kind}`);
-    if (outcome.isErr) return serve.denial(outcome.error);
+    if (outcome.isErr) return serve.errorReply(outcome.error);
     const table = tables.tableOf(outcome.value);
     const taken = tables.findKey(table, submission.key)!;
     return { status: 200, json: { number: taken.number, place: tables.placeOf(table, taken.number), quote } };
@@ -146,24 +146,24 @@
   private async cancel(number: number): Promise<serve.Told> {
     const step = owners.registerStep((table) => steps.cancel(table, number));
     const outcome = await this.needs.register.order(step, CHANGE_MS);
-    if (outcome.isErr) return serve.denial(outcome.error);
+    if (outcome.isErr) return serve.errorReply(outcome.error);
     return this.told(tables.tableOf(outcome.value), number);
   }
 
   /** Read at a majority, so that a submission that was acknowledged is there. */
   private async status(number: number): Promise<serve.Told> {
     const read = await this.read();
-    return read.isOk ? this.told(read.value, number) : serve.denial(read.error);
+    return read.isOk ? this.told(read.value, number) : serve.errorReply(read.error);
   }
 
   private told(table: batchSchema.BatchTable, number: number): serve.Told {
     const batch = tables.findNumber(table, number);
-    return batch ? { status: 200, json: accountOf(table, batch) } : serve.denial(noBatch(number));
+    return batch ? { status: 200, json: accountOf(table, batch) } : serve.errorReply(noBatch(number));
   }
 
   private async list(): Promise<serve.Told> {
     const read = await this.read();
-    if (read.isErr) return serve.denial(read.error);
+    if (read.isErr) return serve.errorReply(read.error);
     const table = read.value;
     const batches = table.batches.map((batch) => accountOf(table, batch));
     return { status: 200, json: { batches, bounds: { open: bounds.MOST_OPEN, items: bounds.MOST_ITEMS, bytes: bounds.MOST_BYTES } } };
@@ -177,14 +177,14 @@
   private async results(number: number, query: URLSearchParams): Promise<serve.Told> {
     const from = Number(query.get("from") ?? 0);
     if (!Number.isSafeInteger(from) || from < 0)
-      return serve.denial(errors.fail("usage", `from=${query.get("from")}`, "give the index of an item"));
+      return serve.errorReply(errors.fail("usage", `from=${query.get("from")}`, "give the index of an item"));
     const read = await this.read();
-    if (read.isErr) return serve.denial(read.error);
+    if (read.isErr) return serve.errorReply(read.error);
     const batch = tables.findNumber(read.value, number);
-    if (!batch) return serve.denial(noBatch(number));
+    if (!batch) return serve.errorReply(noBatch(number));
     const found = await this.needs.replicas.find({ digest: batch.digest, ...records.SUBMISSION });
     const submission = found.kind === "found" ? submissions.parse(found.body) : null;
-    if (!submission?.isOk) return serve.denial(unread(number));
+    if (!submission?.isOk) return serve.errorReply(unread(number));
     const end = Math.min(items.countOf(batch.items), from + MOST_RESULTS);
     const told: object[] = [];
     for (let index = from; index < end; index += 1) told.push(await this.resultOf(batch, index, submission.value.items[index].id));
@@ -240,5 +240,5 @@
 
 /** What control nodes with the setting `batches` off reply. */
 export function off(): serve.Told {
-  return serve.denial(errors.fail("not_found", "batches are off on this node", "set batches=on in the settings of all control nodes"));
+  return serve.errorReply(errors.fail("not_found", "batches are off on this node", "set batches=on in the settings of all control nodes"));
 }
--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -1,6 +1,6 @@
 // Where clients go: ready routers of the asker's region first, others when it has none (design 4.3).
 import * as schema from "../wire/schema.js";
-import type * as doubts from "./doubt.js";
+import type * as shrinkGuards from "./shrink-guard.js";
 import * as serve from "./serve.js";
 
 const MOST_ADDRESSES = 64;
@@ -8,7 +8,7 @@
 
 /** Where routers stand: a region of each zone, and the members known. */
 export interface DirectoryView {
-  routers(): doubts.Seen[];
+  routers(): shrinkGuards.SeenNode[];
   /** Whether a router that said it leaves still takes connections. */
   stillServes(node: schema.NodeInfo): boolean;
   ttlMostS: number;
@@ -26,7 +26,7 @@
 
 /** Routers that are surely alive go before those that are only believed to be (design/members 5). */
 export function nearest(
-  routers: readonly doubts.Seen[],
+  routers: readonly shrinkGuards.SeenNode[],
   region: string,
   zone: string,
   stillServes: (node: schema.NodeInfo) => boolean = never,
@@ -36,10 +36,10 @@
   const usable = ready.length > 0 ? ready : routers;
   const here = usable.filter(isHere);
   const near = here.filter(isNear);
-  function isHere(seen: doubts.Seen): boolean {
+  function isHere(seen: shrinkGuards.SeenNode): boolean {
     return seen.node.region === region;
   }
-  function isNear(seen: doubts.Seen): boolean {
+  function isNear(seen: shrinkGuards.SeenNode): boolean {
     return seen.node.zone === zone;
   }
   // One router alone is no zone to lean on: then the whole region serves.
@@ -59,15 +59,15 @@
   return false;
 }
 
-function isSure(seen: doubts.Seen): boolean {
+function isSure(seen: shrinkGuards.SeenNode): boolean {
   return seen.isSure;
 }
 
-function nodeOf(seen: doubts.Seen): schema.NodeInfo {
+function nodeOf(seen: shrinkGuards.SeenNode): schema.NodeInfo {
   return seen.node;
 }
 
-function isReady(seen: doubts.Seen): boolean {
+function isReady(seen: shrinkGuards.SeenNode): boolean {
   return seen.node.isReady;
 }
 
--- a/src/control/leases.ts
+++ b/src/control/leases.ts
@@ -16,7 +16,7 @@
 export type LeaseBounds = parts.Bounds & quotaParts.QuotaBounds;
 
 /** Grants leases while this node is confirmed. */
-export class Lessor {
+export class LeaseServer {
   private readonly tenure: tenures.Tenure;
   private readonly owner: owners.LeaseOwner;
   /** Units of tenants' quotas. */
--- a/src/control/operator.ts
+++ b/src/control/operator.ts
@@ -37,35 +37,36 @@
     if (method === "POST" && path.startsWith("/-/Evacuations.Stop/")) return this.evacuate(path, false);
     if (path.startsWith(batchCalls.PREFIX)) return this.batches?.reply(asked) ?? batchCalls.off();
     if (method === "GET" && path === "/-/status") return { status: 200, json: this.status() };
-    return serve.denial(errors.fail("not_found", `no call ${method} ${path}`, "see docs/operating.md for the calls"));
+    return serve.errorReply(errors.fail("not_found", `no call ${method} ${path}`, "see docs/operating.md for the calls"));
   }
 
   private async run(step: proposers.Step, told: (value: schema.Value) => unknown): Promise<serve.Told> {
     const outcome = await this.register.order(step, CHANGE_MS);
     log.count(outcome.isOk ? "operator.taken" : `operator.${outcome.error.kind}`);
-    return outcome.isOk ? { status: 200, json: told(outcome.value) } : serve.denial(outcome.error);
+    return outcome.isOk ? { status: 200, json: told(outcome.value) } : serve.errorReply(outcome.error);
   }
 
   /** Replace or Update: judged by its own bytes first, then by the register. */
   private order(asked: serve.Asked, orderOf: typeof change.replaceOrder): Promise<serve.Told> | serve.Told {
     const base = baseOf(asked);
-    if (base.isErr) return serve.denial(base.error);
+    if (base.isErr) return serve.errorReply(base.error);
     const step = orderOf(base.value, asked.body);
-    return step.isErr ? serve.denial(step.error) : this.run(step.value, revisionOf);
+    return step.isErr ? serve.errorReply(step.error) : this.run(step.value, revisionOf);
   }
 
   private async describe(): Promise<serve.Told> {
     const outcome = await this.register.read(CHANGE_MS);
-    if (outcome.isErr) return serve.denial(outcome.error);
+    if (outcome.isErr) return serve.errorReply(outcome.error);
     const document = registers.unpack(outcome.value.config);
     if (document === null)
-      return serve.denial(errors.fail("not_found", "no configuration has been taken yet", "send Config.Replace with base version 0"));
+      return serve.errorReply(errors.fail("not_found", "no configuration has been taken yet", "send Config.Replace with base version 0"));
     return { status: 200, json: document };
   }
 
   private evacuate(path: string, isStart: boolean): Promise<serve.Told> | serve.Told {
     const zone = decodeURIComponent(path.slice(path.lastIndexOf("/") + 1));
-    if (!this.zones.has(zone)) return serve.denial(errors.fail("not_found", `no zone ${zone}`, "name one of the zones of the settings"));
+    if (!this.zones.has(zone))
+      return serve.errorReply(errors.fail("not_found", `no zone ${zone}`, "name one of the zones of the settings"));
     function step(value: schema.Value): ReturnType<proposers.Step> {
       return result.ok(registers.withEvacuation(value, zone, isStart));
     }
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -22,7 +22,7 @@
 import * as contacts from "./contact.js";
 import * as cores from "./core.js";
 import * as disks from "./disk.js";
-import type * as doubts from "./doubt.js";
+import type * as shrinkGuards from "./shrink-guard.js";
 import * as duties from "./duties.js";
 import * as endpoints from "./endpoints.js";
 import * as leases from "./leases.js";
@@ -48,7 +48,7 @@
   private readonly core: cores.Core;
   private readonly contact: contacts.Contact;
   private readonly cells: cells.Cells;
-  private readonly leases: leases.Lessor;
+  private readonly leases: leases.LeaseServer;
   private readonly voterManager: voterManagers.VoterManager;
   /** Null where the setting `batches` is off. */
   private readonly batches: batches.Batches | null;
@@ -69,7 +69,7 @@
     this.dial.know(seeds);
     const first = startup.bootstrap ? registers.firstValue(seeds) : registers.firstValue([]);
     this.core = new cores.Core(world, { life: this.life, address: this.address, first }, this.dial);
-    this.leases = new leases.Lessor(world, this.life, startup.bounds, this.core);
+    this.leases = new leases.LeaseServer(world, this.life, startup.bounds, this.core);
     this.contact = new contacts.Contact(world, this.core, this.dial, this.leases.takeReply.bind(this.leases));
     this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members, this.fitness.bind(this));
     this.voterManager = new voterManagers.VoterManager(world, this.core, this.heldControls.bind(this));
@@ -178,7 +178,7 @@
   }
 
   /** The routers that the directory names: while nobody confirms this node, those that it hears itself. */
-  private resolvable(): doubts.Seen[] {
+  private resolvable(): shrinkGuards.SeenNode[] {
     return this.contact.isConfirmed() ? this.members.routers() : this.members.ownRouters();
   }
 
--- a/src/control/roster.ts
+++ b/src/control/roster.ts
@@ -26,7 +26,7 @@
   return shares.hash([name, role, life, zone, region, address, outside, disk, isCounted, isReady].join("\n"));
 }
 
-/** The teller's side. A number is one change within the life of this process. */
+/** The sending side. A number is one change within the life of this process. */
 export class Roster {
   private readonly entries = new Map<string, Entry>();
   private readonly leaving = new Map<string, number>();
--- a/src/control/serve.ts
+++ b/src/control/serve.ts
@@ -37,7 +37,7 @@
 ]);
 
 /** The response that an error becomes: a 4xx for what a majority refused, 503 while nothing is decided. */
-export function denial(error: errors.CranewindError): Told {
+export function errorReply(error: errors.CranewindError): Told {
   const status = STATUS.get(error.kind) ?? 500;
   const headers = status === 503 ? { "Retry-After": "0.3" } : undefined;
   return { status, headers, json: { message: error.message } };
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -7,7 +7,7 @@
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import * as directory from "./directory.js";
-import * as doubts from "./doubt.js";
+import * as shrinkGuards from "./shrink-guard.js";
 import * as rosters from "./roster.js";
 
 /** A node that said hello here, and its link. */
@@ -40,9 +40,9 @@
   private readonly roster: rosters.Roster;
   /** How far each sibling was told the roster, by its link. */
   private readonly places = new Map<link.Link, number>();
-  private readonly doubt: doubts.Doubt;
+  private readonly shrinkGuard: shrinkGuards.ShrinkGuard;
   private controls: schema.ControlInfo[] = [];
-  private view: doubts.Seen[] = [];
+  private view: shrinkGuards.SeenNode[] = [];
   private viewAt = -1;
 
   constructor(
@@ -51,7 +51,7 @@
     life: string,
   ) {
     this.roster = new rosters.Roster(life);
-    this.doubt = new doubts.Doubt(world);
+    this.shrinkGuard = new shrinkGuards.ShrinkGuard(world);
   }
 
   /** A node said hello; a newer session of the same name ends the older one. */
@@ -179,17 +179,17 @@
   }
 
   /** The routers as believed (design/members 5), by name; made anew when something changed or 100 ms passed. */
-  routers(): doubts.Seen[] {
+  routers(): shrinkGuards.SeenNode[] {
     const now = this.world.now();
     if (this.viewAt >= 0 && now - this.viewAt < VIEW_MS) return this.view;
-    this.view = this.doubt.view(this.heard("router"), this.hasLeft.bind(this));
+    this.view = this.shrinkGuard.view(this.heard("router"), this.hasLeft.bind(this));
     this.viewAt = now;
     return this.view;
   }
 
   /** The routers heard here on links of their own; all that are believed when there is none (design/hardening/1-cut-off). */
-  ownRouters(): doubts.Seen[] {
-    const heard: doubts.Seen[] = [];
+  ownRouters(): shrinkGuards.SeenNode[] {
+    const heard: shrinkGuards.SeenNode[] = [];
     for (const { node } of this.readyRouters()) heard.push({ node, isSure: true });
     return heard.length > 0 ? heard.sort(bySeenName) : this.routers();
   }
@@ -224,7 +224,7 @@
   }
 }
 
-function nodeOf(seen: doubts.Seen): schema.NodeInfo {
+function nodeOf(seen: shrinkGuards.SeenNode): schema.NodeInfo {
   return seen.node;
 }
 
@@ -233,7 +233,7 @@
   return old?.address !== control.address || old.name !== control.name;
 }
 
-function bySeenName(left: doubts.Seen, right: doubts.Seen): number {
+function bySeenName(left: shrinkGuards.SeenNode, right: shrinkGuards.SeenNode): number {
   return byName(left.node, right.node);
 }
 
--- a/src/control/doubt.ts
+++ b/src/control/shrink-guard.ts
@@ -1,12 +1,12 @@
-// A view that shrinks by much at once is doubted before it is believed (design/members 5).
+// A view that shrinks by much at once is held back before it is believed (design/members 5).
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 
 const AT_ONCE_MS = 1000;
-const DOUBT_MS = 2000;
+const HOLD_MS = 2000;
 const LEAST_LOST = 3;
-const DOUBTED_PART = 1 / 3;
+const MUCH_SHARE = 1 / 3;
 
 interface Lost {
   node: schema.NodeInfo;
@@ -14,31 +14,31 @@
 }
 
 /** One router of the view. isSure: it is heard now; else it is only believed to be there still. */
-export interface Seen {
+export interface SeenNode {
   node: schema.NodeInfo;
   isSure: boolean;
 }
 
 /** Keeps the former view for a moment when many routers vanish at once. */
-export class Doubt {
+export class ShrinkGuard {
   private before = new Map<string, schema.NodeInfo>();
   private readonly lost = new Map<string, Lost>();
   private until = -1;
 
   constructor(private readonly world: types.World) {}
 
-  get isDoubting(): boolean {
+  get isHolding(): boolean {
     return this.until >= 0;
   }
 
   /** The routers as heard now, in; as to be believed, out. hasLeft tells lives that said they leave. */
-  view(routers: readonly schema.NodeInfo[], hasLeft: (life: string) => boolean): Seen[] {
+  view(routers: readonly schema.NodeInfo[], hasLeft: (life: string) => boolean): SeenNode[] {
     const now = this.world.now();
     const heard = new Map<string, schema.NodeInfo>();
     for (const node of routers) if (node.isReady) heard.set(node.name, node);
     for (const [name, node] of this.before) if (!heard.has(name)) this.lost.set(name, { node, at: now });
     for (const [name, { node, at }] of this.lost) {
-      const isOld = !this.isDoubting && now - at > AT_ONCE_MS;
+      const isOld = !this.isHolding && now - at > AT_ONCE_MS;
       if (heard.has(name) || hasLeft(node.life) || isOld) this.lost.delete(name);
     }
     this.before = heard;
@@ -47,26 +47,26 @@
   }
 
   private judge(now: number, heard: number): void {
-    const isMuch = this.lost.size >= LEAST_LOST && this.lost.size > (heard + this.lost.size) * DOUBTED_PART;
-    if (!this.isDoubting && isMuch) {
-      this.until = now + DOUBT_MS;
+    const isMuch = this.lost.size >= LEAST_LOST && this.lost.size > (heard + this.lost.size) * MUCH_SHARE;
+    if (!this.isHolding && isMuch) {
+      this.until = now + HOLD_MS;
       log.count("members.doubted");
       log.state(`members: ${this.lost.size} routers lost at once, ${heard} heard: the former view is kept`);
-    } else if (this.isDoubting && (now >= this.until || this.lost.size === 0)) {
+    } else if (this.isHolding && (now >= this.until || this.lost.size === 0)) {
       log.state(`members: ${this.lost.size === 0 ? "all are heard again" : `${this.lost.size} lost routers are believed lost`}`);
       this.until = -1;
       this.lost.clear();
     }
   }
 
-  private merged(routers: readonly schema.NodeInfo[]): Seen[] {
-    const all = new Map<string, Seen>();
+  private merged(routers: readonly schema.NodeInfo[]): SeenNode[] {
+    const all = new Map<string, SeenNode>();
     for (const node of routers) all.set(node.name, { node, isSure: true });
-    if (this.isDoubting) for (const [name, { node }] of this.lost) all.set(name, { node, isSure: false });
+    if (this.isHolding) for (const [name, { node }] of this.lost) all.set(name, { node, isSure: false });
     return [...all.values()].sort(byName);
   }
 }
 
-function byName(left: Seen, right: Seen): number {
+function byName(left: SeenNode, right: SeenNode): number {
   return left.node.name < right.node.name ? -1 : left.node.name > right.node.name ? 1 : 0;
 }
--- a/src/experiment/chain.ts
+++ b/src/experiment/chain.ts
@@ -168,9 +168,9 @@
     const took: number[] = [];
     for (const policy of this.policies) {
       const startedAt = process.hrtime.bigint();
-      const denial = policy.apply(plan);
+      const rejection = policy.apply(plan);
       took.push(Number(process.hrtime.bigint() - startedAt) / MICROSECONDS);
-      if (denial) throw new Error(`the ${policy.name} policy denies: ${denial.cause}`);
+      if (rejection) throw new Error(`the ${policy.name} policy denies: ${rejection.cause}`);
     }
     return took;
   }
--- a/src/feed/session-selector.ts
+++ b/src/feed/session-selector.ts
@@ -92,7 +92,7 @@
     private readonly self: Self,
   ) {}
 
-  /** One that says it is not settled, or is silent, does not count toward the few. */
+  /** One that says it is not settled, or is silent, does not count toward its sessions. */
   private isGood(control: links.Control, isLate: boolean): boolean {
     return this.isHeard(control, isLate) && (!control.beat || control.beat.isSettled);
   }
@@ -101,7 +101,7 @@
     return control.link.isOpen && (isLate || control.link.silentMs() < FRESH_MS);
   }
 
-  /** Sets when each target is due to be dialled; releases those that are held beyond the few. */
+  /** Sets when each target is due to be dialled; releases those that are held beyond what it needs. */
   plan(targets: ReadonlyMap<string, links.Target>, controls: ReadonlyMap<string, links.Control>): void {
     const now = this.world.now();
     const isLate = now - this.plannedAt > LATE_MS;
--- a/src/register/round.ts
+++ b/src/register/round.ts
@@ -21,7 +21,7 @@
   readonly holders = new Set<string>();
   /** Values accepted by any voter that replied, granted or not: none need be chosen. */
   readonly shown: schema.Value[] = [];
-  /** The highest ballot number that a voter named in a denial. */
+  /** The highest ballot number that a voter named in a rejection. */
   highestDenied = 0;
 
   record(voter: schema.Voter, vote: schema.Vote): void {
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -80,7 +80,7 @@
     return Math.max(LEAST_PATIENCE_MS, usual);
   }
 
-  choose(request: requests.Request, tried: ReadonlySet<string>, sends: number): Choice | plans.Denial {
+  choose(request: requests.Request, tried: ReadonlySet<string>, sends: number): Choice | plans.Rejection {
     const shared = request.parts.slice(0, -1);
     let sharedTokens = 0;
     for (const part of shared) sharedTokens += part.tokens;
@@ -103,8 +103,8 @@
       cells: [],
       candidates: [],
     };
-    const denial = plans.runPolicies(this.chain, plan);
-    if (denial) return denial;
+    const rejection = plans.runPolicies(this.chain, plan);
+    if (rejection) return rejection;
     if (sends > 0 && !this.share.takeRepeat(request.service)) {
       log.count("router.budget_spent");
       return { status: 503, cause: "the budget of further tries is spent", retryAfterS: 0.5 };
@@ -126,7 +126,7 @@
     return bounded(Number.isFinite(least) ? LEAST_RETRY_S + least / 1000 : LEAST_RETRY_S);
   }
 
-  private firstOpen(plan: plans.Plan): Choice | plans.Denial {
+  private firstOpen(plan: plans.Plan): Choice | plans.Rejection {
     const service = this.table?.services.get(plan.service);
     const most = Math.max(LEAST_CONNECTIONS, Math.floor((service?.max_connections ?? 1000) / this.share.routers));
     const perS = service?.warmup_per_s ?? 0;
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -45,7 +45,7 @@
 }
 
 /** An answer of the router instead of a runner. */
-export interface Denial {
+export interface Rejection {
   status: 429 | 503;
   cause: string;
   retryAfterS: number;
@@ -54,7 +54,7 @@
 /** One link of the chain: narrows or orders the candidates, or denies. */
 export interface Policy {
   readonly name: string;
-  apply(plan: Plan): Denial | null;
+  apply(plan: Plan): Rejection | null;
 }
 
 /** ID:TOKENS pairs separated by commas; what cannot be read is no part. */
@@ -90,10 +90,10 @@
 }
 
 /** Applies the policies in order, up to the first that denies. */
-export function runPolicies(policies: readonly Policy[], plan: Plan): Denial | null {
+export function runPolicies(policies: readonly Policy[], plan: Plan): Rejection | null {
   for (const policy of policies) {
-    const denial = policy.apply(plan);
-    if (denial) return denial;
+    const rejection = policy.apply(plan);
+    if (rejection) return rejection;
   }
   return null;
 }
--- a/src/router/policies/admission.ts
+++ b/src/router/policies/admission.ts
@@ -7,7 +7,7 @@
   readonly name = "admission";
   constructor(private readonly admission: admissions.Admission) {}
 
-  apply(plan: plans.Plan): plans.Denial | null {
+  apply(plan: plans.Plan): plans.Rejection | null {
     return this.admission.judge(plan);
   }
 }
--- a/src/router/policies/cells.ts
+++ b/src/router/policies/cells.ts
@@ -27,7 +27,7 @@
   for (const runner of candidates) {
     const cell = cells.get(runner.region) ?? { all: 0, good: 0 };
     cell.all += 1;
-    if (!runner.isDoubtful(now)) cell.good += 1;
+    if (!runner.isSuspect(now)) cell.good += 1;
     cells.set(runner.region, cell);
   }
   return cells;
@@ -72,7 +72,7 @@
     private readonly known = new summaries.Summaries(),
   ) {}
 
-  apply(plan: plans.Plan): plans.Denial | null {
+  apply(plan: plans.Plan): plans.Rejection | null {
     const counts = countCells(plan.candidates, plan.now);
     for (const [region, cell] of counts) {
       const summary = this.known.of(region, plan.service);
--- a/src/router/policies/homes.ts
+++ b/src/router/policies/homes.ts
@@ -18,7 +18,7 @@
     private readonly rotation: rotations.Rotation,
   ) {}
 
-  apply(plan: plans.Plan): plans.Denial | null {
+  apply(plan: plans.Plan): plans.Rejection | null {
     const { homes } = plan.entry;
     const tenantHomes = plan.tenant?.homes ?? [];
     const regions = new Set<string>();
--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -32,7 +32,7 @@
   readonly name = "runner";
   constructor(private readonly known: readings.Readings) {}
 
-  apply(plan: plans.Plan): plans.Denial | null {
+  apply(plan: plans.Plan): plans.Rejection | null {
     const good: Weighed[] = [];
     const over: Weighed[] = [];
     const doubtful: Weighed[] = [];
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -146,7 +146,7 @@
     this.fleet.cohorts.routers = this.share.routers;
     this.server.watch();
     this.fleet.sweep();
-    this.prompts.signSender.silence(this.fleet.newDoubts());
+    this.prompts.signSender.silence(this.fleet.newSuspects());
     this.cutRegions();
   }
 
@@ -156,7 +156,7 @@
 
   /** The runners of a region that is cut off from here are doubted. */
   private cutRegions(): void {
-    for (const region of cuts.cutRegions(this.dial, this.startup.region, this.clock.now())) this.fleet.doubtRegion(region);
+    for (const region of cuts.cutRegions(this.dial, this.startup.region, this.clock.now())) this.fleet.suspectRegion(region);
   }
 
   private topics(): string[] {
--- a/src/router/runners/fleet.ts
+++ b/src/router/runners/fleet.ts
@@ -141,19 +141,19 @@
     this.runners.get(id)?.reads(ms, this.world.now());
   }
 
-  takeDoubt(ids: readonly string[]): void {
+  takeSuspects(ids: readonly string[]): void {
     for (const id of ids) this.runners.get(id)?.outcomes.reportedByOther(this.world.now());
   }
 
-  doubtRegion(region: string): void {
+  suspectRegion(region: string): void {
     const now = this.world.now();
-    for (const runner of this.in(region)) runner.doubt(now);
+    for (const runner of this.in(region)) runner.outOfReach(now);
   }
 
-  newDoubts(): types.RunnerId[] {
+  newSuspects(): types.RunnerId[] {
     const now = this.world.now();
     const ids: types.RunnerId[] = [];
-    for (const runner of this.runners.values()) if (runner.isNewDoubt(now)) ids.push(runner.id);
+    for (const runner of this.runners.values()) if (runner.isNewSuspect(now)) ids.push(runner.id);
     return ids;
   }
 
--- a/src/router/runners/outcomes.ts
+++ b/src/router/runners/outcomes.ts
@@ -27,7 +27,7 @@
 /** From this step on probation takes what may not be repeated, too, if a trial of this router came back well. */
 const ANY_PERCENT = 50;
 const DOUBT_MS = 700;
-const MOST_DOUBT_MS = 4000;
+const MOST_SUSPECT_MS = 4000;
 const REPORTS_WINDOW_MS = 900;
 /** A router tells one runner no more often: two tellings within the window are of two routers. */
 export const REPORT_INTERVAL_MS = 1000;
@@ -133,7 +133,7 @@
     if (!signs.LOADED_SIGNS.has(sign)) {
       // A silent way holds each request up for long: no trials there while the doubt is fresh.
       this.streak += sign === "unreached" ? 2 : 1;
-      this.failedUntil = now + Math.min(MOST_DOUBT_MS, DOUBT_MS * this.streak);
+      this.failedUntil = now + Math.min(MOST_SUSPECT_MS, DOUBT_MS * this.streak);
     }
     if (!isLocal) this.hasNews = true;
     this.weigh(weight, now, `${sign}, ${this.rateText(now)}`);
--- a/src/router/runners/prompt-readings.ts
+++ b/src/router/runners/prompt-readings.ts
@@ -43,7 +43,7 @@
   }
 
   /** Another router found these runners silent or failing. */
-  doubted(ids: types.RunnerId[]): void {
-    this.fleet.takeDoubt(ids);
+  suspected(ids: types.RunnerId[]): void {
+    this.fleet.takeSuspects(ids);
   }
 }
--- a/src/router/runners/runner.ts
+++ b/src/router/runners/runner.ts
@@ -134,19 +134,19 @@
     return !this.isSpeaking && this.outcomes.succeededAt <= this.unreportedAt && now - this.receivedAt > QUIET_STREAM_MS;
   }
 
-  isDoubtful(now: number): boolean {
+  isSuspect(now: number): boolean {
     return this.outcomes.state(now) === "ejected" || this.outcomes.isFailing(now) || this.isQuiet(now) || this.isUnproved(now);
   }
 
   /** Own evidence that others should hear of, once a while. */
-  isNewDoubt(now: number): boolean {
+  isNewSuspect(now: number): boolean {
     this.signOverdue(now);
     this.outcomes.state(now);
     return this.outcomes.takeNews(now, this.streaming > 0 && !this.isLoaded(now) && this.quietMs(now) > QUIET_STREAM_MS);
   }
 
   /** What is out of reach from here counts as silent unless this router hears it. */
-  doubt(now: number): void {
+  outOfReach(now: number): void {
     if (now - this.receivedAt > QUIET_STREAM_MS) this.silentUntil = Math.max(this.silentUntil, now + SUSPECT_MS);
   }
 
--- a/src/router/transaction.ts
+++ b/src/router/transaction.ts
@@ -55,7 +55,7 @@
     this.choose();
   }
 
-  /** Runs the chain and sends on; a denial is told at once. */
+  /** Runs the chain and sends on; a rejection is told at once. */
   private choose(): void {
     const left = this.request.deadline - this.context.world.now();
     if (left < LEAST_MS) {
@@ -90,10 +90,10 @@
   }
 
   /** Nothing has run, and nothing will: only then may a promise be given. */
-  private deny(denial: plans.Denial): void {
+  private deny(rejection: plans.Rejection): void {
     log.count("router.denied");
     if (this.reply.isHeadOut || this.hasRun) this.lost();
-    else this.finish(denial.status, denial.cause, denial.retryAfterS, "denied");
+    else this.finish(rejection.status, rejection.cause, rejection.retryAfterS, "denied");
   }
 
   private lost(): void {
--- a/src/signs/sign-sender.ts
+++ b/src/signs/sign-sender.ts
@@ -14,7 +14,7 @@
 /** What takes the signs of other routers; the router's program is it. */
 export interface Hearer {
   /** Others found these runners silent. */
-  doubted(ids: types.RunnerId[]): void;
+  suspected(ids: types.RunnerId[]): void;
   /** A prompt with so many unread tokens was sent to the runner by another router. */
   read(runner: types.RunnerId, unread: number, keys: readonly number[]): void;
 }
@@ -65,7 +65,7 @@
       const id = this.marks.idOf(mark);
       if (id !== null) silent.push(id);
     }
-    if (silent.length > 0) this.handler.doubted(silent);
+    if (silent.length > 0) this.handler.suspected(silent);
     for (const reading of signs.readings) {
       const id = this.marks.idOf(reading.runner);
       if (id === null) log.count("signs.unknown");
--- a/src/usage/publisher.ts
+++ b/src/usage/publisher.ts
@@ -7,7 +7,7 @@
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as regionReports from "./region-reports.js";
-import * as quantum from "./quantum.js";
+import * as resolutions from "./resolution.js";
 import * as summaries from "./summary.js";
 
 /** Summaries are told together so often, if anything moved (*ours*). */
@@ -77,7 +77,7 @@
 
   private items(reports: readonly schema.Report[]): Map<string, Buffer> {
     const items = new Map<string, Buffer>();
-    for (const report of reports) items.set(keyOf(this.marks, report.id), quantum.bodyOf(report));
+    for (const report of reports) items.set(keyOf(this.marks, report.id), resolutions.bodyOf(report));
     return items;
   }
 
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -8,7 +8,7 @@
 import * as log from "../startup/log.js";
 import * as interests from "./interest.js";
 import * as publishers from "./publisher.js";
-import * as quantum from "./quantum.js";
+import * as resolutions from "./resolution.js";
 import * as summaries from "./summary.js";
 
 /** What is left after a tenth of a second of stale reports: half a second halves it (*ours*). */
@@ -67,7 +67,7 @@
     const reports: schema.Report[] = [];
     for (const [key, body] of items) {
       const id = this.idsByKey.get(key);
-      if (id !== undefined) reports.push(quantum.reportOf(id, body));
+      if (id !== undefined) reports.push(resolutions.reportOf(id, body));
     }
     this.fleet.takeReport({ region, reports });
   }
--- a/src/usage/quantum.ts
+++ b/src/usage/resolution.ts
@@ -1,5 +1,5 @@
 /**
- * How exactly runner reports are published (design/usage 3.1). A report is published again when it is a quantum away
+ * How exactly runner reports are published (design/usage 3.1). A report is published again when it is one step away
  * from what was published last: differences from the published value, not steps, so that a value at a border does not
  * flicker.
  */
@@ -12,7 +12,7 @@
 const KV_STEPS = 64;
 
 /** Requests: one up to a capacity of 16, then a sixteenth of it. */
-export function quantumOf(capacity: number): number {
+export function resolutionOf(capacity: number): number {
   return Math.max(1, Math.ceil(capacity / USAGE_PARTS));
 }
 
@@ -20,13 +20,13 @@
   return report.kvCapacity > 0 ? report.kvUsed / report.kvCapacity : 0;
 }
 
-/** In quanta: from 1 on the report has moved materially; a change of status always has. */
+/** In steps: from 1 on the report has moved materially; a change of status always has. */
 export function deviation(published: schema.Report, report: schema.Report, capacity: number): number {
   if (published.isSpeaking !== report.isSpeaking || published.kvCapacity !== report.kvCapacity) return Infinity;
   if (!report.isSpeaking) return 0;
-  const quantum = quantumOf(capacity);
+  const step = resolutionOf(capacity);
   const kv = Math.abs(kvShare(published) - kvShare(report)) * KV_PARTS;
-  return Math.max(Math.abs(published.active - report.active) / quantum, Math.abs(published.waiting - report.waiting) / quantum, kv);
+  return Math.max(Math.abs(published.active - report.active) / step, Math.abs(published.waiting - report.waiting) / step, kv);
 }
 
 /** The report as it travels and as every side holds it: kept tokens in steps of the capacity. */
--- a/src/wire/features.ts
+++ b/src/wire/features.ts
@@ -10,7 +10,7 @@
 /** The features of this build, for its beats. */
 export const OWN_FEATURES = FORWARDED_ORDERS;
 
-/** Whether the teller of the beat has the feature; builds from before features say 0. */
+/** Whether the sender of the beat has the feature; builds from before features say 0. */
 export function hasFeature(beat: schema.Beat, feature: number): boolean {
   return (beat.index & feature) !== 0;
 }
--- a/src/wire/schema.ts
+++ b/src/wire/schema.ts
@@ -144,7 +144,7 @@
 
 /**
  * isReady: a router takes requests; a control node is not leaving. isSettled: a majority of the voters confirmed the
- * teller's configuration lately (design/hardening/1-cut-off). index: the teller's features, as bits (features.ts); the
+ * sender's configuration lately (design/hardening/1-cut-off). index: the sender's features, as bits (features.ts); the
  * name is that of a field which older builds send as 0. silentRegions: of these it hears no control node now
  * (design/members 4).
  */
@@ -168,7 +168,7 @@
 
 /**
  * A control node's roster (itself, and the routers whose sessions it holds): what changed after number `from` of the
- * teller's life, or all of it when isWhole. count and digest are those of the whole roster at `number`.
+ * sender's life, or all of it when isWhole. count and digest are those of the whole roster at `number`.
  */
 export interface Sessions {
   life: string;
--- a/tests/admission-judge.test.ts
+++ b/tests/admission-judge.test.ts
@@ -139,7 +139,7 @@
   const door = new Door(2);
   door.report([8, 8]);
   for (const id of ["i-1", "i-2"]) door.fill(id, backlogMs);
-  if (key > 0) door.admission.recentDenials.recordDenial(key, door.clock.now());
+  if (key > 0) door.admission.recentRejections.recordRejection(key, door.clock.now());
   expect(door.admission.judge(door.plan(rank, key)) === null).toBe(isIn);
 });
 
@@ -156,7 +156,7 @@
 test("readings ahead count as a wait: the lesser rank may spend half of its spare time on them", () => {
   const door = new Door(1);
   door.report([8]);
-  door.admission.recentDenials.recordDenial(7, 0);
+  door.admission.recentRejections.recordRejection(7, 0);
   door.fill("i-1", 3200);
   expect(door.admission.judge(door.plan(1, 7))).toMatchObject({ status: 503 });
   expect(door.admission.judge(door.plan(0))).toBeNull();
@@ -215,9 +215,9 @@
 
 test("Retry-After: the excess, at least 0.2 s, at most a third of the time left, spread by chance", () => {
   const plan = new Door(1).plan(1);
-  expect([0, 1].map((random) => verdicts.denial(plan, 500, random).retryAfterS)).toEqual([0.3, 0.5]);
-  expect(verdicts.denial(plan, -Infinity, 1).retryAfterS).toBe(0.2);
-  expect(verdicts.denial(plan, 9000, 1).retryAfterS).toBeCloseTo(4 / 3);
+  expect([0, 1].map((random) => verdicts.rejection(plan, 500, random).retryAfterS)).toEqual([0.3, 0.5]);
+  expect(verdicts.rejection(plan, -Infinity, 1).retryAfterS).toBe(0.2);
+  expect(verdicts.rejection(plan, 9000, 1).retryAfterS).toBeCloseTo(4 / 3);
 });
 
 test("the tally: refusal times at the door and after a send, ends by rank, room unused, and when a shortage ends", async function told() {
--- a/tests/admission-parts.test.ts
+++ b/tests/admission-parts.test.ts
@@ -84,13 +84,13 @@
 });
 
 test("who was denied is known on the way back, within bounds", () => {
-  const memory = new returns.RecentDenials();
+  const memory = new returns.RecentRejections();
   const key = returns.keyOf("r", [3, 5], null);
   expect([key, returns.keyOf("r", [], null)]).toEqual([5, 0]);
   expect(returns.keyOf("r", [], Buffer.from("same"))).toBe(returns.keyOf("r", [], Buffer.from("same")));
-  memory.recordDenial(key, 0);
+  memory.recordRejection(key, 0);
   expect([memory.count(key, 9000), memory.count(key, 11_000), memory.count(0, 0)]).toEqual([1, 0, 0]);
-  for (let other = 10; other < 20_000; other += 1) memory.recordDenial(other, 100);
+  for (let other = 10; other < 20_000; other += 1) memory.recordRejection(other, 100);
   expect(memory.size).toBeLessThanOrEqual(4096);
 });
 
--- a/tests/contact.test.ts
+++ b/tests/contact.test.ts
@@ -161,41 +161,6 @@
   expect(late.openedAt - startedAt).toBeLessThan(serveGates.UNCONFIRMED_WAIT_MS + 1300);
 });
 
-test("a router serves unconfirmed for a bounded time, running or started behind the cut, and again once it is confirmed", async () => {
-  const LIMIT_MS = 6000;
-  const system = await systems.start();
-  const { clock, network } = system;
-  const running = new routerNodes.RouterNode(network, "running", "a", systems.NAMES, LIMIT_MS);
-  await clock.play(2000);
-  network.cut(["a", "ra", "running", "late"], ["b", "c", "rb", "rc"]);
-  await clock.play(2000);
-  const late = new routerNodes.RouterNode(network, "late", "a", systems.NAMES, LIMIT_MS);
-  await clock.play(3000);
-  expect([running.gate.allows(), late.gate.allows()]).toEqual([true, true]);
-  expect(late.gate.status()).toEqual({ isOpen: true, confirmedMsAgo: null, isExpired: false });
-  await clock.play(LIMIT_MS);
-  for (const router of [running, late]) {
-    expect([router.name, router.gate.allows(), router.gate.status().isExpired]).toEqual([router.name, false, true]);
-  }
-  network.cuts.clear();
-  await clock.play(3000);
-  expect([running.gate.allows(), late.gate.allows()]).toEqual([true, true]);
-  expect(running.gate.status().isExpired).toBe(false);
-});
-
-test("a router whose process stood still past the bound serves nothing before it is confirmed again", async () => {
-  const system = await systems.start();
-  const { clock, network } = system;
-  const router = new routerNodes.RouterNode(network, "running", "a", systems.NAMES, 3000);
-  await clock.play(2000);
-  network.frozen.add("running");
-  await clock.play(4000);
-  expect(router.gate.allows()).toBe(false);
-  network.frozen.delete("running");
-  await clock.play(2500);
-  expect(router.gate.allows()).toBe(true);
-});
-
 test("a router that starts beside a cut-off node waits for a confirmed one and never serves the old configuration", async () => {
   const system = await systems.start();
   const { clock, network } = system;
--- a/tests/regions.test.ts
+++ b/tests/regions.test.ts
@@ -40,7 +40,7 @@
     reports: ["a", "b", "c"].map((id) => ({ id: types.small(id), isSpeaking: true, waiting: 0, active: 1, kvUsed: 1, kvCapacity: 9 })),
   });
   expect(fleet.reportsOf("north").map((report) => report.id)).toEqual(["a", "b"]);
-  fleet.doubtRegion("south");
+  fleet.suspectRegion("south");
   const now = new clock.SeededWorld(1).now();
   expect([...fleet.all()].filter((runner) => runner.isQuiet(now)).map((runner) => runner.id)).toEqual(["c"]);
 });
--- a/tests/signs.test.ts
+++ b/tests/signs.test.ts
@@ -26,7 +26,7 @@
   const told: schema.Signs[] = [];
   const heard: unknown[] = [];
   const hearer: signSenders.Hearer = {
-    doubted: (silent) => heard.push(silent),
+    suspected: (silent) => heard.push(silent),
     read: (id, unread, keys) => heard.push([id, unread, [...keys]]),
   };
   const known = new marks.Marks<types.RunnerId>();
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -85,7 +85,7 @@
   readonly members: sessions.Sessions;
   readonly feed: feeds.Feed;
   readonly core: cores.Core;
-  readonly lessor: leases.Lessor;
+  readonly leaseServer: leases.LeaseServer;
   readonly contact: contacts.Contact;
   readonly redirector: redirects.Redirector;
   readonly said: Said[] = [];
@@ -108,9 +108,9 @@
     this.feed = new feeds.Feed(`${name}/1`);
     const first = registers.firstValue(seeds);
     this.core = new cores.Core(world, { life: `${name}/1`, address: addressOf(name), first }, this.dial);
-    this.lessor = new leases.Lessor(world, `${name}/1`, BOUNDS, this.core);
+    this.leaseServer = new leases.LeaseServer(world, `${name}/1`, BOUNDS, this.core);
     const confirmation = new BrokenConfirmation(world, options.broken ?? "none");
-    this.contact = new contacts.Contact(world, this.core, this.dial, this.lessor.takeReply.bind(this.lessor), confirmation);
+    this.contact = new contacts.Contact(world, this.core, this.dial, this.leaseServer.takeReply.bind(this.leaseServer), confirmation);
     const operator = new operators.Operator(this.core, ZONES, () => ({ contact: this.contact.status() }));
     const peers = (): Iterable<dialers.Control> => this.dial.controls.values();
     const forwarder = new forwarders.OrderForwarder(world, this.core, peers, operator.reply.bind(operator));
@@ -126,7 +126,7 @@
     const { handlers, members, dial, core, contact, feed } = this;
     const splitter = new parts.Splitter();
     core.register(handlers);
-    this.lessor.register(handlers, contact);
+    this.leaseServer.register(handlers, contact);
     const describe = this.describe.bind(this);
     membership.register({ handlers, members, dial, core, contact, describe, controls: () => this.controls(), place: feed.place });
     handlers.on(calls.follow, (from, ask) => {
--- a/tests/sim/runners.ts
+++ b/tests/sim/runners.ts
@@ -115,11 +115,11 @@
   private tell(from: number): void {
     this.world.after(100, () => this.tell(from));
     const router = this.routers[from];
-    const ids = router.fleet.newDoubts();
+    const ids = router.fleet.newSuspects();
     for (const runner of router.fleet.all()) this.note(from, runner);
     if (ids.length === 0) return;
     this.world.after(5 + 40 * this.world.random(), () => {
-      for (const other of this.routers) if (other !== router) other.fleet.takeDoubt(ids);
+      for (const other of this.routers) if (other !== router) other.fleet.takeSuspects(ids);
     });
   }
 
--- a/tests/summary.test.ts
+++ b/tests/summary.test.ts
@@ -39,7 +39,7 @@
 
 test("a region that a summary shows to be lost is tried last, though no report of it is followed", () => {
   const clock = new sims.SimWorld(1);
-  const runner = (id: string, region: string): unknown => ({ id, region, isDoubtful: () => false, instance: instance(id, region) });
+  const runner = (id: string, region: string): unknown => ({ id, region, isSuspect: () => false, instance: instance(id, region) });
   const known = new summaries.Summaries();
   const policy = new cells.CellPolicy("a", known);
   const order = (): string[] => {
@@ -71,7 +71,7 @@
   const policy = new cells.CellPolicy("a", known);
   for (let index = 0; index < 50; index += 1) {
     const shared = [{ id: `p${index}`, tokens }];
-    const candidates = regions.map((region) => ({ id: region, region, isDoubtful: () => false }));
+    const candidates = regions.map((region) => ({ id: region, region, isSuspect: () => false }));
     policy.apply({ requestId: "q", service: "s", shared, sharedTokens: tokens, now: 0, cells: [], candidates } as never);
   }
   expect([...known.takeWanted()].sort()).toEqual(expected);
--- a/tests/usage.test.ts
+++ b/tests/usage.test.ts
@@ -1,5 +1,5 @@
 // What is told of runners' usage, to whom, and how much it is (design/usage 3, 4).
-import * as quantum from "../src/usage/quantum.js";
+import * as resolutions from "../src/usage/resolution.js";
 import * as regionReports from "../src/usage/region-reports.js";
 import * as interests from "../src/usage/interest.js";
 import * as relays from "../src/signs/relay.js";
@@ -19,7 +19,7 @@
   [64, 4],
   [200, 13],
 ])("a runner of capacity %d is told to %d requests", (capacity, expected) => {
-  expect(quantum.quantumOf(capacity)).toBe(expected);
+  expect(resolutions.resolutionOf(capacity)).toBe(expected);
 });
 
 test.each([
@@ -36,17 +36,17 @@
   ["still silent, with other numbers", { isSpeaking: false }, { isSpeaking: false, active: 9 }, 8, false],
   ["another memory", {}, { kvCapacity: 90_000 }, 64, true],
 ])("material or not: %s", (_name, told, now, capacity, expected) => {
-  expect(quantum.deviation(report("a", told), report("a", now), capacity) >= 1).toBe(expected);
+  expect(resolutions.deviation(report("a", told), report("a", now), capacity) >= 1).toBe(expected);
 });
 
 test("a report travels as its item says, kept tokens to a sixty-fourth", () => {
   for (const kvUsed of [0, 700, 800, 50_000, 100_000, 120_000]) {
     const sent = report("a", { active: 5, waiting: 2, kvUsed });
-    const back = quantum.reportOf(sent.id, quantum.bodyOf(sent));
-    expect(back).toEqual(quantum.rounded(sent));
+    const back = resolutions.reportOf(sent.id, resolutions.bodyOf(sent));
+    expect(back).toEqual(resolutions.rounded(sent));
     expect(Math.abs(back.kvUsed - Math.min(100_000, kvUsed))).toBeLessThanOrEqual(100_000 / 128 + 1);
   }
-  expect(quantum.reportOf(types.small("a"), quantum.bodyOf(report("a", { kvCapacity: 0 }))).kvUsed).toBe(0);
+  expect(resolutions.reportOf(types.small("a"), resolutions.bodyOf(report("a", { kvCapacity: 0 }))).kvUsed).toBe(0);
 });
 
 const CAPACITY_64 = { get: () => 64 };
@@ -181,7 +181,7 @@
     const truth = own.reports.find((item) => item.id === runner.id);
     if (!truth) continue;
     expect(runner.isSpeaking).toBe(truth.isSpeaking);
-    if (truth.isSpeaking && quantum.deviation(report(runner.id, runner), truth, 64) >= 2) far += 1;
+    if (truth.isSpeaking && resolutions.deviation(report(runner.id, runner), truth, 64) >= 2) far += 1;
   }
   expect(far).toBeLessThanOrEqual(own.reports.length * 0.02);
   return (router.bytes() * 1000) / (turns * usages.PERIOD_MS);
