--- /dev/null
+++ b/tests/reset-at-end.test.ts
@@ -0,0 +1,19 @@
+// The end of a body that ends with its connection (design/hardening/5-callers 5.6).
+import * as edges from "./sim/edge.js";
+import * as raws from "./sim/raw-runner.js";
+import * as sims from "./sim/world.js";
+
+let edge: edges.Edge<raws.RawRunner> | null = null;
+afterEach(() => edge?.stop());
+
+// In KNOWN-RED.txt: where both arrive at once the runtime tells an end in order, and no reset.
+test("an answer that ends with its connection is not whole when a reset comes together with its last bytes", async () => {
+  const answer: raws.Answer = { ...raws.FINE, framing: "until_close" };
+  const head = raws.answerBytes("i-1", "q1", answer).indexOf("\r\n\r\n") + 4;
+  const runner = new raws.RawRunner("i-1", [{ answer, part: "answer", byte: head + 5, fault: "reset" }]);
+  edge = await edges.Edge.over(new sims.SimWorld(), [runner]);
+  const read = raws.readAnswer(
+    await edge.send("POST /once/x HTTP/1.1\r\nHost: h\r\nX-Cranewind-Request-Id: q1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"),
+  );
+  expect(read === null || read.status === 502 || !read.looksWhole).toBe(true);
+});
