--- a/tests/many-changes.test.ts
+++ b/tests/many-changes.test.ts
@@ -5,8 +5,9 @@
 const FAULT_EVERY = 15;
 const DESCRIBE_EVERY = 4;
 
-async function play(routes: number, changes: number, seed: number): Promise<days.Day> {
-  const day = await days.begin(seed, routes);
+async function play(size: days.Size, changes: number, seed: number): Promise<days.Day> {
+  const { routes } = size;
+  const day = await days.begin(seed, size);
   for (let index = 1; index <= changes; index += 1) {
     if (index % FAULT_EVERY === 0) {
       const node = day.nodes[Math.floor(day.clock.random() * day.nodes.length)];
@@ -22,9 +23,10 @@
 
 /** MANY_CHANGES plays a longer day; figures of 1,000 stand on the page. */
 const MANY = process.env["MANY_CHANGES"];
-const ROWS: [number, number][] = [
-  [600, Number(MANY ?? 250)],
-  [5000, Number(MANY ?? 20)],
+const ROWS: [routes: number, changes: number, nodes: number, tenants: number][] = [
+  [600, Number(MANY ?? 250), 3, 0],
+  [5000, Number(MANY ?? 20), 3, 0],
+  [600, Number(MANY ?? 45), 5, 1000],
 ];
 /** How often a long day shows what it holds in memory. */
 const SHOW_EVERY = 250;
@@ -39,10 +41,10 @@
 }
 
 test.each(ROWS)(
-  "%i routes, %i changes: members catch up, nobody serves old state",
-  async (routes, changes) => {
+  "%i routes, %i changes, %i nodes, %i tenants: members catch up, nobody serves old state",
+  async (routes, changes, nodes, tenants) => {
     const differences = counted("feed.difference");
-    const day = await play(routes, changes, 7919);
+    const day = await play({ routes, nodes, tenants }, changes, 7919);
     expect(day.wrong).toEqual([]);
     expect(day.revision).toBe(changes + 1);
     const epoch = days.newestEpoch(day);
@@ -53,7 +55,11 @@
     // The router lived on differences; one that starts now gets a view, and is up to date as soon.
     expect(counted("feed.difference")).toBeGreaterThan(differences + changes / 2);
     const views = counted("feed.view");
-    const late = new days.FollowingRouter(day.network, "r2");
+    const late = new days.FollowingRouter(
+      day.network,
+      "r2",
+      day.nodes.map(({ name }) => name),
+    );
     await day.clock.play(days.CATCH_UP_MS);
     expect([late.config.revision, late.epochs]).toEqual([changes + 1, [epoch]]);
     expect(counted("feed.view")).toBeGreaterThan(views);
--- a/tests/sim/change-day.ts
+++ b/tests/sim/change-day.ts
@@ -10,7 +10,7 @@
 import * as operators from "./operators.js";
 import * as sim from "./world.js";
 
-const NAMES = ["a", "b", "c"];
+const NAMES = ["a", "b", "c", "d", "e"];
 const DOWN_MS = 400;
 const TROUBLE_MS = 2500;
 /** A member that is in touch again holds what is chosen after so long. */
@@ -27,12 +27,12 @@
   readonly epochs: number[] = [];
   private readonly handlers = new link.Handlers();
 
-  constructor(network: networks.SimNetwork, name: string) {
+  constructor(network: networks.SimNetwork, name: string, controls: readonly string[]) {
     const world = new networks.NodeWorld(network, name);
     this.dial = new durable.NetworkDialer(world, "", this.handlers, () => fleet.nodeOf(name, "router", "r", ""), link.SILENT_MS);
     this.dial.reach = (address) => network.connect(name, address, this.handlers, world);
     const follower = new followers.Follower(world, "r", this.dial, this.handlers, () => [], this);
-    this.dial.know(NAMES.map(durable.addressOf));
+    this.dial.know(controls.map(durable.addressOf));
     const turn = (): void => {
       world.after(100, turn);
       this.dial.turn();
@@ -50,6 +50,14 @@
   leave(): void {}
 }
 
+/** How large a day is. */
+export interface Size {
+  routes: number;
+  /** Control nodes, at most five. */
+  nodes: number;
+  tenants: number;
+}
+
 export interface Day {
   clock: sim.SimWorld;
   network: networks.SimNetwork;
@@ -61,14 +69,21 @@
   wrong: string[];
 }
 
-export async function begin(seed: number, routes: number): Promise<Day> {
+function tenantOf(_: unknown, index: number): object {
+  return { name: `tenant-${index}`, api_keys: [`key-${index}-a`, `key-${index}-b`], rate_per_s: 10 + index, burst: 5 };
+}
+
+export async function begin(seed: number, size: Size): Promise<Day> {
   const clock = new sim.SimWorld(seed);
   const network = new networks.SimNetwork(clock);
-  const nodes = NAMES.map((name) => new durable.DurableNode(network, name, NAMES));
-  const day: Day = { clock, network, nodes, router: new FollowingRouter(network, "r1"), revision: 0, wrong: [] };
+  const controls = NAMES.slice(0, size.nodes);
+  const nodes = controls.map((name) => new durable.DurableNode(network, name, controls));
+  const day: Day = { clock, network, nodes, router: new FollowingRouter(network, "r1", controls), revision: 0, wrong: [] };
   await clock.play(3000);
-  const names = Array.from({ length: routes }, (_, index) => `route-${index}`);
-  const body = Buffer.from(JSON.stringify(operators.documentOf(1, names)));
+  const names = Array.from({ length: size.routes }, (_, index) => `route-${index}`);
+  const tenants = Array.from({ length: size.tenants }, tenantOf);
+  const document = { ...operators.documentOf(1, names), ...(size.tenants > 0 && { tenants }) };
+  const body = Buffer.from(JSON.stringify(document));
   await order(day, { path: "/-/Config.Replace", base: 0, body });
   day.revision = 1;
   return day;
