Callers: a reset beside the last bytes of a body without length is told from its end

Cause: where the last bytes and a reset arrive in one turn, the runtime emits "end" and no "error", so that a cut body which ends with its connection looked whole (MIXED).

Change: at the socket's "end" the connector asks for the peer's address. A reset socket has none any more; it counts as failed, as if it had told its error. Nothing asks for the address before, so that the runtime has not remembered it.

Ruled out: the order of listeners (ours is the first); the library's own handling of ECONNRESET, closed before.

Measured: tests/reset-at-end.test.ts red before, green now; tests/callers.test.ts (68 with it) green, its bodies that end in order among them.

--- a/src/wire/http.ts
+++ b/src/wire/http.ts
@@ -1,4 +1,5 @@
 // Outgoing HTTP by undici; only its single-connection client is used, none of its pools or proxies (design 7.6).
+import type * as net from "node:net";
 import type * as undici from "undici";
 import * as undiciClient from "undici/lib/dispatcher/client.js";
 import * as undiciConnect from "undici/lib/core/connect.js";
@@ -14,18 +15,30 @@
   connectMs: number;
   idleMs: number;
   headerBytes?: number;
-  /** Called when the client's socket fails, before any answer is ended by that failure. */
+  /** Called when the client's socket fails, before any answer is ended by that failure; at most twice. */
   onSocketError?: () => void;
 }
 
-/** The library's own connector; the listener is the socket's first, so it hears of a failure before the library does. */
+/**
+ * Calls `onFailure` when a socket fails. Where the last bytes and a reset arrive at once, the runtime emits "end" and
+ * no "error"; the reset then shows in that the socket no longer has a peer (ENOTCONN), as one that ended in order has.
+ * Nobody may have asked for the peer's address before, since the runtime remembers it.
+ */
+function watchFailure(socket: net.Socket, onFailure: () => void): void {
+  socket.prependOnceListener("error", onFailure);
+  socket.prependOnceListener("end", function ended() {
+    if (socket.remoteAddress === undefined) onFailure();
+  });
+}
+
+/** The library's own connector; the listeners are the socket's first, so they hear of a failure before the library does. */
 function connector(options: ClientOptions): undici.buildConnector.connector {
   const { onSocketError } = options;
   const connect = buildConnector({ timeout: options.connectMs });
   if (!onSocketError) return connect;
   return function watched(target, callback) {
     connect(target, function connected(...result) {
-      result[1]?.prependOnceListener("error", onSocketError);
+      if (result[1]) watchFailure(result[1], onSocketError);
       callback(...result);
     });
   };
--- a/tests/reset-at-end.test.ts
+++ b/tests/reset-at-end.test.ts
@@ -6,7 +6,7 @@
 let edge: edges.Edge<raws.RawRunner> | null = null;
 afterEach(() => edge?.stop());
 
-// In KNOWN-RED.txt: where both arrive at once the runtime tells an end in order, and no reset.
+// Where both arrive at once the runtime emits "end", and no error.
 test("an answer that ends with its connection is not whole when a reset comes together with its last bytes", async () => {
   const answer: raws.Answer = { ...raws.FINE, framing: "until_close" };
   const head = raws.answerBytes("i-1", "q1", answer).indexOf("\r\n\r\n") + 4;
