Orders: reads without a pause at one node no longer keep other nodes' orders waiting

Cause: a proposer listens while another has prepared and not yet accepted. A read only prepares, so that one read after the other began the wait anew: an order got 503 after 2.5 s without one round, and the owner of the batches changed nothing for 15 s. Reads for a caller listened for nobody, and their prepares ended orders between their phases. Seen as tests/batches/system.test.ts failing beside a busy machine (60 s).

Ruled out: slow disks or links (reads took 10 to 20 ms through the same voters); a succession of the owner (none before 15 s).

Change: a proposer that soon prepares again without an accept is waited for once; all listening for a change is bounded (6 usual changes) and shrinks with its wait; reads for a caller listen as orders do.

--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -206,9 +206,9 @@
     return this.proposer.spread(withinMs);
   }
 
-  /** Reads at a majority; never a local guess. */
+  /** Reads at a majority; never a local guess. It waits for other proposers' rounds, which its prepare would end. */
   read(withinMs: number): Promise<proposers.Outcome> {
-    return this.queue.change(unchanged, withinMs, true);
+    return this.queue.change(unchanged, withinMs);
   }
 
   /** Whether there is anybody to ask: another node, or itself as a core of one. */
--- a/src/register/contention.ts
+++ b/src/register/contention.ts
@@ -27,10 +27,14 @@
 /** Others count as active for so many usual changes after their last prepare. */
 const ACTIVE_CHANGES = 8;
 const LISTEN_MS = 10;
+/** The most usual changes that a round waits for others, the first time: reads at many nodes may leave no gap between them. */
+const MOST_WAIT_CHANGES = 6;
 
 interface Round {
   ballot: schema.Ballot;
+  /** When its proposer's first prepare without an accept was seen, and its last. */
   since: types.SteadyMs;
+  seenAt: types.SteadyMs;
 }
 
 /** What other proposers are doing, as the own voter sees it. */
@@ -50,7 +54,10 @@
     if (ballot.by === this.own) return;
     this.otherAt = this.clock.now();
     if (this.round && registers.compareBallots(ballot, this.round.ballot) <= 0) return;
-    this.round = { ballot, since: this.clock.now() };
+    const now = this.clock.now();
+    // One that soon prepares again without an accept only reads, or was rejected: it is waited for once.
+    const isAgain = this.round?.ballot.by === ballot.by && now - this.round.seenAt < this.patienceMs();
+    this.round = { ballot, since: isAgain ? this.round!.since : now, seenAt: now };
   }
 
   /** This node's voter is asked to accept: the round of that ballot, and any before it, are over. */
@@ -70,8 +77,12 @@
     return this.clock.now() - this.otherAt < this.changeMs * ACTIVE_CHANGES;
   }
 
+  private patienceMs(): number {
+    return this.changeMs * PATIENCE_CHANGES;
+  }
+
   private isBusy(): boolean {
-    return this.round !== null && this.clock.now() - this.round.since < this.changeMs * PATIENCE_CHANGES;
+    return this.round !== null && this.clock.now() - this.round.since < this.patienceMs();
   }
 
   /** Whether this node would begin again right behind a change of its own, while others wait. */
@@ -84,9 +95,10 @@
    * `since`: when this node's change began to wait. Who has waited longer listens for a shorter time, and so comes first.
    */
   async clear(since: number, until: number): Promise<void> {
+    const latest = Math.min(until, this.clock.now() + this.shortened(this.changeMs * MOST_WAIT_CHANGES, since));
     let isWaiting = this.isHogging() || this.isBusy();
-    while (isWaiting && this.clock.now() < until) {
-      while (this.isBusy() && this.clock.now() < until) await world.sleep(this.clock, LISTEN_MS);
+    while (isWaiting && this.clock.now() < latest) {
+      while (this.isBusy() && this.clock.now() < latest) await world.sleep(this.clock, LISTEN_MS);
       await world.sleep(this.clock, this.pauseMs(since));
       isWaiting = this.isBusy();
     }
@@ -94,7 +106,12 @@
 
   private pauseMs(since: number): number {
     const longest = SPREAD_MS + this.changeMs * SPREAD_CHANGES;
-    const waited = (this.clock.now() - since) / this.changeMs;
-    return (longest * (1 - JITTER * this.clock.random())) / (1 + waited);
+    return this.shortened(longest * (1 - JITTER * this.clock.random()), since);
+  }
+
+  /** A wait for a change that has waited since then already. */
+  private shortened(ms: number, since: number): number {
+    const waitedChanges = (this.clock.now() - since) / this.changeMs;
+    return ms / (1 + waitedChanges);
   }
 }
