Clean-up: operator paths, heard and confirmed, and taught joiners each said once

OrderForwarder repeated what Redirector asks of a control node and the paths of Operator; VoterManager taught joiners that had learned a second time; the features of a node were set at two places; tests/sim/members.ts put the operator's chain together by itself; two test programs had the same bundling, two the same quantile.

Change: control/operator-paths.ts; isHeard and isHeardConfirmed in feed/control-link.ts; teach keeps who holds the value; the base of the beat carries the features; tests/bundle.mjs and tests/sim/quantile.ts. No change of behaviour but the second teaching.

Tried and reverted: decoding the ring's files once for conversion and inspection. decodeHeader refuses files of another format by an error, and conversion must come before it: five tests of disk-conversion failed (the node then does not vote). Decoding twice stays.

--- a/src/control/operator.ts
+++ b/src/control/operator.ts
@@ -10,6 +10,7 @@
 import * as schema from "../wire/schema.js";
 import * as batchCalls from "./batch-calls.js";
 import type * as core from "./core.js";
+import * as paths from "./operator-paths.js";
 import * as serve from "./serve.js";
 
 const CHANGE_MS = 2600;
@@ -30,11 +31,11 @@
 
   reply(asked: serve.Asked): Promise<serve.Told> | serve.Told {
     const { method, path } = asked;
-    if (method === "POST" && path === "/-/Config.Replace") return this.order(asked, change.replaceOrder);
-    if (method === "POST" && path === "/-/Config.Update") return this.order(asked, change.updateOrder);
-    if (method === "GET" && path === "/-/Config.Describe") return this.describe();
-    if (method === "POST" && path.startsWith("/-/Evacuations.Start/")) return this.evacuate(path, true);
-    if (method === "POST" && path.startsWith("/-/Evacuations.Stop/")) return this.evacuate(path, false);
+    if (method === "POST" && path === paths.REPLACE) return this.order(asked, change.replaceOrder);
+    if (method === "POST" && path === paths.UPDATE) return this.order(asked, change.updateOrder);
+    if (method === "GET" && path === paths.DESCRIBE) return this.describe();
+    if (method === "POST" && path.startsWith(paths.START_EVACUATION)) return this.evacuate(path, true);
+    if (method === "POST" && path.startsWith(paths.STOP_EVACUATION)) return this.evacuate(path, false);
     if (path.startsWith(batchCalls.PREFIX)) return this.batches?.reply(asked) ?? batchCalls.off();
     if (method === "GET" && path === "/-/status") return { status: 200, json: this.status() };
     return serve.errorReply(errors.fail("not_found", `no call ${method} ${path}`, "see docs/operating.md for the calls"));
--- a/src/control/order-forwarder.ts
+++ b/src/control/order-forwarder.ts
@@ -18,6 +18,7 @@
 import * as dialers from "../feed/dialer.js";
 import type * as contacts from "./contact.js";
 import type * as cores from "./core.js";
+import * as paths from "./operator-paths.js";
 import type * as serve from "./serve.js";
 
 /** An order that was passed on is proposed here after so long without an answer. */
@@ -30,7 +31,6 @@
 const MOST_FORWARDS = 2;
 /** Larger orders are proposed where they arrive. */
 const MOST_BODY_BYTES = 1024 * 1024;
-const ORDERS = ["/-/Config.Replace", "/-/Config.Update", "/-/Evacuations.Start/", "/-/Evacuations.Stop/"];
 /** Nothing is decided by answers from here on. */
 const LEAST_UNDECIDED_STATUS = 500;
 
@@ -64,8 +64,8 @@
     if (!isOrder(asked)) return this.next(asked);
     for (let attempt = 0; attempt < MOST_FORWARDS; attempt += 1) {
       const proposer = this.proposerOfAll();
-      const told = proposer && (await this.forward(proposer, asked));
       if (!proposer) break;
+      const told = await this.forward(proposer, asked);
       if (told) return told;
     }
     return this.next(asked);
@@ -90,13 +90,10 @@
 
   private isFit(control: dialers.Control): boolean {
     const { beat } = control;
-    if (!beat || !features.hasFeature(beat, features.FORWARDED_ORDERS) || !this.isHeard(control)) return false;
-    if (!dialers.isConfirmed(control) || dialers.isLeaving(control)) return false;
-    return control.node.name !== this.avoided || this.world.now() >= this.avoidedUntil;
-  }
-
-  private isHeard(control: dialers.Control): boolean {
-    return control.link.isOpen && dialers.isFresh(control, this.world.now());
+    const now = this.world.now();
+    if (!beat || !features.hasFeature(beat, features.FORWARDED_ORDERS)) return false;
+    if (!dialers.isHeardConfirmed(control, now) || dialers.isLeaving(control)) return false;
+    return control.node.name !== this.avoided || now >= this.avoidedUntil;
   }
 
   /** Null where the other node decided nothing: the order may have been taken there, and is found so when it is proposed here. */
@@ -119,7 +116,7 @@
     void call.then(function end() {
       isOver = true;
     });
-    while (!isOver && this.isHeard(proposer)) await worlds.sleep(this.world, LOOK_MS);
+    while (!isOver && dialers.isHeard(proposer, this.world.now())) await worlds.sleep(this.world, LOOK_MS);
     // A call that has ended tells for itself.
     if (isOver) await call;
     return null;
@@ -132,6 +129,5 @@
 }
 
 function isOrder(asked: serve.Asked): boolean {
-  if (asked.method !== "POST" || asked.body.length > MOST_BODY_BYTES) return false;
-  return ORDERS.some((path) => asked.path.startsWith(path));
+  return asked.method === "POST" && asked.body.length <= MOST_BODY_BYTES && paths.isOrder(asked.path);
 }
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -171,9 +171,10 @@
   /** Also at once when contact with a majority is found or lost. */
   private tell(): void {
     const { epoch, isReady } = this.describe();
-    const base = { isReady, epoch, isSettled: this.contact.isConfirmed(), silentRegions: this.dial.silentRegions() };
+    const isSettled = this.contact.isConfirmed();
+    const base = { isReady, epoch, isSettled, silentRegions: this.dial.silentRegions(), index: features.OWN_FEATURES };
     this.members.tellBeats(base);
-    this.dial.tellAll({ ...base, index: features.OWN_FEATURES, members: 1 });
+    this.dial.tellAll({ ...base, members: 1 });
     this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
   }
 
@@ -240,8 +241,7 @@
     this.isLeaving = true;
     this.contact.withdraw();
     this.tell();
-    const pause = worlds.sleep(this.world, LEAVE_MS);
-    await Promise.all([pause, this.voterManager.handOver(HAND_OVER_MS), this.batches?.handOver(HAND_OVER_MS)]);
+    await Promise.all([worlds.sleep(this.world, LEAVE_MS), this.voterManager.handOver(HAND_OVER_MS), this.batches?.handOver(HAND_OVER_MS)]);
     this.dial.end();
     this.members.end();
     await this.root.stop();
--- a/src/control/redirect.ts
+++ b/src/control/redirect.ts
@@ -102,8 +102,7 @@
   }
 
   private isConfirmedNow(control: dialers.Control): boolean {
-    const isHeard = dialers.isFresh(control, this.world.now()) && control.link.isOpen;
-    return isHeard && dialers.isConfirmed(control) && control.node.outside !== "";
+    return dialers.isHeardConfirmed(control, this.world.now()) && control.node.outside !== "";
   }
 
   /** The nearest one whose last beat said so lately; it sends nobody back here while this node isn't confirmed. */
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -1,7 +1,6 @@
 // A node is a member while its session with a control node stands; siblings tell theirs, by differences
 // (design 4.1, design/members 1).
 import * as calls from "../wire/calls.js";
-import * as features from "../wire/features.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
@@ -212,13 +211,16 @@
     return session.link.silentMs() > MISSED_MS ? { ...session.node, isReady: false } : session.node;
   }
 
-  /** A beat to each own member, with the number of routers: connections and rooms are split by it (design 7.6). */
-  tellBeats(base: Omit<schema.Beat, "index" | "members">): void {
+  /**
+   * A beat to each own member, with the number of routers: connections and rooms are split by it (design 7.6). Control
+   * nodes get `base.index`, the features of this node, and each router its place.
+   */
+  tellBeats(base: Omit<schema.Beat, "members">): void {
     const routers = this.members("router");
     const places = new Map<string, number>();
     for (const [index, node] of routers.entries()) places.set(node.name, index);
     for (const session of this.own.values()) {
-      const index = session.node.role === "control" ? features.OWN_FEATURES : (places.get(session.node.name) ?? 0);
+      const index = session.node.role === "control" ? base.index : (places.get(session.node.name) ?? 0);
       session.link.tell(calls.beat, { ...base, index, members: Math.max(1, routers.length) });
     }
   }
--- a/src/control/voter-manager.ts
+++ b/src/control/voter-manager.ts
@@ -118,24 +118,32 @@
    * more without them, so that a hung disk costs those beside it no pause; null where nobody is left to propose.
    */
   private async teachAny(value: schema.Value, voters: schema.Voter[]): Promise<schema.Voter[] | null> {
-    if (await this.teach(value, voters)) return voters;
+    const holders = new Set(value.voters.map(diskOf));
+    if (await this.teach(voters, holders)) return voters;
     if (this.isLeaving) return null;
     const others = policy.nextVoters(value, this.alive(), this.silentMs, this.failures);
-    return others && (await this.teach(value, others)) ? others : null;
+    return others && (await this.teach(others, holders)) ? others : null;
   }
 
-  /** Learners first: nobody is proposed before its synced disk holds the chosen value. Those that fail come last from then on. */
-  private async teach(value: schema.Value, voters: schema.Voter[]): Promise<boolean> {
-    const before = new Set(value.voters.map((voter) => voter.disk));
-    const joiners = voters.filter((voter) => !before.has(voter.disk));
+  /**
+   * Learners first: nobody is proposed before its synced disk holds the chosen value. Those that learn it are added to
+   * `holders`, whose disks are not asked; those that fail come last from then on.
+   */
+  private async teach(voters: schema.Voter[], holders: Set<string>): Promise<boolean> {
+    const joiners = voters.filter((voter) => !holders.has(voter.disk));
     const taught = await Promise.all(joiners.map((joiner) => this.core.teach(joiner)));
     for (const [index, { disk }] of joiners.entries()) {
-      if (taught[index]) this.failed.delete(disk);
+      if (taught[index]) this.hasLearned(disk, holders);
       else this.failed.set(disk, this.failures(disk) + 1);
     }
     return taught.every(Boolean);
   }
 
+  private hasLearned(disk: string, holders: Set<string>): void {
+    holders.add(disk);
+    this.failed.delete(disk);
+  }
+
   /**
    * Before this node leaves: its vote goes to a spare, if one is in touch; else the voters in touch accept the newest
    * value anew, so that this disk isn't the last to hold it. Ends after withinMs at the latest, done or not.
@@ -150,3 +158,7 @@
     log.count(isDone ? "voters.handed_over" : "voters.hand_over_late");
   }
 }
+
+function diskOf(voter: schema.Voter): string {
+  return voter.disk;
+}
--- a/src/feed/control-link.ts
+++ b/src/feed/control-link.ts
@@ -30,6 +30,16 @@
   return control.beat ? control.beat.isSettled : control.wasConfirmed;
 }
 
+/** Whether its link is open and a word came lately. */
+export function isHeard(control: Control, now: number): boolean {
+  return control.link.isOpen && isFresh(control, now);
+}
+
+/** Whether it is heard, and its newest word says that a majority confirmed it. */
+export function isHeardConfirmed(control: Control, now: number): boolean {
+  return isHeard(control, now) && isConfirmed(control);
+}
+
 /** Whether it said that it leaves. */
 export function isLeaving(control: Control): boolean {
   return control.beat !== null && !control.beat.isReady;
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -8,7 +8,7 @@
 import type * as selectors from "./session-selector.js";
 import type { Control, Target } from "./control-link.js";
 
-export { isConfirmed, isFresh, isLeaving, type Control, type Target } from "./control-link.js";
+export { isConfirmed, isFresh, isHeard, isHeardConfirmed, isLeaving, type Control, type Target } from "./control-link.js";
 
 const CONNECT_MS = 900;
 const FIRST_PAUSE_MS = 150;
--- a/tests/model/run.mjs
+++ b/tests/model/run.mjs
@@ -1,10 +1,8 @@
-// Bundles the model with its sources, log lines left out, and runs it.
-import * as childProcess from "node:child_process";
+// Starts the model, with log lines left out.
 import * as path from "node:path";
-import * as esbuild from "esbuild";
+import * as bundle from "../bundle.mjs";
 
 const folder = import.meta.dirname;
-const outfile = path.join(folder, "../../target/model.mjs");
 
 const quietLog = {
   name: "quiet-log",
@@ -15,16 +13,4 @@
   },
 };
 
-await esbuild.build({
-  entryPoints: [path.join(folder, "run.ts")],
-  outfile,
-  bundle: true,
-  platform: "node",
-  target: "node20",
-  format: "esm",
-  banner: { js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);' },
-  logLevel: "error",
-  plugins: [quietLog],
-});
-const run = childProcess.spawnSync(process.execPath, [outfile, ...process.argv.slice(2)], { stdio: "inherit" });
-process.exit(run.status ?? 1);
+await bundle.bundleAndRun(path.join(folder, "run.ts"), "model", [quietLog]);
--- a/tests/sessions.test.ts
+++ b/tests/sessions.test.ts
@@ -161,6 +161,6 @@
   const b = enter(node("b"));
   const sibling = enter(node("s", "control"));
   members.hear(sibling as unknown as link.Link, told([node("a"), node("c")]));
-  members.tellBeats({ isReady: true, epoch: types.small(1), isSettled: true, silentRegions: [] });
+  members.tellBeats({ isReady: true, epoch: types.small(1), isSettled: true, silentRegions: [], index: 0 });
   expect(b.told).toEqual([{ isReady: true, epoch: 1, isSettled: true, index: 1, members: 3, silentRegions: [] }]);
 });
--- a/tests/sim/fleet.ts
+++ b/tests/sim/fleet.ts
@@ -83,9 +83,9 @@
   }
   beat(): void {
     if (!this.isUp) return;
-    const base = { isReady: true, epoch: types.FIRST_EPOCH, isSettled: this.isSettled, silentRegions: this.dial.silentRegions() };
+    const base = { isReady: true, epoch: types.FIRST_EPOCH, isSettled: this.isSettled, silentRegions: this.dial.silentRegions(), index: 0 };
     this.members.tellBeats(base);
-    this.dial.tellAll({ ...base, index: 0, members: 1 });
+    this.dial.tellAll({ ...base, members: 1 });
     this.members.tellSiblings(this.describe(), this.dial.links(), [this.info, ...this.dial.met()]);
   }
   turn(): void {
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -8,8 +8,7 @@
 import * as leases from "../../src/control/leases.js";
 import * as membership from "../../src/control/membership.js";
 import * as operators from "../../src/control/operator.js";
-import * as forwarders from "../../src/control/order-forwarder.js";
-import * as redirects from "../../src/control/redirect.js";
+import * as operatorChains from "../../src/control/operator-chain.js";
 import type * as serve from "../../src/control/serve.js";
 import * as sessions from "../../src/control/sessions.js";
 import * as dialers from "../../src/feed/dialer.js";
@@ -87,7 +86,7 @@
   readonly core: cores.Core;
   readonly leaseServer: leases.LeaseServer;
   readonly contact: contacts.Contact;
-  readonly redirector: redirects.Redirector;
+  private readonly reply: serve.Reply;
   readonly said: Said[] = [];
   private readonly region: string;
   syncMs = 3;
@@ -112,11 +111,8 @@
     const confirmation = new BrokenConfirmation(world, options.broken ?? "none");
     this.contact = new contacts.Contact(world, this.core, this.dial, this.leaseServer.takeReply.bind(this.leaseServer), confirmation);
     const operator = new operators.Operator(this.core, ZONES, () => ({ contact: this.contact.status() }));
-    const peers = (): Iterable<dialers.Control> => this.dial.controls.values();
-    const forwarder = new forwarders.OrderForwarder(world, this.core, peers, operator.reply.bind(operator));
-    forwarder.register(this.handlers, this.contact);
-    this.redirector = new redirects.Redirector(world, this.contact, peers, forwarder.reply.bind(forwarder));
-    this.dial.on("beat", () => this.redirector.remember());
+    const { handlers, dial, core, contact } = this;
+    this.reply = operatorChains.chain({ world, handlers, dial, core, contact }, operator.reply.bind(operator));
     this.handle();
     if (options.isVoter !== false) this.vote(first);
     this.run();
@@ -173,9 +169,10 @@
   private tell(): void {
     const isSettled = this.contact.isConfirmed();
     this.said.push({ at: this.world.now(), isSettled, epoch: this.epoch });
-    const base = { isReady: !this.isLeaving, epoch: this.epoch, isSettled, silentRegions: this.dial.silentRegions() };
+    const { epoch, isLeaving } = this;
+    const base = { isReady: !isLeaving, epoch, isSettled, silentRegions: this.dial.silentRegions(), index: features.OWN_FEATURES };
     this.members.tellBeats(base);
-    this.dial.tellAll({ ...base, index: features.OWN_FEATURES, members: 1 });
+    this.dial.tellAll({ ...base, members: 1 });
     this.members.tellSiblings(this.describe(), this.dial.links(), this.controls());
   }
 
@@ -198,8 +195,8 @@
   }
 
   /** An operator's call to this very node; no redirect is followed. */
-  call(method: string, path: string): Promise<serve.Told> {
-    return this.redirector.reply({ method, path, query: new URLSearchParams(), headers: {}, body: Buffer.alloc(0) });
+  async call(method: string, path: string): Promise<serve.Told> {
+    return this.reply({ method, path, query: new URLSearchParams(), headers: {}, body: Buffer.alloc(0) });
   }
 
   evacuate(zone: string): Promise<serve.Told> {
--- a/tests/sim/order-load.ts
+++ b/tests/sim/order-load.ts
@@ -3,6 +3,7 @@
 import type * as serve from "../../src/control/serve.js";
 import * as members from "./members.js";
 import * as networks from "./network.js";
+import * as quantiles from "./quantile.js";
 import * as sim from "./world.js";
 
 const NAMES = ["a", "b", "c", "d", "e"];
@@ -74,10 +75,6 @@
   plan();
 }
 
-function quantile(sorted: readonly number[], share: number): number {
-  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? Number.NaN;
-}
-
 /** A minute of orders without conflict, one after the other for each caller. */
 export async function measure(load: Load): Promise<Pace> {
   const stage = await start(load);
@@ -104,8 +101,8 @@
   took.sort((left, right) => left - right);
   return {
     perSecond: (took.length * 1000) / load.playMs,
-    medianMs: quantile(took, 0.5),
-    p99Ms: quantile(took, 0.99),
+    medianMs: quantiles.quantile(took, 0.5),
+    p99Ms: quantiles.quantile(took, 0.99),
     longestMs: took[took.length - 1] ?? Number.NaN,
     orders: took.length + late,
     late,
--- a/tests/sim/pace.ts
+++ b/tests/sim/pace.ts
@@ -5,6 +5,7 @@
 import * as registers from "../../src/register/value.js";
 import type * as schema from "../../src/wire/schema.js";
 import * as cores from "./core.js";
+import * as quantiles from "./quantile.js";
 import * as sim from "./world.js";
 
 /** As operators' calls: longer, and the answer is no clear one. */
@@ -36,10 +37,6 @@
   };
 }
 
-function quantile(sorted: readonly number[], share: number): number {
-  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? Number.NaN;
-}
-
 interface Callers {
   clock: sim.SimWorld;
   /** The change that each caller's orders go to. */
@@ -76,7 +73,12 @@
   for (let caller = 0; caller < setting.callers; caller += 1) void call(caller);
   await clock.play(PLAY_MS);
   took.sort((left, right) => left - right);
-  return { perSecond: (took.length * 1000) / PLAY_MS, medianMs: quantile(took, 0.5), p99Ms: quantile(took, 0.99), unclear };
+  return {
+    perSecond: (took.length * 1000) / PLAY_MS,
+    medianMs: quantiles.quantile(took, 0.5),
+    p99Ms: quantiles.quantile(took, 0.99),
+    unclear,
+  };
 }
 
 /** One order of each caller, all at once; how long those took that were answered. */
