--- a/src/control/membership.ts
+++ b/src/control/membership.ts
@@ -27,7 +27,7 @@
   const { handlers, members, dial, core, contact } = parts;
   handlers.on(calls.hello, function hello(from, ask) {
     members.enter(ask.node, from);
-    if (ask.node.role === "control") dial.know([ask.node.address]);
+    if (ask.node.role === "control") dial.inReach(ask.node.address);
     return { node: parts.describe(), controls: parts.controls(), place: parts.place, isConfirmed: contact.isConfirmed() };
   });
   handlers.on(calls.beat, function beat(from, told) {
--- a/src/feed/control-link.ts
+++ b/src/feed/control-link.ts
@@ -47,7 +47,8 @@
 
 /** A known address. failures: in a row, since it was last up; dueAt, urgency: when and why it is dialled (session-selector.ts). */
 export interface Target {
-  state: "idle" | "dialing" | "up";
+  /** `dialing`: one connection or more are tried; `greeting`: one is made, and its hello is under way. */
+  state: "idle" | "dialing" | "greeting" | "up";
   notBefore: number;
   pauseMs: number;
   failures: number;
@@ -57,3 +58,8 @@
   isReleased: boolean;
   region: string;
 }
+
+/** An address that was never dialled; `pauseMs`: its first pause after a failure. */
+export function newTarget(pauseMs: number): Target {
+  return { state: "idle", notBefore: 0, pauseMs, failures: 0, dialedAt: 0, dueAt: Infinity, urgency: 0, isReleased: false, region: "" };
+}
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -6,6 +6,7 @@
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import type * as selectors from "./session-selector.js";
+import * as controlLinks from "./control-link.js";
 import type { Control, Target } from "./control-link.js";
 
 export { isConfirmed, isFresh, isHeard, isHeardConfirmed, isLeaving, type Control, type Target } from "./control-link.js";
@@ -13,6 +14,10 @@
 const CONNECT_MS = 900;
 const FIRST_PAUSE_MS = 150;
 const MOST_PAUSE_MS = 1500;
+/** The same between control nodes, which are few: nothing is confirmed until a majority of them is in touch again (*ours*). */
+const MOST_PEER_PAUSE_MS = 400;
+/** A dial of a control node under way for so long gets another beside it. */
+const STALE_DIAL_MS = 400;
 const MOST_LINKS = 16;
 /** Retries of one that is not needed now. */
 const CALM_PAUSE_MS = 6000;
@@ -27,6 +32,14 @@
   beat: [control: Control];
 }
 
+/** What a dial came to. */
+interface Met {
+  link: link.Link;
+  known: schema.Known;
+  /** How long its hello took, there and back, in milliseconds. */
+  tripMs: number;
+}
+
 /**
  * Keeps links to control nodes: dials known addresses, with pauses that grow after failures, and ends links that are
  * silent. Emits "up" after a hello, "beat" with each beat, "down" when a link has ended.
@@ -59,20 +72,17 @@
   know(addresses: Iterable<string>): void {
     for (const address of addresses) {
       if (address === this.own || this.targets.has(address) || address === "") continue;
-      this.targets.set(address, {
-        state: "idle",
-        notBefore: 0,
-        pauseMs: FIRST_PAUSE_MS,
-        failures: 0,
-        dialedAt: 0,
-        dueAt: Infinity,
-        urgency: 0,
-        isReleased: false,
-        region: "",
-      });
+      this.targets.set(address, controlLinks.newTarget(FIRST_PAUSE_MS));
     }
   }
 
+  /** The node at the address has just reached this one: its dial waits for no pause, nor for an older dial without a reply. */
+  inReach(address: string): void {
+    this.know([address]);
+    const target = this.targets.get(address);
+    if (target && (target.state === "idle" || this.isStale(target))) this.begin(address, target);
+  }
+
   /** Control nodes told of by others, with where they stand. */
   learn(controls: Iterable<schema.ControlInfo>): void {
     for (const { address, region } of controls) {
@@ -121,32 +131,69 @@
     this.selector?.plan(this.targets, this.controls);
     for (const [address, target] of this.targets) {
       if (this.selector && target.dueAt > now) continue;
-      if (target.state !== "idle" || target.notBefore > now || this.controls.size >= MOST_LINKS) continue;
-      target.state = "dialing";
-      target.dialedAt = now;
-      void this.dial(address, target);
+      const isDue = target.state === "idle" ? target.notBefore <= now : !this.selector && this.isStale(target);
+      if (isDue) this.begin(address, target);
     }
   }
 
+  /** Whether a connection is tried in vain for so long that its first packet may be lost. */
+  private isStale(target: Target): boolean {
+    return target.state === "dialing" && this.world.now() - target.dialedAt >= STALE_DIAL_MS;
+  }
+
+  private begin(address: string, target: Target): void {
+    if (this.isOver || this.controls.size >= MOST_LINKS) return;
+    if (target.state === "dialing") target.failures += 1;
+    target.state = "dialing";
+    target.dialedAt = this.world.now();
+    void this.dial(address, target);
+  }
+
   /** Simulations hand in links of their own here. */
   protected connect(address: string): Promise<link.Link | null> {
     return link.connect(this.world, address, this.handlers, CONNECT_MS);
   }
 
   private async dial(address: string, target: Target): Promise<void> {
+    const { dialedAt } = target;
     const made = await this.connect(address);
+    if (target.state !== "dialing" || this.isOver) {
+      // Another dial beside this one was sooner: a second hello would end its session.
+      made?.end("another dial was sooner");
+      return;
+    }
+    if (made) await this.greet(address, target, made);
+    else if (target.dialedAt === dialedAt) this.pause(target);
+  }
+
+  private async greet(address: string, target: Target, made: link.Link): Promise<void> {
+    target.state = "greeting";
     const asked = this.world.now();
-    const known = made ? await made.call(calls.hello, { node: this.describe() }, CONNECT_MS) : null;
-    if (!made || !known || !made.isOpen || this.isOver) {
-      made?.end("no hello");
-      target.state = "idle";
-      target.failures += 1;
-      this.selector?.forget(target);
-      const mostMs = this.selector?.hasEnough ? CALM_PAUSE_MS : MOST_PAUSE_MS;
-      target.notBefore = this.world.now() + Math.min(mostMs, target.pauseMs) * (0.7 + 0.6 * this.world.random());
-      target.pauseMs = Math.min(mostMs, target.pauseMs * 2);
+    const known = await made.call(calls.hello, { node: this.describe() }, CONNECT_MS);
+    if (known && made.isOpen && !this.isOver) {
+      this.hold(address, target, { link: made, known, tripMs: this.world.now() - asked });
       return;
     }
+    made.end("no hello");
+    this.pause(target);
+  }
+
+  private mostPauseMs(): number {
+    if (!this.selector) return MOST_PEER_PAUSE_MS;
+    return this.selector.hasEnough ? CALM_PAUSE_MS : MOST_PAUSE_MS;
+  }
+
+  private pause(target: Target): void {
+    const mostMs = this.mostPauseMs();
+    target.state = "idle";
+    target.failures += 1;
+    this.selector?.forget(target);
+    target.notBefore = this.world.now() + Math.min(mostMs, target.pauseMs) * (0.7 + 0.6 * this.world.random());
+    target.pauseMs = Math.min(mostMs, target.pauseMs * 2);
+  }
+
+  private hold(address: string, target: Target, met: Met): void {
+    const { link: made, known, tripMs } = met;
     target.state = "up";
     target.pauseMs = FIRST_PAUSE_MS;
     target.failures = 0;
@@ -161,7 +208,7 @@
       beat: null,
       beatAt: this.world.now(),
       wasConfirmed: known.isConfirmed,
-      tripMs: this.world.now() - asked,
+      tripMs,
     };
     this.controls.set(address, control);
     this.learn(known.controls);
--- a/src/feed/session-selector.ts
+++ b/src/feed/session-selector.ts
@@ -191,7 +191,7 @@
 
 /** Not known to be down: never tried, let go while it was good, or being dialled for a short while. */
 function isFresh(target: links.Target, now: number): boolean {
-  return target.failures === 0 && (target.state !== "dialing" || now - target.dialedAt < SLOW_MS);
+  return target.failures === 0 && (target.state === "idle" || target.state === "up" || now - target.dialedAt < SLOW_MS);
 }
 
 function isMet(place: Place): boolean {
--- a/tests/sim/durable-node.ts
+++ b/tests/sim/durable-node.ts
@@ -103,7 +103,7 @@
     core.register(handlers);
     handlers.on(calls.hello, (from, ask) => {
       this.callers.add(from);
-      if (ask.node.role === "control") dial.know([ask.node.address]);
+      if (ask.node.role === "control") dial.inReach(ask.node.address);
       return { node: this.describe(), controls: [], place: feed.place, isConfirmed: true };
     });
     handlers.on(calls.beat, (from, told) => {
--- a/tests/sim/fleet.ts
+++ b/tests/sim/fleet.ts
@@ -56,7 +56,7 @@
     this.dial.reach = (address) => fleet.connect(address, this.handlers);
     this.handlers.on(calls.hello, (from, ask) => {
       this.members.enter(ask.node, from);
-      if (ask.node.role === "control") this.dial.know([ask.node.address]);
+      if (ask.node.role === "control") this.dial.inReach(ask.node.address);
       return { node: this.describe(), controls: [info, ...this.dial.met()], place: info.name, isConfirmed: this.isSettled };
     });
     this.handlers.on(calls.beat, (from, told) => {
--- a/tests/sim/network.ts
+++ b/tests/sim/network.ts
@@ -16,6 +16,8 @@
   readonly cuts = new Set<string>();
   readonly frozen = new Set<string>();
   readonly delays = new Map<string, number>();
+  /** Whether a connection that is begun during a cut fails even where the cut heals meanwhile, as when its first packet is lost. */
+  losesDials = false;
   private readonly listening = new Map<string, link.Handlers>();
 
   constructor(readonly clock: sim.SimWorld) {}
@@ -45,7 +47,8 @@
   async connect(from: string, address: string, handlers: link.Handlers, world: types.World): Promise<link.Link | null> {
     const to = address.slice(0, address.indexOf(":"));
     const until = this.clock.now() + CONNECT_MS;
-    while (!this.passes(from, to) || !this.passes(to, from)) {
+    const isLost = this.losesDials && !(this.passes(from, to) && this.passes(to, from));
+    while (isLost || !this.passes(from, to) || !this.passes(to, from)) {
       if (this.clock.now() >= until) return null;
       await this.wait(POLL_MS);
     }
