--- a/tests/tenancy.test.ts
+++ b/tests/tenancy.test.ts
@@ -1,4 +1,5 @@
 // Keys and quotas at a router over real sockets: who is let in, what the runner sees, and what becomes of units.
+import * as net from "node:net";
 import type * as dialers from "../src/feed/dialer.js";
 import * as tenancies from "../src/router/tenancy.js";
 import * as digests from "../src/tenants/digest.js";
@@ -18,10 +19,25 @@
 
   constructor() {
     const node = { life: "life", region: "r" };
-    const call = (_pair: unknown, ask: tenantSchema.QuotaAsk): Promise<tenantSchema.QuotaReply> => Promise.resolve(this.reply(ask));
+    const call = (_pair: unknown, ask: tenantSchema.QuotaAsk): Promise<tenantSchema.QuotaReply> => this.answer(ask);
     this.controls.set("a", { address: "a", node, link: { isOpen: true, call }, tripMs: 1 } as unknown as dialers.Control);
   }
 
+  /** Until it is opened, the units are counted and the replies are on their way. */
+  readonly gate = { isOpen: true, open: (): void => undefined };
+
+  hold(): void {
+    this.gate.isOpen = false;
+  }
+
+  private async answer(ask: tenantSchema.QuotaAsk): Promise<tenantSchema.QuotaReply> {
+    const reply = this.reply(ask);
+    if (this.gate.isOpen) return reply;
+    await new Promise<void>((resolve) => (this.gate.open = resolve));
+    this.gate.isOpen = true;
+    return reply;
+  }
+
   private reply(ask: tenantSchema.QuotaAsk): tenantSchema.QuotaReply {
     const given = ask.takings.map(({ wanted, unused }) => {
       this.unused.push(...unused);
@@ -132,3 +148,18 @@
   tenancy.admit(tenantOf("yard", "k-yard", true), (unit) => (admitted = unit), () => undefined); // prettier-ignore
   expect(admitted).toMatchObject({ id: 7 });
 });
+
+test("a client that leaves while its request waits for a unit: nothing runs, and the unit serves the tenant's next one", async () => {
+  owner.units = 1;
+  owner.hold();
+  const client = net.connect(edge.server.port, "127.0.0.1");
+  client.write("POST /once/x HTTP/1.1\r\nHost: h\r\nX-Cranewind-Request-Id: left\r\nApi-Key: k-yard\r\nContent-Length: 2\r\n\r\nhi");
+  while (owner.units > 0) await new Promise(setImmediate);
+  const left = new Promise((resolve) => client.once("close", resolve));
+  client.destroy();
+  await left;
+  for (let turn = 0; turn < 20; turn += 1) await new Promise(setImmediate);
+  owner.gate.open();
+  expect((await ask("k-yard")).status).toBe(200);
+  expect(edge.runners[0].seen.map((seen) => seen.headers["x-cranewind-request-id"])).toEqual([`t${ids}`]);
+});
