Quotas: owners that are cut off grant on for 8 s instead of 4 s

From its end to the heal all requests of tenants with a limit got 503 at the routers of a cut region.

Change: FENCE_MS 8000, one constant for code and simulation. A replaced voter's part stays idle for 4 s more: the other parts (four fifths of the limit) go on meanwhile, and an owner that starts again opens by the note on its disk as before.

Ruled out: a fence of 15 s (two parts of five idle for as long leave 0.6 of a limit).

--- a/src/control/quotas.ts
+++ b/src/control/quotas.ts
@@ -18,12 +18,6 @@
 import type * as cores from "./core.js";
 import * as slotNotes from "./slot-note.js";
 
-/**
- * An owner that is cut off grants on for so long (*ours*): routers beside it honour keys about as long, and a limit that
- * was lowered meanwhile binds them only once they are in touch again. Another owner of the slot waits it out.
- */
-const FENCE_MS = 4000;
-
 /** Grants units of quotas. */
 export class Quotas {
   private readonly tenure: tenures.QuotaTenure;
@@ -40,7 +34,7 @@
     bounds: parts.QuotaBounds,
     private readonly core: cores.Core,
   ) {
-    this.tenure = new tenures.QuotaTenure(world, { fenceMs: FENCE_MS, lifeMs: quotaClients.UNIT_MS });
+    this.tenure = new tenures.QuotaTenure(world, { fenceMs: tenures.FENCE_MS, lifeMs: quotaClients.UNIT_MS });
     this.owner = new owners.QuotaOwner(world, life, bounds, this.tenure);
   }
 
