Tenants: a refusal for want of an owner or of a word on keys tells a time that grows with the outage

Cause: such refusals told 0.3 or 0.5 s, however long it had gone on. Clients came back too soon, were refused again, and had no try left when the answer changed.

Change: an outage is taken to last as long again as it has lasted, 0.3 (0.5) to 3 s (tenants/outage.ts).

Ruled out: one longer time for all (a control node that starts again replies within some tenths of a second).

--- a/src/router/tenancy.ts
+++ b/src/router/tenancy.ts
@@ -6,15 +6,16 @@
 import type * as dialers from "../feed/dialer.js";
 import * as log from "../startup/log.js";
 import * as keyLeases from "../tenants/key-lease.js";
+import * as outages from "../tenants/outage.js";
 import type * as claims from "../tenants/quota-claim.js";
 import * as quotaClients from "../tenants/quota-client.js";
 import * as sources from "../tenants/quota-sources.js";
 import * as tenants from "../tenants/tenant.js";
 import type * as types from "../wire/types.js";
 
-/** When a machine that does not know enough may know more, in seconds (*ours*). */
-const UNKNOWING_RETRY_S = 0.5;
-const UNREACHED_RETRY_S = 0.3;
+/** When a machine that does not know enough about keys, or reaches nobody who counts, may do so again (*ours*). */
+const UNKNOWING_MS = { leastMs: 500, mostMs: 3000 };
+const UNREACHED_MS = { leastMs: 300, mostMs: 3000 };
 const LEAST_RETRY_S = 0.2;
 const MS_PER_S = 1000;
 
@@ -33,9 +34,13 @@
   private table = new tenants.TenantTable();
   private readonly lease: keyLeases.KeyLease;
   private readonly quota: quotaClients.QuotaClient;
+  private readonly unknowing: outages.Outage;
+  private readonly unreached: outages.Outage;
 
   constructor(world: types.World, region: string, controls: ReadonlyMap<string, dialers.Control>, bounds: keyLeases.RevocationBounds) {
     this.lease = new keyLeases.KeyLease(world, bounds);
+    this.unknowing = new outages.Outage(world, UNKNOWING_MS);
+    this.unreached = new outages.Outage(world, UNREACHED_MS);
     const owners = new sources.Sources(world, region, controls);
     this.quota = new quotaClients.QuotaClient(world, owners, this.lease.hear.bind(this.lease));
   }
@@ -66,9 +71,12 @@
   identify(key: string | string[] | undefined, route: check.Route): tenants.Tenant | null | Refusal {
     if (this.table.isEmpty || route.public === true) return null;
     const tenant = typeof key === "string" && key !== "" ? this.table.find(key) : null;
-    if (tenant && this.lease.mayHonour()) return tenant;
+    if (tenant && this.lease.mayHonour()) {
+      this.unknowing.over();
+      return tenant;
+    }
     if (!tenant && this.lease.mayDeny()) return this.refuse(401, "the key is missing or not known; send a valid Api-Key", null);
-    return this.refuse(503, "this node cannot tell which keys are valid now; come back shortly", UNKNOWING_RETRY_S);
+    return this.refuse(503, "this node cannot tell which keys are valid now; come back shortly", this.unknowing.met() / MS_PER_S);
   }
 
   /**
@@ -81,6 +89,7 @@
       return null;
     }
     return this.quota.take(tenant.name, (verdict) => {
+      if (verdict.kind !== "unreached") this.unreached.over();
       if (verdict.kind === "granted") go(verdict.unit);
       else refuse(this.refusalOf(verdict));
     });
@@ -88,7 +97,7 @@
 
   private refusalOf(verdict: Exclude<claims.Verdict, { kind: "granted" }>): Refusal {
     if (verdict.kind === "unreached")
-      return this.refuse(503, "no control node counts the tenant's requests now; come back shortly", UNREACHED_RETRY_S);
+      return this.refuse(503, "no control node counts the tenant's requests now; come back shortly", this.unreached.met() / MS_PER_S);
     return this.refuse(429, "the tenant is over its rate_per_s and burst", Math.max(LEAST_RETRY_S, verdict.waitMs / MS_PER_S));
   }
 
--- /dev/null
+++ b/tests/outage.test.ts
@@ -0,0 +1,28 @@
+// The estimate of how long an outage lasts on (design/tenants 4.6).
+import * as outages from "../src/tenants/outage.js";
+import * as sims from "./sim/world.js";
+
+const BOUNDS = { leastMs: 300, mostMs: 3000 };
+
+test("an outage is expected to last as long again as it has lasted, within its bounds", async () => {
+  const clock = new sims.SimWorld();
+  const outage = new outages.Outage(clock, BOUNDS);
+  const told: number[] = [];
+  for (let step = 0; step < 9; step += 1) {
+    told.push(outage.met());
+    await clock.play(500);
+  }
+  expect(told).toEqual([300, 500, 1000, 1500, 2000, 2500, 3000, 3000, 3000]);
+});
+
+test("once what it held up works again, or after a while without it, the next one is a new one", async () => {
+  const clock = new sims.SimWorld();
+  const outage = new outages.Outage(clock, BOUNDS);
+  outage.met();
+  await clock.play(1500);
+  expect(outage.met()).toBe(1500);
+  outage.over();
+  expect(outage.met()).toBe(300);
+  await clock.play(2500);
+  expect(outage.met()).toBe(300);
+});
