Names: suspect runners, counter sessions.released (few.released before)

The words `doubtful` and `few` were of the earlier house style. No change of behaviour; the reason that a router tells when it ends a session says what it means.

--- a/src/feed/session-selector.ts
+++ b/src/feed/session-selector.ts
@@ -183,8 +183,8 @@
       // One that is not good now must not be taken for a fresh one next.
       target.failures = this.isGood(control, false) ? 0 : 1;
       target.isReleased = true;
-      log.count("few.released");
-      control.link.end("not among the few");
+      log.count("sessions.released");
+      control.link.end("another control node is better");
     }
   }
 }
--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -35,7 +35,7 @@
   apply(plan: plans.Plan): plans.Rejection | null {
     const good: Weighed[] = [];
     const over: Weighed[] = [];
-    const doubtful: Weighed[] = [];
+    const suspect: Weighed[] = [];
     const ejected: Weighed[] = [];
     const { isRepeatable } = plan.entry;
     for (const [place, region] of plan.cells.entries()) {
@@ -47,12 +47,12 @@
       for (const weighed of this.weigh(plan, cell, place)) {
         const standing = standings.standingOf(weighed.runner, plan.now, isRepeatable, plan.requestId);
         if (standing === "ejected") ejected.push(weighed);
-        else if (standing === "doubtful") doubtful.push(weighed);
+        else if (standing === "suspect") suspect.push(weighed);
         else if (isOver(weighed.runner, bound, plan.now)) over.push(weighed);
         else good.push(weighed);
       }
     }
-    plan.candidates = [...good.sort(byMs), ...over.sort(byMs), ...doubtful.sort(byMs), ...ejected.sort(byMs)].map(runnerOf);
+    plan.candidates = [...good.sort(byMs), ...over.sort(byMs), ...suspect.sort(byMs), ...ejected.sort(byMs)].map(runnerOf);
     return null;
   }
 
--- a/src/router/runners/standing.ts
+++ b/src/router/runners/standing.ts
@@ -4,7 +4,7 @@
 import * as rotations from "./rotation.js";
 
 /** In use, only after all others, or last of all. */
-export type Standing = "good" | "doubtful" | "ejected";
+export type Standing = "good" | "suspect" | "ejected";
 
 /** The part of repeatable requests that tries a runner whose report stays out. */
 const TRIAL_PERCENT = 10;
@@ -13,9 +13,9 @@
 /** Repeatable requests try what is in doubt: nothing is lost with them. */
 export function standingOf(runner: fleets.Runner, now: number, isRepeatable: boolean, requestId: types.RequestId): Standing {
   if (runner.outcomes.state(now) === "ejected") return "ejected";
-  if (runner.isQuiet(now) || !runner.outcomes.admits(now, isRepeatable, requestId)) return "doubtful";
+  if (runner.isQuiet(now) || !runner.outcomes.admits(now, isRepeatable, requestId)) return "suspect";
   if (!runner.isUnproved(now)) return "good";
-  return isRepeatable && rotations.isWithin(TRIAL_PERCENT, requestId) ? "good" : "doubtful";
+  return isRepeatable && rotations.isWithin(TRIAL_PERCENT, requestId) ? "good" : "suspect";
 }
 
 /** Milliseconds that a choice pays for doubt. */
