Imports: confirmation moves to the register, metrics to a folder of their own

The pure part of contact (which voters' answers confirm a value) is register/confirmation.ts; the server of the process's own figures is metrics/prometheus.ts. No change of behaviour. Two of the imports that run back up are gone; config and tenants, admission and router, usage and router, cli and experiment are left.

--- a/src/cli/roles.ts
+++ b/src/cli/roles.ts
@@ -34,7 +34,7 @@
 
 /** The library is loaded only where figures are asked for: a role starts faster without it. */
 async function addMetrics(root: supervisor.Supervisor, host: string, option: string): Promise<void> {
-  const metrics = await import("../startup/metrics.js");
+  const metrics = await import("../metrics/prometheus.js");
   const endpoint = metrics.parseEndpoint(option);
   if (endpoint.isErr) endWith(endpoint.error.message, commands.EXIT.usage);
   root.add(metrics.metricsChild(host, endpoint.value));
--- a/src/control/contact.ts
+++ b/src/control/contact.ts
@@ -6,66 +6,9 @@
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import type * as dialers from "../feed/dialer.js";
-import * as registers from "../register/value.js";
-import * as tenures from "../shares/tenure.js";
+import * as confirmations from "../register/confirmation.js";
 import type * as cores from "./core.js";
 
-/** A voter's answer counts for so long, in milliseconds from when it was asked. */
-export const CONFIRMED_MS = tenures.FENCE_MS;
-
-/** What one voter knew. */
-export interface Answer {
-  /** When it was asked, on the asker's clock. */
-  sentAt: types.SteadyMs;
-  /** The newest epoch that the voter had accepted, or knew as chosen, when it answered. */
-  epoch: types.Epoch;
-}
-
-/**
- * Whether a chosen value is confirmed: a majority of its voters (of both sets, when it is a joint value) answered asks
- * sent within CONFIRMED_MS, and none of these answers knows a newer epoch. Then every change that was acknowledged
- * before the oldest of these asks was sent is part of the value.
- */
-export class Confirmation {
-  private readonly answers = new Map<string, Answer[]>();
-
-  constructor(protected readonly world: types.World) {}
-
-  /** Takes a voter's answer. One that is ahead of the value counts once the value has caught up. */
-  take(disk: string, answer: Answer): void {
-    if (disk === "" || !this.isRecent(answer.sentAt)) return;
-    this.forgetOld();
-    const recent = this.answers.get(disk);
-    if (recent) recent.push(answer);
-    else this.answers.set(disk, [answer]);
-  }
-
-  private forgetOld(): void {
-    for (const [disk, answers] of this.answers) {
-      while (answers.length > 0 && !this.isRecent(answers[0].sentAt)) answers.shift();
-      if (answers.length === 0) this.answers.delete(disk);
-    }
-  }
-
-  isConfirmed(value: schema.Value | null): boolean {
-    return value !== null && registers.isQuorum(value, this.confirming(value));
-  }
-
-  /** The disks whose recent answers know nothing newer than the value. */
-  confirming(value: schema.Value): Set<string> {
-    const disks = new Set<string>();
-    for (const [disk, answers] of this.answers) {
-      for (const { sentAt, epoch } of answers) if (this.isRecent(sentAt) && epoch <= value.epoch) disks.add(disk);
-    }
-    return disks;
-  }
-
-  /** sentAt: when an answer was asked for. */
-  protected isRecent(sentAt: types.SteadyMs): boolean {
-    return sentAt > this.world.now() - CONFIRMED_MS;
-  }
-}
-
 /** A voter's answer to an ask of this node: the voter epoch asked for, when (own clock), and the reply. */
 export type OnReply = (asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply) => void;
 
@@ -90,7 +33,7 @@
     private readonly core: cores.Core,
     private readonly dial: dialers.Dialer,
     private readonly onReply: OnReply,
-    private readonly confirmation = new Confirmation(world),
+    private readonly confirmation = new confirmations.Confirmation(world),
   ) {
     super();
     // Each order that is under way listens for the loss of contact.
@@ -152,7 +95,9 @@
   private ask(control: dialers.Control): void {
     const sentAt = this.world.now();
     const asked = this.core.chosen?.voterEpoch ?? types.NO_EPOCH;
-    void control.link.call(calls.fence, { voterEpoch: asked }, CONFIRMED_MS).then(this.takeReply.bind(this, control, asked, sentAt));
+    void control.link
+      .call(calls.fence, { voterEpoch: asked }, confirmations.CONFIRMED_MS)
+      .then(this.takeReply.bind(this, control, asked, sentAt));
   }
 
   private takeReply(control: dialers.Control, asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply | null): void {
@@ -181,6 +126,6 @@
 
   private lostLine(): string {
     if (this.isWithdrawn) return "contact: leaving, no longer confirmed";
-    return `contact: no majority of the voters confirmed within ${CONFIRMED_MS} ms`;
+    return `contact: no majority of the voters confirmed within ${confirmations.CONFIRMED_MS} ms`;
   }
 }
--- a/src/startup/metrics.ts
+++ b/src/metrics/prometheus.ts
@@ -7,9 +7,9 @@
 import * as result from "true-myth/result";
 import type * as supervisor from "../supervisor/tree.js";
 import * as listening from "../wire/listen.js";
-import * as errors from "./errors.js";
-import * as log from "./log.js";
-import * as vitals from "./vitals.js";
+import * as errors from "../startup/errors.js";
+import * as log from "../startup/log.js";
+import * as vitals from "../startup/vitals.js";
 
 const PREFIX = "cranewind_";
 const MOST_PORT = 65_535;
--- a/tests/confirmation.test.ts
+++ b/tests/confirmation.test.ts
@@ -1,5 +1,5 @@
 // What a majority's answers confirm, and for how long (design/hardening/1-cut-off 2).
-import * as contacts from "../src/control/contact.js";
+import * as confirmations from "../src/register/confirmation.js";
 import * as registers from "../src/register/value.js";
 import type * as schema from "../src/wire/schema.js";
 import * as types from "../src/wire/types.js";
@@ -13,21 +13,21 @@
   return { ...registers.firstValue([]), epoch: types.small(epoch), voters: current, former };
 }
 
-function answer(sentAt: number, epoch: number): contacts.Answer {
+function answer(sentAt: number, epoch: number): confirmations.Answer {
   return { sentAt: types.small(sentAt), epoch: types.small(epoch) };
 }
 
 test("a majority of recent answers confirms; the time runs from the ask, not from the answer", () => {
   const clock = new sim.SimWorld();
   clock.skip(1000);
-  const confirmation = new contacts.Confirmation(clock);
+  const confirmation = new confirmations.Confirmation(clock);
   const value = valueOf(4, voters("a", "b", "c"));
   expect(confirmation.isConfirmed(value)).toBe(false);
   confirmation.take("a", answer(1000, 4));
   clock.skip(300);
   confirmation.take("b", answer(1000, 3));
   expect(confirmation.isConfirmed(value)).toBe(true);
-  clock.skip(contacts.CONFIRMED_MS - 301);
+  clock.skip(confirmations.CONFIRMED_MS - 301);
   expect(confirmation.isConfirmed(value)).toBe(true);
   clock.skip(1);
   expect(confirmation.isConfirmed(value)).toBe(false);
@@ -38,7 +38,7 @@
 
 test("nobody who is no voter counts, nor a disk without a name, nor one disk twice", () => {
   const clock = new sim.SimWorld();
-  const confirmation = new contacts.Confirmation(clock);
+  const confirmation = new confirmations.Confirmation(clock);
   const value = valueOf(4, voters("a", "b", "c"));
   for (const disk of ["a", "a", "x", "y", ""]) confirmation.take(disk, answer(0, 4));
   expect(confirmation.isConfirmed(value)).toBe(false);
@@ -48,7 +48,7 @@
 
 test("a joint value is confirmed by a majority of both sets", () => {
   const clock = new sim.SimWorld();
-  const confirmation = new contacts.Confirmation(clock);
+  const confirmation = new confirmations.Confirmation(clock);
   const joint = valueOf(5, voters("a", "d", "e"), voters("a", "b", "c"));
   for (const disk of ["a", "d"]) confirmation.take(disk, answer(0, 5));
   expect(confirmation.isConfirmed(joint)).toBe(false);
@@ -58,7 +58,7 @@
 
 test("an answer that knows a newer epoch counts once the value has caught up; an earlier one counts meanwhile", () => {
   const clock = new sim.SimWorld();
-  const confirmation = new contacts.Confirmation(clock);
+  const confirmation = new confirmations.Confirmation(clock);
   const old = valueOf(4, voters("a", "b", "c"));
   confirmation.take("a", answer(0, 4));
   confirmation.take("b", answer(0, 4));
--- a/tests/metrics.test.ts
+++ b/tests/metrics.test.ts
@@ -1,7 +1,7 @@
 // The process's own figures as text, and rows of `cranewind tenants`.
 import * as tenants from "../src/cli/tenants.js";
 import * as log from "../src/startup/log.js";
-import * as metrics from "../src/startup/metrics.js";
+import * as metrics from "../src/metrics/prometheus.js";
 import type * as schema from "../src/wire/schema.js";
 
 test.each([
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -2,6 +2,7 @@
 // program puts them together, without sockets.
 import * as parts from "../../src/config/parts.js";
 import * as contacts from "../../src/control/contact.js";
+import * as confirmations from "../../src/register/confirmation.js";
 import * as cores from "../../src/control/core.js";
 import * as directory from "../../src/control/directory.js";
 import * as duties from "../../src/control/duties.js";
@@ -45,14 +46,14 @@
 /** A guard that a test may break on purpose, to see the checker fail. */
 export type Broken = "none" | "always_confirmed" | "any_epoch" | "no_bound";
 
-class BrokenConfirmation extends contacts.Confirmation {
+class BrokenConfirmation extends confirmations.Confirmation {
   constructor(
     world: types.World,
     private readonly broken: Broken,
   ) {
     super(world);
   }
-  override take(disk: string, answer: contacts.Answer): void {
+  override take(disk: string, answer: confirmations.Answer): void {
     super.take(disk, this.broken === "any_epoch" ? { ...answer, epoch: types.NO_EPOCH } : answer);
   }
   override isConfirmed(value: schema.Value | null): boolean {
