--- a/src/control/directory.ts
+++ b/src/control/directory.ts
@@ -11,12 +11,23 @@
   routers(): shrinkGuards.SeenNode[];
   /** Whether a router that said it leaves still takes connections. */
   stillServes(node: schema.NodeInfo): boolean;
+  /** Regions that the routes of a host name are bound to; empty: none. */
+  homesOf(hostname: string): ReadonlySet<string>;
   ttlMostS: number;
 }
 
+/** Who asks, and for what. */
+export interface Asker {
+  region: string;
+  zone: string;
+  /** Regions that its routes are bound to, as far as they are. */
+  homes?: ReadonlySet<string>;
+}
+
 /** 200 with up to 64 addresses, or 503 while no router is known. */
 export function resolve(view: DirectoryView, query: URLSearchParams): serve.Told {
-  const chosen = nearest(view.routers(), query.get("region") ?? "", query.get("zone") ?? "", (node) => view.stillServes(node));
+  const asker = { region: query.get("region") ?? "", zone: query.get("zone") ?? "", homes: view.homesOf(query.get("name") ?? "") };
+  const chosen = nearest(view.routers(), asker, (node) => view.stillServes(node));
   if (chosen.length === 0) {
     return { status: 503, headers: { "Retry-After": "0.2" }, json: { message: "no router is known yet; ask again shortly" } };
   }
@@ -27,8 +38,7 @@
 /** Routers that are surely alive go before those that are only believed to be (design/members 5). */
 export function nearest(
   routers: readonly shrinkGuards.SeenNode[],
-  region: string,
-  zone: string,
+  { region, zone, homes }: Asker,
   stillServes: (node: schema.NodeInfo) => boolean = never,
 ): schema.NodeInfo[] {
   const ready = routers.filter(isReady);
@@ -52,7 +62,13 @@
   // Routers restarted one after the other may all be leaving for a moment: they serve on meanwhile, and requests that are
   // bound to a home stay in their region.
   const leaving = routers.filter((seen) => isHere(seen) && stillServes(seen.node));
-  return (leaving.length > 0 ? leaving : usable).map(nodeOf);
+  return (leaving.length > 0 ? leaving : atHome(usable, homes)).map(nodeOf);
+}
+
+/** Those in the regions that the routes are bound to; all where there are none. */
+function atHome(usable: readonly shrinkGuards.SeenNode[], homes: ReadonlySet<string> = new Set()): readonly shrinkGuards.SeenNode[] {
+  const found = usable.filter((seen) => homes.has(seen.node.region));
+  return found.length > 0 ? found : usable;
 }
 
 function never(): boolean {
--- a/src/control/endpoints.ts
+++ b/src/control/endpoints.ts
@@ -5,7 +5,9 @@
 import type * as types from "../wire/types.js";
 import type * as settings from "../startup/settings.js";
 import type * as supervisor from "../supervisor/tree.js";
+import type * as schema from "../wire/schema.js";
 import * as directory from "./directory.js";
+import * as hostHomes from "./host-homes.js";
 import * as serve from "./serve.js";
 
 const RESOLVE_PATH = "/-/resolve";
@@ -15,8 +17,16 @@
   return serve.child("operator", startup.bind_addresses.control_plane, reply);
 }
 
+/** What the directory reads of its control node. */
+export interface DirectorySource extends Pick<directory.DirectoryView, "routers" | "stillServes"> {
+  /** The newest chosen value. */
+  chosen(): schema.Value | null;
+}
+
 /** Serves clients that ask where to go. */
-export function directoryChild(startup: settings.Settings, view: directory.DirectoryView): supervisor.Child {
+export function directoryChild(startup: settings.Settings, source: DirectorySource): supervisor.Child {
+  const homes = new hostHomes.HostHomes(() => source.chosen());
+  const view = { ...source, homesOf: homes.of.bind(homes), ttlMostS: startup.bounds.ttl_max_s };
   return serve.child("directory", startup.bind_addresses.directory, resolve);
   function resolve(asked: serve.Asked): serve.Told {
     if (asked.path === RESOLVE_PATH) return directory.resolve(view, asked.query);
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -137,10 +137,10 @@
       operator.reply.bind(operator),
     );
     const stillServes = this.members.stillServes.bind(this.members);
-    const view = { routers: this.resolvable.bind(this), stillServes, ttlMostS: startup.bounds.ttl_max_s };
+    const source = { routers: this.resolvable.bind(this), stillServes, chosen: () => this.core.chosen };
     root.add(endpoints.internalChild(this.world, this.address, this.handlers));
     root.add(endpoints.operatorChild(startup, reply));
-    root.add(endpoints.directoryChild(startup, view));
+    root.add(endpoints.directoryChild(startup, source));
     root.add(root.turns("beats", link.BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("turn", TURN_MS, this.turn.bind(this)));
     root.add({ name: "disk", start: this.openDisk.bind(this, seeds), stop: this.stopDisk.bind(this) });
--- a/tests/sessions.test.ts
+++ b/tests/sessions.test.ts
@@ -73,7 +73,7 @@
       members.enter(info, made as unknown as link.Link);
       return made;
     },
-    names: () => directory.nearest(members.routers(), "r", "z").map((item) => item.name),
+    names: () => directory.nearest(members.routers(), { region: "r", zone: "z" }).map((item) => item.name),
   };
 }
 
@@ -127,7 +127,7 @@
   const { region, zone } = node("a");
   const named = (): string[] => {
     const stillServes = members.stillServes.bind(members);
-    return directory.nearest(members.routers(), region, zone, stillServes).map((item) => item.name);
+    return directory.nearest(members.routers(), { region, zone }, stillServes).map((item) => item.name);
   };
   const leave = (at: number): void => {
     const beat = { isReady: false, epoch: types.small<types.Epoch>(1), isSettled: true, index: 0, members: 1, silentRegions: [] };
--- a/tests/shrink-guard.test.ts
+++ b/tests/shrink-guard.test.ts
@@ -53,7 +53,7 @@
 
 test("the directory prefers who is surely alive when two of them stand in the zone or region", () => {
   const seen = (name: string, zone: string, isSure: boolean): shrinkGuards.SeenNode => ({ node: router(name, { zone }), isSure });
-  const near = (all: shrinkGuards.SeenNode[]): string[] => directory.nearest(all, "r", "z").map((item) => item.name);
+  const near = (all: shrinkGuards.SeenNode[]): string[] => directory.nearest(all, { region: "r", zone: "z" }).map((item) => item.name);
   expect(near([seen("a", "z", true), seen("b", "z", true), seen("c", "z", false)])).toEqual(["a", "b"]);
   expect(near([seen("a", "z", true), seen("b", "z", false), seen("c", "y", true)])).toEqual(["a", "c"]);
   expect(near([seen("a", "z", true), seen("b", "z", false), seen("c", "y", false)])).toEqual(["a", "b"]);
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -208,7 +208,7 @@
     const routers = (): ReturnType<sessions.Sessions["routers"]> =>
       this.contact.isConfirmed() ? this.members.routers() : this.members.ownRouters();
     const told = directory.resolve(
-      { routers, stillServes: (node) => this.members.stillServes(node), ttlMostS: 2 },
+      { routers, stillServes: (node) => this.members.stillServes(node), homesOf: () => new Set(), ttlMostS: 2 },
       new URLSearchParams({ region, zone: region }),
     );
     return (told.json as { addresses?: string[] }).addresses ?? [];
