--- a/src/control/account.ts
+++ b/src/control/account.ts
@@ -19,13 +19,15 @@
   cells: unknown;
   /** Quotas as this node owns them. */
   quotas: unknown;
+  /** Tallies as this node keeps them. */
+  tallies: unknown;
   /** Null where batches are off. */
   batches: unknown;
 }
 
 /** The status of a control node as JSON; its names are read by `cranewind status`. */
 export function account(parts: AccountParts): unknown {
-  const { node, core, contact, members, disk, cells, quotas, batches } = parts;
+  const { node, core, contact, members, disk, cells, quotas, tallies, batches } = parts;
   const value = core.chosen;
   return {
     node,
@@ -43,6 +45,7 @@
     members: { control: members.members("control"), router: members.members("router") },
     cells,
     quotas,
+    tallies,
     batches,
     counters: Object.fromEntries(log.counted()),
     vitals: vitals.vitals(),
--- a/src/control/batches.ts
+++ b/src/control/batches.ts
@@ -11,6 +11,7 @@
 import type * as dialers from "../feed/dialer.js";
 import type * as feeds from "../feed/feed.js";
 import * as log from "../startup/log.js";
+import type * as supervisor from "../supervisor/tree.js";
 import type * as settings from "../startup/settings.js";
 import type * as batchSchema from "../wire/batch-schema.js";
 import type * as link from "../wire/link.js";
@@ -45,6 +46,12 @@
   heldControls(): schema.NodeInfo[];
 }
 
+/** Null where the setting `batches` is off, or there is no disk. */
+export function make(world: types.World, host: Host): Batches | null {
+  const { batches, data_dir: dataDir } = host.startup;
+  return batches === "off" || !dataDir ? null : new Batches(world, host, dataDir);
+}
+
 /** Made only where the setting `batches` is on. */
 export class Batches {
   private readonly register: batchRegisters.BatchRegister;
@@ -171,7 +178,12 @@
     return this.calls.reply(asked);
   }
 
-  start(): void {
+  /** For the supervisor. */
+  child(): supervisor.Child {
+    return { name: "batches", start: this.start.bind(this), stop: this.stop.bind(this) };
+  }
+
+  private start(): void {
     this.register.start();
     void this.openRecords();
   }
@@ -197,7 +209,7 @@
     return this.register.handOver(withinMs);
   }
 
-  async stop(): Promise<void> {
+  private async stop(): Promise<void> {
     this.hasRecords = false;
     await this.register.stop();
     await this.records.close();
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -1,6 +1,5 @@
 // The control role put together: register, sessions, feed, cells, directory, operator (design 4, 5, 6).
 import * as crypto from "node:crypto";
-import * as calls from "../wire/calls.js";
 import * as features from "../wire/features.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
@@ -22,7 +21,6 @@
 import * as contacts from "./contact.js";
 import * as cores from "./core.js";
 import * as disks from "./disk.js";
-import type * as shrinkGuards from "./shrink-guard.js";
 import * as duties from "./duties.js";
 import * as endpoints from "./endpoints.js";
 import * as leases from "./leases.js";
@@ -30,6 +28,7 @@
 import * as operators from "./operator.js";
 import * as operatorChains from "./operator-chain.js";
 import * as sessions from "./sessions.js";
+import * as tallies from "./tallies.js";
 
 const TURN_MS = 100;
 /** A leaving node's word reaches its neighbours before its links end. */
@@ -50,6 +49,7 @@
   private readonly cells: cells.Cells;
   private readonly leases: leases.LeaseServer;
   private readonly voterManager: voterManagers.VoterManager;
+  private readonly tallies: ReturnType<typeof tallies.make>;
   /** Null where the setting `batches` is off. */
   private readonly batches: batches.Batches | null;
   private isLeaving = false;
@@ -73,6 +73,7 @@
     this.contact = new contacts.Contact(world, this.core, this.dial, this.leases.takeReply.bind(this.leases));
     this.cells = new cells.Cells(world, startup, this.dial, this.feed, this.core, this.members, this.fitness.bind(this));
     this.voterManager = new voterManagers.VoterManager(world, this.core, this.heldControls.bind(this));
+    this.tallies = tallies.make({ ...this.parts(), settings: () => this.startup });
     this.batches = this.makeBatches(seeds);
     this.root = new supervisor.Supervisor("control", world, []);
     this.handle();
@@ -96,10 +97,9 @@
   }
 
   private handle(): void {
-    const { handlers, members, dial, core, contact } = this;
+    const { handlers, members, dial, core, contact, feed } = this;
     const describe = this.describe.bind(this);
     const controls = this.controls.bind(this);
-    const feed = this.feed;
     const splitter = new parts.Splitter();
     core.register(handlers);
     this.cells.register(handlers);
@@ -108,10 +108,7 @@
     dial.on("up", function met() {
       members.tellControls(controls());
     });
-    handlers.on(calls.follow, function follow(from, ask) {
-      feed.follow(from, ask);
-      return null;
-    });
+    feed.register(handlers);
     contact.on("confirmed", this.tell.bind(this));
     contact.on("lost", this.tell.bind(this));
     core.on("chosen", function chosen(value) {
@@ -119,14 +116,18 @@
     });
   }
 
+  /** For parts with messages of their own. */
+  private parts() {
+    const { world, life, address, dial, handlers, members, core } = this;
+    return { world, life, address, dial, handlers, members, core };
+  }
+
   private makeBatches(seeds: string[]): batches.Batches | null {
-    const { world, life, address, startup, dial, handlers, feed, members, cells, core } = this;
-    const { data_dir: dataDir } = startup;
-    if (startup.batches === "off" || !dataDir) return null;
+    const { startup, feed, cells, core } = this;
     const isConfirmed = (): boolean => !this.isLeaving && this.contact.isConfirmed();
     const heldControls = this.heldControls.bind(this);
-    const parts = { life, address, startup, seeds, dial, handlers, feed, members, cells, isConfirmed, heldControls };
-    return new batches.Batches(world, { ...parts, configuration: () => core.chosen }, dataDir);
+    const host = { ...this.parts(), startup, seeds, feed, cells, isConfirmed, heldControls };
+    return batches.make(this.world, { ...host, configuration: () => core.chosen });
   }
 
   private plan(seeds: string[]): void {
@@ -137,15 +138,14 @@
       operator.reply.bind(operator),
     );
     const stillServes = this.members.stillServes.bind(this.members);
-    const source = { routers: this.resolvable.bind(this), stillServes, chosen: () => this.core.chosen };
+    const directory = { routers: this.resolvable.bind(this), stillServes, chosen: () => this.core.chosen };
     root.add(endpoints.internalChild(this.world, this.address, this.handlers));
-    root.add(endpoints.operatorChild(startup, reply));
-    root.add(endpoints.directoryChild(startup, source));
+    root.add(endpoints.operatorChild(startup, tallies.before(this.tallies, reply)));
+    root.add(endpoints.directoryChild(startup, directory));
     root.add(root.turns("beats", link.BEAT_MS, this.beat.bind(this)));
     root.add(root.turns("turn", TURN_MS, this.turn.bind(this)));
     root.add({ name: "disk", start: this.openDisk.bind(this, seeds), stop: this.stopDisk.bind(this) });
-    if (this.batches)
-      root.add({ name: "batches", start: this.batches.start.bind(this.batches), stop: this.batches.stop.bind(this.batches) });
+    if (this.batches) root.add(this.batches.child());
   }
 
   /** The loop never waits on the disk: until it is read, this node runs without a vote. */
@@ -156,11 +156,12 @@
     this.disk = new disks.VoterDisk(machine, { address: this.address, seeds, isBootstrap }, this.core.enter.bind(this.core));
     this.disk.start();
     void this.leases.quotas.open(machine.folder);
+    this.tallies.open(machine.folder);
   }
 
   private async stopDisk(): Promise<void> {
     this.core.leave();
-    await this.disk?.stop();
+    await Promise.all([this.disk?.stop(), this.tallies.stop()]);
   }
 
   private beat(): void {
@@ -179,7 +180,7 @@
   }
 
   /** The routers that the directory names: while nobody confirms this node, those that it hears itself. */
-  private resolvable(): shrinkGuards.SeenNode[] {
+  private resolvable() {
     return this.contact.isConfirmed() ? this.members.routers() : this.members.ownRouters();
   }
 
@@ -201,16 +202,13 @@
     this.contact.turn();
     this.cells.turn();
     this.voterManager.turn();
+    this.tallies.turn();
     this.batches?.turn();
   }
 
   /** This node and the control nodes whose sessions it holds itself. */
   private heldControls(): schema.NodeInfo[] {
-    const held: schema.NodeInfo[] = [this.describe()];
-    for (const node of this.members.members("control")) {
-      if (node.name !== this.startup.node_name && this.members.isHeld(node.name)) held.push(node);
-    }
-    return held;
+    return [this.describe(), ...this.members.heldControls(this.startup.node_name)];
   }
 
   /** Settings read again: seeds, bounds and the platform's address take effect; addresses of its own do not. */
@@ -232,6 +230,7 @@
       disk: this.disk?.status() ?? null,
       cells: this.cells.status(),
       quotas: this.leases.quotas.status(),
+      tallies: this.tallies.status(),
       batches: this.batches?.status() ?? null,
     });
   }
@@ -240,6 +239,7 @@
   async stop(): Promise<void> {
     this.isLeaving = true;
     this.contact.withdraw();
+    this.tallies.leave();
     this.tell();
     await Promise.all([worlds.sleep(this.world, LEAVE_MS), this.voterManager.handOver(HAND_OVER_MS), this.batches?.handOver(HAND_OVER_MS)]);
     this.dial.end();
--- a/src/control/sessions.ts
+++ b/src/control/sessions.ts
@@ -201,6 +201,11 @@
     }
   }
 
+  /** Control nodes whose sessions stand here, but for the one named. */
+  heldControls(except: string): schema.NodeInfo[] {
+    return this.heard("control").filter((node) => node.name !== except && this.isHeld(node.name));
+  }
+
   /** All members of a role, by name. */
   members(role: string): schema.NodeInfo[] {
     return role === "router" ? this.routers().map(nodeOf) : this.heard(role);
--- /dev/null
+++ b/src/control/tallies.ts
@@ -0,0 +1,56 @@
+/** Tallies as a part of the control node: who the members are, whose routers are heard, and which calls go there. */
+import * as crypto from "node:crypto";
+import type * as dialers from "../feed/dialer.js";
+import type * as settings from "../startup/settings.js";
+import * as tallyCalls from "../tallies/calls.js";
+import * as tallies from "../tallies/tallies.js";
+import type * as link from "../wire/link.js";
+import type * as types from "../wire/types.js";
+import type * as cores from "./core.js";
+import type * as serve from "./serve.js";
+import type * as sessions from "./sessions.js";
+
+/** A router that was silent for longer tells nothing of its zone. */
+const HEARD_MS = 800;
+const STORE_BYTES = 9;
+
+/** The control node around the tallies. */
+export interface TallyNode {
+  world: types.World;
+  life: string;
+  address: string;
+  dial: dialers.Dialer;
+  handlers: link.Handlers;
+  members: sessions.Sessions;
+  core: cores.Core;
+  settings(): settings.Settings;
+}
+
+/** Makes the tallies of a control node. */
+export function make(node: TallyNode): tallies.Tallies {
+  const { world, life, address, dial, handlers, members, core } = node;
+  return new tallies.Tallies(world, {
+    life,
+    address,
+    isCounted: node.settings().failure_counted,
+    dial,
+    handlers,
+    newStore: () => crypto.randomBytes(STORE_BYTES).toString("base64url"),
+    tolerated: () => node.settings().fault_tolerance.machines,
+    members: () => (core.chosen ?? core.accepted)?.voters.map((voter) => voter.address) ?? [...dial.controls.keys()],
+    hearsZone: (zone) => hears(members, zone),
+  });
+}
+
+function hears(members: sessions.Sessions, zone: string): boolean {
+  for (const { node, link: heard } of members.readyRouters()) if (node.zone === zone && heard.silentMs() <= HEARD_MS) return true;
+  return false;
+}
+
+/** Calls on tallies are answered by any node, confirmed or not; all others go on to `next`. */
+export function before(kept: tallies.Tallies, next: serve.Reply): serve.Reply {
+  const calls = new tallyCalls.TallyCalls(kept);
+  return function reply(asked) {
+    return asked.path.startsWith(tallyCalls.PREFIX) ? calls.reply(asked) : next(asked);
+  };
+}
--- a/src/feed/feed.ts
+++ b/src/feed/feed.ts
@@ -140,6 +140,14 @@
     follower.tell(calls.notice, { place: this.place, topic: name, number: topic.number, stamp: topic.stamp, digest: topic.items.digest });
   }
 
+  /** Answers those who follow topics. */
+  register(handlers: link.Handlers): void {
+    handlers.on(calls.follow, (from, ask) => {
+      this.follow(from, ask);
+      return null;
+    });
+  }
+
   follow(follower: link.Link, ask: schema.Follow): void {
     let modes = this.followers.get(follower);
     if (!modes) {
--- a/src/startup/settings.ts
+++ b/src/startup/settings.ts
@@ -37,6 +37,7 @@
   batches_bootstrap: superstruct.optional(superstruct.boolean()),
   unconfirmed_serve_s: superstruct.defaulted(nonNegative, 900),
   heartbeat_ms: superstruct.defaulted(positive, 1000),
+  fault_tolerance: superstruct.type({ machines: superstruct.defaulted(superstruct.min(superstruct.integer(), 0), 1) }),
   bounds: superstruct.type({
     contact_ms: superstruct.defaulted(positive, 4000),
     ack_timeout_ms: superstruct.defaulted(positive, 5000),
@@ -103,7 +104,7 @@
 
 /** Settings of a file's text; the error names the line or field and the remedy. */
 export function parse(content: string): result.Result<Settings, errors.CranewindError> {
-  const tree: Tree = { bounds: {}, bind_addresses: {}, cloud_api: {} };
+  const tree: Tree = { fault_tolerance: {}, bounds: {}, bind_addresses: {}, cloud_api: {} };
   for (const [index, line] of content.split(/\r?\n/).entries()) {
     const bare = line.trim();
     if (bare === "" || bare.startsWith("#")) continue;
--- /dev/null
+++ b/src/tallies/acknowledgements.ts
@@ -0,0 +1,119 @@
+/**
+ * Says when an add may be acknowledged (design/tallies 2): once so many disks hold it that the loss of as many as may be
+ * lost at once leaves one, or, while this node is cut off from that many, once all disks in reach hold it.
+ */
+import * as log from "../startup/log.js";
+import type * as types from "../wire/types.js";
+import * as peers from "./peers.js";
+import type * as stores from "./store.js";
+
+/** A node that has just started, as after a loss of power of all, takes nobody for cut off before this. */
+const START_MS = 5000;
+
+/** What decides on acknowledgements. */
+export interface AcknowledgementParts {
+  world: types.World;
+  store: stores.TallyStore;
+  peers: peers.Peers;
+  /** Whether the loss of this node is counted: only then does its disk count. */
+  isCounted: boolean;
+  /** Disks that must hold an add. */
+  required(): number;
+  /** Addresses of the other nodes that should keep tallies. */
+  expected(): Iterable<string>;
+  /** Whether any router of the zone was heard lately. */
+  hearsZone(zone: string): boolean;
+}
+
+/** `held`: durable enough; `unknown`: some disks may hold it, and it may count. */
+export type Outcome = "held" | "unknown";
+
+interface Waiting {
+  stream: string;
+  position: number;
+  resolve(outcome: Outcome): void;
+  timer: types.Tick;
+}
+
+/** Adds that wait to be acknowledged. */
+export class Acknowledgements {
+  private readonly waiting = new Set<Waiting>();
+  private readonly startedAt: types.SteadyMs;
+
+  constructor(private readonly parts: AcknowledgementParts) {
+    this.startedAt = parts.world.now();
+  }
+
+  /** Adds that wait now. */
+  get size(): number {
+    return this.waiting.size;
+  }
+
+  /** Resolves once the stream is held up to the position by enough disks, or after the time. */
+  wait(stream: string, position: number, withinMs: number): Promise<Outcome> {
+    return new Promise((resolve) => {
+      const timer = this.parts.world.after(withinMs, () => this.end(item, "unknown"));
+      const item: Waiting = { stream, position, resolve, timer };
+      this.waiting.add(item);
+      this.judge(item, this.isApart());
+    });
+  }
+
+  /** Called whenever a disk holds more, and each 100 ms: a cut shows by time alone. */
+  check(): void {
+    if (this.waiting.size === 0) return;
+    const isApart = this.isApart();
+    for (const item of [...this.waiting]) this.judge(item, isApart);
+  }
+
+  /** Whether enough disks are in reach for an add, or a cut excuses that they are not. */
+  canAcknowledge(): boolean {
+    return this.inReach() >= this.parts.required() || this.isApart();
+  }
+
+  private judge(item: Waiting, isApart: boolean): void {
+    const { store, peers: all, isCounted } = this.parts;
+    const isOwn = store.durableOf(item.stream) >= item.position;
+    const holders = all.holders(item.stream, item.position) + (isOwn && isCounted ? 1 : 0);
+    if (holders >= this.parts.required()) this.end(item, "held");
+    else if (isApart && isOwn && this.allInTouchHold(item)) {
+      log.count("tallies.acknowledged_apart");
+      this.end(item, "held");
+    }
+  }
+
+  private allInTouchHold({ stream, position }: Waiting): boolean {
+    return this.parts.peers.countedInTouch().every((peer) => (peer.held.get(stream) ?? 0) >= position);
+  }
+
+  private inReach(): number {
+    const own = this.parts.isCounted && this.parts.store.isOpen ? 1 : 0;
+    return this.parts.peers.countedInTouch().length + own;
+  }
+
+  /**
+   * Whether this node is cut off from so many others that an add can't be on enough disks. Others without power are no
+   * cut: the disks left might be lost before they are back. A node that beats here but answers nothing is behind a cut of one
+   * way; one that is silent together with all routers of its zone is taken for cut off.
+   */
+  isApart(): boolean {
+    const { world } = this.parts;
+    if (world.now() - this.startedAt < START_MS || this.inReach() >= this.parts.required()) return false;
+    for (const address of this.parts.expected()) if (this.isCutOff(address)) return true;
+    return false;
+  }
+
+  private isCutOff(address: string): boolean {
+    const peer = this.parts.peers.get(address);
+    if (!peer || peer.zone === "") return true;
+    if (this.parts.peers.isInTouch(peer)) return false;
+    const isHeard = this.parts.world.now() - peer.toldAt <= peers.TOUCH_MS;
+    return isHeard || !this.parts.hearsZone(peer.zone);
+  }
+
+  private end(item: Waiting, outcome: Outcome): void {
+    if (!this.waiting.delete(item)) return;
+    item.timer.stop();
+    item.resolve(outcome);
+  }
+}
--- /dev/null
+++ b/src/tallies/calls.ts
@@ -0,0 +1,82 @@
+/**
+ * The calls on tallies: Update, Describe, List (docs/tallies.md). Any control node takes any of them, at either side of a
+ * cut. 503 and 429 promise that nothing was done; 504 promises nothing.
+ */
+import type * as serve from "../control/serve.js";
+import * as errors from "../startup/errors.js";
+import * as log from "../startup/log.js";
+import * as requests from "./request.js";
+import type * as tallies from "./tallies.js";
+
+/** All paths begin so. */
+export const PREFIX = "/-/Tallies.";
+/** Adds to a tally, whose name follows. */
+export const UPDATE = `${PREFIX}Update/`;
+/** Reads a tally, whose name follows. */
+export const DESCRIBE = `${PREFIX}Describe/`;
+/** Reads all tallies. */
+export const LIST = `${PREFIX}List`;
+
+/** Seconds after which the answer may be another one: a cut is found, or over, or a start is. */
+const SOON_S = "0.3";
+const FULL_S = "5";
+
+/** Replies to every call on tallies; holds no state. */
+export class TallyCalls {
+  constructor(private readonly tallies: Pick<tallies.Tallies, "add" | "total" | "totals">) {}
+
+  /** Replies to any path that begins with PREFIX. */
+  async reply(asked: serve.Asked): Promise<serve.Told> {
+    const { method, path } = asked;
+    if (method === "POST" && path.startsWith(UPDATE)) return this.update(path.slice(UPDATE.length), asked.body);
+    if (method === "GET" && path.startsWith(DESCRIBE)) return this.describe(path.slice(DESCRIBE.length));
+    if (method === "GET" && path === LIST) return this.list();
+    return denied(404, errors.fail("not_found", `no call ${method} ${path}`, "see docs/tallies.md for the calls"));
+  }
+
+  private async update(encoded: string, body: Buffer): Promise<serve.Told> {
+    const name = requests.parseName(encoded);
+    if (name.isErr) return denied(400, name.error);
+    const add = requests.parseAdd(body);
+    if (add.isErr) return denied(400, add.error);
+    const added = await this.tallies.add(name.value, add.value);
+    return ANSWERS[added]();
+  }
+
+  private async describe(encoded: string): Promise<serve.Told> {
+    const name = requests.parseName(encoded);
+    if (name.isErr) return denied(400, name.error);
+    const total = await this.tallies.total(name.value);
+    return total === null ? notReady() : { status: 200, json: { total } };
+  }
+
+  private async list(): Promise<serve.Told> {
+    const totals = await this.tallies.totals();
+    if (!totals) return notReady();
+    const sorted = [...totals].sort(([left], [right]) => (left < right ? -1 : 1));
+    return { status: 200, json: { tallies: sorted.map(([tally, total]) => ({ tally, total })) } };
+  }
+}
+
+const ANSWERS: { readonly [Outcome in tallies.Added]: () => serve.Told } = {
+  added: () => ({ status: 200, json: {} }),
+  conflict: () => denied(409, errors.fail("invalid", "this instance_id was added with another amount", "send a new instance_id")),
+  busy: () => retryLater(503, SOON_S, "too few other control nodes are in reach to keep an add; nothing was done"),
+  full: () => retryLater(429, FULL_S, "too many adds wait for control nodes that are cut off; nothing was done"),
+  unknown: () => denied(504, errors.fail("timeout", "not enough disks hold the add yet", "send it again with the same instance_id")),
+};
+
+function notReady(): serve.Told {
+  return retryLater(503, SOON_S, "this control node has just started and does not know all tallies yet");
+}
+
+function retryLater(status: number, seconds: string, message: string): serve.Told {
+  log.count(`tallies.refused_${status}`);
+  const headers = { "Retry-After": seconds };
+  return { status, headers, json: { message: `${message}; send the call again, to any control node` } };
+}
+
+function denied(status: number, error: errors.CranewindError): serve.Told {
+  log.count(`tallies.denied_${status}`);
+  return { status, json: { message: error.message } };
+}
--- /dev/null
+++ b/src/tallies/generation.ts
@@ -0,0 +1,77 @@
+/** One file of the tallies' log: a snapshot, and behind it the frames that were appended since (design/tallies 5). */
+import * as files from "../store/files.js";
+import type { TallyRecord } from "../wire/tally-schema.js";
+import * as frames from "./frame.js";
+
+/** Room is made ahead of need in steps of so many bytes, so that a disk that fills up still takes the next frames. */
+export const STEP_BYTES = 1024 * 1024;
+
+/** What a file holds. */
+export interface GenerationContent {
+  /** 0 where there is no whole snapshot. */
+  generation: number;
+  records: TallyRecord[];
+  /** Length of the file. */
+  capacity: number;
+}
+
+/** The whole frames of a file, as far as they are of one generation and without a gap. */
+export async function read(file: files.StoreFile): Promise<GenerationContent> {
+  const content = await file.read();
+  const records: TallyRecord[] = [];
+  const first = frames.decode(content, 0);
+  let hasSnapshot = false;
+  let at = 0;
+  for (let next = first, index = 0; next && follows(next, first!, index); next = frames.decode(content, at), index += 1) {
+    hasSnapshot ||= next.frame.endsSnapshot;
+    for (const record of next.frame.records) records.push(record);
+    at += next.bytes;
+  }
+  return { generation: hasSnapshot ? first!.generation : 0, records: hasSnapshot ? records : [], capacity: content.length };
+}
+
+function follows(frame: frames.FramePlace, first: frames.FramePlace, index: number): boolean {
+  return frame.index === index && frame.generation === first.generation && frame.salt === first.salt;
+}
+
+/** Appends frames to a file; one call at a time. A frame that failed is written again at the same place. */
+export class GenerationWriter {
+  private index = 0;
+  private end = 0;
+
+  constructor(
+    private readonly file: files.StoreFile,
+    private readonly place: Omit<frames.FramePlace, "index">,
+    private room: number,
+  ) {}
+
+  /** Bytes that the file has room for. */
+  get capacity(): number {
+    return this.room;
+  }
+
+  /** Bytes of all frames so far. */
+  get bytes(): number {
+    return this.end;
+  }
+
+  /** Resolves once the frame is written; `sync` makes it durable. */
+  async write(records: TallyRecord[], endsSnapshot: boolean): Promise<void> {
+    const bytes = frames.encode({ ...this.place, index: this.index }, { endsSnapshot, records });
+    await this.reserve(this.end + bytes.length);
+    await files.writeWhole(this.file, bytes, this.end);
+    this.index += 1;
+    this.end += bytes.length;
+  }
+
+  sync(): Promise<void> {
+    return this.file.sync();
+  }
+
+  private async reserve(needed: number): Promise<void> {
+    if (needed <= this.room) return;
+    const target = Math.ceil(needed / STEP_BYTES) * STEP_BYTES;
+    await files.writeWhole(this.file, Buffer.alloc(target - this.room), this.room);
+    this.room = target;
+  }
+}
--- /dev/null
+++ b/src/tallies/ledger.ts
@@ -0,0 +1,197 @@
+/**
+ * All tallies as one node knows them, as a state machine without I/O (design/tallies 3). Each life of a node has one
+ * stream of the adds that it accepted; a node holds a stream up to a position, without gaps. A total is the sum over all
+ * distinct ids, so it does not depend on the order in which adds came, nor on how often one was accepted.
+ *
+ * Adds that every member holds are folded: their sums stay, the adds go, and their ids are remembered for some eras.
+ * Ids are the same only if their eras are near each other; an era ends only when all members hold what came before it, so
+ * that an id is forgotten everywhere before it can be taken for a new one anywhere (design/tallies 6).
+ */
+import type { TallyAdd } from "../wire/tally-schema.js";
+
+/** Two adds with one id count once if their eras are at most so far apart. */
+export const NEAR_ERAS = 2;
+
+/** An id as it counts. `folded`: the part of `amount` that stands in the folded sums; null while none does. */
+interface CountedId {
+  amount: number;
+  folded: number | null;
+  /** Where it was first seen; empty and 0 where it came in a snapshot's folded sums. */
+  stream: string;
+  position: number;
+}
+
+/** Adds 1 to `folded` are folded; `adds` follow them. */
+interface Stream {
+  folded: number;
+  adds: TallyAdd[];
+}
+
+/** What a new add was: `repeated`: its id is held already; `conflicting`: with another amount, of which the greater counts. */
+export type Counted = "new" | "repeated" | "conflicting";
+
+/** An id is one of its tally's. */
+export function keyOf(tally: string, id: string): string {
+  return `${tally}\n${id}`;
+}
+
+/** Reads and changes of all tallies; nothing in here waits. */
+export class Ledger {
+  /** Of this node; grows only (eras.ts). */
+  era = 0;
+  private readonly streams = new Map<string, Stream>();
+  private readonly totals = new Map<string, number>();
+  private readonly foldedSums = new Map<string, number>();
+  private readonly eras = new Map<number, Map<string, CountedId>>();
+  private idCount = 0;
+
+  /** The sum of a tally; 0 for one that is new. */
+  total(tally: string): number {
+    return this.totals.get(tally) ?? 0;
+  }
+
+  /** Names of all tallies. */
+  names(): string[] {
+    return [...this.totals.keys()];
+  }
+
+  /** How much of the stream is held. */
+  held(stream: string): number {
+    const found = this.streams.get(stream);
+    return found ? found.folded + found.adds.length : 0;
+  }
+
+  /** How much of the stream is folded, and can be told only by a snapshot. */
+  folded(stream: string): number {
+    return this.streams.get(stream)?.folded ?? 0;
+  }
+
+  /** Names of all streams. */
+  streamNames(): Iterable<string> {
+    return this.streams.keys();
+  }
+
+  /** Ids that are remembered. */
+  get ids(): number {
+    return this.idCount;
+  }
+
+  /** What is remembered of the id: the amount that counts, and where an add with it lies. */
+  find(tally: string, id: string): { amount: number; stream: string; position: number } | null {
+    const key = keyOf(tally, id);
+    for (const ids of this.eras.values()) {
+      const counted = ids.get(key);
+      if (counted) return counted;
+    }
+    return null;
+  }
+
+  /** The adds after position `after` that are not folded, `most` of them; empty where `after` lies in the folded part. */
+  addsAfter(stream: string, after: number, most: number): TallyAdd[] {
+    const found = this.streams.get(stream);
+    if (!found || after < found.folded) return [];
+    return found.adds.slice(after - found.folded, after - found.folded + most);
+  }
+
+  /** Takes the stream's next add and counts it. */
+  append(stream: string, add: TallyAdd): Counted {
+    const { folded, adds } = this.streamOf(stream);
+    const position = folded + adds.push(add);
+    const key = keyOf(add.tally, add.id);
+    const counted = this.findNear(key, add.era);
+    if (!counted) {
+      this.idsOf(add.era).set(key, { amount: add.amount, folded: null, stream, position });
+      this.idCount += 1;
+      this.raise(this.totals, add.tally, add.amount);
+      return "new";
+    }
+    if (counted.amount === add.amount) return "repeated";
+    if (add.amount > counted.amount) {
+      this.raise(this.totals, add.tally, add.amount - counted.amount);
+      counted.amount = add.amount;
+    }
+    return "conflicting";
+  }
+
+  /** Folds the stream up to a position that every member holds. */
+  fold(stream: string, position: number): number {
+    const found = this.streamOf(stream);
+    const count = Math.min(position - found.folded, found.adds.length);
+    if (count <= 0) return 0;
+    for (const add of found.adds.splice(0, count)) this.foldAdd(add);
+    found.folded += count;
+    return count;
+  }
+
+  private foldAdd(add: TallyAdd): void {
+    const counted = this.findNear(keyOf(add.tally, add.id), add.era)!;
+    const before = counted.folded;
+    if (before !== null && before >= add.amount) return;
+    this.raise(this.foldedSums, add.tally, add.amount - (before ?? 0));
+    counted.folded = add.amount;
+  }
+
+  /** Forgets ids that no add to come can repeat; an era with adds that are not folded stays. */
+  forget(): void {
+    let oldest = this.era - NEAR_ERAS;
+    for (const { adds } of this.streams.values()) if (adds.length > 0) oldest = Math.min(oldest, adds[0].era - NEAR_ERAS);
+    for (const [era, ids] of this.eras) {
+      if (era >= oldest) continue;
+      this.idCount -= ids.size;
+      this.eras.delete(era);
+    }
+  }
+
+  /** The folded sums. */
+  sums(): Iterable<[tally: string, sum: number]> {
+    return this.foldedSums;
+  }
+
+  /** Ids that stand in the folded sums, with the amount there. */
+  *foldedIds(): Generator<{ key: string; era: number; amount: number }> {
+    for (const [era, ids] of this.eras) {
+      for (const [key, { folded }] of ids) if (folded !== null) yield { key, era, amount: folded };
+    }
+  }
+
+  /** Only for restoring a snapshot: a folded sum. */
+  restoreSum(tally: string, sum: number): void {
+    this.foldedSums.set(tally, sum);
+    this.raise(this.totals, tally, sum);
+  }
+
+  /** Only for restoring a snapshot: an id that stands in the folded sums. */
+  restoreId(key: string, era: number, amount: number): void {
+    this.idsOf(era).set(key, { amount, folded: amount, stream: "", position: 0 });
+    this.idCount += 1;
+  }
+
+  /** Only for restoring a snapshot: how much of a stream is folded. */
+  restoreStream(stream: string, folded: number): void {
+    this.streams.set(stream, { folded, adds: [] });
+  }
+
+  private findNear(key: string, era: number): CountedId | null {
+    for (let near = era - NEAR_ERAS; near <= era + NEAR_ERAS; near += 1) {
+      const counted = this.eras.get(near)?.get(key);
+      if (counted) return counted;
+    }
+    return null;
+  }
+
+  private streamOf(name: string): Stream {
+    let found = this.streams.get(name);
+    if (!found) this.streams.set(name, (found = { folded: 0, adds: [] }));
+    return found;
+  }
+
+  private idsOf(era: number): Map<string, CountedId> {
+    let ids = this.eras.get(era);
+    if (!ids) this.eras.set(era, (ids = new Map<string, CountedId>()));
+    return ids;
+  }
+
+  private raise(sums: Map<string, number>, tally: string, by: number): void {
+    sums.set(tally, (sums.get(tally) ?? 0) + by);
+  }
+}
--- /dev/null
+++ b/src/tallies/request.ts
@@ -0,0 +1,45 @@
+/** Checks of the calls on tallies: names, ids, amounts (docs/tallies.md). */
+import * as superstruct from "superstruct";
+import * as result from "true-myth/result";
+import * as errors from "../startup/errors.js";
+
+/** The longest name of a tally, and the longest id, in characters. */
+export const MOST_NAME = 200;
+/** Amounts are at most so far from 0, so that sums stay exact. */
+export const MOST_AMOUNT = 2 ** 40;
+
+const PRINTABLE = /^[^\p{Cc}]+$/u;
+const name = superstruct.size(superstruct.pattern(superstruct.string(), PRINTABLE), 1, MOST_NAME);
+const body = superstruct.type({ instance_id: name, actor: superstruct.size(superstruct.integer(), -MOST_AMOUNT, MOST_AMOUNT) });
+
+/** An add as a caller asks for it. */
+export interface AskedAdd {
+  id: string;
+  amount: number;
+}
+
+/** The name at the end of a path, decoded. */
+export function parseName(encoded: string): result.Result<string, errors.CranewindError> {
+  try {
+    const decoded = decodeURIComponent(encoded);
+    if (superstruct.is(decoded, name)) return result.ok(decoded);
+  } catch {
+    // Said below, as of any other bad name.
+  }
+  return result.err(errors.fail("invalid", "the tally's name", `give 1 to ${MOST_NAME} printable characters, percent-encoded`));
+}
+
+/** The body of an add. */
+export function parseAdd(bytes: Buffer): result.Result<AskedAdd, errors.CranewindError> {
+  let document: unknown;
+  try {
+    document = JSON.parse(bytes.toString("utf8"));
+  } catch {
+    return result.err(errors.fail("invalid", "the body is no JSON", 'send {"instance_id":"...","actor":1}'));
+  }
+  const [failure, asked] = superstruct.validate(document, body);
+  if (!failure) return result.ok({ id: asked.instance_id, amount: asked.actor });
+  const field = failure.path.join(".") || "the body";
+  const remedy = `send instance_id as 1 to ${MOST_NAME} printable characters, and actor as a whole number up to ${MOST_AMOUNT}`;
+  return result.err(errors.fail("invalid", `${field} is not right`, remedy));
+}
--- /dev/null
+++ b/src/tallies/snapshots.ts
@@ -0,0 +1,99 @@
+/**
+ * Hands all tallies to a node whose disk lacks what the others have folded, part by part (design/tallies 4.3): one part is
+ * under way at a time, so that other messages of the link don't wait behind it.
+ */
+import * as calls from "../wire/calls.js";
+import type * as link from "../wire/link.js";
+import type { TallyRecord, TallySnapshotAsk, TallySnapshotPart } from "../wire/tally-schema.js";
+import type * as types from "../wire/types.js";
+import * as log from "../startup/log.js";
+import type * as stores from "./store.js";
+
+const PART_RECORDS = 512;
+const PART_MS = 2000;
+/** A snapshot that nobody asks for is given up after so long, so that folding goes on. */
+const KEPT_MS = 5000;
+const MOST_SNAPSHOTS = 2;
+
+interface Snapshot {
+  records: Iterator<TallyRecord>;
+  next: number;
+  expiry: types.Tick;
+}
+
+const GONE: TallySnapshotPart = { token: "", isLast: true, records: [] };
+
+/** Tells snapshots to others and takes theirs. */
+export class Snapshots {
+  private readonly open = new Map<string, Snapshot>();
+  private lastToken = 0;
+  private isTaking = false;
+
+  constructor(
+    private readonly world: types.World,
+    private readonly store: stores.TallyStore,
+  ) {}
+
+  /** Answers a node that takes a snapshot. */
+  part(ask: TallySnapshotAsk): TallySnapshotPart {
+    const token = ask.token === "" ? this.begin() : ask.token;
+    const snapshot = this.open.get(token);
+    if (!snapshot || snapshot.next !== ask.part) return GONE;
+    snapshot.expiry.stop();
+    snapshot.expiry = this.world.after(KEPT_MS, this.end.bind(this, token));
+    snapshot.next += 1;
+    const told: TallyRecord[] = [];
+    let isLast = false;
+    while (told.length < PART_RECORDS && !isLast) {
+      const { value, done } = snapshot.records.next() as IteratorResult<TallyRecord, undefined>;
+      if (done) isLast = true;
+      else told.push(value);
+    }
+    if (isLast) this.end(token);
+    return { token, isLast, records: told };
+  }
+
+  private begin(): string {
+    if (this.open.size >= MOST_SNAPSHOTS || !this.store.isOpen) return "";
+    this.lastToken += 1;
+    const token = String(this.lastToken);
+    const expiry = this.world.after(KEPT_MS, this.end.bind(this, token));
+    this.open.set(token, { records: this.store.begin()[Symbol.iterator](), next: 0, expiry });
+    return token;
+  }
+
+  private end(token: string): void {
+    const snapshot = this.open.get(token);
+    if (!snapshot) return;
+    snapshot.expiry.stop();
+    this.open.delete(token);
+    this.store.finished();
+  }
+
+  /** Takes a snapshot of the node at the other end of the link, one at a time. */
+  async takeFrom(from: link.Link): Promise<void> {
+    if (this.isTaking) return;
+    this.isTaking = true;
+    try {
+      const records = await this.gather(from);
+      if (!records || !(await this.store.adopt(records))) return;
+      log.count("tallies.snapshots_taken");
+      log.state(`tallies: ${records.length} records taken from another node`);
+    } finally {
+      this.isTaking = false;
+    }
+  }
+
+  /** All records; null where the link or the snapshot ended meanwhile. */
+  private async gather(from: link.Link): Promise<TallyRecord[] | null> {
+    const records: TallyRecord[] = [];
+    let token = "";
+    for (let part = 0; ; part += 1) {
+      const told = await from.call(calls.tallySnapshot, { token, part }, PART_MS);
+      if (!told || told.token === "") return null;
+      for (const record of told.records) records.push(record);
+      if (told.isLast) return records;
+      token = told.token;
+    }
+  }
+}
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -3,6 +3,7 @@
 import * as leaseSchema from "./lease-schema.js";
 import * as orderSchema from "./order-schema.js";
 import * as schema from "./schema.js";
+import * as tallySchema from "./tally-schema.js";
 import * as tenantSchema from "./tenant-schema.js";
 
 /** A call: its code on the wire, and the codecs of both directions. */
@@ -106,3 +107,11 @@
 // Of orders: sent only to nodes that name the feature in their beats (features.ts).
 /** An operator's order, passed on to the control node that proposes for all. */
 export const order = optionalPair(55, "order", orderSchema.forwardedOrder, orderSchema.orderAnswer);
+
+// Of tallies: sent only to nodes that name the feature in their beats (design/tallies 4).
+/** What a control node holds of all tallies. */
+export const tallyBeat = optionalPair(56, "tally_beat", tallySchema.tallyBeat, tallySchema.tallyHeard);
+/** Adds that a control node lacks; replied to once they are durable there. */
+export const tallyPush = optionalPair(57, "tally_push", tallySchema.tallyPush, tallySchema.tallyKept);
+/** Asks for a part of a snapshot of all tallies. */
+export const tallySnapshot = optionalPair(58, "tally_snapshot", tallySchema.tallySnapshotAsk, tallySchema.tallySnapshotPart);
--- a/src/wire/features.ts
+++ b/src/wire/features.ts
@@ -7,8 +7,11 @@
 /** Takes orders that another control node passes on (control/order-forwarder.ts). */
 export const FORWARDED_ORDERS = 1;
 
+/** Keeps tallies with other control nodes (tallies/replication.ts). */
+export const TALLIES = 2;
+
 /** The features of this build, for its beats. */
-export const OWN_FEATURES = FORWARDED_ORDERS;
+export const OWN_FEATURES = FORWARDED_ORDERS | TALLIES;
 
 /** Whether the sender of the beat has the feature; builds from before features say 0. */
 export function hasFeature(beat: schema.Beat, feature: number): boolean {
--- /dev/null
+++ b/tests/sim/tallies.ts
@@ -0,0 +1,205 @@
+// Control nodes that keep tallies over links that a test cuts, with disks that it stalls, wipes and takes the power from.
+import * as events from "node:events";
+import type * as dialers from "../../src/feed/dialer.js";
+import * as tallies from "../../src/tallies/tallies.js";
+import type * as calls from "../../src/wire/calls.js";
+import * as features from "../../src/wire/features.js";
+import * as link from "../../src/wire/link.js";
+import type * as types from "../../src/wire/types.js";
+import * as clocks from "../model/clock.js";
+import * as disks from "./tally-disk.js";
+
+const TURN_MS = 100;
+const REDIAL_MS = 100;
+const SILENT_MS = 1800;
+
+/** Guards that a test takes out; the rest of them is in tally-guards.ts. */
+export interface Weaknesses {
+  /** Each life goes on with the stream of the one before. */
+  sharesLives?: boolean;
+  /** Disks forget what was synced. */
+  losesSyncs?: boolean;
+  /** Adds are acknowledged by one disk. */
+  asksOneDisk?: boolean;
+}
+
+class SimDial extends events.EventEmitter<dialers.DialerEvents> {
+  readonly controls = new Map<string, dialers.Control>();
+}
+
+/** One life of one node's process. */
+interface Life {
+  name: string;
+  kept: tallies.Tallies;
+  dial: SimDial;
+  handlers: link.Handlers;
+  isDead: boolean;
+}
+
+/** One machine. */
+export class SimNode {
+  readonly disk: disks.MemoryDisk;
+  life: Life | null = null;
+  lives = 0;
+  wipes = 0;
+
+  constructor(
+    private readonly cluster: TallyCluster,
+    readonly address: string,
+  ) {
+    this.disk = new disks.MemoryDisk(cluster.clock, 3);
+    this.disk.losesSyncs = cluster.weak.losesSyncs ?? false;
+  }
+
+  get tallies(): tallies.Tallies | null {
+    return this.life?.kept ?? null;
+  }
+
+  start(): void {
+    if (this.life) return;
+    this.lives += 1;
+    const { cluster, address } = this;
+    const name = cluster.weak.sharesLives ? `stream-${address}` : `stream-${address}-${this.lives}`;
+    const dial = new SimDial();
+    const handlers = new link.Handlers();
+    const isDead = (): boolean => life.isDead;
+    const world: types.World = {
+      now: () => cluster.clock.now(),
+      random: () => cluster.clock.random(),
+      after: (ms, run) => cluster.clock.after(ms, () => !isDead() && run()),
+    };
+    const kept = new tallies.Tallies(world, {
+      life: name,
+      address,
+      isCounted: true,
+      dial,
+      handlers,
+      newStore: () => `disk-${address}-${this.wipes}`,
+      tolerated: () => (cluster.weak.asksOneDisk ? 0 : cluster.tolerated),
+      members: () => [...cluster.nodes.keys()],
+      hearsZone: (zone) => cluster.hearsRouters(address, zone),
+    });
+    const life: Life = { name, kept, dial, handlers, isDead: false };
+    this.life = life;
+    kept.open(this.disk.mount(isDead));
+    const turn = (): void => {
+      if (isDead()) return;
+      cluster.dialAll(this);
+      kept.turn();
+      cluster.clock.after(TURN_MS, turn);
+    };
+    turn();
+  }
+
+  kill(): void {
+    if (this.life) this.life.isDead = true;
+    this.life = null;
+  }
+}
+
+/** One connection, as seen by both of its ends. */
+class SimLink {
+  isOpen = true;
+  heardAt: number;
+  private lastAt = 0;
+
+  constructor(
+    private readonly cluster: TallyCluster,
+    private readonly from: SimNode,
+    private readonly to: SimNode,
+    readonly lives: [Life, Life],
+  ) {
+    this.heardAt = cluster.clock.now();
+  }
+
+  /** Calls may come late, and get lost in cuts; what arrives does so in order. */
+  call<Ask, Reply>(pair: calls.Pair<Ask, Reply>, ask: Ask, withinMs: number): Promise<Reply | null> {
+    const { cluster, from, to, lives } = this;
+    const bytes = pair.ask.toBuffer(ask);
+    return new Promise((resolve) => {
+      cluster.clock.after(withinMs, () => !lives[0].isDead && resolve(null));
+      this.deliver(from, to, () => {
+        const run = lives[1].handlers.get(pair.code);
+        if (!run || lives[1].isDead) return;
+        void Promise.resolve(run(this as unknown as link.Link, pair.ask.fromBuffer(bytes) as never)).then((reply) => {
+          if (reply === null || lives[1].isDead) return;
+          const told = pair.reply.toBuffer(reply as Reply);
+          this.deliver(to, from, () => {
+            this.heardAt = cluster.clock.now();
+            if (!lives[0].isDead) resolve(pair.reply.fromBuffer(told));
+          });
+        });
+      });
+    });
+  }
+
+  private deliver(from: SimNode, to: SimNode, run: () => void): void {
+    const { clock } = this.cluster;
+    const at = Math.max(this.lastAt, clock.now() + 2 + clock.random() * this.cluster.delayMs);
+    this.lastAt = at;
+    clock.after(at - clock.now(), () => this.isOpen && !this.cluster.isCut(from.address, to.address) && run());
+  }
+}
+
+/** All nodes and what is between them. */
+export class TallyCluster {
+  readonly clock: clocks.ModelClock;
+  readonly nodes = new Map<string, SimNode>();
+  /** `from>to`: nothing passes that way. */
+  readonly cuts = new Set<string>();
+  /** Whether cuts keep the routers of the other side away, too. */
+  cutsRouters = true;
+  delayMs = 50;
+
+  constructor(
+    seed: number,
+    count: number,
+    readonly tolerated: number,
+    readonly weak: Weaknesses = {},
+  ) {
+    this.clock = new clocks.ModelClock(seed);
+    for (let index = 1; index <= count; index += 1) this.nodes.set(`n${index}`, new SimNode(this, `n${index}`));
+    for (const node of this.nodes.values()) node.start();
+  }
+
+  isCut(from: string, to: string): boolean {
+    return this.cuts.has(`${from}>${to}`);
+  }
+
+  /** Routers stand beside their node, whether that runs or not. */
+  hearsRouters(address: string, zone: string): boolean {
+    return !this.cutsRouters || !this.isCut(zone, address);
+  }
+
+  /** Ends links that were silent, and dials what is in reach. */
+  dialAll(node: SimNode): void {
+    const { life } = node;
+    if (!life) return;
+    for (const [address, control] of life.dial.controls) {
+      const held = control.link as unknown as SimLink;
+      if (!held.lives[1].isDead && this.clock.now() - held.heardAt < SILENT_MS) continue;
+      held.isOpen = false;
+      life.dial.controls.delete(address);
+      life.dial.emit("down", control);
+    }
+    for (const other of this.nodes.values()) this.dial(node, life, other);
+  }
+
+  private dial(node: SimNode, life: Life, other: SimNode): void {
+    const isInReach = other.life && !this.isCut(node.address, other.address) && !this.isCut(other.address, node.address);
+    if (other === node || life.dial.controls.has(other.address) || !isInReach || this.clock.random() < 0.3) return;
+    const made = new SimLink(this, node, other, [life, other.life!]);
+    const control = {
+      address: other.address,
+      node: { address: other.address, zone: other.address },
+      link: made,
+      beat: { index: features.OWN_FEATURES },
+    } as unknown as dialers.Control;
+    life.dial.controls.set(other.address, control);
+    this.clock.after(REDIAL_MS, () => !life.isDead && made.isOpen && life.dial.emit("beat", control));
+  }
+
+  play(ms: number): Promise<void> {
+    return this.clock.play(ms);
+  }
+}
