--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
 import * as capacities from "./capacity.js";
 import * as commands from "./commands.js";
 import * as roles from "./roles.js";
+import * as tallies from "./tallies.js";
 import * as tenants from "./tenants.js";
 import * as trials from "./try.js";
 
@@ -170,6 +171,7 @@
 
 experiment.add(program, clock, output);
 batches.add(program, clock, output, withExitCode);
+tallies.addTo(program, { world: clock, output, withExitCode });
 
 function exitOf(cause: commander.CommanderError): number {
   return cause.exitCode === 0 ? commands.EXIT.ok : commands.EXIT.usage;
--- a/src/tallies/readiness.ts
+++ b/src/tallies/readiness.ts
@@ -9,7 +9,7 @@
 import type * as stores from "./store.js";
 
 /** A node whose disk is whole tells what it has after so long, if fewer others are in touch than it should hear. */
-const ALONE_MS = 3000;
+const ALONE_MS = 6000;
 /** New disks that are a majority, among them no whole one, are those of a new system after so long. */
 const FIRST_MS = 4000;
 /** The same with too few whole ones among them: the others may come back for so long. */
--- a/tests/model/run.ts
+++ b/tests/model/run.ts
@@ -1,9 +1,11 @@
 // `npm run model -- --seeds 10000`: plays one history for each seed, with a progress line; ends with 1 if any fails.
-// `--of quotas` and `--of keys` play days of tenants instead of histories of the register.
+// `--of quotas` and `--of keys` play days of tenants, `--of tallies` histories of tallies, instead of those of the register.
 import * as commander from "commander";
 import * as keyDays from "../sim/key-lease-days.js";
 import * as quotaDays from "../sim/quota-days.js";
 import type * as quotas from "../sim/quotas.js";
+import * as tallyGuards from "../sim/tally-guards.js";
+import * as tallyStorms from "../sim/tally-storm.js";
 import * as checks from "./check.js";
 import type * as mutations from "./mutations.js";
 
@@ -42,10 +44,19 @@
   return describe(failure);
 }
 
+/** Three, four and five nodes in turn. */
+async function playTallies(seed: number, options: Options): Promise<string | null> {
+  const guard = options.guard as tallyGuards.Guard;
+  const storm = new tallyStorms.TallyStorm({ seed, nodes: 3 + (seed % 3), weak: tallyGuards.weaknessOf(guard) });
+  const faults = await tallyGuards.without(guard, () => storm.play());
+  return faults.length > 0 ? `seed ${seed}: ${faults[0]} (${faults.length} in all)` : null;
+}
+
 const PLAYS = new Map<string, PlaySeed>([
   ["register", playRegister],
   ["quotas", playQuotas],
   ["keys", playKeys],
+  ["tallies", playTallies],
 ]);
 
 function describe(failure: checks.Failure): string {
@@ -77,7 +88,7 @@
   .description("Random histories of the register, each of one seed, checked for linearizability and progress")
   .option("--seeds <count>", "how many histories", "1000")
   .option("--from <seed>", "the first seed", "1")
-  .option("--of <part>", "what to play: register, quotas or keys", "register")
+  .option("--of <part>", "what to play: register, quotas, keys or tallies", "register")
   .option("--guard <name>", "the guard to take out, none by default", "none")
   .option("--most <failures>", "stop after so many failures", "1")
   .option("--whole", "print failing histories as drawn, without making them smaller");
--- a/tests/release.test.ts
+++ b/tests/release.test.ts
@@ -32,6 +32,7 @@
   { name: "batches (docs/batch.md)", codes: [44, 53], digest: "82c97917eeead592" },
   { name: "tenants (design/tenants 6)", codes: [54, 54], digest: "56617daec31c8ee2" },
   { name: "forwarded orders (design/hardening/2-orders)", codes: [55, 55], digest: "f4587b8298424331" },
+  { name: "tallies (design/tallies 4)", codes: [56, 58], digest: "62ddd5ccf323c6ff" },
 ];
 
 /** All messages and their codes, those of a release or those of features. */
--- a/tests/sim/tally-checker.ts
+++ b/tests/sim/tally-checker.ts
@@ -22,6 +22,13 @@
   isExcused: boolean;
 }
 
+/** When a total was asked for, and since when there was no trouble, and no cut. */
+export interface Times {
+  askedAt: number;
+  calmSince: number;
+  uncutSince: number;
+}
+
 /** Who is asked. */
 export interface Place {
   node: string;
@@ -66,8 +73,11 @@
     for (const ack of this.acks) if (ack.node === node && ack.isApart) ack.isExcused = true;
   }
 
-  /** A total that was read; `calmSince`: when the last trouble ended, Infinity while there is one. */
-  read(tally: string, total: number, place: Place, askedAt: number, calmSince: number): void {
+  /**
+   * A total that was read. `calmSince`: when the last trouble ended, Infinity while there is one; `uncutSince`: the same of
+   * cuts alone. Without cuts no node may show less than was acknowledged before, whatever lost its power or its disk since.
+   */
+  read(tally: string, total: number, place: Place, { askedAt, calmSince, uncutSince }: Times): void {
     const most = this.sum(tally, (key) => this.sent.get(key)!.unclear > 0);
     if (total > most) this.faults.push(`TWICE: ${tally} is ${total} at ${place.node}, at most ${most} counts`);
     const own = this.ackedKeys((ack) => ack.node === place.node && ack.life === place.life && ack.at < askedAt);
@@ -76,6 +86,10 @@
       const old = this.ackedKeys((ack) => ack.at < askedAt - MERGE_MS && !ack.isExcused);
       this.least(tally, total, old, `STALE: after calm, at ${place.node}`);
     }
+    if (askedAt - uncutSince > MERGE_MS) {
+      const shown = this.ackedKeys((ack) => !ack.isApart && !ack.isExcused && ack.at < askedAt - MERGE_MS);
+      this.least(tally, total, shown, `STALE: after a start, at ${place.node}`);
+    }
     const series = `${place.node}/${place.life}/${tally}`;
     const before = this.lastTotals.get(series) ?? 0;
     if (total < before) this.faults.push(`FELL: ${tally} at ${place.node} from ${before} to ${total}`);
--- /dev/null
+++ b/tests/sim/tally-guards.ts
@@ -0,0 +1,53 @@
+// Guards of tallies taken out, one at a time, for histories that must then show it.
+import * as ledgers from "../../src/tallies/ledger.js";
+import * as readinesses from "../../src/tallies/readiness.js";
+import type * as sim from "./tallies.js";
+
+/** Each guard (design/tallies 2 to 6). */
+export type Guard = "none" | "dedupe" | "memory" | "life" | "sync" | "copies" | "wait_after_loss";
+
+const WEAKNESSES: Partial<Record<Guard, sim.Weaknesses>> = {
+  life: { sharesLives: true },
+  sync: { losesSyncs: true },
+  copies: { asksOneDisk: true },
+};
+
+/** What a history without the guard is made with. */
+export function weaknessOf(guard: Guard): sim.Weaknesses {
+  return WEAKNESSES[guard] ?? {};
+}
+
+interface Patch {
+  prototype: Record<string, unknown>;
+  method: string;
+  without: (...parts: never[]) => unknown;
+}
+
+function patchOf(guard: Guard): Patch | null {
+  const ledger = ledgers.Ledger.prototype as unknown as Record<string, unknown>;
+  const readiness = readinesses.Readiness.prototype as unknown as Record<string, unknown>;
+  if (guard === "dedupe") return { prototype: ledger, method: "append", without: appendAsNew };
+  if (guard === "wait_after_loss") return { prototype: readiness, method: "hasEnough", without: () => true };
+  if (guard === "memory") return { prototype: ledger, method: "restoreId", without: () => undefined };
+  return null;
+}
+
+const { append } = ledgers.Ledger.prototype;
+
+/** Counts each add of each stream. */
+function appendAsNew(this: ledgers.Ledger, stream: string, add: { id: string; tally: string; amount: number; era: number }): unknown {
+  return append.call(this, stream, { ...add, id: `${add.id} of ${stream}` });
+}
+
+/** Runs the work without the guard, and puts it back. */
+export async function without<T>(guard: Guard, work: () => Promise<T>): Promise<T> {
+  const patch = patchOf(guard);
+  if (!patch) return work();
+  const whole = patch.prototype[patch.method];
+  patch.prototype[patch.method] = patch.without;
+  try {
+    return await work();
+  } finally {
+    patch.prototype[patch.method] = whole;
+  }
+}
--- a/tests/sim/tally-storm.ts
+++ b/tests/sim/tally-storm.ts
@@ -36,6 +36,9 @@
   private readonly troubles = new Set<Trouble>();
   private readonly ids: { tally: string; id: string; amount: number }[] = [];
   private calmSince = 0;
+  private uncutSince = 0;
+  /** The next node that acknowledges an add loses its disk at once. */
+  private isWipeDue = false;
   private lastWipeAt = -Infinity;
 
   constructor(private readonly options: StormOptions) {
@@ -67,6 +70,7 @@
       this.step(true);
       await this.cluster.play(STEP_MS);
     }
+    this.isWipeDue = false;
     for (const trouble of this.troubles) trouble.until = 0;
     this.step(false);
     await this.cluster.play(CALM_MS);
@@ -92,6 +96,12 @@
     if (mayBreak && this.chance(0.5)) void this.call();
   }
 
+  private times(): checkers.Times {
+    const calmSince = this.troubles.size > 0 ? Infinity : this.calmSince;
+    const uncutSince = this.cutsFound > 0 ? Infinity : this.uncutSince;
+    return { askedAt: this.now, calmSince, uncutSince };
+  }
+
   private async call(): Promise<void> {
     const node = this.node();
     const { tallies } = node;
@@ -99,10 +109,9 @@
     const place = { node: node.address, life: node.lives };
     if (this.chance(READ_SHARE)) {
       const tally = TALLIES[this.below(TALLIES.length)];
-      const askedAt = this.now;
-      const calmSince = this.troubles.size > 0 ? Infinity : this.calmSince;
+      const times = this.times();
       const total = await tallies.total(tally);
-      if (total !== null) this.checker.read(tally, total, place, askedAt, calmSince);
+      if (total !== null) this.checker.read(tally, total, place, times);
       return;
     }
     await this.add(tallies, place);
@@ -118,7 +127,10 @@
     checker.send(add.tally, add.id, add.amount);
     const outcome = await tallies.add(add.tally, add);
     if (outcome === "busy" || outcome === "full") checker.refused(add.tally, add.id);
-    if (outcome === "added") checker.acknowledge(add.tally, add.id, place, this.now, this.cutsFound > 0);
+    if (outcome !== "added") return;
+    checker.acknowledge(add.tally, add.id, place, this.now, this.cutsFound > 0);
+    const acknowledging = this.cluster.nodes.get(place.node)!;
+    if (this.isWipeDue && acknowledging.life) this.wipe(acknowledging);
   }
 
   private async readAll(): Promise<void> {
@@ -128,7 +140,7 @@
         const total = node.tallies!.total(tally);
         await this.cluster.play(900);
         totals.set(node.address, await total);
-        this.checker.read(tally, (await total) ?? 0, { node: node.address, life: node.lives }, this.now, this.calmSince);
+        this.checker.read(tally, (await total) ?? 0, { node: node.address, life: node.lives }, this.times());
       }
       this.checker.end(tally, totals);
     }
@@ -145,7 +157,15 @@
   }
 
   private beginTrouble(): void {
-    const kinds = [() => this.cut(), () => this.cut(), () => this.crash(), () => this.stall(), () => this.powerOff(), () => this.wipe()];
+    const kinds = [
+      () => this.cut(),
+      () => this.cut(),
+      () => this.crash(),
+      () => this.stall(),
+      () => this.powerOff(),
+      () => this.wipe(this.node()),
+      () => (this.isWipeDue = true),
+    ];
     kinds[this.below(kinds.length)]();
   }
 
@@ -169,7 +189,10 @@
     this.cutsFound += 1;
     this.begin(500 + this.below(12_000), () => {
       cluster.cuts.clear();
-      cluster.clock.after(FOUND_MS, () => (this.cutsFound -= 1));
+      cluster.clock.after(FOUND_MS, () => {
+        this.cutsFound -= 1;
+        this.uncutSince = this.now;
+      });
     });
   }
 
@@ -196,13 +219,14 @@
   }
 
   /** As many disks as may be lost at once; all other machines lose power, or not. The next ones only once all is joined. */
-  private wipe(): void {
+  private wipe(first: sim.SimNode): void {
     const { cluster } = this;
+    this.isWipeDue = false;
     if (this.now - this.lastWipeAt < 8000 || [...this.troubles].some((trouble) => trouble.isDiskLost)) return;
     if (this.troubles.size > 0 && this.chance(0.5)) return;
     const isDark = this.chance(0.5);
     const nodes = [...cluster.nodes.values()];
-    const lost = new Set<sim.SimNode>();
+    const lost = new Set([first]);
     while (lost.size < cluster.tolerated) lost.add(nodes[this.below(nodes.length)]);
     for (const node of nodes) {
       if (!lost.has(node) && !isDark) continue;
