--- a/src/admission/verdict.ts
+++ b/src/admission/verdict.ts
@@ -20,17 +20,15 @@
 }
 
 /**
- * Seconds after which to come back, where that is worth it in `waitMs` milliseconds; chance (`random`, 0 to 1) keeps
- * those denied together from returning together.
+ * It fits once the excess has been worked off; chance (`random`, 0 to 1) keeps those denied together from returning
+ * together.
  */
-export function returnS(plan: plans.Plan, waitMs: number, random: number): number {
-  const honouredMs = Math.min(Math.max(0, plan.deadline - plan.now) * HONOURED_SHARE, Math.max(MIN_RETRY_S * 1000, waitMs));
-  const jitter = MIN_JITTER + (1 - MIN_JITTER) * random;
-  return (honouredMs * jitter) / 1000;
-}
-
-/** It fits once the excess has been worked off. */
 export function rejection(plan: plans.Plan, excessMs: number, random: number): plans.Rejection {
-  const cause = "the fleet has no room for this request in its time; come back as told";
-  return { status: 503, cause, retryAfterS: returnS(plan, excessMs, random) };
+  const waitMs = Math.min(Math.max(0, plan.deadline - plan.now) * HONOURED_SHARE, Math.max(MIN_RETRY_S * 1000, excessMs));
+  const jitter = MIN_JITTER + (1 - MIN_JITTER) * random;
+  return {
+    status: 503,
+    cause: "the fleet has no room for this request in its time; come back as told",
+    retryAfterS: (waitMs * jitter) / 1000,
+  };
 }
--- a/src/experiment/chain.ts
+++ b/src/experiment/chain.ts
@@ -155,7 +155,6 @@
       sharedTokens,
       keys: readings.chainKeys(parts),
       tried: new Set(),
-      sends: 0,
       now,
       deadline: now + DEADLINE_MS,
       asked: { prompt: 0, mostOut: 200 },
--- a/src/router/chooser.ts
+++ b/src/router/chooser.ts
@@ -12,7 +12,6 @@
 import * as admitting from "./policies/admission.js";
 import * as cells from "./policies/cells.js";
 import * as homes from "./policies/homes.js";
-import * as reaches from "./policies/reach.js";
 import * as runners from "./policies/runner.js";
 import type * as readings from "./runners/readings.js";
 import type * as requests from "./request.js";
@@ -53,7 +52,6 @@
     this.admission = new admissions.Admission(world, { runners: fleet.in.bind(fleet), known, routers });
     this.chain = [
       new homes.HomesPolicy(fleet, rotation),
-      new reaches.ReachPolicy(world, fleet),
       new cells.CellPolicy(ownRegion, fleet.summaries),
       new runners.RunnerPolicy(known),
       new admitting.AdmissionPolicy(this.admission),
@@ -98,7 +96,6 @@
       shared,
       sharedTokens,
       tried,
-      sends,
       now: this.world.now(),
       deadline: request.deadline,
       asked: request.asked,
--- a/src/router/plan.ts
+++ b/src/router/plan.ts
@@ -34,8 +34,6 @@
   readonly parts: readonly Part[];
   readonly keys: readonly number[];
   readonly tried: ReadonlySet<string>;
-  /** How often it was sent so far; a try that found no connection is none. */
-  readonly sends: number;
   readonly now: number;
   readonly deadline: number;
   readonly asked: Asked;
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -156,7 +156,6 @@
 
   /** The runners of a region that is cut off from here are doubted. */
   private cutRegions(): void {
-    for (const { node, link: held } of this.dial.controls.values()) if (held.silentMs() < WATCH_MS) this.fleet.heardRegion(node.region);
     for (const region of cuts.cutRegions(this.dial, this.startup.region, this.clock.now())) this.fleet.suspectRegion(region);
   }
 
--- a/src/router/runners/fleet.ts
+++ b/src/router/runners/fleet.ts
@@ -10,15 +10,9 @@
 
 export { Runner, type Status } from "./runner.js";
 
-/** A connection that stayed out tells of the way to its region for so long; one alone may be a matter of its runner. */
-const UNREACHED_MS = 4000;
-const LEAST_UNREACHED = 2;
-
 /** All runners that one router knows. */
 export class Fleet {
   private readonly runners = new Map<string, runners.Runner>();
-  /** When a control node of each region was last heard. */
-  private readonly heardAt = new Map<string, number>();
   private readonly gone = new departures.GoneRunners();
   private readonly byService = new Map<string, runners.Runner[]>();
   private readonly byRegion = new Map<string, Set<runners.Runner>>();
@@ -156,24 +150,6 @@
     for (const runner of this.in(region)) runner.outOfReach(now);
   }
 
-  /** A control node of the region was heard. */
-  heardRegion(region: string): void {
-    this.heardAt.set(region, this.world.now());
-  }
-
-  /** Whether nothing passes to the region: connections to two of its runners stayed out since anything of it was heard. */
-  isOutOfReach(region: string): boolean {
-    let heardAt = Math.max(this.heardAt.get(region) ?? 0, this.world.now() - UNREACHED_MS);
-    let count = 0;
-    for (const runner of this.in(region)) {
-      heardAt = Math.max(heardAt, runner.receivedAt);
-      count += 1;
-    }
-    let unreached = 0;
-    for (const runner of this.in(region)) if (runner.unreachedAt > heardAt) unreached += 1;
-    return unreached >= Math.min(count, LEAST_UNREACHED);
-  }
-
   newSuspects(): types.RunnerId[] {
     const now = this.world.now();
     const ids: types.RunnerId[] = [];
--- a/src/router/runners/runner.ts
+++ b/src/router/runners/runner.ts
@@ -34,8 +34,6 @@
   /** Until when it is taken for silent; whatever is heard of it ends that. */
   private silentUntil = 0;
   private unreportedAt = Infinity;
-  /** When a connection to it last stayed out. */
-  unreachedAt = -Infinity;
   /** Sends without a first byte, and when each is overdue. */
   private readonly awaitingFirstByte = new Map<object, number>();
   readonly outcomes: outcomes.Outcomes;
@@ -87,7 +85,6 @@
 
   /** Packets may pass one way only: where reports are good, a silent way is a matter of this router alone. */
   sign(sign: signs.Sign, now: number): void {
-    if (sign === "unreached") this.unreachedAt = now;
     this.outcomes.sign(sign, now, this.isLoaded(now), sign === "unreached" && this.isSpeaking);
   }
 
--- a/tests/choice.test.ts
+++ b/tests/choice.test.ts
@@ -56,7 +56,6 @@
     sharedTokens: 0,
     keys: readings.chainKeys(parts),
     tried: new Set(),
-    sends: 0,
     now: 1000,
     deadline: 9000,
     asked: { prompt: 0, mostOut: 0 },
--- a/tests/sim/plans.ts
+++ b/tests/sim/plans.ts
@@ -1,4 +1,4 @@
 // What plans of plain requests have in common.
 
 /** A request of a client of no tenant. */
-export const NOBODYS = { isBatch: false, tenant: null, sends: 0 };
+export const NOBODYS = { isBatch: false, tenant: null };
