--- a/src/tallies/log.ts
+++ b/src/tallies/log.ts
@@ -38,6 +38,10 @@
   finished(): void;
 }
 
+async function closeAll(opened: readonly files.StoreFile[]): Promise<void> {
+  await Promise.allSettled(opened.map((file) => file.close()));
+}
+
 /** One open log; group commit: what comes while a sync is under way goes into the next frame. */
 export class TallyLog {
   private waiting: Batch = emptyBatch();
@@ -62,8 +66,17 @@
   static async open(world: types.World, folder: files.StoreFolder): Promise<{ log: TallyLog; records: TallyRecord[] }> {
     await folder.make();
     const opened: files.StoreFile[] = [];
-    for (const name of FILES) opened.push(await folder.open(name));
-    await folder.sync();
+    try {
+      for (const name of FILES) opened.push(await folder.open(name));
+      await folder.sync();
+      return await TallyLog.read(world, opened);
+    } catch (cause) {
+      await closeAll(opened);
+      throw cause;
+    }
+  }
+
+  private static async read(world: types.World, opened: files.StoreFile[]): Promise<{ log: TallyLog; records: TallyRecord[] }> {
     const contents: generations.GenerationContent[] = [];
     for (const file of opened) contents.push(await generations.read(file));
     const newest = contents[1].generation > contents[0].generation ? 1 : 0;
@@ -104,7 +117,7 @@
 
   async close(): Promise<void> {
     this.isClosed = true;
-    await Promise.allSettled(this.opened.map((file) => file.close()));
+    await closeAll(this.opened);
   }
 
   private go(): void {
