--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,7 +44,7 @@
     },
   },
   // To be taken out as these files are rewritten.
-  { files: ["src/control/leases.ts", "tests/sim/core.ts"], rules: { "@typescript-eslint/no-this-alias": "off" } },
+  { files: ["src/control/leases/leases.ts", "tests/sim/core.ts"], rules: { "@typescript-eslint/no-this-alias": "off" } },
   { files: ["src/control/program.ts"], rules: { "@typescript-eslint/unbound-method": "off" } },
   { rules: { ...boundLines("max-lines", MOST_LINES_OF_A_FILE), ...boundLines("max-lines-per-function", MOST_LINES_OF_A_FUNCTION) } },
   ...exceptions("max-lines", LONG_FILES),
--- a/src/cli/view.ts
+++ b/src/cli/view.ts
@@ -1,5 +1,5 @@
 /** A node's status as lines for people (design 10.2). The interfaces name what is read of its JSON. */
-import type * as disks from "../control/disk.js";
+import type * as disks from "../control/voters/disk.js";
 import type * as serveGates from "../router/serve-gate.js";
 import type * as counts from "../wire/counts.js";
 import type * as schema from "../wire/schema.js";
--- a/src/control/account.ts
+++ b/src/control/account.ts
@@ -3,9 +3,9 @@
 import type * as schema from "../wire/schema.js";
 import * as log from "../startup/log.js";
 import * as vitals from "../startup/vitals.js";
-import type * as contacts from "./contact.js";
+import type * as contacts from "./voters/contact.js";
 import type * as cores from "./core.js";
-import type * as sessions from "./sessions.js";
+import type * as sessions from "./members/sessions.js";
 
 /** What the account is put together from. */
 export interface AccountParts {
--- a/src/control/batch-calls.ts
+++ b/src/control/batches/batch-calls.ts
@@ -3,23 +3,23 @@
  * batches on takes any. A quote only reads; a submission is answered once its record and its place are durable.
  */
 import * as result from "true-myth/result";
-import * as bounds from "../batch/bounds.js";
-import * as items from "../batch/items.js";
-import * as outlooks from "../batch/outlook.js";
-import * as owners from "../batch/owner.js";
-import * as quotes from "../batch/quote.js";
-import * as records from "../batch/records.js";
-import type * as replicas from "../batch/replicas.js";
-import * as steps from "../batch/steps.js";
-import * as submissions from "../batch/submission.js";
-import * as tables from "../batch/table.js";
-import * as errors from "../startup/errors.js";
-import * as log from "../startup/log.js";
-import * as batchSchema from "../wire/batch-schema.js";
-import type * as types from "../wire/types.js";
+import * as bounds from "../../batch/bounds.js";
+import * as items from "../../batch/items.js";
+import * as outlooks from "../../batch/outlook.js";
+import * as owners from "../../batch/owner.js";
+import * as quotes from "../../batch/quote.js";
+import * as records from "../../batch/records.js";
+import type * as replicas from "../../batch/replicas.js";
+import * as steps from "../../batch/steps.js";
+import * as submissions from "../../batch/submission.js";
+import * as tables from "../../batch/table.js";
+import * as errors from "../../startup/errors.js";
+import * as log from "../../startup/log.js";
+import * as batchSchema from "../../wire/batch-schema.js";
+import type * as types from "../../wire/types.js";
 import type * as views from "./batch-view.js";
-import type * as cores from "./core.js";
-import * as serve from "./serve.js";
+import type * as cores from "../core.js";
+import * as serve from "../serve.js";
 
 const CHANGE_MS = 2600;
 /** Results told by one call. */
--- a/src/control/batch-loads.ts
+++ b/src/control/batches/batch-loads.ts
@@ -2,16 +2,16 @@
  * Gathers what routers counted (design/batch 8): each control node asks the routers that follow it, sums their counts by
  * region and route, and tells its siblings the sums, so that all of them learn the same forecast.
  */
-import * as calls from "../wire/calls.js";
-import type * as batchSchema from "../wire/batch-schema.js";
-import type * as link from "../wire/link.js";
-import type * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import type * as dialers from "../feed/dialer.js";
-import type * as feeds from "../feed/feed.js";
-import * as loads from "../forecast/loads.js";
-import * as summaries from "../usage/summary.js";
-import type * as sessions from "./sessions.js";
+import * as calls from "../../wire/calls.js";
+import type * as batchSchema from "../../wire/batch-schema.js";
+import type * as link from "../../wire/link.js";
+import type * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import type * as dialers from "../../feed/dialer.js";
+import type * as feeds from "../../feed/feed.js";
+import * as loads from "../../forecast/loads.js";
+import * as summaries from "../../usage/summary.js";
+import type * as sessions from "../members/sessions.js";
 
 const ASK_EVERY_MS = 5000;
 const REPLY_MS = 2000;
--- a/src/control/batch-register.ts
+++ b/src/control/batches/batch-register.ts
@@ -3,18 +3,18 @@
  * and a disk folder of its own, so that batches have its guarantees and cost its rounds nothing.
  */
 import * as path from "node:path";
-import * as batchCalls from "../wire/calls.js";
-import type * as link from "../wire/link.js";
-import type * as schema from "../wire/schema.js";
-import type * as types from "../wire/types.js";
-import type * as dialers from "../feed/dialer.js";
-import * as registers from "../register/value.js";
-import * as files from "../store/files.js";
-import * as owner from "../store/owner.js";
-import * as voterManagers from "./voter-manager.js";
-import type * as channels from "./channel.js";
-import * as cores from "./core.js";
-import * as disks from "./disk.js";
+import * as batchCalls from "../../wire/calls.js";
+import type * as link from "../../wire/link.js";
+import type * as schema from "../../wire/schema.js";
+import type * as types from "../../wire/types.js";
+import type * as dialers from "../../feed/dialer.js";
+import * as registers from "../../register/value.js";
+import * as files from "../../store/files.js";
+import * as owner from "../../store/owner.js";
+import * as voterManagers from "../voters/voter-manager.js";
+import type * as channels from "../channel.js";
+import * as cores from "../core.js";
+import * as disks from "../voters/disk.js";
 
 /** The folder of the register's files below data_dir. */
 const FOLDER = "batches";
--- a/src/control/batch-view.ts
+++ b/src/control/batches/batch-view.ts
@@ -2,19 +2,19 @@
  * What a control node knows of the fleet, as batches need it (design/batch 6, 9): routes by the configuration in force,
  * rooms by the newest reports, and the work that lies before a batch.
  */
-import * as projections from "../batch/projection.js";
-import * as items from "../batch/items.js";
-import type * as outlooks from "../batch/outlook.js";
-import type * as submissions from "../batch/submission.js";
-import * as tables from "../batch/table.js";
-import * as trickles from "../batch/trickle.js";
-import * as check from "../config/check.js";
-import * as routes from "../config/routes.js";
-import type * as loads from "../forecast/loads.js";
-import * as registers from "../register/value.js";
-import type * as batchSchema from "../wire/batch-schema.js";
-import type * as schema from "../wire/schema.js";
-import type * as types from "../wire/types.js";
+import * as projections from "../../batch/projection.js";
+import * as items from "../../batch/items.js";
+import type * as outlooks from "../../batch/outlook.js";
+import type * as submissions from "../../batch/submission.js";
+import * as tables from "../../batch/table.js";
+import * as trickles from "../../batch/trickle.js";
+import * as check from "../../config/check.js";
+import * as routes from "../../config/routes.js";
+import type * as loads from "../../forecast/loads.js";
+import * as registers from "../../register/value.js";
+import type * as batchSchema from "../../wire/batch-schema.js";
+import type * as schema from "../../wire/schema.js";
+import type * as types from "../../wire/types.js";
 
 /** Of a shared part so much is usually kept where an item is sent (*ours*). */
 const SHARED_KEPT = 0.8;
--- a/src/control/core.ts
+++ b/src/control/core.ts
@@ -11,7 +11,7 @@
 import * as voters from "../register/voter.js";
 import * as result from "true-myth/result";
 import * as channels from "./channel.js";
-import * as reaches from "./voter-reach.js";
+import * as reaches from "./voters/voter-reach.js";
 
 const VOTE_MS = 1300;
 
--- a/src/control/host-homes.ts
+++ b/src/control/directory/host-homes.ts
@@ -1,7 +1,7 @@
 // The regions that the routes of a host name are bound to, for the directory's choice of last resort (design 4.3).
-import type * as check from "../config/check.js";
-import * as registers from "../register/value.js";
-import type * as schema from "../wire/schema.js";
+import type * as check from "../../config/check.js";
+import * as registers from "../../register/value.js";
+import type * as schema from "../../wire/schema.js";
 
 const NO_REGIONS: ReadonlySet<string> = new Set();
 
--- a/src/control/endpoints.ts
+++ b/src/control/endpoints.ts
@@ -6,8 +6,8 @@
 import type * as settings from "../startup/settings.js";
 import type * as supervisor from "../supervisor/tree.js";
 import type * as schema from "../wire/schema.js";
-import * as directory from "./directory.js";
-import * as hostHomes from "./host-homes.js";
+import * as directory from "./directory/directory.js";
+import * as hostHomes from "./directory/host-homes.js";
 import * as serve from "./serve.js";
 
 const RESOLVE_PATH = "/-/resolve";
--- a/src/control/leases.ts
+++ b/src/control/leases/leases.ts
@@ -1,15 +1,15 @@
 // This control node as owner of its slot of the bounds: fence with the other voters, replies to routers
 // (design/shares 2, 4).
-import * as calls from "../wire/calls.js";
-import * as link from "../wire/link.js";
-import type * as leaseSchema from "../wire/lease-schema.js";
-import * as types from "../wire/types.js";
-import * as owners from "../shares/owner.js";
-import type * as parts from "../shares/parts.js";
-import * as tenures from "../shares/tenure.js";
-import type * as quotaParts from "../tenants/quota-part.js";
-import type * as contacts from "./contact.js";
-import type * as cores from "./core.js";
+import * as calls from "../../wire/calls.js";
+import * as link from "../../wire/link.js";
+import type * as leaseSchema from "../../wire/lease-schema.js";
+import * as types from "../../wire/types.js";
+import * as owners from "../../shares/owner.js";
+import type * as parts from "../../shares/parts.js";
+import * as tenures from "../../shares/tenure.js";
+import type * as quotaParts from "../../tenants/quota-part.js";
+import type * as contacts from "../voters/contact.js";
+import type * as cores from "../core.js";
 import * as quotas from "./quotas.js";
 
 /** The figures of all bounds that are leased. */
--- a/src/control/quotas.ts
+++ b/src/control/leases/quotas.ts
@@ -2,20 +2,20 @@
  * This control node as owner of its slot of all quotas (design/tenants 4): the limits of the chosen configuration, a
  * tenure with terms of its own, and the replies to routers, which carry this node's word on the configuration too.
  */
-import type * as check from "../config/check.js";
-import * as registers from "../register/value.js";
-import * as quotaClients from "../tenants/quota-client.js";
-import * as owners from "../tenants/quota-owner.js";
-import type * as parts from "../tenants/quota-part.js";
-import * as tenures from "../tenants/quota-tenure.js";
-import type * as files from "../store/files.js";
-import * as calls from "../wire/calls.js";
-import type * as leaseSchema from "../wire/lease-schema.js";
-import type * as link from "../wire/link.js";
-import type * as tenantSchema from "../wire/tenant-schema.js";
-import * as types from "../wire/types.js";
-import type * as contacts from "./contact.js";
-import type * as cores from "./core.js";
+import type * as check from "../../config/check.js";
+import * as registers from "../../register/value.js";
+import * as quotaClients from "../../tenants/quota-client.js";
+import * as owners from "../../tenants/quota-owner.js";
+import type * as parts from "../../tenants/quota-part.js";
+import * as tenures from "../../tenants/quota-tenure.js";
+import type * as files from "../../store/files.js";
+import * as calls from "../../wire/calls.js";
+import type * as leaseSchema from "../../wire/lease-schema.js";
+import type * as link from "../../wire/link.js";
+import type * as tenantSchema from "../../wire/tenant-schema.js";
+import * as types from "../../wire/types.js";
+import type * as contacts from "../voters/contact.js";
+import type * as cores from "../core.js";
 import * as slotNotes from "./slot-note.js";
 
 /** Grants units of quotas. */
--- a/src/control/membership.ts
+++ b/src/control/members/membership.ts
@@ -1,11 +1,11 @@
 // What nodes say to a control node about themselves: hello, beats, and other control nodes' rosters (design 4.1).
-import * as calls from "../wire/calls.js";
-import type * as link from "../wire/link.js";
-import type * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import type * as dialers from "../feed/dialer.js";
-import type * as contacts from "./contact.js";
-import type * as cores from "./core.js";
+import * as calls from "../../wire/calls.js";
+import type * as link from "../../wire/link.js";
+import type * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import type * as dialers from "../../feed/dialer.js";
+import type * as contacts from "../voters/contact.js";
+import type * as cores from "../core.js";
 import type * as sessions from "./sessions.js";
 
 /** What the handlers of sessions work on. */
--- a/src/control/sessions.ts
+++ b/src/control/members/sessions.ts
@@ -1,11 +1,11 @@
 // A node is a member while its session with a control node stands; siblings tell theirs, by differences
 // (design 4.1, design/members 1).
-import * as calls from "../wire/calls.js";
-import * as link from "../wire/link.js";
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import * as log from "../startup/log.js";
-import * as directory from "./directory.js";
+import * as calls from "../../wire/calls.js";
+import * as link from "../../wire/link.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import * as log from "../../startup/log.js";
+import * as directory from "../directory/directory.js";
 import * as shrinkGuards from "./shrink-guard.js";
 import * as rosters from "./roster.js";
 
--- a/src/control/operator-chain.ts
+++ b/src/control/operator/operator-chain.ts
@@ -1,12 +1,12 @@
 // What an operator's call passes at a control node: redirector, forwarder, and the calls themselves (design 6.2).
-import type * as link from "../wire/link.js";
-import type * as types from "../wire/types.js";
-import type * as dialers from "../feed/dialer.js";
-import type * as contacts from "./contact.js";
-import type * as cores from "./core.js";
+import type * as link from "../../wire/link.js";
+import type * as types from "../../wire/types.js";
+import type * as dialers from "../../feed/dialer.js";
+import type * as contacts from "../voters/contact.js";
+import type * as cores from "../core.js";
 import * as forwarders from "./order-forwarder.js";
 import * as redirects from "./redirect.js";
-import type * as serve from "./serve.js";
+import type * as serve from "../serve.js";
 
 /** The parts of one control node that decide where a call is answered. */
 export interface OperatorParts {
--- a/src/control/operator.ts
+++ b/src/control/operator/operator.ts
@@ -1,17 +1,17 @@
 // The operator's calls: Replace, Update, Describe, Evacuations (design 6.2). Any control node takes any.
 import * as result from "true-myth/result";
-import * as check from "../config/check.js";
-import * as change from "../config/change.js";
-import * as registers from "../register/value.js";
-import type * as proposers from "../register/proposer.js";
-import * as errors from "../startup/errors.js";
-import * as log from "../startup/log.js";
-import * as names from "../wire/names.js";
-import * as schema from "../wire/schema.js";
-import * as batchCalls from "./batch-calls.js";
-import type * as core from "./core.js";
+import * as check from "../../config/check.js";
+import * as change from "../../config/change.js";
+import * as registers from "../../register/value.js";
+import type * as proposers from "../../register/proposer.js";
+import * as errors from "../../startup/errors.js";
+import * as log from "../../startup/log.js";
+import * as names from "../../wire/names.js";
+import * as schema from "../../wire/schema.js";
+import * as batchCalls from "../batches/batch-calls.js";
+import type * as core from "../core.js";
 import * as paths from "./operator-paths.js";
-import * as serve from "./serve.js";
+import * as serve from "../serve.js";
 
 const CHANGE_MS = 2600;
 
--- a/src/control/order-forwarder.ts
+++ b/src/control/operator/order-forwarder.ts
@@ -6,20 +6,20 @@
  * Where an order is decided is a matter of pace alone: any node may propose at any time, and an order that reached two
  * proposers is taken once and acknowledged by both (register/history.ts). So nothing is lost when the other node is.
  */
-import * as log from "../startup/log.js";
-import * as calls from "../wire/calls.js";
-import * as features from "../wire/features.js";
-import type * as link from "../wire/link.js";
-import * as names from "../wire/names.js";
-import type * as orderSchema from "../wire/order-schema.js";
-import type * as schema from "../wire/schema.js";
-import type * as types from "../wire/types.js";
-import * as worlds from "../wire/world.js";
-import * as dialers from "../feed/dialer.js";
-import type * as contacts from "./contact.js";
-import type * as cores from "./core.js";
+import * as log from "../../startup/log.js";
+import * as calls from "../../wire/calls.js";
+import * as features from "../../wire/features.js";
+import type * as link from "../../wire/link.js";
+import * as names from "../../wire/names.js";
+import type * as orderSchema from "../../wire/order-schema.js";
+import type * as schema from "../../wire/schema.js";
+import type * as types from "../../wire/types.js";
+import * as worlds from "../../wire/world.js";
+import * as dialers from "../../feed/dialer.js";
+import type * as contacts from "../voters/contact.js";
+import type * as cores from "../core.js";
 import * as paths from "./operator-paths.js";
-import type * as serve from "./serve.js";
+import type * as serve from "../serve.js";
 
 /** An order that was passed on is proposed here after so long without an answer. */
 const FORWARD_MS = 1300;
--- a/src/control/redirect.ts
+++ b/src/control/operator/redirect.ts
@@ -1,10 +1,10 @@
 // An operator's call that reaches a control node without contact to a majority goes on to one that has it
 // (design/hardening/1-cut-off). Nothing is ever confirmed or refused by a minority.
-import type * as types from "../wire/types.js";
-import * as log from "../startup/log.js";
-import * as dialers from "../feed/dialer.js";
-import type * as contacts from "./contact.js";
-import type * as serve from "./serve.js";
+import type * as types from "../../wire/types.js";
+import * as log from "../../startup/log.js";
+import * as dialers from "../../feed/dialer.js";
+import type * as contacts from "../voters/contact.js";
+import type * as serve from "../serve.js";
 
 /** Answered by any node about itself. */
 const STATUS_PATH = "/-/status";
--- a/src/control/cells.ts
+++ b/src/control/platform/cells.ts
@@ -1,23 +1,23 @@
 // What this control node knows of the regions: the platform's list and the runners' reports (design 4.4, 4.5).
-import * as calls from "../wire/calls.js";
-import * as link from "../wire/link.js";
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import type * as settings from "../startup/settings.js";
-import type * as dialers from "../feed/dialer.js";
-import * as feeds from "../feed/feed.js";
-import type * as keyed from "../feed/keyed.js";
-import * as registers from "../register/value.js";
-import type * as check from "../config/check.js";
-import type * as cores from "./core.js";
-import type * as sessions from "./sessions.js";
+import * as calls from "../../wire/calls.js";
+import * as link from "../../wire/link.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import type * as settings from "../../startup/settings.js";
+import type * as dialers from "../../feed/dialer.js";
+import * as feeds from "../../feed/feed.js";
+import type * as keyed from "../../feed/keyed.js";
+import * as registers from "../../register/value.js";
+import type * as check from "../../config/check.js";
+import type * as cores from "../core.js";
+import type * as sessions from "../members/sessions.js";
 import * as deal from "./deal.js";
 import * as duties from "./duties.js";
 import * as lists from "./list.js";
 import * as orchestrators from "./orchestrator.js";
-import * as relays from "../signs/relay.js";
-import * as publishers from "../usage/publisher.js";
-import * as summaries from "../usage/summary.js";
+import * as relays from "../../signs/relay.js";
+import * as publishers from "../../usage/publisher.js";
+import * as summaries from "../../usage/summary.js";
 import * as watchers from "./watcher.js";
 
 /** Puts together the list, the reports, the signs and the summaries of this control node. */
--- a/src/control/duties.ts
+++ b/src/control/platform/duties.ts
@@ -1,5 +1,5 @@
 // Who is fit to read the platform's list and the regions' reports for all (design/hardening/1-cut-off).
-import * as dialers from "../feed/dialer.js";
+import * as dialers from "../../feed/dialer.js";
 
 /** A higher one goes first: a confirmed node, then one that is cut off from a majority, last one that is leaving. */
 export const LEAVING = 0;
--- a/src/control/list.ts
+++ b/src/control/platform/list.ts
@@ -1,8 +1,8 @@
 // The platform's list as control nodes hold and tell it: an item for each instance (design/parts 6).
-import * as feeds from "../feed/feed.js";
-import * as keyed from "../feed/keyed.js";
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
+import * as feeds from "../../feed/feed.js";
+import * as keyed from "../../feed/keyed.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
 
 const COLD_SLACK_MS = 400;
 const { NO_REGION } = feeds;
--- a/src/control/orchestrator.ts
+++ b/src/control/platform/orchestrator.ts
@@ -1,11 +1,11 @@
 // The orchestrator of a region reads its runners' reports and derives their status (design 4.5). When it
 // is missing, the next control node in order does the region's work and hands it over again.
-import * as calls from "../wire/calls.js";
-import * as http from "../wire/http.js";
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import * as log from "../startup/log.js";
-import type * as dialer from "../feed/dialer.js";
+import * as calls from "../../wire/calls.js";
+import * as http from "../../wire/http.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import * as log from "../../startup/log.js";
+import type * as dialer from "../../feed/dialer.js";
 
 const PERIOD_MS = 600;
 const STEP_MS = 900;
--- a/src/control/watcher.ts
+++ b/src/control/platform/watcher.ts
@@ -1,13 +1,13 @@
 // The platform's list, read once for all: whoever ranks first reads, the next takes over when it falls
 // silent (design 4.4).
-import * as calls from "../wire/calls.js";
-import * as http from "../wire/http.js";
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import * as world from "../wire/world.js";
-import * as log from "../startup/log.js";
-import type * as dialer from "../feed/dialer.js";
-import * as keyed from "../feed/keyed.js";
+import * as calls from "../../wire/calls.js";
+import * as http from "../../wire/http.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import * as world from "../../wire/world.js";
+import * as log from "../../startup/log.js";
+import type * as dialer from "../../feed/dialer.js";
+import * as keyed from "../../feed/keyed.js";
 import * as lists from "./list.js";
 
 const PERIOD_MS = 700;
--- a/src/control/tallies.ts
+++ b/src/control/tallies.ts
@@ -8,7 +8,7 @@
 import type * as types from "../wire/types.js";
 import type * as cores from "./core.js";
 import type * as serve from "./serve.js";
-import type * as sessions from "./sessions.js";
+import type * as sessions from "./members/sessions.js";
 
 /** A router that was silent for longer tells nothing of its zone. */
 const HEARD_MS = 800;
--- a/src/control/contact.ts
+++ b/src/control/voters/contact.ts
@@ -1,13 +1,13 @@
 // Contact with a majority of the voters, measured on the steady clock (design/hardening/1-cut-off).
 import * as events from "node:events";
-import * as calls from "../wire/calls.js";
-import type * as leaseSchema from "../wire/lease-schema.js";
-import type * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import * as log from "../startup/log.js";
-import type * as dialers from "../feed/dialer.js";
-import * as confirmations from "../register/confirmation.js";
-import type * as cores from "./core.js";
+import * as calls from "../../wire/calls.js";
+import type * as leaseSchema from "../../wire/lease-schema.js";
+import type * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import * as log from "../../startup/log.js";
+import type * as dialers from "../../feed/dialer.js";
+import * as confirmations from "../../register/confirmation.js";
+import type * as cores from "../core.js";
 
 /** A voter's answer to an ask of this node: the voter epoch asked for, when (own clock), and the reply. */
 export type OnReply = (asked: types.Epoch, sentAt: types.SteadyMs, reply: leaseSchema.FenceReply) => void;
--- a/src/control/disk.ts
+++ b/src/control/voters/disk.ts
@@ -3,19 +3,19 @@
  * that can't be read or written makes a silent voter; it never ends the process and never holds up its other work.
  */
 import * as crypto from "node:crypto";
-import * as log from "../startup/log.js";
-import * as release1 from "../register/release-1.js";
-import * as registers from "../register/value.js";
-import * as voters from "../register/voter.js";
-import * as conversion from "../store/conversion.js";
-import type * as files from "../store/files.js";
-import * as format from "../store/format.js";
-import * as owner from "../store/owner.js";
-import * as remedies from "../store/remedies.js";
-import * as rings from "../store/ring.js";
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import * as worlds from "../wire/world.js";
+import * as log from "../../startup/log.js";
+import * as release1 from "../../register/release-1.js";
+import * as registers from "../../register/value.js";
+import * as voters from "../../register/voter.js";
+import * as conversion from "../../store/conversion.js";
+import type * as files from "../../store/files.js";
+import * as format from "../../store/format.js";
+import * as owner from "../../store/owner.js";
+import * as remedies from "../../store/remedies.js";
+import * as rings from "../../store/ring.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import * as worlds from "../../wire/world.js";
 
 /** Pause between two attempts at a disk that refuses. */
 export const RETRY_MS = 500;
--- a/src/control/voter-manager.ts
+++ b/src/control/voters/voter-manager.ts
@@ -1,9 +1,9 @@
 // Runs the membership policy: the voters in touch propose the next set, settle it, and hand over on leaving (design 5.5).
-import * as schema from "../wire/schema.js";
-import * as types from "../wire/types.js";
-import * as world from "../wire/world.js";
-import * as log from "../startup/log.js";
-import type * as proposers from "../register/proposer.js";
+import * as schema from "../../wire/schema.js";
+import * as types from "../../wire/types.js";
+import * as world from "../../wire/world.js";
+import * as log from "../../startup/log.js";
+import type * as proposers from "../../register/proposer.js";
 import * as policy from "./voters.js";
 
 /** No round of a change of voters begins later than this after its start. */
--- a/src/control/voter-reach.ts
+++ b/src/control/voters/voter-reach.ts
@@ -1,9 +1,9 @@
 // Which voters of a register one control node can reach now, by the disks that its links lead to (design 5.5).
-import type * as link from "../wire/link.js";
-import type * as schema from "../wire/schema.js";
-import type * as dialer from "../feed/dialer.js";
-import * as registers from "../register/value.js";
-import type * as channels from "./channel.js";
+import type * as link from "../../wire/link.js";
+import type * as schema from "../../wire/schema.js";
+import type * as dialer from "../../feed/dialer.js";
+import * as registers from "../../register/value.js";
+import type * as channels from "../channel.js";
 
 /** Reads the links of one node as they stand at each call. */
 export class VoterReach {
--- a/src/control/voters.ts
+++ b/src/control/voters/voters.ts
@@ -1,9 +1,9 @@
 // Membership policy: which disks should vote next, and the steps that change the voters (design 5.5,
 // hardening 3). Pure functions over the chosen value and the control nodes in touch.
 import * as result from "true-myth/result";
-import * as schema from "../wire/schema.js";
-import * as registers from "../register/value.js";
-import type * as proposers from "../register/proposer.js";
+import * as schema from "../../wire/schema.js";
+import * as registers from "../../register/value.js";
+import type * as proposers from "../../register/proposer.js";
 
 /** A voter silent for longer is replaced, if a joiner is there; a restart takes less. */
 export const SILENT_MS = 2500;
--- a/src/router/leaving.ts
+++ b/src/router/leaving.ts
@@ -1,5 +1,5 @@
 /** Leaving in order (design 7.11): out of the directory first; then what is at work is finished within the grace time. */
-import * as directory from "../control/directory.js";
+import * as directory from "../control/directory/directory.js";
 import * as link from "../wire/link.js";
 import type * as types from "../wire/types.js";
 import * as worlds from "../wire/world.js";
--- a/src/wire/features.ts
+++ b/src/wire/features.ts
@@ -4,7 +4,7 @@
  */
 import type * as schema from "./schema.js";
 
-/** Takes orders that another control node passes on (control/order-forwarder.ts). */
+/** Takes orders that another control node passes on (control/operator/order-forwarder.ts). */
 export const FORWARDED_ORDERS = 1;
 
 /** Keeps tallies with other control nodes (tallies/replication.ts). */
--- a/tests/deal.test.ts
+++ b/tests/deal.test.ts
@@ -1,5 +1,5 @@
 // Which control node reads which region's reports (design 4.5).
-import * as deal from "../src/control/deal.js";
+import * as deal from "../src/control/platform/deal.js";
 
 function nodes(...regions: string[]): deal.Reader[] {
   return regions.map((region, index) => ({ name: `c${index + 1}`, region }));
--- a/tests/directory-homes.test.ts
+++ b/tests/directory-homes.test.ts
@@ -1,7 +1,7 @@
 // Where the directory sends clients whose own region has no router to name (design 4.3).
-import * as directory from "../src/control/directory.js";
-import * as hostHomes from "../src/control/host-homes.js";
-import type * as shrinkGuards from "../src/control/shrink-guard.js";
+import * as directory from "../src/control/directory/directory.js";
+import * as hostHomes from "../src/control/directory/host-homes.js";
+import type * as shrinkGuards from "../src/control/members/shrink-guard.js";
 import * as registers from "../src/register/value.js";
 import type * as schema from "../src/wire/schema.js";
 
--- a/tests/leaving.test.ts
+++ b/tests/leaving.test.ts
@@ -1,5 +1,5 @@
 // A control node that leaves in order, and who takes its duties (design/hardening/1-cut-off).
-import * as duties from "../src/control/duties.js";
+import * as duties from "../src/control/platform/duties.js";
 import * as calls from "../src/wire/calls.js";
 import type * as leaseSchema from "../src/wire/lease-schema.js";
 import type * as members from "./sim/members.js";
--- a/tests/lists.test.ts
+++ b/tests/lists.test.ts
@@ -1,5 +1,5 @@
 // The platform's list in regions: what is news, and who is told (design/parts 6).
-import * as lists from "../src/control/list.js";
+import * as lists from "../src/control/platform/list.js";
 import * as feeds from "../src/feed/feed.js";
 import * as keyed from "../src/feed/keyed.js";
 import type * as link from "../src/wire/link.js";
--- a/tests/members.test.ts
+++ b/tests/members.test.ts
@@ -1,5 +1,5 @@
 // Rosters told by differences, and the few control nodes of a router (design/members).
-import * as rosters from "../src/control/roster.js";
+import * as rosters from "../src/control/members/roster.js";
 import * as selectors from "../src/feed/session-selector.js";
 import * as schema from "../src/wire/schema.js";
 import * as types from "../src/wire/types.js";
--- a/tests/model/exhaustive/scope.ts
+++ b/tests/model/exhaustive/scope.ts
@@ -1,6 +1,6 @@
 // What the bounded search plays: voters a, b, c and a joiner d that takes the place of a; two proposers.
 import * as result from "true-myth/result";
-import * as policy from "../../../src/control/voters.js";
+import * as policy from "../../../src/control/voters/voters.js";
 import type * as proposers from "../../../src/register/proposer.js";
 import * as registers from "../../../src/register/value.js";
 import * as errors from "../../../src/startup/errors.js";
--- a/tests/model/mutations.ts
+++ b/tests/model/mutations.ts
@@ -1,7 +1,7 @@
 // Guards that a run of the model takes out on purpose, to prove that the checker sees each of them missing.
 import * as calls from "../../src/wire/calls.js";
 import * as cores from "../../src/control/core.js";
-import * as policy from "../../src/control/voters.js";
+import * as policy from "../../src/control/voters/voters.js";
 import type * as dialer from "../../src/feed/dialer.js";
 import type * as proposers from "../../src/register/proposer.js";
 import * as registers from "../../src/register/value.js";
--- a/tests/model/node.ts
+++ b/tests/model/node.ts
@@ -1,5 +1,5 @@
 // One control node of the model: the real core, voter, ring, proposer and membership over a simulated machine.
-import * as voterManagers from "../../src/control/voter-manager.js";
+import * as voterManagers from "../../src/control/voters/voter-manager.js";
 import * as cores from "../../src/control/core.js";
 import * as dialer from "../../src/feed/dialer.js";
 import * as proposers from "../../src/register/proposer.js";
--- a/tests/model/player.ts
+++ b/tests/model/player.ts
@@ -1,5 +1,5 @@
 // Plays one scenario on a simulated core and gives the verdict on what operators saw.
-import * as policy from "../../src/control/voters.js";
+import * as policy from "../../src/control/voters/voters.js";
 import type * as schema from "../../src/wire/schema.js";
 import * as clocks from "./clock.js";
 import * as histories from "./history.js";
--- a/tests/orders.test.ts
+++ b/tests/orders.test.ts
@@ -1,6 +1,6 @@
 // Orders of operators: races, orders sent again, answers lost, restarts (design/hardening/2-orders).
 import * as registers from "../src/register/value.js";
-import * as policy from "../src/control/voters.js";
+import * as policy from "../src/control/voters/voters.js";
 import * as cores from "./sim/core.js";
 import * as operators from "./sim/operators.js";
 import * as sim from "./sim/world.js";
--- a/tests/pictures.test.ts
+++ b/tests/pictures.test.ts
@@ -1,5 +1,5 @@
 // Control nodes among each other hold the same picture of a region, whoever reads it (design/usage 3.2).
-import * as orchestrators from "../src/control/orchestrator.js";
+import * as orchestrators from "../src/control/platform/orchestrator.js";
 import type * as dialer from "../src/feed/dialer.js";
 import * as feeds from "../src/feed/feed.js";
 import * as regionReports from "../src/usage/region-reports.js";
--- a/tests/register-membership.test.ts
+++ b/tests/register-membership.test.ts
@@ -2,7 +2,7 @@
 // strength (hardening 3).
 import * as result from "true-myth/result";
 import * as errors from "../src/startup/errors.js";
-import * as policy from "../src/control/voters.js";
+import * as policy from "../src/control/voters/voters.js";
 import * as proposers from "../src/register/proposer.js";
 import * as registers from "../src/register/value.js";
 import * as schema from "../src/wire/schema.js";
--- a/tests/register.test.ts
+++ b/tests/register.test.ts
@@ -2,7 +2,7 @@
 import * as result from "true-myth/result";
 import * as errors from "../src/startup/errors.js";
 import * as registers from "../src/register/value.js";
-import * as policy from "../src/control/voters.js";
+import * as policy from "../src/control/voters/voters.js";
 import * as schema from "../src/wire/schema.js";
 import * as core from "./sim/core.js";
 import * as sim from "./sim/world.js";
--- a/tests/router-parts.test.ts
+++ b/tests/router-parts.test.ts
@@ -1,6 +1,6 @@
 // The router's parts without sockets: headers, events, shares, rotation, policies (design 7, design/shares).
-import * as directory from "../src/control/directory.js";
-import * as policy from "../src/control/voters.js";
+import * as directory from "../src/control/directory/directory.js";
+import * as policy from "../src/control/voters/voters.js";
 import * as registers from "../src/register/value.js";
 import * as events from "../src/router/client/events.js";
 import * as fleets from "../src/router/runners/fleet.js";
--- a/tests/second-loss.test.ts
+++ b/tests/second-loss.test.ts
@@ -1,7 +1,7 @@
 // A second disk is lost at any moment of a replacement, while all other machines go dark: nothing confirmed is lost, and the
 // core comes back to full strength (hardening 3, section 5.2).
 import * as result from "true-myth/result";
-import * as policy from "../src/control/voters.js";
+import * as policy from "../src/control/voters/voters.js";
 import type * as proposers from "../src/register/proposer.js";
 import * as registers from "../src/register/value.js";
 import * as core from "./sim/core.js";
--- a/tests/sessions.test.ts
+++ b/tests/sessions.test.ts
@@ -1,7 +1,7 @@
 // Sessions: silence takes a router out of the directory, then out of the members (design 4.1, 4.3).
-import * as directory from "../src/control/directory.js";
-import * as rosters from "../src/control/roster.js";
-import * as sessions from "../src/control/sessions.js";
+import * as directory from "../src/control/directory/directory.js";
+import * as rosters from "../src/control/members/roster.js";
+import * as sessions from "../src/control/members/sessions.js";
 import type * as link from "../src/wire/link.js";
 import * as types from "../src/wire/types.js";
 import * as schema from "../src/wire/schema.js";
--- a/tests/shrink-guard.test.ts
+++ b/tests/shrink-guard.test.ts
@@ -1,6 +1,6 @@
 // A view of routers that shrinks at once is doubted (design/members 5), and the directory prefers the sure ones (design 4.3).
-import * as shrinkGuards from "../src/control/shrink-guard.js";
-import * as directory from "../src/control/directory.js";
+import * as shrinkGuards from "../src/control/members/shrink-guard.js";
+import * as directory from "../src/control/directory/directory.js";
 import * as sim from "./sim/world.js";
 import { router } from "./sim/nodes.js";
 
--- a/tests/sim/disk-world.ts
+++ b/tests/sim/disk-world.ts
@@ -1,5 +1,5 @@
 /** A machine around a simulated disk: its clock runs on without waiting, and no other process uses the folder. */
-import * as disks from "../../src/control/disk.js";
+import * as disks from "../../src/control/voters/disk.js";
 import type * as voters from "../../src/register/voter.js";
 import type * as owner from "../../src/store/owner.js";
 import type * as schema from "../../src/wire/schema.js";
--- a/tests/sim/durable-node.ts
+++ b/tests/sim/durable-node.ts
@@ -1,9 +1,9 @@
 // Control nodes with a disk of their own over a simulated network: restarted, wiped, stalled and filled by a test. The
 // register, its membership and the feed are the program's own.
 import * as parts from "../../src/config/parts.js";
-import * as voterManagers from "../../src/control/voter-manager.js";
+import * as voterManagers from "../../src/control/voters/voter-manager.js";
 import * as cores from "../../src/control/core.js";
-import * as operators from "../../src/control/operator.js";
+import * as operators from "../../src/control/operator/operator.js";
 import type * as serve from "../../src/control/serve.js";
 import * as dialers from "../../src/feed/dialer.js";
 import * as feeds from "../../src/feed/feed.js";
--- a/tests/sim/fleet.ts
+++ b/tests/sim/fleet.ts
@@ -1,7 +1,7 @@
 // Control nodes and routers over simulated links: frames in memory, with delay, cuts and kills by the test.
 import * as events from "node:events";
 import type * as net from "node:net";
-import * as sessions from "../../src/control/sessions.js";
+import * as sessions from "../../src/control/members/sessions.js";
 import * as dialers from "../../src/feed/dialer.js";
 import * as selectors from "../../src/feed/session-selector.js";
 import * as calls from "../../src/wire/calls.js";
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -1,17 +1,17 @@
 // Whole control nodes over a simulated network: register, contact, sessions, feed, operator and directory as the
 // program puts them together, without sockets.
 import * as parts from "../../src/config/parts.js";
-import * as contacts from "../../src/control/contact.js";
+import * as contacts from "../../src/control/voters/contact.js";
 import * as confirmations from "../../src/register/confirmation.js";
 import * as cores from "../../src/control/core.js";
-import * as directory from "../../src/control/directory.js";
-import * as duties from "../../src/control/duties.js";
-import * as leases from "../../src/control/leases.js";
-import * as membership from "../../src/control/membership.js";
-import * as operators from "../../src/control/operator.js";
-import * as operatorChains from "../../src/control/operator-chain.js";
+import * as directory from "../../src/control/directory/directory.js";
+import * as duties from "../../src/control/platform/duties.js";
+import * as leases from "../../src/control/leases/leases.js";
+import * as membership from "../../src/control/members/membership.js";
+import * as operators from "../../src/control/operator/operator.js";
+import * as operatorChains from "../../src/control/operator/operator-chain.js";
 import type * as serve from "../../src/control/serve.js";
-import * as sessions from "../../src/control/sessions.js";
+import * as sessions from "../../src/control/members/sessions.js";
 import * as dialers from "../../src/feed/dialer.js";
 import * as feeds from "../../src/feed/feed.js";
 import * as registers from "../../src/register/value.js";
--- a/tests/sim/membership.ts
+++ b/tests/sim/membership.ts
@@ -1,6 +1,6 @@
 // Control nodes over the simulated core that run the real membership policy: news of chosen values, heartbeats,
 // driving of values not known to be chosen, and the voterManager.
-import * as voterManagers from "../../src/control/voter-manager.js";
+import * as voterManagers from "../../src/control/voters/voter-manager.js";
 import * as drivers from "../../src/register/driver.js";
 import * as proposers from "../../src/register/proposer.js";
 import * as registers from "../../src/register/value.js";
--- a/tests/sim/operators.ts
+++ b/tests/sim/operators.ts
@@ -1,6 +1,6 @@
 // Operators over a simulated core: the real calls of operator.ts at each node, with answers lost and orders sent again.
 import type * as http from "node:http";
-import * as operators from "../../src/control/operator.js";
+import * as operators from "../../src/control/operator/operator.js";
 import type * as controls from "../../src/control/core.js";
 import * as batch from "../../src/register/batch.js";
 import type * as proposers from "../../src/register/proposer.js";
--- a/tests/slot-note.test.ts
+++ b/tests/slot-note.test.ts
@@ -2,7 +2,7 @@
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
-import * as slotNotes from "../src/control/slot-note.js";
+import * as slotNotes from "../src/control/leases/slot-note.js";
 import * as registers from "../src/register/value.js";
 import * as files from "../src/store/files.js";
 import * as quotaTenures from "../src/tenants/quota-tenure.js";
--- a/tests/watch.test.ts
+++ b/tests/watch.test.ts
@@ -1,5 +1,5 @@
 // Who reads the list, and who takes over (design 4.4).
-import * as watchers from "../src/control/watcher.js";
+import * as watchers from "../src/control/platform/watcher.js";
 import * as keyed from "../src/feed/keyed.js";
 import * as types from "../src/wire/types.js";
 import * as watch from "./sim/watch.js";
