--- a/tests/processes/nodes.ts
+++ b/tests/processes/nodes.ts
@@ -84,6 +84,7 @@
       `seed_nodes=${indexes.slice(0, 3).map(controlOf).join(",")}`,
       `bootstrap=${isFirst}`,
       `failure_counted=${role === "control"}`,
+      "fault_tolerance.machines=2",
       "limits.memory_mb=256",
       "limits.max_open_files=1024",
       `cloud_api.address=${this.platform.address}`,
--- a/tests/processes/run.ts
+++ b/tests/processes/run.ts
@@ -1,14 +1,15 @@
-// npm run processes -- cut | upgrade --from PROGRAM [--stop-all]: runs of real processes on loopback, some half a minute each.
+// npm run processes -- cut | apart | upgrade --from PROGRAM [--stop-all]: runs of real processes on loopback, some half a minute each.
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as util from "node:util";
 import * as log from "../../src/startup/log.js";
+import * as apartRuns from "./apart-run.js";
 import * as cutRuns from "./cut-run.js";
 import * as upgradeRuns from "./upgrade-run.js";
 
 const PROGRAM = path.resolve("target/cranewind.js");
-const USAGE = "npm run processes -- cut | upgrade --from PROGRAM [--stop-all]";
+const USAGE = "npm run processes -- cut | apart | upgrade --from PROGRAM [--stop-all]";
 
 async function run(): Promise<boolean> {
   const { positionals, values } = util.parseArgs({
@@ -19,8 +20,13 @@
   const [what] = positionals;
   const { from, "stop-all": isStopAll } = values;
   const options = from === undefined ? null : { folder, from: path.resolve(from), to: PROGRAM, isStopAll };
-  if (what !== "cut" && (what !== "upgrade" || !options)) throw new Error(USAGE);
-  const isGood = what === "cut" ? await cutRuns.run(folder, PROGRAM) : await upgradeRuns.run(options!);
+  const plays = new Map([
+    ["cut", () => cutRuns.run(folder, PROGRAM)],
+    ["apart", () => apartRuns.run(folder, PROGRAM)],
+    ["upgrade", () => (options ? upgradeRuns.run(options) : null)],
+  ]);
+  const isGood = await plays.get(what)?.();
+  if (isGood === undefined || isGood === null) throw new Error(USAGE);
   console.log(isGood ? "passed" : `failed; logs of the processes: ${folder}`);
   if (isGood) fs.rmSync(folder, { recursive: true });
   return isGood;
