--- a/src/router/policies/runner.ts
+++ b/src/router/policies/runner.ts
@@ -11,11 +11,8 @@
 const FULL_MEMORY = 0.92;
 /** A prompt of so many unread tokens is a long reading; it holds up every stream of its runner. */
 export const LONG_TOKENS = 2000;
-/** The part of a cell's runners that long readings prefer; short requests prefer the others. */
-const LONG_SHARE = 0.6;
 /** Weights in milliseconds. */
-const OTHER_KIND_MS = 120;
-const RANK_MS = 25;
+const RANK_MS = 70;
 const MOST_RANK = 3;
 const NEXT_CELL_MS = 100;
 const BATCH_MS = 400;
@@ -60,7 +57,6 @@
     const { known } = this;
     const hasPrompt = plan.parts.length > 0;
     const ranks = hasPrompt ? firstByKey(plans.keyOf(plan.shared), cell) : null;
-    const lastLong = hasPrompt ? lastLongMark(cell) : null;
     return cell.map(weighed);
     function weighed(runner: fleets.Runner): Weighed {
       let ms =
@@ -70,7 +66,6 @@
       if (hasPrompt) {
         const unread = known.unread(runner.id, plan.parts, plan.keys);
         ms += known.backlogMs(runner.id, plan.now) + (READ_WEIGHT * unread) / known.rate + RANK_MS * (ranks?.get(runner) ?? MOST_RANK);
-        if (lastLong !== null && runner.mark <= lastLong !== unread >= LONG_TOKENS) ms += OTHER_KIND_MS;
       }
       return { runner, ms };
     }
@@ -115,12 +110,3 @@
   for (const [rank, runner] of first.entries()) ranks.set(runner, rank);
   return ranks;
 }
-
-/** Every router splits a cell alike, by the marks of its runners: the last that long readings prefer; a cell of one is not split. */
-function lastLongMark(cell: readonly fleets.Runner[]): number | null {
-  if (cell.length < 2) return null;
-  const marks = new Uint32Array(cell.length);
-  for (const [index, runner] of cell.entries()) marks[index] = runner.mark;
-  const count = Math.min(cell.length - 1, Math.max(1, Math.round(cell.length * LONG_SHARE)));
-  return marks.sort()[count - 1];
-}
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -11,6 +11,8 @@
 import * as resolutions from "./resolution.js";
 import * as summaries from "./summary.js";
 
+/** A fleet of so few runners is followed whole from the start: what is read where is then heard of before it is needed (*ours*). */
+const FEW_RUNNERS = 128;
 /** What is left after a tenth of a second of stale reports: half a second halves it (*ours*). */
 const FADE_FACTOR = 0.87;
 
@@ -48,7 +50,14 @@
   /** The topics to follow now: the summaries, and the cells of the regions of interest. */
   topics(): string[] {
     for (const region of this.fleet.summaries.takeWanted()) this.interest.recordUse(region);
-    return [summaries.SUMMARY_TOPIC, ...this.interest.regions().map(feeds.cellTopic)];
+    return [summaries.SUMMARY_TOPIC, ...this.regions().map(feeds.cellTopic)];
+  }
+
+  /** The regions whose cells are followed: those of interest, or all of a small fleet. */
+  private regions(): string[] {
+    const regions = this.interest.regions();
+    if (this.fleet.size > FEW_RUNNERS) return regions;
+    return [...new Set([...regions, ...this.fleet.regions()])];
   }
 
   /** Takes what the mirror has just applied of a topic. */
@@ -81,7 +90,7 @@
     this.marks.takeList(ids);
     this.idsByKey = new Map();
     for (const id of ids) this.idsByKey.set(publishers.keyOf(this.marks, id), id);
-    for (const region of this.interest.regions()) {
+    for (const region of this.regions()) {
       if (!this.followed.get(region)?.isStale) this.takeItems(region, mirror.bodies(feeds.cellTopic(region)));
     }
   }
@@ -90,7 +99,7 @@
   watch(mirror: mirrors.Mirror): void {
     const now = this.world.now();
     if (this.listVersion !== this.fleet.listing) this.relist(mirror);
-    const regions = new Set(this.interest.regions());
+    const regions = new Set(this.regions());
     for (const region of this.followed.keys()) if (!regions.has(region)) this.unfollow(region);
     for (const region of regions) {
       const followed = this.followed.get(region) ?? { stamp: null, movedAt: now, isStale: false };
--- a/tests/choice.test.ts
+++ b/tests/choice.test.ts
@@ -22,15 +22,12 @@
 function reference(plan: plans.Plan, cell: fleets.Runner[], place: number, known: readings.Readings): Map<fleets.Runner, number> {
   const key = plans.keyOf(plan.shared);
   const ranked = [...cell].sort((left, right) => shares.hash(`${key}|${right.id}`) - shares.hash(`${key}|${left.id}`));
-  const longCount = Math.min(cell.length - 1, Math.max(1, Math.round(cell.length * 0.6)));
-  const long = new Set([...cell].sort((left, right) => left.mark - right.mark).slice(0, longCount));
   const found = new Map<fleets.Runner, number>();
   for (const [rank, runner] of ranked.entries()) {
     let ms = place * 100 + (400 * runner.usage()) / runner.instance.capacity;
     if (plan.parts.length > 0) {
       const unread = known.unread(runner.id, plan.parts, plan.keys);
-      ms += known.backlogMs(runner.id, plan.now) + (2 * unread) / known.rate + 25 * Math.min(rank, 3);
-      if (cell.length > 1 && long.has(runner) !== unread >= 2000) ms += 120;
+      ms += known.backlogMs(runner.id, plan.now) + (2 * unread) / known.rate + 70 * Math.min(rank, 3);
     }
     found.set(runner, ms);
   }
