Folders: plots, settings and the small JSON servers move down; tenants and usage name what they need

Mechanical, no change of behaviour: src/plots (from experiment), src/settings (from startup), src/wire/serve.ts (from control); tenants and the reader of usage have interfaces of their own in place of imports from config and router. Of seven imports that ran back up between folders two stay: cli into experiment (it runs the command), router and admission into each other.

--- a/src/cli/batch-view.ts
+++ b/src/cli/batch-view.ts
@@ -1,6 +1,6 @@
 /** What the batch commands print: lines for people, and the plot of the table (docs/batch.md). */
 import type * as quotes from "../batch/quote.js";
-import type * as plot from "../experiment/plot.js";
+import type * as plot from "../plots/plot.js";
 import type * as batchSchema from "../wire/batch-schema.js";
 
 /** A quote as a control node tells it. */
--- a/src/cli/batch.ts
+++ b/src/cli/batch.ts
@@ -5,7 +5,7 @@
 import * as fs from "node:fs";
 import type * as commander from "commander";
 import * as submissions from "../batch/submission.js";
-import * as plot from "../experiment/plot.js";
+import * as plot from "../plots/plot.js";
 import * as errors from "../startup/errors.js";
 import type * as types from "../wire/types.js";
 import * as client from "./client.js";
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -4,7 +4,7 @@
 import * as fs from "node:fs";
 import * as check from "../config/check.js";
 import * as errors from "../startup/errors.js";
-import * as settings from "../startup/settings.js";
+import * as settings from "../settings/settings.js";
 import * as registers from "../register/value.js";
 import * as types from "../wire/types.js";
 import * as batchDays from "../whatif/batch-day.js";
--- a/src/cli/roles.ts
+++ b/src/cli/roles.ts
@@ -8,7 +8,7 @@
 import * as control from "../control/program.js";
 import * as router from "../router/program.js";
 import * as log from "../startup/log.js";
-import * as settings from "../startup/settings.js";
+import * as settings from "../settings/settings.js";
 import * as supervisor from "../supervisor/tree.js";
 import * as world from "../wire/world.js";
 import * as commands from "./commands.js";
--- a/src/control/batches/batch-calls.ts
+++ b/src/control/batches/batch-calls.ts
@@ -19,7 +19,7 @@
 import type * as types from "../../wire/types.js";
 import type * as views from "./batch-view.js";
 import type * as cores from "../core.js";
-import * as serve from "../serve.js";
+import * as serve from "../../wire/serve.js";
 
 const CHANGE_MS = 2600;
 /** Results told by one call. */
--- a/src/control/batches/batches.ts
+++ b/src/control/batches/batches.ts
@@ -12,7 +12,7 @@
 import type * as feeds from "../../feed/feed.js";
 import * as log from "../../startup/log.js";
 import type * as supervisor from "../../supervisor/tree.js";
-import type * as settings from "../../startup/settings.js";
+import type * as settings from "../../settings/settings.js";
 import type * as batchSchema from "../../wire/batch-schema.js";
 import type * as link from "../../wire/link.js";
 import type * as schema from "../../wire/schema.js";
@@ -22,7 +22,7 @@
 import * as batchRegisters from "./batch-register.js";
 import * as views from "./batch-view.js";
 import type * as cells from "../platform/cells.js";
-import type * as serve from "../serve.js";
+import type * as serve from "../../wire/serve.js";
 import type * as sessions from "../members/sessions.js";
 
 const REPAIR_MS = 2000;
--- a/src/control/directory/directory.ts
+++ b/src/control/directory/directory.ts
@@ -1,7 +1,7 @@
 // Where clients go: ready routers of the asker's region first, others when it has none (design 4.3).
 import * as schema from "../../wire/schema.js";
 import type * as shrinkGuards from "../members/shrink-guard.js";
-import * as serve from "../serve.js";
+import * as serve from "../../wire/serve.js";
 
 const MOST_ADDRESSES = 64;
 const TTL_S = 1;
--- a/src/control/endpoints.ts
+++ b/src/control/endpoints.ts
@@ -3,12 +3,12 @@
 import * as link from "../wire/link.js";
 import * as listening from "../wire/listen.js";
 import type * as types from "../wire/types.js";
-import type * as settings from "../startup/settings.js";
+import type * as settings from "../settings/settings.js";
 import type * as supervisor from "../supervisor/tree.js";
 import type * as schema from "../wire/schema.js";
 import * as directory from "./directory/directory.js";
 import * as hostHomes from "./directory/host-homes.js";
-import * as serve from "./serve.js";
+import * as serve from "../wire/serve.js";
 
 const RESOLVE_PATH = "/-/resolve";
 
--- a/src/control/operator/operator-chain.ts
+++ b/src/control/operator/operator-chain.ts
@@ -6,7 +6,7 @@
 import type * as cores from "../core.js";
 import * as forwarders from "./order-forwarder.js";
 import * as redirects from "./redirect.js";
-import type * as serve from "../serve.js";
+import type * as serve from "../../wire/serve.js";
 
 /** The parts of one control node that decide where a call is answered. */
 export interface OperatorParts {
--- a/src/control/operator/operator.ts
+++ b/src/control/operator/operator.ts
@@ -11,7 +11,7 @@
 import * as batchCalls from "../batches/batch-calls.js";
 import type * as core from "../core.js";
 import * as paths from "./operator-paths.js";
-import * as serve from "../serve.js";
+import * as serve from "../../wire/serve.js";
 
 const CHANGE_MS = 2600;
 
--- a/src/control/operator/order-forwarder.ts
+++ b/src/control/operator/order-forwarder.ts
@@ -19,7 +19,7 @@
 import type * as contacts from "../voters/contact.js";
 import type * as cores from "../core.js";
 import * as paths from "./operator-paths.js";
-import type * as serve from "../serve.js";
+import type * as serve from "../../wire/serve.js";
 
 /** An order that was passed on is proposed here after so long without an answer. */
 const FORWARD_MS = 1300;
--- a/src/control/operator/redirect.ts
+++ b/src/control/operator/redirect.ts
@@ -4,7 +4,7 @@
 import * as log from "../../startup/log.js";
 import * as dialers from "../../feed/dialer.js";
 import type * as contacts from "../voters/contact.js";
-import type * as serve from "../serve.js";
+import type * as serve from "../../wire/serve.js";
 
 /** Answered by any node about itself. */
 const STATUS_PATH = "/-/status";
--- a/src/control/platform/cells.ts
+++ b/src/control/platform/cells.ts
@@ -3,7 +3,7 @@
 import * as link from "../../wire/link.js";
 import * as schema from "../../wire/schema.js";
 import * as types from "../../wire/types.js";
-import type * as settings from "../../startup/settings.js";
+import type * as settings from "../../settings/settings.js";
 import type * as dialers from "../../feed/dialer.js";
 import * as feeds from "../../feed/feed.js";
 import type * as keyed from "../../feed/keyed.js";
--- a/src/control/program.ts
+++ b/src/control/program.ts
@@ -6,7 +6,7 @@
 import * as types from "../wire/types.js";
 import * as worlds from "../wire/world.js";
 import * as log from "../startup/log.js";
-import * as settings from "../startup/settings.js";
+import * as settings from "../settings/settings.js";
 import * as parts from "../config/parts.js";
 import * as dialers from "../feed/dialer.js";
 import * as feeds from "../feed/feed.js";
--- a/src/control/tallies.ts
+++ b/src/control/tallies.ts
@@ -1,13 +1,13 @@
 /** Tallies as a part of the control node: who the members are, whose routers are heard, and which calls go there. */
 import * as crypto from "node:crypto";
 import type * as dialers from "../feed/dialer.js";
-import type * as settings from "../startup/settings.js";
+import type * as settings from "../settings/settings.js";
 import * as tallyCalls from "../tallies/calls.js";
 import * as tallies from "../tallies/tallies.js";
 import type * as link from "../wire/link.js";
 import type * as types from "../wire/types.js";
 import type * as cores from "./core.js";
-import type * as serve from "./serve.js";
+import type * as serve from "../wire/serve.js";
 import type * as sessions from "./members/sessions.js";
 
 /** A router that was silent for longer tells nothing of its zone. */
--- a/src/experiment/panels.ts
+++ b/src/experiment/panels.ts
@@ -1,5 +1,5 @@
 /** What a sweep's sheet shows (design/experiment 4). */
-import type * as plot from "./plot.js";
+import type * as plot from "../plots/plot.js";
 import * as rows from "./rows.js";
 
 type NodeMeasure = "cpuPercent" | "memoryMb" | "toldBytesPerS" | "heardBytesPerS";
--- a/src/experiment/routers.ts
+++ b/src/experiment/routers.ts
@@ -1,7 +1,7 @@
 /** Hollow routers: whole router programs without clients, many in one process (design/experiment 2). */
 import * as router from "../router/program.js";
 import * as log from "../startup/log.js";
-import * as settings from "../startup/settings.js";
+import * as settings from "../settings/settings.js";
 import * as vitals from "../startup/vitals.js";
 import * as counts from "../wire/counts.js";
 import * as types from "../wire/types.js";
--- a/src/experiment/sweep.ts
+++ b/src/experiment/sweep.ts
@@ -9,7 +9,7 @@
 import * as launchers from "./launcher.js";
 import * as experiment from "./options.js";
 import * as panels from "./panels.js";
-import * as plot from "./plot.js";
+import * as plot from "../plots/plot.js";
 import * as rows from "./rows.js";
 import * as runs from "./run.js";
 
--- a/src/router/program.ts
+++ b/src/router/program.ts
@@ -5,7 +5,7 @@
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
-import * as settings from "../startup/settings.js";
+import * as settings from "../settings/settings.js";
 import * as parts from "../config/parts.js";
 import * as cuts from "../feed/cuts.js";
 import * as dialers from "../feed/dialer.js";
--- a/src/tallies/calls.ts
+++ b/src/tallies/calls.ts
@@ -2,7 +2,7 @@
  * The calls on tallies: Update, Describe, List (docs/tallies.md). Any control node takes any of them, at either side of a
  * cut. 503 and 429 promise that nothing was done; 504 promises nothing.
  */
-import type * as serve from "../control/serve.js";
+import type * as serve from "../wire/serve.js";
 import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
 import * as requests from "./request.js";
--- a/src/tenants/tenant.ts
+++ b/src/tenants/tenant.ts
@@ -1,7 +1,15 @@
 /** A tenant as it is pushed to routers, and the table that requests look it up in (design/tenants 2). */
-import type * as check from "../config/check.js";
 import * as digests from "./digest.js";
 
+/** What is read of a tenant as the operator configured it (docs/configuration.md). */
+export interface ConfiguredTenant {
+  name: string;
+  api_keys?: readonly string[] | null;
+  priority?: number | null;
+  rate_per_s?: number | null;
+  allowed_regions?: readonly string[] | null;
+}
+
 /** A tenant without its keys: what travels on the feed. */
 export interface Tenant {
   name: string;
@@ -19,14 +27,14 @@
   private digests = new Map<string, digests.KeyDigest>();
 
   /** The tenants as routers get them; keys that none of them holds any more are forgotten. */
-  tenantsOf(configured: readonly check.Tenant[]): Tenant[] {
+  tenantsOf(configured: readonly ConfiguredTenant[]): Tenant[] {
     const kept = new Map<string, digests.KeyDigest>();
     const made = configured.map((tenant) => this.tenantOf(tenant, kept));
     this.digests = kept;
     return made;
   }
 
-  private tenantOf(tenant: check.Tenant, kept: Map<string, digests.KeyDigest>): Tenant {
+  private tenantOf(tenant: ConfiguredTenant, kept: Map<string, digests.KeyDigest>): Tenant {
     const keys: digests.KeyDigest[] = [];
     for (const key of tenant.api_keys ?? []) {
       const digest = this.digests.get(key) ?? digests.digestOf(key);
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -1,16 +1,33 @@
 /** The router's side of usage (design/usage 3, 4): which topics it follows, and what it takes from them. */
 import * as feeds from "../feed/feed.js";
 import type * as mirrors from "../feed/mirror.js";
-import type * as fleets from "../router/runners/fleet.js";
 import * as marks from "../signs/marks.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../startup/log.js";
 import * as interests from "./interest.js";
 import * as publishers from "./publisher.js";
+import type * as reported from "./reported.js";
 import * as resolutions from "./resolution.js";
 import * as summaries from "./summary.js";
 
+/** A runner whose load is read. */
+export interface ReadRunner extends reported.Reported {
+  readonly id: types.RunnerId;
+  readonly region: string;
+  readonly instance: schema.Instance;
+}
+
+/** The runners that one router knows; its fleet is it. */
+export interface ReadFleet {
+  readonly summaries: summaries.Summaries;
+  /** Grows with each runner that comes or goes. */
+  readonly listing: number;
+  all(): Iterable<ReadRunner>;
+  in(region: string): Iterable<ReadRunner>;
+  takeReport(report: schema.CellReport): void;
+}
+
 /** What is left after a tenth of a second of stale reports: half a second halves it (*ours*). */
 const FADE_FACTOR = 0.87;
 
@@ -33,7 +50,7 @@
 
   constructor(
     private readonly world: types.World,
-    private readonly fleet: fleets.Fleet,
+    private readonly fleet: ReadFleet,
     ownRegion: string,
     private readonly onPeriod: (region: string) => void,
   ) {
@@ -124,7 +141,7 @@
   }
 
   /** A runner of a region known by its summary has the mean usage. */
-  private estimate(runner: fleets.Runner): void {
+  private estimate(runner: ReadRunner): void {
     const summary = this.fleet.summaries.of(runner.region, runner.instance.service);
     runner.others = summary ? Math.max(0, summaries.usageOf(summary, runner.instance.capacity) - runner.inflight) : 0;
   }
--- a/src/whatif/batch-table.ts
+++ b/src/whatif/batch-table.ts
@@ -1,6 +1,6 @@
 /** Projected beside seen waits as rows, lines and a plot (design/batch 12). */
 import * as statistics from "simple-statistics";
-import type * as plot from "../experiment/plot.js";
+import type * as plot from "../plots/plot.js";
 import type * as days from "./batch-day.js";
 
 /** A row of the output; with --json these names are printed. Seconds; load is the part of places taken by others. */
--- a/src/control/serve.ts
+++ b/src/wire/serve.ts
@@ -3,7 +3,7 @@
 import * as errors from "../startup/errors.js";
 import * as log from "../startup/log.js";
 import type * as supervisor from "../supervisor/tree.js";
-import * as listening from "../wire/listen.js";
+import * as listening from "./listen.js";
 
 const MOST_BODY = 16 * 1024 * 1024;
 
--- a/tests/admission.test.ts
+++ b/tests/admission.test.ts
@@ -6,7 +6,7 @@
 import * as fleets from "../src/router/runners/fleet.js";
 import * as plans from "../src/router/plan.js";
 import * as readings from "../src/router/runners/readings.js";
-import * as settings from "../src/startup/settings.js";
+import * as settings from "../src/settings/settings.js";
 import * as types from "../src/wire/types.js";
 import { NOBODYS } from "./sim/plans.js";
 import * as sim from "./sim/world.js";
--- a/tests/batches/system.test.ts
+++ b/tests/batches/system.test.ts
@@ -7,7 +7,7 @@
 import * as router from "../../src/router/program.js";
 import * as platforms from "../../src/standin/platform.js";
 import * as runners from "../../src/standin/runner.js";
-import type * as settings from "../../src/startup/settings.js";
+import type * as settings from "../../src/settings/settings.js";
 import * as world from "../../src/wire/world.js";
 import * as loopback from "../sim/loopback.js";
 
--- a/tests/contact.test.ts
+++ b/tests/contact.test.ts
@@ -1,7 +1,7 @@
 // A control node that is cut off (design/hardening/1-cut-off): it hands out nothing as confirmed, and hinders nobody.
 import * as confirmations from "../src/register/confirmation.js";
 import * as duties from "../src/control/platform/duties.js";
-import type * as serve from "../src/control/serve.js";
+import type * as serve from "../src/wire/serve.js";
 import * as serveGates from "../src/router/serve-gate.js";
 import * as members from "./sim/members.js";
 import * as routerNodes from "./sim/router-node.js";
--- a/tests/experiment-run.test.ts
+++ b/tests/experiment-run.test.ts
@@ -8,7 +8,7 @@
 import * as hosts from "../src/experiment/hosts.js";
 import * as layouts from "../src/experiment/layout.js";
 import * as runs from "../src/experiment/run.js";
-import * as settings from "../src/startup/settings.js";
+import * as settings from "../src/settings/settings.js";
 import * as usages from "../src/usage/reader.js";
 import * as counts from "../src/wire/counts.js";
 import { options } from "./sim/experiment.js";
--- a/tests/experiment.test.ts
+++ b/tests/experiment.test.ts
@@ -3,7 +3,7 @@
 import * as losses from "../src/experiment/losses.js";
 import * as experiment from "../src/experiment/options.js";
 import * as panels from "../src/experiment/panels.js";
-import * as plot from "../src/experiment/plot.js";
+import * as plot from "../src/plots/plot.js";
 import * as rows from "../src/experiment/rows.js";
 import * as sweeps from "../src/experiment/sweep.js";
 import * as vitals from "../src/startup/vitals.js";
--- a/tests/sim/durable-node.ts
+++ b/tests/sim/durable-node.ts
@@ -4,7 +4,7 @@
 import * as voterManagers from "../../src/control/voters/voter-manager.js";
 import * as cores from "../../src/control/core.js";
 import * as operators from "../../src/control/operator/operator.js";
-import type * as serve from "../../src/control/serve.js";
+import type * as serve from "../../src/wire/serve.js";
 import * as dialers from "../../src/feed/dialer.js";
 import * as feeds from "../../src/feed/feed.js";
 import * as registers from "../../src/register/value.js";
--- a/tests/sim/loopback.ts
+++ b/tests/sim/loopback.ts
@@ -1,5 +1,5 @@
 // Settings of small systems over real loopback sockets and disks, one region a control node.
-import * as settings from "../../src/startup/settings.js";
+import * as settings from "../../src/settings/settings.js";
 
 export const REGIONS = ["a", "b", "c"];
 
--- a/tests/sim/members.ts
+++ b/tests/sim/members.ts
@@ -10,7 +10,7 @@
 import * as membership from "../../src/control/members/membership.js";
 import * as operators from "../../src/control/operator/operator.js";
 import * as operatorChains from "../../src/control/operator/operator-chain.js";
-import type * as serve from "../../src/control/serve.js";
+import type * as serve from "../../src/wire/serve.js";
 import * as sessions from "../../src/control/members/sessions.js";
 import * as dialers from "../../src/feed/dialer.js";
 import * as feeds from "../../src/feed/feed.js";
--- a/tests/sim/order-load.ts
+++ b/tests/sim/order-load.ts
@@ -1,6 +1,6 @@
 // Operators' orders against whole control nodes over a simulated network: paced callers at several nodes at once, and
 // how long each order waits for its answer.
-import type * as serve from "../../src/control/serve.js";
+import type * as serve from "../../src/wire/serve.js";
 import * as members from "./members.js";
 import * as networks from "./network.js";
 import * as quantiles from "./quantile.js";
--- a/tests/sim/system.ts
+++ b/tests/sim/system.ts
@@ -1,5 +1,5 @@
 // A small deployment over the simulated network: control nodes a, b, c ..., each in a region of its own, a router in each.
-import type * as serve from "../../src/control/serve.js";
+import type * as serve from "../../src/wire/serve.js";
 import * as members from "./members.js";
 import * as networks from "./network.js";
 import * as routerNodes from "./router-node.js";
--- a/tests/store.test.ts
+++ b/tests/store.test.ts
@@ -2,7 +2,7 @@
 import * as format from "../src/store/format.js";
 import * as ring from "../src/store/ring.js";
 import type * as files from "../src/store/files.js";
-import * as settings from "../src/startup/settings.js";
+import * as settings from "../src/settings/settings.js";
 
 type Fault = "none" | "fails" | "torn";
 
