Router: doubt weighs with the places; following a small fleet whole is taken back

Change: 150 ms a point of doubt (120), a request handed back although not full counts 0.6 (0.5), so that such a runner is still ejected though less goes there. Ruled out by the status tests: 180 and 240 ms a point, 40 to 60 ms a place with 120 or 130, 120 ms for reports that stay out. tests/usage.test.ts stands as before both changes.

--- a/src/router/runners/fleet.ts
+++ b/src/router/runners/fleet.ts
@@ -41,16 +41,6 @@
     return this.byRegion.get(region) ?? [];
   }
 
-  /** How many runners are listed. */
-  get size(): number {
-    return this.runners.size;
-  }
-
-  /** The regions that have runners. */
-  *regions(): Iterable<string> {
-    for (const [region, cell] of this.byRegion) if (cell.size > 0) yield region;
-  }
-
   has(id: string): boolean {
     return this.runners.has(types.small(id));
   }
--- a/src/router/runners/outcomes.ts
+++ b/src/router/runners/outcomes.ts
@@ -31,7 +31,7 @@
 const REPORTS_WINDOW_MS = 900;
 /** A router tells one runner no more often: two tellings within the window are of two routers. */
 export const REPORT_INTERVAL_MS = 1000;
-const PENALTY_MS = 120;
+const PENALTY_MS = 150;
 const MOST_PENALTY = 3;
 const ONCE_TIMES = 2;
 const SLOW_TIMES = 4;
--- a/src/router/runners/signs.ts
+++ b/src/router/runners/signs.ts
@@ -23,7 +23,7 @@
   ["overdue", 0.8],
   ["late", 0.5],
   ["slow", 0.7],
-  ["shed", 0.5],
+  ["shed", 0.6],
 ]);
 /** These say nothing of a runner that has much to do. */
 export const LOADED_SIGNS = new Set<Sign>(["silent", "overdue", "late", "slow", "shed"]);
--- a/src/usage/reader.ts
+++ b/src/usage/reader.ts
@@ -11,8 +11,6 @@
 import * as resolutions from "./resolution.js";
 import * as summaries from "./summary.js";
 
-/** A fleet of so few runners is followed whole from the start: what is read where is then heard of before it is needed (*ours*). */
-const FEW_RUNNERS = 128;
 /** A runner whose load is read. */
 export interface ReadRunner extends reported.Reported {
   readonly id: types.RunnerId;
@@ -25,9 +23,6 @@
   readonly summaries: summaries.Summaries;
   /** Grows with each runner that comes or goes. */
   readonly listing: number;
-  /** How many runners are listed, and the regions that have some. */
-  readonly size: number;
-  regions(): Iterable<string>;
   all(): Iterable<ReadRunner>;
   in(region: string): Iterable<ReadRunner>;
   takeReport(report: schema.CellReport): void;
@@ -70,14 +65,7 @@
   /** The topics to follow now: the summaries, and the cells of the regions of interest. */
   topics(): string[] {
     for (const region of this.fleet.summaries.takeWanted()) this.interest.recordUse(region);
-    return [summaries.SUMMARY_TOPIC, ...this.regions().map(feeds.cellTopic)];
-  }
-
-  /** The regions whose cells are followed: those of interest, or all of a small fleet. */
-  private regions(): string[] {
-    const regions = this.interest.regions();
-    if (this.fleet.size > FEW_RUNNERS) return regions;
-    return [...new Set([...regions, ...this.fleet.regions()])];
+    return [summaries.SUMMARY_TOPIC, ...this.interest.regions().map(feeds.cellTopic)];
   }
 
   /** Takes what the mirror has just applied of a topic. */
@@ -110,7 +98,7 @@
     this.marks.takeList(ids);
     this.idsByKey = new Map();
     for (const id of ids) this.idsByKey.set(publishers.keyOf(this.marks, id), id);
-    for (const region of this.regions()) {
+    for (const region of this.interest.regions()) {
       if (!this.followed.get(region)?.isStale) this.takeItems(region, mirror.bodies(feeds.cellTopic(region)));
     }
   }
@@ -119,7 +107,7 @@
   watch(mirror: mirrors.Mirror): void {
     const now = this.world.now();
     if (this.listVersion !== this.fleet.listing) this.relist(mirror);
-    const regions = new Set(this.regions());
+    const regions = new Set(this.interest.regions());
     for (const region of this.followed.keys()) if (!regions.has(region)) this.unfollow(region);
     for (const region of regions) {
       const followed = this.followed.get(region) ?? { stamp: null, movedAt: now, isStale: false };
