--- a/tests/callers/run.ts
+++ b/tests/callers/run.ts
@@ -1,4 +1,4 @@
-// `npm run callers -- --runs 1000000`: histories of callers in memory, with a progress line; ends with 1 if any fails.
+// `node tests/callers/run.mjs --runs 1000000`: histories of callers in memory, with a progress line; ends with 1 if any fails.
 import * as commander from "commander";
 import * as fc from "fast-check";
 import * as cases from "../sim/caller-cases.js";
