--- a/tests/home-regions.test.ts
+++ b/tests/home-regions.test.ts
@@ -15,10 +15,15 @@
   return new homeRegions.HomeRegions(() => value);
 }
 
-function resolve(routers: shrinkGuard.ObservedNode[], regions: homeRegions.HomeRegions, name: string): unknown {
+function resolve(
+  routers: shrinkGuard.ObservedNode[],
+  regions: homeRegions.HomeRegions,
+  name: string,
+  stillServes: (node: schema.NodeInfo) => boolean = () => false,
+): unknown {
   const view = {
     routers: () => routers,
-    stillServes: () => false,
+    stillServes,
     homeRegionsOf: (hostname: string) => regions.ofHost(hostname),
     maxTtlS: 5,
   };
@@ -48,11 +53,43 @@
     expect(resolve([...DRAINING, ...OTHERS], BOUND, "free.example")).toMatchObject({ addresses: ["in-aqaba:1", "in-irbid:1"] });
   });
 
-  test("where no region that they allow has a router, any router is named; the own region's go first", () => {
-    expect(resolve([...DRAINING, OTHERS[0]], BOUND, "bound.example")).toMatchObject({ addresses: ["in-aqaba:1"] });
+  test("the own region's routers go first, whatever the routes are bound to", () => {
     expect(resolve([router("here", "amman"), ...OTHERS], BOUND, "bound.example")).toMatchObject({ addresses: ["here:1"] });
   });
 
+  // Requests bound to two regions were led to a third one: all routers of both regions were restarted one after the other, so that
+  // for seconds each of them was leaving, gone or starting, and the directory named the ready routers of the third region instead.
+  describe("routers of another region are never named for a bound host", () => {
+    const here = router("here-leaves", "amman", false);
+    const home = router("home-leaves", "irbid", false);
+    const elsewhere = router("in-aqaba", "aqaba");
+    const cases: [string, shrinkGuard.ObservedNode[], string[], string[]][] = [
+      ["a leaving router of the own region that still serves", [here, home, elsewhere], ["here-leaves"], ["here-leaves:1"]],
+      ["a leaving router of a home that still serves", [here, home, elsewhere], ["home-leaves"], ["home-leaves:1"]],
+      ["all are leaving or starting: the own region's", [here, home, elsewhere], [], ["here-leaves:1"]],
+      ["none known in the own region: a home's, though not ready", [home, elsewhere], [], ["home-leaves:1"]],
+      ["a ready router of a home before an unready one here", [here, router("home", "irbid"), elsewhere], [], ["home:1"]],
+    ];
+
+    test.each(cases)("%s", (_title, routers, serving, addresses) => {
+      const stillServes = (node: schema.NodeInfo): boolean => serving.includes(node.name);
+      expect(resolve(routers, BOUND, "bound.example", stillServes)).toMatchObject({ addresses });
+    });
+
+    test("none known in any region that the routes allow: 503, and the client asks again", () => {
+      const view = { routers: () => [elsewhere], stillServes: () => false, homeRegionsOf: () => new Set(["irbid"]), maxTtlS: 5 };
+      const response = directory.resolve(view, new URLSearchParams({ name: "bound.example", region: "amman", zone: "amman-1" }));
+      expect(response).toMatchObject({ status: 503, headers: { "Retry-After": "0.2" } });
+    });
+  });
+
+  test("hosts that are not bound are sent to any region; a leaving router that serves goes before one that does not", () => {
+    const leaving = [router("stays", "irbid", false), router("goes", "aqaba", false)];
+    const stillServes = (node: schema.NodeInfo): boolean => node.name === "stays";
+    expect(resolve([DRAINING[0], OTHERS[0]], BOUND, "free.example")).toMatchObject({ addresses: ["in-aqaba:1"] });
+    expect(resolve(leaving, BOUND, "free.example", stillServes)).toMatchObject({ addresses: ["stays:1"] });
+  });
+
   test("a changed configuration is read again", () => {
     let value: schema.Value = { ...registerValue.initialValue([]), config: registerValue.pack({ routes: [] }) };
     const regions = new homeRegions.HomeRegions(() => value);
