Directory: a router that starts goes before one that shuts down; circle of files opened

Cause: while all routers of the allowed regions leave or start, the directory named both alike; one that shuts down refuses connections after 2 s, one that starts keeps requests until it is ready. The drain's acceptance has a file of its own, so that router-server and graceful-shutdown no longer import each other.

--- a/src/control/control-program.ts
+++ b/src/control/control-program.ts
@@ -104,7 +104,10 @@
     const { members, replica } = this.parts;
     return {
       routers: () => this.resolvableRouters(),
-      stillServes: (node) => members.stillServes(node, this.startup.bounds.grace_s * 1000),
+      drains: {
+        isDraining: (node) => members.isDraining(node),
+        stillServes: (node) => members.stillServes(node, this.startup.bounds.grace_s * 1000),
+      },
       chosen: () => replica.chosen,
     };
   }
--- a/src/control/directory/directory.ts
+++ b/src/control/directory/directory.ts
@@ -12,11 +12,20 @@
 /** A zone or region is relied on with at least so many routers. */
 const MIN_ROUTERS = 2;
 
+/** Which routers announced that they shut down. */
+export interface DrainView {
+  /** The router shuts down; one that is not ready and does not shut down is starting. */
+  isDraining(node: schema.NodeInfo): boolean;
+  /** A draining router may still be named: it takes requests for as long as clients use the reply. */
+  stillServes(node: schema.NodeInfo): boolean;
+}
+
+const NO_DRAINS: DrainView = { isDraining: () => false, stillServes: () => false };
+
 /** What the directory knows of the deployment. */
 export interface DirectoryView {
   routers(): shrinkGuard.ObservedNode[];
-  /** Whether a draining router may still be named: it takes requests for as long as clients use the reply. */
-  stillServes(node: schema.NodeInfo): boolean;
+  drains: DrainView;
   /** Regions that the routes of a host name are bound to; empty: none. */
   homeRegionsOf(hostname: string): ReadonlySet<string>;
   /** Bound of the time to live of a response, in seconds. */
@@ -38,7 +47,7 @@
     zone: query.get("zone") ?? "",
     homeRegions: view.homeRegionsOf(query.get("name") ?? ""),
   };
-  const routers = nearestRouters(view.routers(), client, (node) => view.stillServes(node));
+  const routers = nearestRouters(view.routers(), client, view.drains);
   if (routers.length === 0) {
     return {
       status: 503,
@@ -57,23 +66,25 @@
 export function nearestRouters(
   routers: readonly shrinkGuard.ObservedNode[],
   client: ClientLocation,
-  stillServes: (node: schema.NodeInfo) => boolean = () => false,
+  drains: DrainView = NO_DRAINS,
 ): schema.NodeInfo[] {
   const allowed = inAllowedRegions(routers, client);
   const ready = allowed.filter(({ node }) => node.isReady);
   const readyHere = nearestGroup(ready, client);
   if (readyHere.length > 0) return nodesOf(readyHere);
   // Routers restarted one after the other may all be draining for a moment: they still serve meanwhile.
-  const draining = allowed.filter(({ node }) => !node.isReady && stillServes(node));
+  const draining = allowed.filter(({ node }) => !node.isReady && drains.stillServes(node));
   const drainingHere = inRegion(draining, client);
   if (drainingHere.length > 0) {
     log.count("directory.draining_named");
     return nodesOf(drainingHere);
   }
   for (const group of [ready, draining]) if (group.length > 0) return nodesOf(group);
-  // A known router that is not ready beats an empty reply.
-  const knownHere = nearestGroup(allowed, client);
-  return nodesOf(knownHere.length > 0 ? knownHere : allowed);
+  // A known router that is not ready beats an empty reply: one that starts keeps requests until it is ready.
+  const starting = allowed.filter(({ node }) => !drains.isDraining(node));
+  const known = starting.length > 0 ? starting : allowed;
+  const knownHere = nearestGroup(known, client);
+  return nodesOf(knownHere.length > 0 ? knownHere : known);
 }
 
 /** Those of the client's region and of the regions that its routes are bound to; all where they are bound to none. */
--- a/src/control/endpoints.ts
+++ b/src/control/endpoints.ts
@@ -18,7 +18,7 @@
 }
 
 /** What the directory reads of its control node. */
-export interface DirectorySource extends Pick<directory.DirectoryView, "routers" | "stillServes"> {
+export interface DirectorySource extends Pick<directory.DirectoryView, "routers" | "drains"> {
   /** The newest chosen value. */
   chosen(): schema.Value | null;
 }
--- a/src/control/members/membership.ts
+++ b/src/control/members/membership.ts
@@ -126,6 +126,11 @@
     return this.drainNotices.isRecent(node.life, drainWindows.drainWindows(graceMs).namedMs);
   }
 
+  /** Whether the router announced that it shuts down. */
+  isDraining(node: schema.NodeInfo): boolean {
+    return this.drainNotices.has(node.life);
+  }
+
   /** All members of a role, by name. */
   withRole(role: string): schema.NodeInfo[] {
     return role === "router" ? this.routers().map(({ node }) => node) : this.observedNodes(role);
--- a/src/router/client/router-server.ts
+++ b/src/router/client/router-server.ts
@@ -9,7 +9,7 @@
 import * as types from "../../wire/types.js";
 import * as names from "../../wire/names.js";
 import type * as routerBatches from "../router-batches.js";
-import type * as gracefulShutdown from "../graceful-shutdown.js";
+import type * as drainAcceptance from "../drain-acceptance.js";
 import * as requestBody from "./request-body.js";
 import type * as transactionContext from "../transaction-context.js";
 import * as pendingRequests from "./pending-requests.js";
@@ -78,7 +78,7 @@
   /** Set at the start of a graceful shutdown: each response is then the last on its connection. */
   isDraining = false;
   /** Which requests it still takes while it drains; null: all. */
-  acceptance: gracefulShutdown.DrainAcceptance | null = null;
+  acceptance: drainAcceptance.DrainAcceptance | null = null;
   readonly drain: DrainCounts = { received: 0, rejected: 0, afterClose: 0 };
   readonly connections: httpConnections.HttpConnections;
   private isClosed = false;
--- a/src/router/graceful-shutdown.ts
+++ b/src/router/graceful-shutdown.ts
@@ -7,31 +7,19 @@
 import * as log from "../runtime/log.js";
 import * as timers from "../runtime/timers.js";
 import type * as routerServer from "./client/router-server.js";
+import * as drainAcceptance from "./drain-acceptance.js";
 
 const POLL_INTERVAL_MS = 50;
 
-/** Which requests a draining router still takes. */
-export class DrainAcceptance {
-  constructor(
-    private readonly clock: types.Clock,
-    private readonly acceptUntil: number,
-    private readonly exitAt: number,
-  ) {}
-
-  /** `deadline`: of the request, in milliseconds of the steady clock. After it nothing is owed to its client. */
-  accepts(deadline: number): boolean {
-    return this.clock.now() < this.acceptUntil || deadline <= this.exitAt;
-  }
-}
-
 /** Resolves when no request is under way, or the grace period is nearly over. The caller sets `isDraining` of the server before. */
 export async function drainRequests(clock: types.Clock, server: routerServer.RouterServer, graceMs: number): Promise<void> {
   const { acceptMs, exitMs } = drainWindows.drainWindows(graceMs);
   const startedAt = clock.now();
   const exitAt = startedAt + exitMs;
-  server.acceptance = new DrainAcceptance(clock, startedAt + acceptMs, exitAt);
+  server.acceptance = new drainAcceptance.DrainAcceptance(clock, startedAt + acceptMs, exitAt);
   log.state(`drain: ${server.activeCount} requests under way`);
   await timers.sleep(clock, acceptMs);
+  // A refused connection costs the client less than a 503: it goes on to another address at once.
   server.close();
   log.state(`drain: no new connections, ${server.activeCount} requests under way`);
   while (server.activeCount > 0 && clock.now() < exitAt) await timers.sleep(clock, POLL_INTERVAL_MS);
--- a/tests/home-regions.test.ts
+++ b/tests/home-regions.test.ts
@@ -15,13 +15,20 @@
   return new homeRegions.HomeRegions(() => value);
 }
 
+const NO_DRAINS: directory.DrainView = { isDraining: () => false, stillServes: () => false };
+
 function resolve(
   routers: shrinkGuard.ObservedNode[],
   regions: homeRegions.HomeRegions,
   name: string,
-  stillServes: (node: schema.NodeInfo) => boolean = () => false,
+  drains: Partial<directory.DrainView> = {},
 ): unknown {
-  const view = { routers: () => routers, stillServes, homeRegionsOf: (hostname: string) => regions.ofHost(hostname), maxTtlS: 5 };
+  const view = {
+    routers: () => routers,
+    drains: { ...NO_DRAINS, ...drains },
+    homeRegionsOf: (hostname: string) => regions.ofHost(hostname),
+    maxTtlS: 5,
+  };
   return directory.resolve(view, new URLSearchParams({ name, region: "amman", zone: "amman-1" })).json;
 }
 
@@ -68,11 +75,11 @@
 
     test.each(cases)("%s", (_title, routers, serving, addresses) => {
       const stillServes = (node: schema.NodeInfo): boolean => serving.includes(node.name);
-      expect(resolve(routers, BOUND, "bound.example", stillServes)).toMatchObject({ addresses });
+      expect(resolve(routers, BOUND, "bound.example", { stillServes })).toMatchObject({ addresses });
     });
 
     test("none known in any region that the routes allow: 503, and the client asks again", () => {
-      const view = { routers: () => [elsewhere], stillServes: () => false, homeRegionsOf: () => new Set(["irbid"]), maxTtlS: 5 };
+      const view = { routers: () => [elsewhere], drains: NO_DRAINS, homeRegionsOf: () => new Set(["irbid"]), maxTtlS: 5 };
       const response = directory.resolve(view, new URLSearchParams({ name: "bound.example", region: "amman", zone: "amman-1" }));
       expect(response).toMatchObject({ status: 503, headers: { "Retry-After": "0.2" } });
     });
@@ -82,7 +89,13 @@
     const leaving = [router("stays", "irbid", false), router("goes", "aqaba", false)];
     const stillServes = (node: schema.NodeInfo): boolean => node.name === "stays";
     expect(resolve([DRAINING[0], OTHERS[0]], BOUND, "free.example")).toMatchObject({ addresses: ["in-aqaba:1"] });
-    expect(resolve(leaving, BOUND, "free.example", stillServes)).toMatchObject({ addresses: ["stays:1"] });
+    expect(resolve(leaving, BOUND, "free.example", { stillServes })).toMatchObject({ addresses: ["stays:1"] });
+  });
+
+  test("a router that starts goes before one that shuts down and takes no requests any more", () => {
+    const isDraining = (node: schema.NodeInfo): boolean => node.name === "left";
+    const routers = [...DRAINING, router("starts", "irbid", false), router("in-aqaba", "aqaba")];
+    expect(resolve(routers, BOUND, "bound.example", { isDraining })).toMatchObject({ addresses: ["starts:1"] });
   });
 
   test("a changed configuration is read again", () => {
--- a/tests/membership.test.ts
+++ b/tests/membership.test.ts
@@ -68,8 +68,11 @@
 
   /** The routers that the directory names to a client of their region. */
   resolve(): string[] {
-    const stillServes = (info: schema.NodeInfo): boolean => this.members.stillServes(info, GRACE_MS);
-    return directory.nearestRouters(this.members.routers(), { region: "r", zone: "r" }, stillServes).map((info) => info.name);
+    const drains: directory.DrainView = {
+      isDraining: (info) => this.members.isDraining(info),
+      stillServes: (info) => this.members.stillServes(info, GRACE_MS),
+    };
+    return directory.nearestRouters(this.members.routers(), { region: "r", zone: "r" }, drains).map((info) => info.name);
   }
 
   names(role: string): string[] {
--- a/tests/sim/sim-control-node.ts
+++ b/tests/sim/sim-control-node.ts
@@ -229,7 +229,12 @@
     const routers = (): ReturnType<membership.Membership["routers"]> =>
       this.contact.isConfirmed() ? this.members.routers() : this.members.ownRouters();
     const response = directory.resolve(
-      { routers, stillServes: (node) => this.members.stillServes(node, GRACE_MS), homeRegionsOf: () => new Set(), maxTtlS: 2 },
+      {
+        routers,
+        drains: { isDraining: (node) => this.members.isDraining(node), stillServes: (node) => this.members.stillServes(node, GRACE_MS) },
+        homeRegionsOf: () => new Set(),
+        maxTtlS: 2,
+      },
       new URLSearchParams({ region, zone: region }),
     );
     return (response.json as { addresses?: string[] }).addresses ?? [];
