Duties at the platform: one holder by lease and fence, usage reports, cranewind duties

Change: a third register (the code of the batches' second one, now side-register.ts) holds a table of lease, fence, decided reports and orders. The holder stops 0.6 s before anybody may claim; calls fit into what is left and reset their connections. Routers count tenants' requests by window at the first token; control nodes collect differences each second and hand them over to the holder; time of day is the median of the control nodes' clocks. A report is decided in the register before it is sent. Weighed: the configuration's register, memory of the first node, pushed totals, replicated counters (docs/design/duties.md). House test: the time of day may be read by one module that only the duties get; a second test holds that. Measured: 3,000 random histories without a fault, each of three guards taken out is found.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,6 +9,7 @@
 import * as batch from "./batch.js";
 import * as capacity from "./capacity.js";
 import * as commands from "./commands.js";
+import * as duties from "./duties.js";
 import * as roles from "./roles.js";
 import * as tallies from "./tallies.js";
 import * as tenants from "./tenants.js";
@@ -140,6 +141,15 @@
     return withExitCode(tenants.tenants(clock, output, listOf(options.control), how));
   });
 
+program
+  .command("duties")
+  .description("who holds the duties at the platform, and what is open (name all control nodes)")
+  .requiredOption(...controls)
+  .option("--json", "as the nodes tell it")
+  .action(function showDuties(options: Options) {
+    return withExitCode(duties.duties(clock, output, listOf(options.control), options.json === true));
+  });
+
 program
   .command("whatif <file>")
   .description("play a described day through the router's policies")
--- a/src/control/batches/batches.ts
+++ b/src/control/batches/batches.ts
@@ -1,4 +1,5 @@
 /** Batches at one control node (design/batch 1): register, records, owner, forecast and operators' calls, connected. */
+import * as path from "node:path";
 import type * as batchAttempt from "../../batch/batch-attempt.js";
 import * as batchOwner from "../../batch/batch-owner.js";
 import * as records from "../../batch/records.js";
@@ -10,6 +11,7 @@
 import type * as itemQueue from "../../batch/item-queue.js";
 import type * as dialer from "../../feed/dialer.js";
 import type * as feedPublisher from "../../feed/feed-publisher.js";
+import * as files from "../../store/files.js";
 import * as errors from "../../runtime/errors.js";
 import * as log from "../../runtime/log.js";
 import type * as tree from "../../supervisor/tree.js";
@@ -20,12 +22,14 @@
 import type * as types from "../../wire/types.js";
 import * as batchCalls from "./batch-calls.js";
 import * as loadCollector from "./load-collector.js";
-import * as batchRegister from "./batch-register.js";
+import * as sideRegister from "../side-register.js";
 import * as batchView from "./batch-view.js";
 import type * as fleetObserver from "../platform/fleet-observer.js";
 import type * as serve from "../../wire/serve.js";
 import type * as membership from "../members/membership.js";
 
+/** Where the records of batches go below data_dir, beside the register's own files. */
+const RECORD_FOLDER = path.join(sideRegister.BATCHES.folder, "records");
 /** Missing replicas of records are looked for this often. */
 const REPAIR_INTERVAL_MS = 2000;
 /** Pause between two attempts to open the records. */
@@ -57,7 +61,7 @@
 
 /** Made only where the setting `batches` is on. */
 export class Batches {
-  private readonly register: batchRegister.BatchRegister;
+  private readonly register: sideRegister.SideRegister;
   private readonly records: records.Records;
   private readonly replicas: replicas.Replicas;
   private readonly loads: loadCollector.LoadCollector;
@@ -77,9 +81,9 @@
   ) {
     const { incarnation, address, startup, seeds, dial } = host;
     const isBootstrap = startup.batches_bootstrap ?? startup.bootstrap;
-    const options = { incarnation, address, dataDir, seeds, isBootstrap };
-    this.register = new batchRegister.BatchRegister(clock, options, dial, () => host.connectedControls());
-    this.records = new records.Records(clock, this.register.recordFolder());
+    const options = { kind: sideRegister.BATCHES, incarnation, address, dataDir, seeds, isBootstrap };
+    this.register = new sideRegister.SideRegister(clock, options, dial, () => host.connectedControls());
+    this.records = new records.Records(clock, new files.LocalFolder(path.join(dataDir, RECORD_FOLDER)));
     this.replicas = new replicas.Replicas(clock, this.register.replica, this.records);
     this.loads = new loadCollector.LoadCollector(clock, host.feed, host.members, dial);
     this.view = new batchView.BatchView({
--- a/src/control/control-parts.ts
+++ b/src/control/control-parts.ts
@@ -5,6 +5,7 @@
 import * as link from "../wire/link.js";
 import type * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
+import * as wallClock from "../runtime/wall-clock.js";
 import * as settings from "../settings/settings.js";
 import * as configItems from "../config/config-items.js";
 import * as dialer from "../feed/dialer.js";
@@ -13,11 +14,12 @@
 import * as registerValue from "../register/register-value.js";
 import type * as replicatedCounters from "../tallies/replicated-counters.js";
 import * as batches from "./batches/batches.js";
+import * as duties from "./duties/duties.js";
 import * as leaseServer from "./leases/lease-server.js";
 import * as membership from "./members/membership.js";
 import * as sessionHandlers from "./members/session-handlers.js";
 import * as fleetObserver from "./platform/fleet-observer.js";
-import type * as singletonRole from "./platform/singleton-role.js";
+import * as singletonRole from "./platform/singleton-role.js";
 import * as registerReplica from "./register-replica.js";
 import * as talliesHost from "./tallies-host.js";
 import * as quorumContact from "./voters/quorum-contact.js";
@@ -60,6 +62,8 @@
   readonly tallies: replicatedCounters.ReplicatedCounters;
   /** Null where the setting `batches` is off. */
   readonly batches: batches.Batches | null;
+  /** Null where the settings name no duties. */
+  readonly duties: duties.Duties | null;
 }
 
 /** Makes the parts of a control node, in the order in which they depend on each other, and connects them. */
@@ -83,12 +87,16 @@
     ...made,
     tallies: talliesHost.makeTallies({ clock, incarnation, address, handlers, ...made, settings: () => host.settings() }),
     batches: makeBatches(host, made),
+    duties: makeDuties(host, made),
   };
   connect(host, connected);
   return connected;
 }
 
-function makeBatches(host: ControlHost, made: Omit<ControlParts, "tallies" | "batches">): batches.Batches | null {
+/** The parts that the others are made of. */
+type CoreParts = Omit<ControlParts, "tallies" | "batches" | "duties">;
+
+function makeBatches(host: ControlHost, made: CoreParts): batches.Batches | null {
   const { clock, incarnation, address, handlers, seeds } = host;
   return batches.makeBatches(clock, {
     incarnation,
@@ -106,6 +114,24 @@
   });
 }
 
+function makeDuties(host: ControlHost, made: CoreParts): duties.Duties | null {
+  const { clock, incarnation, address, handlers, seeds } = host;
+  const { dial, feed, members, fleetObserver: observer } = made;
+  return duties.makeDuties(clock, {
+    incarnation,
+    address,
+    handlers,
+    seeds,
+    startup: host.settings(),
+    dial,
+    feed,
+    members,
+    rank: () => (host.eligibility() === singletonRole.CONFIRMED ? observer.watcherRank() : null),
+    connectedControls: () => host.connectedControls(),
+    wallClock: wallClock.timeOfDayMs,
+  });
+}
+
 /** Registers the parts' handlers and their listeners on each other. */
 function connect(host: ControlHost, made: ControlParts): void {
   const { handlers } = host;
--- a/src/control/control-program.ts
+++ b/src/control/control-program.ts
@@ -89,7 +89,7 @@
     root.add(root.turns("beats", link.HEARTBEAT_INTERVAL_MS, () => this.sendHeartbeats()));
     root.add(root.turns("turn", CHECK_INTERVAL_MS, () => this.runPeriodically()));
     root.add({ name: "disk", start: () => this.openDisk(), stop: () => this.closeDisk() });
-    if (parts.batches) root.add(parts.batches.child());
+    for (const part of [parts.batches, parts.duties]) if (part) root.add(part.child());
   }
 
   private operatorReply(): serve.RequestHandler {
@@ -168,7 +168,7 @@
   }
 
   private runPeriodically(): void {
-    const { dial, members, replica, contact, fleetObserver, voterManager, tallies, batches } = this.parts;
+    const { dial, members, replica, contact, fleetObserver, voterManager, tallies, batches, duties } = this.parts;
     dial.maintainLinks();
     members.expireSilent();
     replica.runPeriodically();
@@ -177,6 +177,7 @@
     voterManager.runPeriodically();
     tallies.runPeriodically();
     batches?.runPeriodically();
+    duties?.runPeriodically();
   }
 
   /** Never waits for the disk: until it is read, this node runs without a vote. */
@@ -199,8 +200,9 @@
 
   /** The settings were read again: seeds, bounds and the platform's address take effect; own addresses do not. */
   applySettings(startup: settings.Settings): void {
-    const { dial, fleetObserver, leases } = this.parts;
+    const { dial, fleetObserver, leases, duties } = this.parts;
     this.startup = startup;
+    duties?.applySettings(startup);
     dial.addAddresses(settings.innerSeeds(startup));
     fleetObserver.applySettings(startup);
     leases.updateSettings(startup.bounds);
@@ -209,7 +211,7 @@
 
   /** As `cranewind status` shows it. */
   status(): unknown {
-    const { replica, contact, members, fleetObserver, leases, tallies, batches } = this.parts;
+    const { replica, contact, members, fleetObserver, leases, tallies, batches, duties } = this.parts;
     return controlStatus.buildStatus({
       node: this.describe(),
       replica,
@@ -220,6 +222,7 @@
       quotas: leases.quotas.status(),
       tallies: tallies.status(),
       batches: batches?.status() ?? null,
+      duties: duties?.status() ?? null,
     });
   }
 
@@ -241,11 +244,12 @@
 
   /** The calls under way need the links and the disks of the peers: they are answered before these end. */
   private async handOver(): Promise<void> {
-    const { voterManager, tallies, batches } = this.parts;
+    const { voterManager, tallies, batches, duties } = this.parts;
     await Promise.all([
       this.answerCalls(),
       voterManager.handOver(HAND_OVER_TIMEOUT_MS),
       batches?.handOver(HAND_OVER_TIMEOUT_MS),
+      duties?.handOver(HAND_OVER_TIMEOUT_MS),
       tallies.handOver(HAND_OVER_TIMEOUT_MS),
     ]);
   }
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -23,11 +23,13 @@
   tallies: unknown;
   /** Null where batches are off. */
   batches: unknown;
+  /** Null where the settings name no duties. */
+  duties: unknown;
 }
 
 /** The status of a control node as JSON; its names are read by `cranewind status`. */
 export function buildStatus(parts: StatusParts): unknown {
-  const { node, replica, contact, members, disk, cells, quotas, tallies, batches } = parts;
+  const { node, replica, contact, members, disk, cells, quotas, tallies, batches, duties } = parts;
   const value = replica.chosen;
   return {
     node,
@@ -47,6 +49,7 @@
     quotas,
     tallies,
     batches,
+    duties,
     counters: Object.fromEntries(log.counted()),
     vitals: vitals.vitals(),
     links: Object.fromEntries(counts.linkCounts()),
--- /dev/null
+++ b/src/control/duties/duties.ts
@@ -0,0 +1,167 @@
+/** The duties at the platform at one control node (design/duties 1): register, lease, usage and calls, connected. */
+import * as dutyOwner from "../../duties/duty-owner.js";
+import * as dutyTable from "../../duties/duty-table.js";
+import * as platformDuties from "../../duties/platform-duties.js";
+import * as timeOfDay from "../../duties/time-of-day.js";
+import * as usageCollector from "../../duties/usage-collector.js";
+import * as usageLedger from "../../duties/usage-ledger.js";
+import * as usageReporter from "../../duties/usage-reporter.js";
+import type * as controlNode from "../../feed/control-node.js";
+import type * as dialer from "../../feed/dialer.js";
+import type * as feedPublisher from "../../feed/feed-publisher.js";
+import * as loadSummary from "../../load/load-summary.js";
+import type * as settings from "../../settings/settings.js";
+import type * as tree from "../../supervisor/tree.js";
+import * as calls from "../../wire/calls.js";
+import type * as dutySchema from "../../wire/duty-schema.js";
+import * as features from "../../wire/features.js";
+import type * as link from "../../wire/link.js";
+import type * as schema from "../../wire/schema.js";
+import type * as types from "../../wire/types.js";
+import type * as membership from "../members/membership.js";
+import * as sideRegister from "../side-register.js";
+
+/** Names of duties in the settings. */
+const USAGE_REPORT = "usage_report";
+const MS_PER_S = 1000;
+
+/** The control node around them. */
+export interface DutiesHost {
+  readonly incarnation: string;
+  readonly address: string;
+  readonly startup: settings.Settings;
+  readonly seeds: string[];
+  readonly dial: dialer.Dialer;
+  readonly handlers: link.Handlers;
+  readonly feed: feedPublisher.FeedPublisher;
+  readonly members: membership.Membership;
+  /** This node's rank among those that may hold the lease, 0 is the first; null: it may not. */
+  rank(): number | null;
+  /** This node and the control nodes that have a session here. */
+  connectedControls(): schema.NodeInfo[];
+  /** This machine's time of day, in milliseconds since the start of 1970. */
+  wallClock(): number;
+}
+
+/** Null where the settings name no duties, or there is no disk or no platform. */
+export function makeDuties(clock: types.Clock, host: DutiesHost): Duties | null {
+  const { cloud_api: platform, data_dir: dataDir } = host.startup;
+  return platform.duties.length === 0 || !platform.address || !dataDir ? null : new Duties(clock, host, dataDir);
+}
+
+/** Made only where the settings name duties. */
+export class Duties {
+  private readonly register: sideRegister.SideRegister;
+  private readonly time: timeOfDay.TimeOfDay;
+  private readonly ledger = new usageLedger.UsageLedger();
+  private readonly reporter: usageReporter.UsageReporter;
+  private readonly collector: usageCollector.UsageCollector;
+  private readonly platform: platformDuties.PlatformDuties;
+  private readonly owner: dutyOwner.DutyOwner;
+
+  constructor(
+    clock: types.Clock,
+    private readonly host: DutiesHost,
+    dataDir: string,
+  ) {
+    const { incarnation, address, startup, seeds, dial } = host;
+    const isBootstrap = startup.duties_bootstrap ?? startup.bootstrap;
+    const options = { kind: sideRegister.DUTIES, incarnation, address, dataDir, seeds, isBootstrap };
+    this.register = new sideRegister.SideRegister(clock, options, dial, () => host.connectedControls());
+    this.time = new timeOfDay.TimeOfDay(clock, () => host.wallClock());
+    const terms = usageTerms(startup.bounds);
+    this.reporter = new usageReporter.UsageReporter(this.ledger, this.time, terms);
+    this.platform = new platformDuties.PlatformDuties(clock, startup.cloud_api.address ?? "");
+    this.owner = new dutyOwner.DutyOwner({
+      clock,
+      register: this.register.replica,
+      platform: this.platform,
+      self: { name: startup.node_name, life: incarnation },
+      leaseMs: startup.bounds.lease_ms,
+      rank: () => host.rank(),
+      dueReports: (table) => (this.has(USAGE_REPORT) ? this.reporter.dueReports(table) : []),
+      newOrders: () => [],
+    });
+    this.collector = this.makeCollector(clock, terms.windowMs);
+    this.register.registerHandlers(host.handlers);
+    host.handlers.on(calls.usageRelay, (_from, relay) => this.receiveRelay(relay));
+  }
+
+  private has(duty: string): boolean {
+    return this.host.startup.cloud_api.duties.includes(duty);
+  }
+
+  private makeCollector(clock: types.Clock, windowMs: number): usageCollector.UsageCollector {
+    const { time, ledger, host } = this;
+    return new usageCollector.UsageCollector({
+      clock,
+      name: host.startup.node_name,
+      windowMs,
+      time,
+      ledger,
+      routers: () => this.followingRouters(),
+      holder: () => this.owner.table?.life ?? "",
+      peer: (incarnation) => this.controlWith(incarnation),
+      decidedThrough: () => this.owner.table?.decidedThrough ?? dutyTable.NO_WINDOW,
+    });
+  }
+
+  /** The routers that follow this node and count usage. */
+  private *followingRouters(): Generator<usageCollector.FollowingRouter> {
+    const followers = new Set(this.host.feed.subscribersOf(loadSummary.SUMMARY_TOPIC));
+    for (const { node, link, features: named } of this.host.members.routerSessions()) {
+      if (followers.has(link) && (named & features.DUTIES) !== 0) yield { name: node.name, link };
+    }
+  }
+
+  private controlWith(incarnation: string): controlNode.ControlNode | null {
+    for (const control of this.host.dial.controls.values()) if (control.node.life === incarnation) return control;
+    return null;
+  }
+
+  private receiveRelay(relay: dutySchema.UsageRelay): dutySchema.UsageRelayReply {
+    this.ledger.join(relay.windows);
+    this.reporter.recordRelay(relay.from);
+    for (const { node, roundTripMs } of this.host.dial.controls.values()) {
+      if (node.name === relay.from) this.time.recordSample(relay.from, relay.timeOfDayMs + roundTripMs / 2);
+    }
+    return { isHolder: this.owner.isHolder, timeOfDayMs: this.time.now() };
+  }
+
+  /** Run by the control node's timer. */
+  runPeriodically(): void {
+    this.register.runPeriodically();
+    this.owner.runPeriodically();
+    if (this.has(USAGE_REPORT)) this.collector.runPeriodically();
+  }
+
+  /** The settings were read again: the platform's address takes effect. */
+  applySettings(startup: settings.Settings): void {
+    this.platform.setAddress(startup.cloud_api.address ?? "");
+  }
+
+  /** For the supervisor. */
+  child(): tree.Child {
+    return { name: "duties", start: () => this.register.start(), stop: () => this.stop() };
+  }
+
+  status(): unknown {
+    return { ...(this.owner.status() as object), register: this.register.status() };
+  }
+
+  /** Ends the call under way and hands the vote over, while links are still up. `timeoutMs`: for the vote. */
+  async handOver(timeoutMs: number): Promise<void> {
+    await this.owner.finishInFlight();
+    await this.register.handOver(timeoutMs);
+  }
+
+  private async stop(): Promise<void> {
+    this.platform.close();
+    await this.register.stop();
+  }
+}
+
+function usageTerms(bounds: settings.Settings["bounds"]): usageReporter.UsageTerms {
+  const { report_window_s: windowS, usage_delay_s: dueS, merge_delay_ms: mergeMs } = bounds;
+  return { windowMs: windowS * MS_PER_S, dueMs: dueS * MS_PER_S, mergeMs: mergeMs ?? null };
+}
--- a/src/control/members/membership.ts
+++ b/src/control/members/membership.ts
@@ -56,6 +56,7 @@
     const session = this.sessions.ofLink(from);
     if (!session) return;
     const { node } = session;
+    session.features = heartbeat.index;
     if (node.isReady === heartbeat.isReady && node.epoch === heartbeat.epoch) return;
     if (node.isReady && !heartbeat.isReady) this.drainNotices.record(node.life);
     if (heartbeat.isReady) this.drainNotices.withdraw(node.life);
@@ -141,6 +142,11 @@
     return this.sessions.readyRouters();
   }
 
+  /** All routers with sessions here, ready or not. */
+  *routerSessions(): Generator<sessions.Session> {
+    for (const session of this.sessions.all()) if (session.node.role === "router") yield session;
+  }
+
   /** Control nodes that have a session here, but for the one named. */
   connectedControls(except: string): schema.NodeInfo[] {
     return this.observedNodes("control").filter((node) => node.name !== except && this.hasSession(node.name));
--- a/src/control/members/sessions.ts
+++ b/src/control/members/sessions.ts
@@ -11,6 +11,8 @@
   /** As its last heartbeat or membership update says. */
   node: schema.NodeInfo;
   readonly link: link.Link;
+  /** As its last heartbeat names them (features.ts); 0 before the first. */
+  features: number;
 }
 
 /** Sessions by node and by link. A session ends with its link. */
@@ -27,7 +29,7 @@
   /** Opens a session; a newer session of a node ends the older one. */
   open(node: schema.NodeInfo, from: link.Link): void {
     const previous = this.byNode.get(node.name);
-    const session = { node, link: from };
+    const session = { node, link: from, features: 0 };
     this.byNode.set(node.name, session);
     this.byLink.set(from, session);
     this.onChange();
--- a/src/control/platform/fleet-observer.ts
+++ b/src/control/platform/fleet-observer.ts
@@ -149,7 +149,8 @@
     return candidates;
   }
 
-  private watcherRank(): number {
+  /** This node's rank among those that may hold a singleton role of the whole system. */
+  watcherRank(): number {
     return singletonRole.rankOf(this.startup.node_name, singletonRole.bestCandidates(this.candidates()));
   }
 
--- a/src/control/batches/batch-register.ts
+++ b/src/control/side-register.ts
@@ -1,41 +1,76 @@
 /**
- * The batch register of a control node (design/batch 3): the same register as the configuration's, with a value, voters
- * and a disk folder of its own, so that batches have its guarantees and don't slow its changes down.
+ * A register of a control node beside the configuration's (design/batch 3, design/duties 2): the same agreement, with a value,
+ * voters and a disk folder of its own, so that what it holds has the same guarantees and doesn't slow configurations down.
  */
 import * as path from "node:path";
-import * as calls from "../../wire/calls.js";
-import type * as link from "../../wire/link.js";
-import type * as schema from "../../wire/schema.js";
-import type * as types from "../../wire/types.js";
-import type * as controlNode from "../../feed/control-node.js";
-import type * as dialer from "../../feed/dialer.js";
-import * as registerValue from "../../register/register-value.js";
-import * as files from "../../store/files.js";
-import * as dataDirLock from "../../store/data-dir-lock.js";
-import * as voterManager from "../voters/voter-manager.js";
-import type * as registerChannel from "../register-channel.js";
-import * as registerReplica from "../register-replica.js";
-import * as voterDisk from "../voters/voter-disk.js";
-
-/** The folder of the register's files below data_dir. */
-const FOLDER = "batches";
+import type * as batchSchema from "../wire/batch-schema.js";
+import * as calls from "../wire/calls.js";
+import * as features from "../wire/features.js";
+import type * as link from "../wire/link.js";
+import type * as schema from "../wire/schema.js";
+import type * as types from "../wire/types.js";
+import type * as controlNode from "../feed/control-node.js";
+import type * as dialer from "../feed/dialer.js";
+import * as registerValue from "../register/register-value.js";
+import * as files from "../store/files.js";
+import * as dataDirLock from "../store/data-dir-lock.js";
+import * as voterManager from "./voters/voter-manager.js";
+import type * as registerChannel from "./register-channel.js";
+import * as registerReplica from "./register-replica.js";
+import * as voterDisk from "./voters/voter-disk.js";
+
 /** The own disk is announced to peers this often, in case a message was lost. */
 const ANNOUNCE_INTERVAL_MS = 1000;
 
+/** What tells one register from another: its name, its folder and its calls. */
+export interface SideRegisterKind extends Omit<registerChannel.RegisterChannel, "logsEpochs" | "diskOf"> {
+  /** Below data_dir. */
+  readonly folder: string;
+  /** Announces the own disk in this register. */
+  readonly announceDisk: calls.Call<batchSchema.BatchNode, { _: boolean }>;
+  /** Peers without this feature get none of its messages; null: all peers have them. */
+  readonly feature: number | null;
+}
+
+/** The register of batches. */
+export const BATCHES: SideRegisterKind = {
+  name: "batch register",
+  folder: "batches",
+  prepare: calls.batchPrepare,
+  accept: calls.batchAccept,
+  chosen: calls.batchChosen,
+  requestChosen: calls.batchAsk,
+  announceDisk: calls.batchNode,
+  feature: null,
+};
+
+/** The register of the duties at the platform. */
+export const DUTIES: SideRegisterKind = {
+  name: "duty register",
+  folder: "duties",
+  prepare: calls.dutyPrepare,
+  accept: calls.dutyAccept,
+  chosen: calls.dutyChosen,
+  requestChosen: calls.dutyAsk,
+  announceDisk: calls.dutyNode,
+  feature: features.DUTIES,
+};
+
 /** Which node this is, and how its register begins. */
-export interface BatchRegisterOptions {
+export interface SideRegisterOptions {
+  kind: SideRegisterKind;
   /** Of this process. */
   incarnation: string;
   /** Of this node's links. */
   address: string;
   dataDir: string;
-  /** Addresses of the first voters, and whether this is the very first start with batches. */
+  /** Addresses of the first voters, and whether this is the very first start of this register. */
   seeds: string[];
   isBootstrap: boolean;
 }
 
 /** Run by the control node's timer. */
-export class BatchRegister {
+export class SideRegister {
   readonly replica: registerReplica.RegisterReplica;
   private readonly disk: voterDisk.VoterDisk;
   private readonly voterManager: voterManager.VoterManager;
@@ -46,14 +81,14 @@
   /** `connectedControls`: this node and the control nodes that have a session here. */
   constructor(
     private readonly clock: types.Clock,
-    private readonly options: BatchRegisterOptions,
+    private readonly options: SideRegisterOptions,
     private readonly dial: dialer.Dialer,
     private readonly connectedControls: () => schema.NodeInfo[],
   ) {
     const { incarnation, address, seeds, isBootstrap } = options;
     const initialValue = registerValue.initialValue(isBootstrap ? seeds : []);
     this.replica = new registerReplica.RegisterReplica(clock, { incarnation, address, initialValue, channel: this.channel() }, dial);
-    const folder = new files.LocalFolder(path.join(options.dataDir, FOLDER));
+    const folder = new files.LocalFolder(path.join(options.dataDir, options.kind.folder));
     const machine = { clock, folder, processes: dataDirLock.systemProcesses };
     this.disk = new voterDisk.VoterDisk(machine, { address, seeds, isBootstrap }, (voter) => this.replica.attachVoter(voter));
     this.voterManager = new voterManager.VoterManager(clock, this.replica, () => this.connectedNodes());
@@ -62,21 +97,13 @@
   }
 
   private channel(): registerChannel.RegisterChannel {
-    return {
-      name: "batch register",
-      logsEpochs: false,
-      prepare: calls.batchPrepare,
-      accept: calls.batchAccept,
-      chosen: calls.batchChosen,
-      requestChosen: calls.batchAsk,
-      diskOf: (control) => this.disksByAddress.get(control.address) ?? "",
-    };
+    return { ...this.options.kind, logsEpochs: false, diskOf: (control) => this.disksByAddress.get(control.address) ?? "" };
   }
 
   /** Registers the handlers of peers' calls of this register. */
   registerHandlers(handlers: link.Handlers): void {
     this.replica.registerHandlers(handlers);
-    handlers.on(calls.batchNode, (_from, announced) => {
+    handlers.on(this.options.kind.announceDisk, (_from, announced) => {
       this.disksByAddress.set(announced.address, announced.disk);
       return null;
     });
@@ -87,13 +114,15 @@
     this.disk.start();
   }
 
-  /** Where the records of batches go, beside the register's own files. */
-  recordFolder(): files.LocalFolder {
-    return new files.LocalFolder(path.join(this.options.dataDir, FOLDER, "records"));
+  private announceDisk(control: controlNode.ControlNode): void {
+    const { kind, address } = this.options;
+    if (this.hasRegister(control)) control.link.send(kind.announceDisk, { address, disk: this.replica.disk });
   }
 
-  private announceDisk(control: controlNode.ControlNode): void {
-    control.link.send(calls.batchNode, { address: this.options.address, disk: this.replica.disk });
+  /** Whether the peer takes part: a build from before this register would end the link. */
+  private hasRegister(control: controlNode.ControlNode): boolean {
+    const { feature } = this.options.kind;
+    return feature === null || (control.heartbeat !== null && features.hasFeature(control.heartbeat, feature));
   }
 
   /** The nodes in touch with their disks in this register. */
@@ -118,7 +147,7 @@
 
   /** The message of a chosen value may be lost with a link: a peer at random is asked for its newest value. */
   private catchUp(): void {
-    const controls = [...this.dial.controls.values()];
+    const controls = [...this.dial.controls.values()].filter((control) => this.hasRegister(control));
     if (controls.length === 0) return;
     const control = controls[Math.floor(this.clock.random() * controls.length)];
     const known = this.replica.chosen?.epoch;
--- a/src/router/client/router-server.ts
+++ b/src/router/client/router-server.ts
@@ -54,6 +54,8 @@
   /** Whether requests may be routed; those that come earlier wait for a moment. */
   isReady: () => boolean;
   recordSend: transactionContext.TransactionContext["recordSend"];
+  /** A request of the tenant began to run. */
+  recordBegun: (tenant: string) => void;
   machine: MachineLimits;
   batches: routerBatches.RouterBatches;
   tenantGate: tenantGate.TenantGate;
@@ -276,14 +278,17 @@
 
   private startTransaction(request: routeRequest.RouteRequest, { incoming, outgoing }: Exchange, unit: tenantGate.QuotaUnit): void {
     const { active, buffered } = this;
-    const { clock, picker, recordSend, tenantGate } = this.options;
+    const { clock, picker, recordSend, recordBegun, tenantGate } = this.options;
     const bytes = request.body?.length ?? 0;
     const onFinished = (): void => {
       if (!active.delete(transaction)) return;
       buffered.bytes -= bytes;
       if (transaction.wasNeverSent) tenantGate.returnQuota(request.tenant, unit);
     };
-    const context = { clock, picker, onFinished, recordSend, isDraining: () => this.isDraining };
+    const onBegun = (): void => {
+      if (request.tenant) recordBegun(request.tenant.name);
+    };
+    const context = { clock, picker, onFinished, onBegun, recordSend, isDraining: () => this.isDraining };
     const transaction = new requestTransaction.Transaction(context, request, incoming, outgoing);
     buffered.bytes += bytes;
     active.add(transaction);
--- a/src/router/request-transaction.ts
+++ b/src/router/request-transaction.ts
@@ -39,6 +39,7 @@
   private deadlineTimer: types.Timer | null = null;
   private prefill: PendingPrefill | null = null;
   private mayHaveRun = false;
+  private hasBegun = false;
   private nextSilenceCheckAt = 0;
   private readonly response: clientResponse.ClientResponse;
 
@@ -131,9 +132,18 @@
     this.transition("done", outcome);
   }
 
+  /** A runner that responds, and does not say otherwise, has begun to run the request; further attempts are not counted. */
+  private recordBegun(): void {
+    if (this.hasBegun) return;
+    this.hasBegun = true;
+    this.context.onBegun();
+  }
+
   onHead(_attempt: runnerAttempt.Attempt, head: responseHead.ResponseHead): boolean {
     const { entry } = this.request;
     const isSuccess = responseHead.isSuccess(head);
+    // A stream begins with its first token.
+    if (!isSuccess || entry.route.route_type !== "streaming") this.recordBegun();
     if (isSuccess && !responseHead.isSealed(head)) return false;
     if (this.response.isHeadSent) return this.resumeStream(head);
     // A status that clients read as "not executed" is forwarded only with the header that says so.
@@ -154,6 +164,7 @@
 
   onChunk(_attempt: runnerAttempt.Attempt, chunk: Buffer): boolean {
     if (this.state !== "forwarding") return true;
+    this.recordBegun();
     if (this.prefill) this.context.picker.prefills.learnRate(this.prefill.tokens, this.context.clock.now() - this.prefill.since);
     this.prefill = null;
     return this.response.write(chunk);
--- a/src/router/router-program.ts
+++ b/src/router/router-program.ts
@@ -1,6 +1,8 @@
 /** The router process: its parts wired together, and what it does with each update from the control nodes (design 7). It keeps no persistent state. */
 import * as crypto from "node:crypto";
+import * as usageCounter from "../duties/usage-counter.js";
 import * as calls from "../wire/calls.js";
+import * as features from "../wire/features.js";
 import * as link from "../wire/link.js";
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
@@ -55,6 +57,7 @@
   private readonly server: routerServer.RouterServer;
   private readonly batches: routerBatches.RouterBatches;
   private readonly tenantGate: tenantGate.TenantGate;
+  private readonly usage: usageCounter.UsageCounter;
   private epoch = types.NO_EPOCH;
   readonly root: tree.Supervisor;
 
@@ -75,12 +78,15 @@
     this.dial.on("heartbeat", () => this.updateServeGate());
     this.batches = new routerBatches.RouterBatches(this.incarnation, this.prefills, this.picker.admission);
     this.batches.register(this.handlers);
+    this.usage = new usageCounter.UsageCounter(clock, this.incarnation);
+    this.handlers.on(calls.usageCollect, (_from, request) => this.usage.reply(request));
     this.tenantGate = new tenantGate.TenantGate(clock, region, this.dial.controls, bounds);
     this.server = new routerServer.RouterServer({
       clock,
       picker: this.picker,
       isReady: () => this.gate.allows(),
       recordSend: (request, runner) => this.prefillSharing.recordSend(request, runner),
+      recordBegun: (tenant) => this.usage.record(tenant),
       machine: startup.limits,
       batches: this.batches,
       tenantGate: this.tenantGate,
@@ -143,7 +149,14 @@
   }
 
   private sendHeartbeat(): void {
-    this.dial.sendHeartbeats({ isReady: this.isReady(), epoch: this.epoch, isSettled: true, index: 0, members: 1, silentRegions: [] });
+    this.dial.sendHeartbeats({
+      isReady: this.isReady(),
+      epoch: this.epoch,
+      isSettled: true,
+      index: features.ROUTER_FEATURES,
+      members: 1,
+      silentRegions: [],
+    });
   }
 
   private runPeriodically(): void {
--- a/src/router/transaction-context.ts
+++ b/src/router/transaction-context.ts
@@ -9,6 +9,8 @@
   picker: runnerPicker.RunnerPicker;
   /** Called once, when the transaction is done. */
   onFinished(): void;
+  /** Called once, when a runner is known to have begun to run the request. */
+  onBegun(): void;
   /** A request goes to this runner, and other routers are notified of its prefill; returns the prompt's tokens that the runner has not cached. */
   recordSend(request: routeRequest.RouteRequest, runner: types.RunnerId): number;
   /** Whether the router shuts down: each response is then the last on its connection. */
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -35,6 +35,7 @@
   admission: superstruct.defaulted(superstruct.enums(["on", "off"]), "on"),
   batches: superstruct.defaulted(superstruct.enums(["on", "off"]), "off"),
   batches_bootstrap: superstruct.optional(superstruct.boolean()),
+  duties_bootstrap: superstruct.optional(superstruct.boolean()),
   unconfirmed_serve_s: superstruct.defaulted(nonNegative, 900),
   heartbeat_ms: superstruct.defaulted(positive, 1000),
   fault_tolerance: superstruct.type({ machines: superstruct.defaulted(superstruct.min(superstruct.integer(), 0), 1) }),
@@ -57,11 +58,17 @@
     quota_tolerance: superstruct.defaulted(nonNegative, 0),
     revocation_strict: superstruct.defaulted(superstruct.boolean(), false),
     revoke_delay_ms: superstruct.defaulted(positive, 5000),
+    lease_ms: superstruct.defaulted(positive, 3000),
+    report_window_s: superstruct.defaulted(positive, 5),
+    usage_delay_s: superstruct.defaulted(positive, 10),
+    merge_delay_ms: superstruct.optional(nonNegative),
   }),
   cloud_api: superstruct.type({
     address: superstruct.optional(address),
     rate_per_s: superstruct.defaulted(positive, 1),
     max_lag_ms: superstruct.defaulted(nonNegative, 1000),
+    duties: superstruct.defaulted(superstruct.array(superstruct.string()), []),
+    duties_per_s: superstruct.defaulted(positive, 10),
   }),
 });
 
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -1,5 +1,6 @@
 // Calls and their replies are pairs of types behind one generic handler (design 3.3).
 import * as batchSchema from "./batch-schema.js";
+import * as dutySchema from "./duty-schema.js";
 import * as leaseSchema from "./lease-schema.js";
 import * as orderSchema from "./order-schema.js";
 import * as schema from "./schema.js";
@@ -120,3 +121,19 @@
 export const counterPush = defineOptionalCall(57, "tally_push", tallySchema.tallyPush, tallySchema.counterPushReply);
 /** Asks for a part of a snapshot of all tallies. */
 export const counterSnapshot = defineOptionalCall(58, "tally_snapshot", tallySchema.counterSnapshotRequest, tallySchema.tallySnapshotPart);
+
+// Of duties at the platform: sent only to nodes that name the feature in their heartbeats (design/duties).
+/** First phase of a ballot of the duty register. */
+export const dutyPrepare = defineOptionalCall(60, "duty_prepare", schema.prepare, schema.vote);
+/** Second phase of a ballot of the duty register. */
+export const dutyAccept = defineOptionalCall(61, "duty_accept", schema.accept, schema.vote);
+/** A value of the duty register is known to be chosen. */
+export const dutyChosen = defineOptionalCall(62, "duty_chosen", schema.chosen, schema.empty);
+/** Asks for a newer chosen value of the duty register. */
+export const dutyAsk = defineOptionalCall(63, "duty_ask", schema.ask, schema.chosen);
+/** Which disk a control node has in the duty register. */
+export const dutyNode = defineOptionalCall(64, "duty_node", batchSchema.batchNode, schema.empty);
+/** Asks a router for the usage that it counted. */
+export const usageCollect = defineOptionalCall(65, "usage_collect", dutySchema.usageRequest, dutySchema.usageReply);
+/** Usage that a control node collected, to the holder of the lease. */
+export const usageRelay = defineOptionalCall(66, "usage_relay", dutySchema.usageRelay, dutySchema.usageRelayReply);
--- a/src/wire/features.ts
+++ b/src/wire/features.ts
@@ -10,8 +10,14 @@
 /** Keeps tallies with other control nodes (tallies/replication.ts). */
 export const TALLIES = 2;
 
+/** Takes part in the duties at the platform (control/duties). Routers name it in their heartbeats, too. */
+export const DUTIES = 4;
+
 /** The features of this build, for its beats. */
-export const OWN_FEATURES = FORWARDED_ORDERS | TALLIES;
+export const OWN_FEATURES = FORWARDED_ORDERS | TALLIES | DUTIES;
+
+/** The features of a router of this build, for its heartbeats. */
+export const ROUTER_FEATURES = DUTIES;
 
 /** Whether the sender of the beat has the feature; builds from before features say 0. */
 export function hasFeature(beat: schema.Heartbeat, feature: number): boolean {
--- a/src/wire/http.ts
+++ b/src/wire/http.ts
@@ -17,6 +17,8 @@
   headerBytes?: number;
   /** Called when the client's socket fails, before any answer is ended by that failure; at most twice. */
   onSocketError?: () => void;
+  /** Called with each connection that is established, before its first request. */
+  onSocket?: (socket: net.Socket) => void;
 }
 
 /**
@@ -33,12 +35,13 @@
 
 /** The library's own connector; the listeners are the socket's first, so they hear of a failure before the library does. */
 function connector(options: ClientOptions): undici.buildConnector.connector {
-  const { onSocketError } = options;
+  const { onSocketError, onSocket } = options;
   const connect = buildConnector({ timeout: options.connectMs });
-  if (!onSocketError) return connect;
+  if (!onSocketError && !onSocket) return connect;
   return function watched(target, callback) {
     connect(target, function connected(...result) {
-      if (result[1]) watchFailure(result[1], onSocketError);
+      if (result[1] && onSocketError) watchFailure(result[1], onSocketError);
+      if (result[1]) onSocket?.(result[1]);
       callback(...result);
     });
   };
--- a/src/wire/names.ts
+++ b/src/wire/names.ts
@@ -17,5 +17,7 @@
   retryAfter: "retry-after",
   base: "x-cranewind-base-version",
   tenant: "x-cranewind-tenant",
+  dutyHolder: "x-cranewind-duty-holder",
+  fence: "x-cranewind-fence-token",
   key: "api-key",
 } as const;
--- a/tests/house.test.ts
+++ b/tests/house.test.ts
@@ -9,14 +9,21 @@
   });
 }
 
-/** Commands for people may show the time a request took; nothing else may look at the time of day. */
-const MAY_TELL_TIME = new Set(["src/cli/ask.ts"]);
+/** Commands for people may show the time a request took, and windows of usage are those of the wall clock; nothing else may look at the time of day. */
+const MAY_TELL_TIME = new Set(["src/cli/ask.ts", "src/runtime/wall-clock.ts"]);
+/** Where the time of day is handed to the duties. */
+const MAY_READ_WALL_CLOCK = ["src/control/control-parts.ts"];
 
 test("only the steady clock decides anything", () => {
   const found = sources("src").filter((file) => !MAY_TELL_TIME.has(file) && /Date\.now|new Date\b/.test(fs.readFileSync(file, "utf8")));
   expect(found).toEqual([]);
 });
 
+test("the time of day goes to the usage reports alone", () => {
+  const found = sources("src").filter((file) => /wall-clock\.js/.test(fs.readFileSync(file, "utf8")));
+  expect(found).toEqual(MAY_READ_WALL_CLOCK);
+});
+
 test("chance comes in through the clock", () => {
   const found = sources("src").filter((file) => file !== "src/runtime/timers.ts" && /Math\.random/.test(fs.readFileSync(file, "utf8")));
   expect(found).toEqual([]);
--- a/tests/model/run.ts
+++ b/tests/model/run.ts
@@ -1,6 +1,7 @@
 // `npm run model -- --seeds 10000`: plays one history for each seed, with a progress line; ends with 1 if any fails.
-// `--of quotas` and `--of keys` play days of tenants, `--of tallies` histories of tallies, instead of those of the register.
+// `--of quotas` and `--of keys` play days of tenants, `--of tallies` histories of tallies, `--of duties` of the duties at the platform, instead of those of the register.
 import * as commander from "commander";
+import * as dutyHistory from "../duties/history.js";
 import * as keyLeaseDays from "../sim/key-lease-days.js";
 import * as quotaDays from "../sim/quota-days.js";
 import type * as quotas from "../sim/quotas.js";
@@ -52,11 +53,17 @@
   return faults.length > 0 ? `seed ${seed}: ${faults[0]} (${faults.length} in all)` : null;
 }
 
+async function playDuties(seed: number, options: Options): Promise<string | null> {
+  const verdict = await new dutyHistory.DutyHistory(seed, options.guard as dutyHistory.Guard).play();
+  return verdict && `seed ${seed}: ${verdict}`;
+}
+
 const PLAYS = new Map<string, PlaySeed>([
   ["register", playRegister],
   ["quotas", playQuotas],
   ["keys", playKeys],
   ["tallies", playTallies],
+  ["duties", playDuties],
 ]);
 
 function describe(failure: check.Failure): string {
@@ -88,7 +95,7 @@
   .description("Random histories of the register, each of one seed, checked for linearizability and progress")
   .option("--seeds <count>", "how many histories", "1000")
   .option("--from <seed>", "the first seed", "1")
-  .option("--of <part>", "what to play: register, quotas, keys or tallies", "register")
+  .option("--of <part>", "what to play: register, quotas, keys, tallies or duties", "register")
   .option("--guard <name>", "the guard to take out, none by default", "none")
   .option("--most <failures>", "stop after so many failures", "1")
   .option("--whole", "print failing histories as drawn, without making them smaller");
--- a/tests/router.test.ts
+++ b/tests/router.test.ts
@@ -91,6 +91,7 @@
     picker,
     isReady: () => true,
     recordSend: () => 0,
+    recordBegun: () => {},
     machine: { memory_mb: 256, max_open_files: 1024 },
     batches: new routerBatches.RouterBatches("life", picker.prefills, picker.admission),
     tenantGate: new tenantGate.TenantGate(clock, "r", new Map(), { revocation_strict: false, revoke_delay_ms: 5000 }),
--- a/tests/sim/router-edge.ts
+++ b/tests/sim/router-edge.ts
@@ -101,6 +101,7 @@
       picker,
       isReady: () => this.isReady,
       recordSend: () => 0,
+      recordBegun: () => {},
       machine: { memory_mb: 256, max_open_files: 1024 },
       batches: new routerBatches.RouterBatches("life", picker.prefills, picker.admission),
       tenantGate: gate,
