Autoscaling: the holder orders runners by use with hysteresis, within the bounds of each zone

Cause: scaling of a service and the duty autoscale were not read. Change: runner-demand.ts, pure: more runners when use is over 0.7 for 2.5 s, once until they have started; fewer only by the highest need of two minutes, a fifth at a time; a zone where one drains is left alone. Orders are decided in the duty register.

--- a/src/config/configuration-check.ts
+++ b/src/config/configuration-check.ts
@@ -44,6 +44,8 @@
   token_stride: superstruct.optional(count),
 });
 
+const scaling = superstruct.type({ min_count: count, max_count: count, startup_s: count });
+
 /** Shape of one service. */
 export const service = superstruct.type({
   name,
@@ -54,6 +56,7 @@
   warmup_s: superstruct.optional(superstruct.nullable(count)),
   warmup_per_s: superstruct.optional(superstruct.nullable(count)),
   runtime: superstruct.optional(superstruct.nullable(runtime)),
+  scaling: superstruct.optional(superstruct.nullable(scaling)),
 });
 
 const limits = superstruct.type({
--- a/src/control/control-parts.ts
+++ b/src/control/control-parts.ts
@@ -126,6 +126,8 @@
     dial,
     feed,
     members,
+    fleetObserver: observer,
+    configuration: () => made.replica.chosen,
     rank: () => (host.eligibility() === singletonRole.CONFIRMED ? observer.watcherRank() : null),
     connectedControls: () => host.connectedControls(),
     wallClock: wallClock.timeOfDayMs,
--- a/src/control/duties/duties.ts
+++ b/src/control/duties/duties.ts
@@ -1,7 +1,9 @@
 /** The duties at the platform at one control node (design/duties 1): register, lease, usage and calls, connected. */
+import type * as configurationCheck from "../../config/configuration-check.js";
 import * as dutyOwner from "../../duties/duty-owner.js";
 import * as dutyTable from "../../duties/duty-table.js";
 import * as platformDuties from "../../duties/platform-duties.js";
+import * as runnerDemand from "../../duties/runner-demand.js";
 import * as timeOfDay from "../../duties/time-of-day.js";
 import * as usageCollector from "../../duties/usage-collector.js";
 import * as usageLedger from "../../duties/usage-ledger.js";
@@ -18,11 +20,15 @@
 import type * as link from "../../wire/link.js";
 import type * as schema from "../../wire/schema.js";
 import type * as types from "../../wire/types.js";
+import * as registerValue from "../../register/register-value.js";
 import type * as membership from "../members/membership.js";
+import type * as fleetObserver from "../platform/fleet-observer.js";
 import * as sideRegister from "../side-register.js";
+import * as zoneLoads from "./zone-loads.js";
 
 /** Names of duties in the settings. */
 const USAGE_REPORT = "usage_report";
+const AUTOSCALE = "autoscale";
 const MS_PER_S = 1000;
 
 /** The control node around them. */
@@ -35,6 +41,9 @@
   readonly handlers: link.Handlers;
   readonly feed: feedPublisher.FeedPublisher;
   readonly members: membership.Membership;
+  readonly fleetObserver: Pick<fleetObserver.FleetObserver, "instances" | "reports">;
+  /** The newest chosen value of the configuration's register. */
+  configuration(): schema.Value | null;
   /** This node's rank among those that may hold the lease, 0 is the first; null: it may not. */
   rank(): number | null;
   /** This node and the control nodes that have a session here. */
@@ -56,6 +65,7 @@
   private readonly ledger = new usageLedger.UsageLedger();
   private readonly reporter: usageReporter.UsageReporter;
   private readonly collector: usageCollector.UsageCollector;
+  private readonly demand: runnerDemand.RunnerDemand;
   private readonly platform: platformDuties.PlatformDuties;
   private readonly owner: dutyOwner.DutyOwner;
 
@@ -71,6 +81,7 @@
     this.time = new timeOfDay.TimeOfDay(clock, () => host.wallClock());
     const terms = usageTerms(startup.bounds);
     this.reporter = new usageReporter.UsageReporter(this.ledger, this.time, terms);
+    this.demand = new runnerDemand.RunnerDemand(clock);
     this.platform = new platformDuties.PlatformDuties(clock, startup.cloud_api.address ?? "");
     this.owner = new dutyOwner.DutyOwner({
       clock,
@@ -80,7 +91,7 @@
       leaseMs: startup.bounds.lease_ms,
       rank: () => host.rank(),
       dueReports: (table) => (this.has(USAGE_REPORT) ? this.reporter.dueReports(table) : []),
-      newOrders: () => [],
+      newOrders: (table) => (this.has(AUTOSCALE) ? this.newOrders(table) : []),
     });
     this.collector = this.makeCollector(clock, terms.windowMs);
     this.register.registerHandlers(host.handlers);
@@ -106,6 +117,14 @@
     });
   }
 
+  private newOrders(table: dutySchema.DutyTable): dutySchema.RunnerOrder[] {
+    const { fleetObserver } = this.host;
+    const loads = zoneLoads.zoneLoads(fleetObserver.instances(), fleetObserver.reports());
+    const value = this.host.configuration();
+    const config = value && (registerValue.unpack(value.config) as configurationCheck.Configuration | null);
+    return this.demand.newOrders(loads, (service) => zoneLoads.scalingBounds(config, service), table.orders);
+  }
+
   /** The routers that follow this node and count usage. */
   private *followingRouters(): Generator<usageCollector.FollowingRouter> {
     const followers = new Set(this.host.feed.subscribersOf(loadSummary.SUMMARY_TOPIC));
