Roll-outs: orders taken durably and told of; a new version gets no requests and is reverted

Change: the duty register holds the newest roll-out of each service; start and describe at any confirmed control node; the reader of the platform's list leaves that version out; the holder reverts. The table's first byte tells its layout. readInstance now gives the version beside the instance; its test compares both.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
 import * as commands from "./commands.js";
 import * as duties from "./duties.js";
 import * as roles from "./roles.js";
+import * as rollout from "./rollout.js";
 import * as tallies from "./tallies.js";
 import * as tenants from "./tenants.js";
 import * as trials from "./try.js";
@@ -150,6 +151,22 @@
     return withExitCode(duties.duties(clock, output, listOf(options.control), options.json === true));
   });
 
+const rollouts = program.command("rollout").description("new versions of a service (docs/design/rollouts.md)");
+rollouts
+  .command("start <service> <version> <seconds>")
+  .description("start a roll-out; in this release it is reverted at once")
+  .requiredOption(...controls)
+  .action(function startRollout(service: string, version: string, durationS: string, options: Options) {
+    return withExitCode(rollout.start(clock, output, listOf(options.control), { service, version, durationS }));
+  });
+rollouts
+  .command("status <service>")
+  .description("how far the newest roll-out of a service is")
+  .requiredOption(...controls)
+  .action(function rolloutStatus(service: string, options: Options) {
+    return withExitCode(rollout.status(clock, output, listOf(options.control), service));
+  });
+
 program
   .command("whatif <file>")
   .description("play a described day through the router's policies")
--- a/src/control/control-parts.ts
+++ b/src/control/control-parts.ts
@@ -89,6 +89,8 @@
     batches: makeBatches(host, made),
     duties: makeDuties(host, made),
   };
+  const { duties: dutiesMade } = connected;
+  if (dutiesMade) observer.withheld = () => dutiesMade.withheldVersions();
   connect(host, connected);
   return connected;
 }
--- a/src/control/control-program.ts
+++ b/src/control/control-program.ts
@@ -93,9 +93,9 @@
   }
 
   private operatorReply(): serve.RequestHandler {
-    const { replica, batches, dial, contact } = this.parts;
+    const { replica, batches, duties, dial, contact } = this.parts;
     const zones = new Set(Object.keys(this.startup.zones));
-    const calls = new operatorApi.OperatorApi(replica, zones, () => this.status(), batches);
+    const calls = new operatorApi.OperatorApi(replica, zones, () => this.status(), batches, duties?.rolloutCalls());
     const { clock, handlers } = this;
     return operatorChain.createOperatorHandler({ clock, handlers, dial, core: replica, contact }, (request) => calls.handle(request));
   }
--- a/src/control/duties/duties.ts
+++ b/src/control/duties/duties.ts
@@ -23,12 +23,16 @@
 import * as registerValue from "../../register/register-value.js";
 import type * as membership from "../members/membership.js";
 import type * as fleetObserver from "../platform/fleet-observer.js";
+import * as rolloutCalls from "../operator/rollout-calls.js";
+import * as rollout from "../../rollout/rollout.js";
 import * as sideRegister from "../side-register.js";
 import * as zoneLoads from "./zone-loads.js";
 
 /** Names of duties in the settings. */
 const USAGE_REPORT = "usage_report";
 const AUTOSCALE = "autoscale";
+/** Named among the guarantees where operators roll new versions out. */
+const ROLLOUT = "rollout";
 const MS_PER_S = 1000;
 
 /** The control node around them. */
@@ -52,13 +56,14 @@
   wallClock(): number;
 }
 
-/** Null where the settings name no duties, or there is no disk or no platform. */
+/** Null where the settings name no duties and no roll-outs, or there is no disk or no platform. */
 export function makeDuties(clock: types.Clock, host: DutiesHost): Duties | null {
-  const { cloud_api: platform, data_dir: dataDir } = host.startup;
-  return platform.duties.length === 0 || !platform.address || !dataDir ? null : new Duties(clock, host, dataDir);
+  const { cloud_api: platform, data_dir: dataDir, guarantees } = host.startup;
+  const isNamed = platform.duties.length > 0 || guarantees.includes(ROLLOUT);
+  return isNamed && platform.address && dataDir ? new Duties(clock, host, dataDir) : null;
 }
 
-/** Made only where the settings name duties. */
+/** Made only where the settings name duties or roll-outs. */
 export class Duties {
   private readonly register: sideRegister.SideRegister;
   private readonly time: timeOfDay.TimeOfDay;
@@ -91,6 +96,8 @@
       leaseMs: startup.bounds.lease_ms,
       rank: () => host.rank(),
       dueReports: (table) => (this.has(USAGE_REPORT) ? this.reporter.dueReports(table) : []),
+      isNeeded: (table) => startup.cloud_api.duties.length > 0 || servingRollouts(table).size > 0,
+      dueReverts: servingRollouts,
       newOrders: (table) => (this.has(AUTOSCALE) ? this.newOrders(table) : []),
     });
     this.collector = this.makeCollector(clock, terms.windowMs);
@@ -117,11 +124,31 @@
     });
   }
 
+  private configurationNow(): configurationCheck.Configuration | null {
+    const value = this.host.configuration();
+    return value && (registerValue.unpack(value.config) as configurationCheck.Configuration | null);
+  }
+
+  /** The operators' calls on roll-outs; null where there are none. */
+  rolloutCalls(): rolloutCalls.RolloutCalls | null {
+    if (!this.host.startup.guarantees.includes(ROLLOUT)) return null;
+    return new rolloutCalls.RolloutCalls({
+      register: this.register.replica,
+      configuration: () => this.configurationNow(),
+      timeOfDayMs: () => this.time.now(),
+    });
+  }
+
+  /** Versions by service that get no requests; null while this process does not know. */
+  withheldVersions(): ReadonlyMap<string, string> | null {
+    const { chosen } = this.register.replica;
+    return chosen && rollout.withheldVersions(dutyTable.tableOf(chosen).rollouts, this.time.now());
+  }
+
   private newOrders(table: dutySchema.DutyTable): dutySchema.RunnerOrder[] {
     const { fleetObserver } = this.host;
     const loads = zoneLoads.zoneLoads(fleetObserver.instances(), fleetObserver.reports());
-    const value = this.host.configuration();
-    const config = value && (registerValue.unpack(value.config) as configurationCheck.Configuration | null);
+    const config = this.configurationNow();
     return this.demand.newOrders(loads, (service) => zoneLoads.scalingBounds(config, service), table.orders);
   }
 
@@ -180,6 +207,11 @@
   }
 }
 
+/** No version is tried yet: each roll-out is reverted as soon as the holder sees it (design/rollouts 7). */
+function servingRollouts(table: dutySchema.DutyTable): ReadonlySet<string> {
+  return new Set(table.rollouts.filter(({ state }) => state === "serving").map(({ service }) => service));
+}
+
 function usageTerms(bounds: settings.Settings["bounds"]): usageReporter.UsageTerms {
   const { report_window_s: windowS, usage_delay_s: dueS, merge_delay_ms: mergeMs } = bounds;
   return { windowMs: windowS * MS_PER_S, dueMs: dueS * MS_PER_S, mergeMs: mergeMs ?? null };
--- a/src/control/operator/operator-api.ts
+++ b/src/control/operator/operator-api.ts
@@ -10,6 +10,7 @@
 import * as schema from "../../wire/schema.js";
 import * as batchCalls from "../batches/batch-calls.js";
 import * as operatorPaths from "./operator-paths.js";
+import * as rolloutCalls from "./rollout-calls.js";
 import * as serve from "../../wire/serve.js";
 
 const CHANGE_TIMEOUT_MS = 2600;
@@ -34,6 +35,7 @@
     private readonly zones: ReadonlySet<string>,
     private readonly status: () => unknown,
     private readonly batches: Batches | null = null,
+    private readonly rollouts: rolloutCalls.RolloutCalls | null = null,
   ) {}
 
   /** Routes a request by method and path; unknown ones are `not_found`. */
@@ -45,6 +47,7 @@
     if (method === "POST" && path.startsWith(operatorPaths.START_EVACUATION)) return this.handleEvacuation(path, true);
     if (method === "POST" && path.startsWith(operatorPaths.STOP_EVACUATION)) return this.handleEvacuation(path, false);
     if (path.startsWith(batchCalls.PREFIX)) return this.batches?.reply(request) ?? batchCalls.batchesAreOff();
+    if (this.rollouts && rolloutCalls.RolloutCalls.handles(request)) return this.rollouts.reply(request);
     if (method === "GET" && path === "/-/status") return { status: 200, json: this.status() };
     return serve.errorReply(new errors.NotFoundError(`no call ${method} ${path}`, "see docs/operating.md for the calls"));
   }
--- a/src/control/operator/operator-paths.ts
+++ b/src/control/operator/operator-paths.ts
@@ -10,6 +10,10 @@
 export const START_EVACUATION = "/-/Evacuations.Start/";
 /** Stops an evacuation; the zone's name follows. */
 export const STOP_EVACUATION = "/-/Evacuations.Stop/";
+/** Starts a roll-out of a new version. */
+export const START_ROLLOUT = "/-/Rollouts.Start";
+/** Reads the state of a roll-out; the service's name follows. */
+export const DESCRIBE_ROLLOUT = "/-/Rollouts.Describe/";
 
 const ORDERS = [REPLACE, UPDATE, START_EVACUATION, STOP_EVACUATION];
 
--- a/src/control/platform/endpoint-watcher.ts
+++ b/src/control/platform/endpoint-watcher.ts
@@ -11,11 +11,14 @@
 import * as keyedItems from "../../feed/keyed-items.js";
 import * as endpointList from "./endpoint-list.js";
 import * as platformClient from "./platform-client.js";
+import * as withheldVersions from "./withheld-versions.js";
 
 const POLL_INTERVAL_MS = 700;
 /** A node of rank N takes over N times this after an update was due. */
 const TAKEOVER_DELAY_MS = 700;
 const PEER_CALL_TIMEOUT_MS = 900;
+/** A node that has not learned of roll-outs by then reads the list all the same. */
+const MAX_UNKNOWN_MS = 3000;
 
 /** Polls the platform while this node ranks first, and applies the updates of its peers otherwise. */
 export class EndpointWatcher {
@@ -24,6 +27,7 @@
   private receivedAt = -1e9;
   private isPolling = false;
   private nextPollAt = 0;
+  private readonly startedAt: types.SteadyMs;
   /** Whether a list was received, from the platform or a peer. */
   hasList = false;
 
@@ -32,6 +36,7 @@
    * @param ratePerS calls a second to the platform that all control nodes may make together
    * @param rank this node's rank among those that may poll; 0 polls
    * @param onChange called after each change of the list, and after the first list
+   * @param withheld versions by service whose runners are left out; null: not known yet
    */
   constructor(
     private readonly clock: types.Clock,
@@ -40,7 +45,9 @@
     private readonly dial: dialer.Dialer,
     private readonly rank: () => number,
     private readonly onChange: (plan: keyedItems.ChangePlan) => void,
+    private readonly withheld: () => ReadonlyMap<string, string> | null = () => new Map(),
   ) {
+    this.startedAt = clock.now();
     this.platform = new platformClient.PlatformClient(clock, address, ratePerS);
   }
 
@@ -71,11 +78,14 @@
 
   private async poll(): Promise<void> {
     const startedAt = this.clock.now();
-    const instances = await this.platform.readInstances();
+    const listed = await this.platform.readInstances();
     this.isPolling = false;
     this.nextPollAt = startedAt + POLL_INTERVAL_MS;
-    log.count(instances ? "platform.read" : "platform.failed");
-    if (!instances) return;
+    log.count(listed ? "platform.read" : "platform.failed");
+    if (!listed) return;
+    const withheld = this.withheldNow();
+    if (!withheld) return;
+    const instances = withheldVersions.selectRunners(listed, withheld);
     this.receivedAt = this.clock.now();
     const base = this.endpoints.digest;
     const plan = this.endpoints.replaceAll(instances, this.clock.now());
@@ -84,6 +94,12 @@
     for (const control of this.dial.controls.values()) void this.sendChange(control, change);
   }
 
+  /** Null: a list that was read now might name runners that must get no requests; for a moment after the start it is left to others. */
+  private withheldNow(): ReadonlyMap<string, string> | null {
+    const isStarting = this.clock.now() - this.startedAt < MAX_UNKNOWN_MS;
+    return this.withheld() ?? (isStarting ? null : new Map<string, string>());
+  }
+
   /** Sends also an empty change: it shows the peer that the list is being polled (design/parts 6). */
   private async sendChange(control: controlNode.ControlNode, change: schema.Change): Promise<void> {
     const reply = await control.link.call(calls.instances, change, PEER_CALL_TIMEOUT_MS);
--- a/src/control/platform/fleet-observer.ts
+++ b/src/control/platform/fleet-observer.ts
@@ -33,6 +33,8 @@
   private readonly orchestrator: regionOrchestrator.RegionOrchestrator;
   private readonly publisher: loadPublisher.LoadPublisher;
   private readonly relay: hintRelay.HintRelay;
+  /** Versions by service that get no requests, null while that is not known; set by the part that knows of roll-outs. */
+  withheld: () => ReadonlyMap<string, string> | null = () => new Map();
   /** Services whose runners serve load reports. */
   private reportingServices = new Set<string>();
 
@@ -55,6 +57,7 @@
       dial,
       () => this.watcherRank(),
       (plan) => this.applyListChange(plan),
+      () => this.withheld(),
     );
     const regions = new Set(this.regionOfZone.values());
     this.publisher = new loadPublisher.LoadPublisher(clock, feed);
--- a/src/control/platform/platform-client.ts
+++ b/src/control/platform/platform-client.ts
@@ -3,6 +3,7 @@
 import * as schema from "../../wire/schema.js";
 import * as types from "../../wire/types.js";
 import * as timers from "../../runtime/timers.js";
+import type * as withheldVersions from "./withheld-versions.js";
 
 const CALL_TIMEOUT_MS = 900;
 const IDLE_CONNECTION_MS = 4000;
@@ -21,12 +22,12 @@
 }
 
 /** Decodes one entry of the platform's list; null where it is not readable. */
-export function readInstance(item: unknown): schema.Instance | null {
+export function readInstance(item: unknown): withheldVersions.ListedRunner | null {
   const raw = item as Record<string, unknown>;
   if (typeof raw !== "object" || raw === null) return null;
   const { instance_id: id, service, address, zone } = raw;
   if (typeof id !== "string" || typeof service !== "string" || typeof address !== "string" || typeof zone !== "string") return null;
-  return {
+  const instance: schema.Instance = {
     id: types.small(id),
     service,
     address,
@@ -36,6 +37,8 @@
     coldMs: readInteger(raw["warmup_left_ms"], 0),
     leavesMs: readInteger(raw["remaining_ms"], -1),
   };
+  const { revision } = raw;
+  return { instance, version: typeof revision === "string" ? revision : "" };
 }
 
 function parsePage(body: Buffer): Page | null {
@@ -63,19 +66,19 @@
   }
 
   /** Reads all pages; null when any of them fails. Entries that are not readable are left out. */
-  async readInstances(): Promise<schema.Instance[] | null> {
-    const instances: schema.Instance[] = [];
+  async readInstances(): Promise<withheldVersions.ListedRunner[] | null> {
+    const listed: withheldVersions.ListedRunner[] = [];
     let token: string | null = null;
     for (let page = 0; page < MAX_PAGES; page += 1) {
       if (page > 0) await timers.sleep(this.clock, PAGE_INTERVAL_FACTOR_MS / this.ratePerS);
       const body = await this.readPage(token);
       if (!body) return null;
       for (const item of body.instances ?? []) {
-        const instance = readInstance(item);
-        if (instance) instances.push(instance);
+        const runner = readInstance(item);
+        if (runner) listed.push(runner);
       }
       token = body.next_page_token ?? null;
-      if (token === null) return instances;
+      if (token === null) return listed;
     }
     return null;
   }
--- a/src/duties/duty-owner.ts
+++ b/src/duties/duty-owner.ts
@@ -36,6 +36,10 @@
   rank(): number | null;
   /** Reports that are due now and not decided. */
   dueReports(table: dutySchema.DutyTable): dutySchema.DecidedReport[];
+  /** Whether there is anything for a holder to do; else the lease runs out. */
+  isNeeded(table: dutySchema.DutyTable): boolean;
+  /** Services whose roll-outs are to be reverted. */
+  dueReverts(table: dutySchema.DutyTable): ReadonlySet<string>;
   /** Orders that replace those of the table. */
   newOrders(table: dutySchema.DutyTable): dutySchema.RunnerOrder[];
 }
@@ -86,7 +90,8 @@
 
   private changeWhenDue(): void {
     const rank = this.dependencies.rank();
-    if (rank === null) return;
+    const table = this.lease.observed;
+    if (rank === null || !table || !this.dependencies.isNeeded(table)) return;
     if (this.lease.fence !== null) void this.renew(this.lease.fence);
     else if (this.lease.mayClaim(rank)) void this.claim();
   }
@@ -112,7 +117,12 @@
     this.nextChangeAt = startedAt + this.lease.renewalIntervalMs;
     const table = this.lease.observed!;
     const decided = dependencies.dueReports(table);
-    const changes = { decided, accepted: new Set(this.acceptedWindows), orders: dependencies.newOrders(table) };
+    const changes = {
+      decided,
+      accepted: new Set(this.acceptedWindows),
+      orders: dependencies.newOrders(table),
+      reverted: dependencies.dueReverts(table),
+    };
     const outcome = await this.change(dutyTable.renewStep(fence, self.life, changes));
     if (outcome.isOk) {
       this.lease.recordSuccess(fence, startedAt);
--- a/src/duties/duty-table.ts
+++ b/src/duties/duty-table.ts
@@ -3,6 +3,7 @@
  * pure. Invariants: `fence` rises with each claim and never falls; `decidedThrough` never falls, and no report of a window
  * up to it is ever decided again; only the holder's own incarnation changes anything under its fence.
  */
+import * as tiny from "tiny-invariant";
 import * as result from "true-myth/result";
 import type * as registerStep from "../register/register-step.js";
 import * as errors from "../runtime/errors.js";
@@ -10,6 +11,8 @@
 import type * as registerSchema from "../wire/register-schema.js";
 import * as types from "../wire/types.js";
 
+/** First byte of a packed table: the layout of what follows. */
+const LAYOUT = 1;
 /** `decidedThrough` before the first report. */
 export const NO_WINDOW = -1;
 
@@ -22,6 +25,7 @@
   decidedThrough: NO_WINDOW,
   reports: [],
   orders: [],
+  rollouts: [],
 };
 
 /** A node that may hold the lease. */
@@ -40,18 +44,23 @@
   accepted: ReadonlySet<number>;
   /** Runner orders that are decided now; each replaces the earlier one of its service and zone. */
   orders: readonly dutySchema.RunnerOrder[];
+  /** Services whose roll-outs are reverted, where they still serve. */
+  reverted: ReadonlySet<string>;
 }
 
 /** A renewal that changes nothing else. */
-export const NO_CHANGES: Changes = { decided: [], accepted: new Set(), orders: [] };
+export const NO_CHANGES: Changes = { decided: [], accepted: new Set(), orders: [], reverted: new Set() };
 
 /** The table in a chosen value of the duty register. */
 export function tableOf(value: registerSchema.Value): dutySchema.DutyTable {
-  return value.config.length === 0 ? EMPTY : dutySchema.dutyTable.fromBuffer(value.config);
+  if (value.config.length === 0) return EMPTY;
+  tiny.default(value.config[0] === LAYOUT, "the duties were written by a release with another layout; start that release");
+  return dutySchema.dutyTable.fromBuffer(value.config.subarray(1));
 }
 
-function withTable(value: registerSchema.Value, table: dutySchema.DutyTable): registerSchema.Value {
-  const config = dutySchema.dutyTable.toBuffer(table);
+/** The value with another table. */
+export function withTable(value: registerSchema.Value, table: dutySchema.DutyTable): registerSchema.Value {
+  const config = Buffer.concat([Buffer.of(LAYOUT), dutySchema.dutyTable.toBuffer(table)]);
   return { ...value, epoch: types.nextEpoch(value.epoch), revision: value.revision + 1, config };
 }
 
@@ -84,7 +93,12 @@
   const decidedThrough = undecided.reduce((newest, { window }) => Math.max(newest, window), table.decidedThrough);
   const replaced = new Set(changes.orders.map(subjectOf));
   const kept = table.orders.filter((order) => !replaced.has(subjectOf(order)));
-  return { ...table, renewal: table.renewal + 1, decidedThrough, reports: open, orders: [...kept, ...changes.orders] };
+  const rollouts = table.rollouts.map((rollout) => (changes.reverted.has(rollout.service) ? reverted(rollout) : rollout));
+  return { ...table, renewal: table.renewal + 1, decidedThrough, reports: open, orders: [...kept, ...changes.orders], rollouts };
+}
+
+function reverted(rollout: dutySchema.Rollout): dutySchema.Rollout {
+  return rollout.state === "serving" ? { ...rollout, state: "reverted" } : rollout;
 }
 
 /** What an order is about: a service in a zone. */
--- a/src/runtime/errors.ts
+++ b/src/runtime/errors.ts
@@ -13,6 +13,7 @@
   | "no_majority"
   | "invalid"
   | "race"
+  | "conflict"
   | "forgotten"
   | "too_large"
   | "not_found"
@@ -80,6 +81,12 @@
   readonly isRetriable = false;
 }
 
+/** Another operation of the same kind is under way; nothing was done. */
+export class ConflictError extends CranewindError {
+  readonly code = "conflict";
+  readonly isRetriable = false;
+}
+
 /** The change is older than all that the history remembers; whether it was carried out is not known. */
 export class UnknownOutcomeError extends CranewindError {
   readonly code = "forgotten";
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -38,6 +38,7 @@
   duties_bootstrap: superstruct.optional(superstruct.boolean()),
   unconfirmed_serve_s: superstruct.defaulted(nonNegative, 900),
   heartbeat_ms: superstruct.defaulted(positive, 1000),
+  guarantees: superstruct.defaulted(superstruct.array(superstruct.string()), []),
   fault_tolerance: superstruct.type({ machines: superstruct.defaulted(superstruct.min(superstruct.integer(), 0), 1) }),
   bounds: superstruct.type({
     contact_ms: superstruct.defaulted(positive, 4000),
--- a/src/wire/duty-schema.ts
+++ b/src/wire/duty-schema.ts
@@ -17,6 +17,20 @@
   desired: number;
 }
 
+/** How far a roll-out is; it only moves on. */
+export type RolloutState = "serving" | "complete" | "reverted";
+
+/** The newest roll-out of a service. */
+export interface Rollout {
+  service: string;
+  /** The version that it is about, as the platform names it. */
+  version: string;
+  durationMs: number;
+  /** When it was accepted, by the agreed time of day, in milliseconds since the start of 1970. */
+  startedMs: number;
+  state: RolloutState;
+}
+
 /** All that the duty register holds. */
 export interface DutyTable {
   /** Name of the node that holds the lease; empty before the first. */
@@ -32,6 +46,7 @@
   /** Decided reports that the platform is not known to have accepted, in the order of their windows. */
   reports: DecidedReport[];
   orders: RunnerOrder[];
+  rollouts: Rollout[];
 }
 
 const reportType = avscTypes.Type.forSchema({
@@ -51,6 +66,17 @@
     { name: "desired", type: "int" },
   ],
 });
+const rolloutType = avscTypes.Type.forSchema({
+  type: "record",
+  name: "Rollout",
+  fields: [
+    { name: "service", type: "string" },
+    { name: "version", type: "string" },
+    { name: "durationMs", type: "double" },
+    { name: "startedMs", type: "double" },
+    { name: "state", type: "string" },
+  ],
+});
 /** Codec of DutyTable. */
 export const dutyTable = avro.record<DutyTable>("DutyTable", [
   { name: "holder", type: "string" },
@@ -60,6 +86,7 @@
   { name: "decidedThrough", type: "long" },
   { name: "reports", type: { type: "array", items: reportType } },
   { name: "orders", type: { type: "array", items: orderType } },
+  { name: "rollouts", type: { type: "array", items: rolloutType } },
 ]);
 
 /** Requests of one tenant that began to run at one router in one window, up to now. */
--- a/src/wire/serve.ts
+++ b/src/wire/serve.ts
@@ -27,6 +27,7 @@
 const STATUS = new Map<errors.ErrorCode, number>([
   ["invalid", 400],
   ["race", 412],
+  ["conflict", 409],
   ["forgotten", 503],
   ["too_large", 413],
   ["not_found", 404],
--- a/tests/duties/history.ts
+++ b/tests/duties/history.ts
@@ -192,6 +192,8 @@
       leaseMs: LEASE_MS,
       rank: () => this.rank,
       dueReports: (table) => this.dueReports(table),
+      isNeeded: () => true,
+      dueReverts: () => new Set(),
       newOrders: ({ renewal }) => [{ service: "s", zone: "z", desired: renewal }],
     });
   }
--- a/tests/platform-client.test.ts
+++ b/tests/platform-client.test.ts
@@ -11,5 +11,5 @@
 ])("decodes entry %j of the platform's list, or rejects it", (item, expected) => {
   const read = platformClient.readInstance(item);
   if (expected === null) expect(read).toBeNull();
-  else expect(read).toMatchObject(expected);
+  else expect(read).toMatchObject({ instance: expected, version: "v1" });
 });
--- a/tests/release.test.ts
+++ b/tests/release.test.ts
@@ -33,6 +33,7 @@
   { name: "tenants (design/tenants 6)", codes: [54, 54], digest: "56617daec31c8ee2" },
   { name: "forwarded orders (design/hardening/2-orders)", codes: [55, 55], digest: "f4587b8298424331" },
   { name: "tallies (design/tallies 4)", codes: [56, 58], digest: "62ddd5ccf323c6ff" },
+  { name: "duties (design/duties 6)", codes: [60, 66], digest: "ffd9d3ceb9727f55" },
 ];
 
 /** All messages and their codes, those of a release or those of features. */
