Usage reports wait for all voters, not for those that a new holder has heard of

Cause: a new holder knew no peer yet and decided at once, without what the other side of a cut had counted.

--- a/src/control/duties/duties.ts
+++ b/src/control/duties/duties.ts
@@ -85,7 +85,7 @@
     this.register = new sideRegister.SideRegister(clock, options, dial, () => host.connectedControls());
     this.time = new timeOfDay.TimeOfDay(clock, () => host.wallClock());
     const terms = usageTerms(startup.bounds);
-    this.reporter = new usageReporter.UsageReporter(this.ledger, this.time, terms);
+    this.reporter = new usageReporter.UsageReporter(this.ledger, this.time, terms, () => this.otherVoters());
     this.demand = new runnerDemand.RunnerDemand(clock);
     this.platform = new platformDuties.PlatformDuties(clock, startup.cloud_api.address ?? "");
     this.owner = new dutyOwner.DutyOwner({
@@ -165,6 +165,13 @@
     return null;
   }
 
+  /** Names of the other voters, in touch or not; one that was never in touch is named by its address. */
+  private *otherVoters(): Generator<string> {
+    for (const { node, address } of this.register.replica.chosen?.voters ?? []) {
+      if (address !== this.host.address) yield node || (this.host.dial.controls.get(address)?.node.name ?? address);
+    }
+  }
+
   private receiveRelay(relay: dutySchema.UsageRelay): dutySchema.UsageRelayReply {
     this.ledger.join(relay.windows);
     this.reporter.recordRelay(relay.from);
--- a/src/duties/usage-reporter.ts
+++ b/src/duties/usage-reporter.ts
@@ -11,9 +11,9 @@
 /** After the end of a window: a collection that began later holds all of it, and has been handed over by then. */
 const COLLECTED_MS = 1700;
 /** The part of the time until a report is due that may pass before it is decided without all counts. */
-const MAX_WAIT_FRACTION = 0.6;
-/** Another control node is waited for as long as it was in touch less than this ago, in milliseconds. */
-const PEER_TTL_MS = 20_000;
+const MAX_WAIT_FRACTION = 0.7;
+/** With partitions that are merged, a missing control node is waited for so much longer, in milliseconds. */
+const MAX_PARTITION_MS = 20_000;
 /** Reports that are decided with one renewal. */
 const MAX_REPORTS_AT_ONCE = 8;
 
@@ -33,10 +33,12 @@
   /** Where the system's reports begin, if this node decides the first one. */
   private firstEver: number | null = null;
 
+  /** `peers`: names of the other control nodes whose routers' counts belong to a report, in touch or not. */
   constructor(
     private readonly ledger: usageLedger.UsageLedger,
     private readonly time: timeOfDay.TimeOfDay,
     private readonly terms: UsageTerms,
+    private readonly peers: () => Iterable<string>,
   ) {}
 
   /** Another control node handed its counts over. */
@@ -62,19 +64,16 @@
   private isDue(windowEnd: number, now: number): boolean {
     const collectedAt = windowEnd + COLLECTED_MS;
     if (now < collectedAt) return false;
-    return this.haveAllRelayed(collectedAt, now) || now >= windowEnd + this.maxWaitMs();
+    return this.haveAllRelayed(collectedAt) || now >= windowEnd + this.maxWaitMs();
   }
 
-  private haveAllRelayed(since: number, now: number): boolean {
-    for (const [node, at] of this.relayedAt) {
-      if (now - at > PEER_TTL_MS + (this.terms.mergeMs ?? 0)) this.relayedAt.delete(node);
-      else if (at < since) return false;
-    }
+  private haveAllRelayed(since: number): boolean {
+    for (const name of this.peers()) if ((this.relayedAt.get(name) ?? Number.NEGATIVE_INFINITY) < since) return false;
     return true;
   }
 
   private maxWaitMs(): number {
     const { dueMs, mergeMs } = this.terms;
-    return dueMs * MAX_WAIT_FRACTION + (mergeMs === null ? 0 : PEER_TTL_MS + mergeMs);
+    return dueMs * MAX_WAIT_FRACTION + (mergeMs === null ? 0 : MAX_PARTITION_MS + mergeMs);
   }
 }
--- a/tests/duties/usage.test.ts
+++ b/tests/duties/usage.test.ts
@@ -84,7 +84,9 @@
     function reporterAt(peers: Record<string, number>, mergeMs: number | null = null) {
       const clock = new simulatedClock.SimulatedClock();
       const time = new timeOfDay.TimeOfDay(clock, () => START_MS + clock.now());
-      const reporter = new usageReporter.UsageReporter(new usageLedger.UsageLedger(), time, { ...terms, mergeMs });
+      const reporter = new usageReporter.UsageReporter(new usageLedger.UsageLedger(), time, { ...terms, mergeMs }, () =>
+        Object.keys(peers),
+      );
       const table = { ...dutyTable.EMPTY, decidedThrough: FIRST_WINDOW - 1 };
       return (atMs: number): number[] => {
         for (const [name, seenMs] of Object.entries(peers)) {
@@ -101,14 +103,15 @@
       ["not before the counts can be there", { b: 6600 }, 6600, []],
       ["once all others have handed over after its end", { b: 6800, c: 6900 }, 7000, [0]],
       ["not while one of them is missing", { b: 6800, c: 4000 }, 9000, []],
-      ["without that one when it would be late", { b: 6800, c: 4000 }, 11_100, [0]],
+      ["not while one of them was never in touch", { b: 6800, c: Infinity }, 11_900, []],
+      ["without that one when it would be late", { b: 6800, c: Infinity }, 12_100, [0]],
       ["several at once after a pause", {}, 22_000, [0, 1, 2, 3]],
     ])("%s", (_title, peers, atMs, windows) => {
       expect(reporterAt(peers)(atMs)).toEqual(windows);
     });
 
     test("only after the other side of a partition is back, where both are to be joined", () => {
-      expect(reporterAt({ b: 6800, c: 4000 }, 8000)(11_100)).toEqual([]);
+      expect(reporterAt({ b: 6800, c: 4000 }, 8000)(12_100)).toEqual([]);
       expect(reporterAt({ b: 21_000, c: 21_000 }, 8000)(21_100)).toEqual([0, 1, 2]);
     });
   });
