--- a/src/admission/batch-admission.ts
+++ b/src/admission/batch-admission.ts
@@ -13,7 +13,7 @@
 import * as runnerSlowdown from "./runner-slowdown.js";
 import * as admissionDecision from "./admission-decision.js";
 
-/** Of a cell's slots, the fraction from which no batch item is admitted; somewhat over what control nodes fill (*ours*). */
+/** Of a cell's slots, the fraction from which no batch item is admitted; somewhat over what control nodes fill. */
 const MAX_USED_FRACTION = 0.8;
 /** When the control node may send the item again. */
 const RETRY_AFTER_S = 1;
--- a/src/batch/owner-election.ts
+++ b/src/batch/owner-election.ts
@@ -11,7 +11,7 @@
 const OWNER_TIMEOUT_MS = 2500;
 /** An owner that is connected but changed nothing for this long is replaced, too. */
 const OWNER_IDLE_TIMEOUT_MS = 15_000;
-/** Additional delay per rank, so that claims rarely collide (*ours*). */
+/** Additional delay per rank, so that claims rarely collide. */
 const RANK_DELAY_MS = 700;
 
 /** The other control nodes. */
--- a/src/batch/pacing.ts
+++ b/src/batch/pacing.ts
@@ -7,7 +7,7 @@
 export const MAX_FILL_RATIO = 0.7;
 /** Slow start: at most this ratio of a cell's slots is taken by sends that no report shows yet. */
 export const MAX_STEP_RATIO = 0.3;
-/** Batches use at most this ratio of the prefill rate of a cell's runners (*ours*). */
+/** Batches use at most this ratio of the prefill rate of a cell's runners. */
 const MAX_PREFILL_RATIO = 0.3;
 /** Burst size of a prefill budget: the tokens of so many milliseconds. */
 const PREFILL_BURST_MS = 1000;
--- a/src/control/batches/batch-view.ts
+++ b/src/control/batches/batch-view.ts
@@ -16,11 +16,11 @@
 import type * as schema from "../../wire/schema.js";
 import type * as types from "../../wire/types.js";
 
-/** Share of a common prefix that is typically cached where an item is sent (*ours*). */
+/** Share of a common prefix that is typically cached where an item is sent. */
 const CACHED_SHARE_OF_PREFIX = 0.8;
-/** Before anything is known of a route: a slot is occupied for this share of its deadline (*ours*). */
+/** Before anything is known of a route: a slot is occupied for this share of its deadline. */
 const DEFAULT_OCCUPANCY_SHARE = 0.25;
-/** Weight of the newest item in the mean time that items of a batch occupy a slot (*ours*). */
+/** Weight of the newest item in the mean time that items of a batch occupy a slot. */
 const OCCUPANCY_WEIGHT = 0.1;
 
 /** What the view is made from. */
--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -12,7 +12,7 @@
 const CONNECT_TIMEOUT_MS = 900;
 const INITIAL_BACKOFF_MS = 150;
 const MAX_BACKOFF_MS = 1500;
-/** The maximum between control nodes, which are few: nothing is confirmed before a majority of them is in touch again (*ours*). */
+/** The maximum between control nodes, which are few: nothing is confirmed before a majority of them is in touch again. */
 const MAX_PEER_BACKOFF_MS = 400;
 /** A dial that takes longer gets a second one beside it. */
 const STALE_DIAL_AFTER_MS = 400;
--- a/src/forecast/errors.ts
+++ b/src/forecast/errors.ts
@@ -8,10 +8,10 @@
 const KEPT = 200;
 /** Fewer than these say little: the usual ones count as well. */
 const FEW = 60;
-/** Logarithms of seen over expected before anything was learned: off by a third, one time in ten by more than half (*ours*). */
+/** Logarithms of seen over expected before anything was learned: off by a third, one time in ten by more than half. */
 const USUAL = [-0.6, -0.4, -0.25, -0.15, -0.05, 0, 0.05, 0.15, 0.25, 0.4, 0.6];
 
-/** One forecast that was wholly wrong says no more than one that was off by this, as a logarithm (*ours*). */
+/** One forecast that was wholly wrong says no more than one that was off by this, as a logarithm. */
 const MAX_RATIO = 1.2;
 
 /** Logarithms of seen / expected, the newest of one horizon. */
--- a/src/forecast/loads.ts
+++ b/src/forecast/loads.ts
@@ -11,7 +11,7 @@
 export const DAY_MS = 24 * 3600 * 1000;
 /** Series held; routes come and go. */
 const MAX_SERIES = 512;
-/** Weight of a newest mean (*ours*). */
+/** Weight of a newest mean. */
 const MEAN_WEIGHT = 0.2;
 /** A series without arrivals for so many steps is dropped. */
 const IDLE_STEPS = 720;
--- a/src/forecast/season.ts
+++ b/src/forecast/season.ts
@@ -4,7 +4,7 @@
  * season begins does not matter.
  */
 
-/** What the newest season counts against the earlier ones (*ours*). */
+/** What the newest season counts against the earlier ones. */
 const NEWEST_WEIGHT = 0.4;
 /** The ratio of two slots is not believed beyond this. */
 const MAX_RATIO = 12;
--- a/src/forecast/smoothing.ts
+++ b/src/forecast/smoothing.ts
@@ -3,7 +3,7 @@
  * load forecast (design/batch 8). One observation a step of fixed length; values are rates and never negative.
  */
 
-/** Weights of the newest observation in level and trend, and what is left of the trend after a step (*ours*). */
+/** Weights of the newest observation in level and trend, and what is left of the trend after a step. */
 const LEVEL_WEIGHT = 0.35;
 const TREND_WEIGHT = 0.1;
 const DAMPING = 0.9;
--- a/src/hints/hint-batch.ts
+++ b/src/hints/hint-batch.ts
@@ -5,7 +5,7 @@
 import * as schema from "../wire/schema.js";
 import * as log from "../runtime/log.js";
 
-/** Entries of one frame, and keys of one entry (*ours*). */
+/** Entries of one frame, and keys of one entry. */
 export const MAX_ENTRIES = 64;
 /** Prefix keys of one prefill. */
 export const MAX_KEYS = 24;
--- a/src/hints/hint-exchange.ts
+++ b/src/hints/hint-exchange.ts
@@ -8,7 +8,7 @@
 import type * as runnerHash from "./runner-hash.js";
 import * as throttle from "./throttle.js";
 
-/** Prefix keys published of one prefill (*ours*). */
+/** Prefix keys published of one prefill. */
 const MAX_KEYS = 8;
 
 /** Handles the hints of other routers. */
--- a/src/hints/hint-relay.ts
+++ b/src/hints/hint-relay.ts
@@ -11,7 +11,7 @@
 import * as runnerHash from "./runner-hash.js";
 import * as throttle from "./throttle.js";
 
-/** Rate of prefill hints to all routers of one control node together, and the bounds of the rate of one router (*ours*). */
+/** Rate of prefill hints to all routers of one control node together, and the bounds of the rate of one router. */
 const TOTAL_BYTES_PER_S = 64_000;
 const MIN_BYTES_PER_S = 600;
 const MAX_BYTES_PER_S = 6000;
--- a/src/hints/throttle.ts
+++ b/src/hints/throttle.ts
@@ -4,7 +4,7 @@
  */
 import * as types from "../wire/types.js";
 
-/** The period of hints (*ours*). */
+/** The period of hints. */
 export const PERIOD_MS = 60;
 
 /** Runs a function at most once a period, on request. */
--- a/src/limits/lease-owner.ts
+++ b/src/limits/lease-owner.ts
@@ -5,7 +5,7 @@
 import * as tokenPool from "./token-pool.js";
 import type * as slotOwnership from "./slot-ownership.js";
 
-/** Durations of leases (*ours*): a retry may wait for a failure; a send to a warming runner follows soon or is better used elsewhere. */
+/** Durations of leases: a retry may wait for a failure; a send to a warming runner follows soon or is better used elsewhere. */
 export const RETRY_LEASE_MS = 1800;
 /** Duration of a lease on a warming runner, in milliseconds. */
 export const WARM_UP_LEASE_MS = 1200;
--- a/src/limits/limit-shares.ts
+++ b/src/limits/limit-shares.ts
@@ -20,13 +20,13 @@
   perMs: number;
 }
 
-/** The fraction of a limit that may be spent at once; the rest is refill (*ours*). */
+/** The fraction of a limit that may be spent at once; the rest is refill. */
 const BURST_RATIO = 0.5;
-/** The delay between taking a unit and sending differs by at most this between routers (*ours*). */
+/** The delay between taking a unit and sending differs by at most this between routers. */
 export const MAX_SEND_DELAY_SPREAD_MS = 150;
 /** A single unit is refilled a little later than the window lasts, so that two never lie within it. */
 const SINGLE_UNIT_REFILL_RATIO = 0.99;
-/** A slower refill is preferred to a warming runner that depends on few owners, down to this fraction of its rate (*ours*). */
+/** A slower refill is preferred to a warming runner that depends on few owners, down to this fraction of its rate. */
 const MIN_RATE_RATIO = 0.5;
 
 /** A complete limit: units at once, and units per second. */
--- a/src/limits/router-leases.ts
+++ b/src/limits/router-leases.ts
@@ -13,7 +13,7 @@
 const WARM_UP_LOOKAHEAD_S = 0.3;
 const MAX_REQUESTED_UNITS = 64;
 const MAX_WARM_UP_UNITS = 4;
-/** Warming runners for which a router requests leases at once (*ours*); those demanded last come first. */
+/** Warming runners for which a router requests leases at once; those demanded last come first. */
 const MAX_WARM_UP_RUNNERS = 16;
 
 /** A lease as its holder accounts for it. */
--- a/src/limits/slot-ownership.ts
+++ b/src/limits/slot-ownership.ts
@@ -7,9 +7,9 @@
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 
-/** A voter's reply that it knows no newer voters is valid for this long from when it was requested (*ours*). */
+/** A voter's reply that it knows no newer voters is valid for this long from when it was requested. */
 export const FENCE_VALID_MS = quorumConfirmation.MAX_ANSWER_AGE_MS;
-/** The longest duration of a lease, and what steady clocks may drift apart over it (*ours*). */
+/** The longest duration of a lease, and what steady clocks may drift apart over it. */
 export const MAX_LEASE_MS = 1800;
 const CLOCK_DRIFT_MS = 200;
 
--- a/src/limits/token-pool.ts
+++ b/src/limits/token-pool.ts
@@ -7,7 +7,7 @@
 
 const CLAIM_VALID_MS = 700;
 const FAIR_LEVEL_VALID_MS = 100;
-/** Standby leases are granted only from the units above this fraction of the burst (*ours*). */
+/** Standby leases are granted only from the units above this fraction of the burst. */
 const STANDBY_RESERVE_RATIO = 0.5;
 
 interface Claim {
--- a/src/load/load-publisher.ts
+++ b/src/load/load-publisher.ts
@@ -11,7 +11,7 @@
 import * as reportResolution from "./report-resolution.js";
 import * as loadSummary from "./load-summary.js";
 
-/** Interval of all summaries (*ours*). */
+/** Interval of all summaries. */
 const SUMMARY_INTERVAL_MS = 1800;
 
 /** The key of a runner's item: its hash, or its id where the hash is not unique. */
--- a/src/load/load-reader.ts
+++ b/src/load/load-reader.ts
@@ -28,7 +28,7 @@
   applyReport(report: schema.CellReport): void;
 }
 
-/** Decay of the load by a tenth of a second of stale reports: half a second halves it (*ours*). */
+/** Decay of the load by a tenth of a second of stale reports: half a second halves it. */
 const FADE_FACTOR = 0.87;
 
 interface FollowedRegion {
--- a/src/load/load-summary.ts
+++ b/src/load/load-summary.ts
@@ -7,7 +7,7 @@
 
 /** The topic of the feed with all summaries. */
 export const SUMMARY_TOPIC = "summary";
-/** Steps of mean usage and of free capacity (*ours*). */
+/** Steps of mean usage and of free capacity. */
 export const STEPS = 16;
 /** Reports received longer ago than this say nothing about usage. */
 export const STALE_MS = 2000;
--- a/src/load/region-interest.ts
+++ b/src/load/region-interest.ts
@@ -1,7 +1,7 @@
 /** The regions whose load reports a router follows (design/usage 4.1): its own, and those it used lately. */
 import * as types from "../wire/types.js";
 
-/** A region counts as used for so long after a request (*ours*). */
+/** A region counts as used for so long after a request. */
 export const RETENTION_MS = 10_000;
 
 /** The regions that one router is interested in. */
--- a/src/load/region-reports.ts
+++ b/src/load/region-reports.ts
@@ -8,9 +8,9 @@
 import * as runnerHash from "../hints/runner-hash.js";
 import * as reportResolution from "./report-resolution.js";
 
-/** Each period one of this many parts of the runners is published again unchanged, to repair lost updates (*ours*). */
+/** Each period one of this many parts of the runners is published again unchanged, to repair lost updates. */
 export const REFRESH_PARTS = 16;
-/** Maximum of changed reports a period; changes of status are always published (*ours*). */
+/** Maximum of changed reports a period; changes of status are always published. */
 export const MAX_CHANGED = 32;
 
 /** The slots of each runner; undefined for an unknown one. */
--- a/src/load/report-resolution.ts
+++ b/src/load/report-resolution.ts
@@ -5,7 +5,7 @@
  */
 import * as schema from "../wire/schema.js";
 
-/** Steps of the slots, and of the memory (*ours*). */
+/** Steps of the slots, and of the memory. */
 const USAGE_PARTS = 16;
 const KV_PARTS = 32;
 /** Used memory is encoded in finer steps than it is compared in. */
--- a/src/register/phase.ts
+++ b/src/register/phase.ts
@@ -12,7 +12,7 @@
 const PHASE_TIMEOUT_MS = 1300;
 /** The same for disks without a vote yet: a change of voters must not block other changes for long. */
 export const LEARNER_TIMEOUT_MS = 600;
-/** Requests of one phase to one voter, and the factor by which the wait before each next one grows (*ours*). */
+/** Requests of one phase to one voter, and the factor by which the wait before each next one grows. */
 const MAX_SENDS = 6;
 const RESEND_GROWTH = 1.2;
 
--- a/src/register/quorum-confirmation.ts
+++ b/src/register/quorum-confirmation.ts
@@ -6,7 +6,7 @@
 import type * as types from "../wire/types.js";
 import * as registerValue from "./register-value.js";
 
-/** A voter's answer counts for so many milliseconds from the time its request was sent (*ours*). */
+/** A voter's answer counts for so many milliseconds from the time its request was sent. */
 export const MAX_ANSWER_AGE_MS = 1200;
 
 /** What one voter knew. */
--- a/src/register/round-trips.ts
+++ b/src/register/round-trips.ts
@@ -7,7 +7,7 @@
 const INITIAL_RESEND_MS = 150;
 const MIN_RESEND_MS = 60;
 const MAX_RESEND_MS = 600;
-/** Gains of RFC 6298 for a new sample in the mean and in the deviation; and deviations added to the mean (*ours*: an early resend costs a few bytes). */
+/** Gains of RFC 6298 for a new sample in the mean and in the deviation; and deviations added to the mean; an early resend costs a few bytes. */
 const MEAN_GAIN = 1 / 8;
 const DEVIATION_GAIN = 1 / 4;
 const DEVIATIONS = 2;
--- a/src/router/policies/cell-policy.ts
+++ b/src/router/policies/cell-policy.ts
@@ -17,7 +17,7 @@
 
 /** A cell that was unavailable for less than this is back at once. */
 const SHORT_ABSENCE_MS = 1000;
-/** So many of the highest ranked cells are likely to get the request (*ours*): the router follows their load in detail (design/usage 4.1). */
+/** So many of the highest ranked cells are likely to get the request: the router follows their load in detail (design/usage 4.1). */
 const RANKED_CELLS = 2;
 
 /** The number of runners of a cell, and of the good ones among them. */
--- a/src/router/serve-gate.ts
+++ b/src/router/serve-gate.ts
@@ -7,7 +7,7 @@
 import * as log from "../runtime/log.js";
 import * as controlNode from "../feed/control-node.js";
 
-/** After so long with an unconfirmed configuration the router serves: its region may be partitioned (*ours*). */
+/** After so long with an unconfirmed configuration the router serves: its region may be partitioned. */
 export const UNCONFIRMED_WAIT_MS = 1200;
 
 /** The gate as `status` shows it. */
--- a/src/router/tenant-gate.ts
+++ b/src/router/tenant-gate.ts
@@ -13,7 +13,7 @@
 import * as tenant from "../tenants/tenant.js";
 import type * as types from "../wire/types.js";
 
-/** After how long clients may retry while this router can't validate keys, or reaches no owner of quotas (*ours*). */
+/** After how long clients may retry while this router can't validate keys, or reaches no owner of quotas. */
 const KEY_OUTAGE_RETRY_MS = { minMs: 500, maxMs: 3000 };
 const QUOTA_OUTAGE_RETRY_MS = { minMs: 300, maxMs: 3000 };
 const MIN_RETRY_S = 0.2;
--- a/src/runners/runner-endpoint.ts
+++ b/src/runners/runner-endpoint.ts
@@ -21,7 +21,7 @@
 const START_SILENCE_MS = 1500;
 /** At this fraction of its capacity a runner may be slow, or reject requests, without a fault. */
 const LOADED_FRACTION = 0.75;
-/** Streams are late for a while after a prefill, too (*ours*). */
+/** Streams are late for a while after a prefill, too. */
 const PREFILL_SLACK_MS = 200;
 
 /** One incarnation of a runner; times are milliseconds of the steady clock. */
--- a/src/settings/drain-windows.ts
+++ b/src/settings/drain-windows.ts
@@ -12,9 +12,9 @@
 export const DIRECTORY_TTL_S = 1;
 /** A drain notice reaches all control nodes with the next heartbeat between them. */
 const MAX_NOTICE_DELAY_MS = link.HEARTBEAT_INTERVAL_MS;
-/** Until clients have left for other routers: what they were told has expired twice over (*ours*). */
+/** Until clients have left for other routers: what they were told has expired twice over. */
 const MAX_ACCEPT_MS = 2 * DIRECTORY_TTL_S * 1000;
-/** At least the rest of the grace period belongs to the requests under way (*ours*). */
+/** At least the rest of the grace period belongs to the requests under way. */
 const MAX_ACCEPT_FRACTION = 0.3;
 /** The part of the grace period that is reserved for the end of the process itself. */
 const EXIT_RESERVE_MS = 400;
--- a/src/tenants/key-lease.ts
+++ b/src/tenants/key-lease.ts
@@ -6,7 +6,7 @@
 import * as quorumConfirmation from "../register/quorum-confirmation.js";
 import * as types from "../wire/types.js";
 
-/** Allowance for clock drift and for a process that is suspended between check and use (*ours*). */
+/** Allowance for clock drift and for a process that is suspended between check and use. */
 const SLACK_MS = 300;
 /** Bound on confirmations of epochs that this router does not hold yet; the oldest is dropped. */
 const MAX_PENDING_CONFIRMATIONS = 32;
--- a/src/tenants/outage.ts
+++ b/src/tenants/outage.ts
@@ -7,7 +7,7 @@
   maxMs: number;
 }
 
-/** An outage not observed for so long has ended; the next observation begins another (*ours*). */
+/** An outage not observed for so long has ended; the next observation begins another. */
 const RESET_AFTER_MS = 2000;
 
 /**
--- a/src/tenants/quota-bucket.ts
+++ b/src/tenants/quota-bucket.ts
@@ -1,13 +1,13 @@
 /** What one slot's owner holds of one tenant's quota: a token bucket whose refill never runs twice (design/tenants 4.3). */
 import type * as quotaPart from "./quota-part.js";
 
-/** A unit may come back unused for so long after its grant, in ms: its life, and the way of the report (*ours*). */
+/** A unit may come back unused for so long after its grant, in ms: its life, and the way of the report. */
 export const RETURN_MS = 700;
 /** Rounding of sums of fractions must not withhold a whole unit. */
 const EPSILON = 1e-9;
 /** Denials of so long are what a waiting router competes with, in milliseconds. */
 const CONTENTION_MS = 1000;
-/** Of those that were denied lately, one in so many asks again for each unit that comes in (*ours*). */
+/** Of those that were denied lately, one in so many asks again for each unit that comes in. */
 const ASKERS_A_UNIT = 4;
 const MAX_CONTENDED_WAIT_MS = 1000;
 
--- a/src/tenants/quota-part.ts
+++ b/src/tenants/quota-part.ts
@@ -23,14 +23,14 @@
 
 /**
  * A unit is used, and its request arrives, this much later after its grant at one router than at another: the life of a
- * unit, the way, and connections that do not come up at first (*ours*).
+ * unit, the way, and connections that do not come up at first.
  */
 export const SPREAD_MS = 450;
-/** Starts of all owners within one window that are provided for; the reserve covers what passes them (*ours*). */
+/** Starts of all owners within one window that are provided for; the reserve covers what passes them. */
 const STARTS = 2;
-/** The part of what lies above the refill that starts may take (*ours*). */
+/** The part of what lies above the refill that starts may take. */
 const STARTS_SHARE = 0.4;
-/** The part of the tolerance that is set aside for routers that stand still between taking a unit and sending (*ours*). */
+/** The part of the tolerance that is set aside for routers that stand still between taking a unit and sending. */
 const RESERVE = 0.2;
 
 /** Requests that a window may see. */
--- a/src/tenants/quota-tenure.ts
+++ b/src/tenants/quota-tenure.ts
@@ -7,7 +7,7 @@
 import type * as types from "../wire/types.js";
 
 /**
- * An owner that is cut off grants on for so long (*ours*), which is longer than regions usually lose each other; a limit
+ * An owner that is cut off grants on for so long, which is longer than regions usually lose each other; a limit
  * that was lowered meanwhile binds its routers only once they are in touch again. Another owner of the slot waits it out.
  */
 export const FENCE_MS = 8000;
