--- a/src/cli/try.ts
+++ b/src/cli/try.ts
@@ -51,6 +51,8 @@
     `cloud_api.address=${platform}`,
     "cloud_api.rate_per_s=20",
     "cloud_api.max_lag_ms=100",
+    "cloud_api.duties=usage_report,autoscale",
+    "guarantees=rollout",
     "bounds.grace_s=8",
     "bounds.retry_ratio=0.2",
     "bounds.retry_extra=50",
--- a/src/emulator/platform-emulator.ts
+++ b/src/emulator/platform-emulator.ts
@@ -5,6 +5,8 @@
 
 const DUTY_PATHS: ReadonlySet<string> = new Set(["/usage", "/scaling"]);
 const CONFLICT = 409;
+/** Calls of duties that are kept. */
+const MAX_DUTY_CALLS = 1000;
 
 /** An entry of the list, as the protocol has it. */
 export interface ListedInstance {
@@ -75,6 +77,7 @@
     const fence = Number(incoming.headers[names.HEADER.fence]);
     const holder = String(incoming.headers[names.HEADER.dutyHolder]);
     this.dutyCalls.push({ path, holder, fence, body: JSON.parse(Buffer.concat(chunks).toString("utf8")) });
+    if (this.dutyCalls.length > MAX_DUTY_CALLS) this.dutyCalls.shift();
     const highest = this.highestFences.get(path) ?? 0;
     this.highestFences.set(path, Math.max(highest, fence));
     if (this.duties.status === 0) return;
