--- a/tests/batches/system.test.ts
+++ b/tests/batches/system.test.ts
@@ -2,11 +2,10 @@
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
-import * as client from "../../src/cli/client.js";
 import * as controlProgram from "../../src/control/control-program.js";
 import * as routerProgram from "../../src/router/router-program.js";
-import * as platformEmulator from "../../src/emulator/platform-emulator.js";
-import * as runnerEmulator from "../../src/emulator/runner-emulator.js";
+import type * as platformEmulator from "../../src/emulator/platform-emulator.js";
+import type * as runnerEmulator from "../../src/emulator/runner-emulator.js";
 import type * as settings from "../../src/settings/settings.js";
 import * as timers from "../../src/runtime/timers.js";
 import * as loopback from "../sim/loopback.js";
@@ -45,17 +44,8 @@
   return program;
 }
 
-interface Told {
-  status: number;
-  json: Record<string, unknown>;
-}
-
-async function call(method: "GET" | "POST", target: string, body?: unknown, index = 0): Promise<Told> {
-  const headers = { "Content-Type": "application/json", "X-Cranewind-Base-Version": "0" };
-  const bytes = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
-  const outcome = await client.send(clock, [addressOf(index), addressOf((index + 1) % 3)], { method, path: target, headers, body: bytes });
-  if (outcome.isOk) return { status: outcome.value.status, json: outcome.value.json as Record<string, unknown> };
-  return { status: 0, json: { kind: outcome.error.code, message: outcome.error.message } };
+function call(method: "GET" | "POST", target: string, body?: unknown, index = 0): Promise<loopback.Told> {
+  return loopback.call(clock, [addressOf(index), addressOf((index + 1) % 3)], method, target, body);
 }
 
 function batch(key: string, count: number, route = "stream"): unknown {
@@ -74,12 +64,7 @@
 
 beforeAll(async () => {
   folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-batches-"));
-  platform = new platformEmulator.PlatformEmulator();
-  await platform.start();
-  runner = new runnerEmulator.RunnerEmulator({ id: "i-a", capacity: 32, eventMs: 10 });
-  await runner.start();
-  const listed = { instance_id: "i-a", service: "model", address: runner.address, zone: "a1", revision: "v1", capacity: 32 };
-  platform.instances.push({ ...listed, state: "ready", warmup_left_ms: 0 });
+  ({ platform, runner } = await loopback.startStandIns({ id: "i-a", capacity: 32, eventMs: 10 }));
   controls = await Promise.all([0, 1, 2].map((index) => startControl(index, true)));
   edge = new routerProgram.RouterProgram(clock, startupOf("router", 0, true));
   await edge.root.start();
--- a/tests/duties/system.test.ts
+++ b/tests/duties/system.test.ts
@@ -3,10 +3,9 @@
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
-import * as client from "../../src/cli/client.js";
 import * as controlProgram from "../../src/control/control-program.js";
-import * as platformEmulator from "../../src/emulator/platform-emulator.js";
-import * as runnerEmulator from "../../src/emulator/runner-emulator.js";
+import type * as platformEmulator from "../../src/emulator/platform-emulator.js";
+import type * as runnerEmulator from "../../src/emulator/runner-emulator.js";
 import * as routerProgram from "../../src/router/router-program.js";
 import * as timers from "../../src/runtime/timers.js";
 import * as http from "../../src/wire/http.js";
@@ -43,13 +42,9 @@
   return loopback.until(what, UNTIL_MS, isSo);
 }
 
-async function call(method: "GET" | "POST", target: string, body?: unknown): Promise<{ status: number; json: Record<string, unknown> }> {
-  const headers = { "Content-Type": "application/json", "X-Cranewind-Base-Version": "0" };
-  const bytes = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
+function call(method: "GET" | "POST", target: string, body?: unknown): Promise<loopback.Told> {
   const addresses = [0, 1, 2].map((index) => loopback.controlAddress(system(), index));
-  const outcome = await client.send(clock, addresses, { method, path: target, headers, body: bytes });
-  if (outcome.isErr) return { status: 0, json: { code: outcome.error.code } };
-  return { status: outcome.value.status, json: outcome.value.json as Record<string, unknown> };
+  return loopback.call(clock, addresses, method, target, body);
 }
 
 /** Sends requests of one tenant; how many of them were answered. */
@@ -86,12 +81,7 @@
 
 beforeAll(async () => {
   folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-duties-"));
-  platform = new platformEmulator.PlatformEmulator();
-  await platform.start();
-  runner = new runnerEmulator.RunnerEmulator({ id: "i-a", capacity: 32, eventMs: 5 });
-  await runner.start();
-  const listed = { instance_id: "i-a", service: "model", address: runner.address, zone: "a1", revision: "v1", capacity: 32 };
-  platform.instances.push({ ...listed, state: "ready", warmup_left_ms: 0 });
+  ({ platform, runner } = await loopback.startStandIns({ id: "i-a", capacity: 32, eventMs: 5 }));
   controls = await Promise.all([0, 1, 2].map((index) => startControl(index)));
   edge = new routerProgram.RouterProgram(clock, loopback.startupOf(system(), "router", 0, path.join(folder, "disk-r"), true));
   await edge.root.start();
@@ -126,8 +116,7 @@
 test("a roll-out is taken and reverted; runners of its version get no request", async () => {
   const order = { service: "model", target_version: "v2", duration_s: 30 };
   await until("taken", async () => (await call("POST", "/-/Rollouts.Start", order)).status === 200);
-  const listed = { instance_id: "i-b", service: "model", address: runner.address, zone: "a1", revision: "v2", capacity: 32 };
-  platform.instances.push({ ...listed, state: "ready", warmup_left_ms: 0 });
+  platform.instances.push({ ...loopback.listedRunner(runner, 32), instance_id: "i-b", revision: "v2" });
   await until("reverted", async () => (await call("GET", "/-/Rollouts.Describe/model")).json["state"] === "reverted");
   const calls = platform.calls;
   await until("listed", () => platform.calls > calls + 2);
--- a/tests/sim/loopback.ts
+++ b/tests/sim/loopback.ts
@@ -1,5 +1,9 @@
-// Settings of small systems over real loopback sockets and disks, one region a control node.
+// Small systems over real loopback sockets and disks, one region a control node: settings, stand-ins, calls.
+import * as client from "../../src/cli/client.js";
+import * as platformEmulator from "../../src/emulator/platform-emulator.js";
+import * as runnerEmulator from "../../src/emulator/runner-emulator.js";
 import * as settings from "../../src/settings/settings.js";
+import type * as types from "../../src/wire/types.js";
 
 export const REGIONS = ["a", "b", "c"];
 
@@ -67,3 +71,42 @@
     await new Promise(setImmediate);
   }
 }
+
+export interface StandIns {
+  platform: platformEmulator.PlatformEmulator;
+  runner: runnerEmulator.RunnerEmulator;
+}
+
+/** The platform, and one runner of the service "model" in zone a1. */
+export async function startStandIns(
+  runnerOptions: NonNullable<ConstructorParameters<typeof runnerEmulator.RunnerEmulator>[0]>,
+  pageSize?: number,
+): Promise<StandIns> {
+  const platform = new platformEmulator.PlatformEmulator(pageSize);
+  await platform.start();
+  const runner = new runnerEmulator.RunnerEmulator(runnerOptions);
+  await runner.start();
+  platform.instances.push(listedRunner(runner, runnerOptions.capacity));
+  return { platform, runner };
+}
+
+/** The runner as the platform lists it. */
+export function listedRunner(runner: runnerEmulator.RunnerEmulator, capacity = 8): platformEmulator.ListedInstance {
+  const { id, address } = runner;
+  return { instance_id: id, service: "model", address, zone: "a1", revision: "v1", capacity, state: "ready", warmup_left_ms: 0 };
+}
+
+/** A reply of the operators' API; status 0: an error, whose code and message `json` has. */
+export interface Told {
+  status: number;
+  json: Record<string, unknown>;
+}
+
+/** Calls the operators' API at the first of the addresses that answers. */
+export async function call(clock: types.Clock, addresses: string[], method: "GET" | "POST", target: string, body?: unknown): Promise<Told> {
+  const headers = { "Content-Type": "application/json", "X-Cranewind-Base-Version": "0" };
+  const bytes = body === undefined ? undefined : Buffer.from(JSON.stringify(body));
+  const outcome = await client.send(clock, addresses, { method, path: target, headers, body: bytes });
+  if (outcome.isOk) return { status: outcome.value.status, json: outcome.value.json as Record<string, unknown> };
+  return { status: 0, json: { kind: outcome.error.code, message: outcome.error.message } };
+}
--- a/tests/tenants-system.test.ts
+++ b/tests/tenants-system.test.ts
@@ -7,8 +7,8 @@
 import * as tenants from "../src/cli/tenants.js";
 import * as controlProgram from "../src/control/control-program.js";
 import * as routerProgram from "../src/router/router-program.js";
-import * as platformEmulator from "../src/emulator/platform-emulator.js";
-import * as runnerEmulator from "../src/emulator/runner-emulator.js";
+import type * as platformEmulator from "../src/emulator/platform-emulator.js";
+import type * as runnerEmulator from "../src/emulator/runner-emulator.js";
 import * as timers from "../src/runtime/timers.js";
 import * as loopback from "./sim/loopback.js";
 
@@ -36,12 +36,7 @@
 
 beforeAll(async () => {
   folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-tenants-"));
-  platform = new platformEmulator.PlatformEmulator(2);
-  await platform.start();
-  runner = new runnerEmulator.RunnerEmulator({ id: "i-1" });
-  await runner.start();
-  const instance = { instance_id: runner.id, service: "model", address: runner.address, zone: "a1", revision: "v1" };
-  platform.instances.push({ ...instance, capacity: 8, state: "ready", warmup_left_ms: 0 });
+  ({ platform, runner } = await loopback.startStandIns({ id: "i-1" }, 2));
   controls = [0, 1, 2].map(
     (index) =>
       new controlProgram.ControlProgram(clock, loopback.startupOf(system(), "control", index, path.join(folder, `disk-${index}`), true)),
