--- a/src/control/duties/duties.ts
+++ b/src/control/duties/duties.ts
@@ -98,7 +98,7 @@
       dueReports: (table) => (this.has(USAGE_REPORT) ? this.reporter.dueReports(table) : []),
       isNeeded: (table) => startup.cloud_api.duties.length > 0 || servingRollouts(table).size > 0,
       dueReverts: servingRollouts,
-      newOrders: (table) => (this.has(AUTOSCALE) ? this.newOrders(table) : []),
+      newOrders: (table) => (this.has(AUTOSCALE) && startup.autoscale === "on" ? this.newOrders(table) : []),
     });
     this.collector = this.makeCollector(clock, terms.windowMs);
     this.register.registerHandlers(host.handlers);
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -35,6 +35,7 @@
   admission: superstruct.defaulted(superstruct.enums(["on", "off"]), "on"),
   batches: superstruct.defaulted(superstruct.enums(["on", "off"]), "off"),
   batches_bootstrap: superstruct.optional(superstruct.boolean()),
+  autoscale: superstruct.defaulted(superstruct.enums(["on", "off"]), "off"),
   duties_bootstrap: superstruct.optional(superstruct.boolean()),
   unconfirmed_serve_s: superstruct.defaulted(nonNegative, 900),
   heartbeat_ms: superstruct.defaulted(positive, 1000),
