Duties read again: one host for parts with a register, tables decoded once, needless state gone

Found in reading the whole change: batches and duties described the same control node and made it twice (now side-part-host.ts); the duty table was decoded from its bytes at each turn (now once for each value); a router's last reply stood in two maps; the lease held the claimant only for a key of its status that nobody reads; two calls told apart what is settled alike.

--- a/src/control/batches/batches.ts
+++ b/src/control/batches/batches.ts
@@ -9,24 +9,18 @@
 import * as submissions from "../../batch/submission.js";
 import * as tables from "../../batch/table.js";
 import type * as itemQueue from "../../batch/item-queue.js";
-import type * as dialer from "../../feed/dialer.js";
-import type * as feedPublisher from "../../feed/feed-publisher.js";
 import * as files from "../../store/files.js";
 import * as errors from "../../runtime/errors.js";
 import * as log from "../../runtime/log.js";
 import type * as tree from "../../supervisor/tree.js";
-import type * as settings from "../../settings/settings.js";
 import type * as batchSchema from "../../wire/batch-schema.js";
-import type * as link from "../../wire/link.js";
-import type * as schema from "../../wire/schema.js";
 import type * as types from "../../wire/types.js";
 import * as batchCalls from "./batch-calls.js";
 import * as loadCollector from "./load-collector.js";
+import type * as sidePartHost from "../side-part-host.js";
 import * as sideRegister from "../side-register.js";
 import * as batchView from "./batch-view.js";
-import type * as fleetObserver from "../platform/fleet-observer.js";
 import type * as serve from "../../wire/serve.js";
-import type * as membership from "../members/membership.js";
 
 /** Where the records of batches go below data_dir, beside the register's own files. */
 const RECORD_FOLDER = path.join(sideRegister.BATCHES.folder, "records");
@@ -36,21 +30,8 @@
 const OPEN_RETRY_INTERVAL_MS = 1000;
 
 /** The control node around it. */
-export interface BatchesHost {
-  readonly incarnation: string;
-  readonly address: string;
-  readonly startup: settings.Settings;
-  readonly seeds: string[];
-  readonly dial: dialer.Dialer;
-  readonly handlers: link.Handlers;
-  readonly feed: feedPublisher.FeedPublisher;
-  readonly members: membership.Membership;
-  readonly fleetObserver: fleetObserver.FleetObserver;
-  /** The newest chosen value of the configuration's register. */
-  configuration(): schema.Value | null;
+export interface BatchesHost extends sidePartHost.SidePartHost {
   isConfirmed(): boolean;
-  /** This node and the control nodes that have a session here. */
-  connectedControls(): schema.NodeInfo[];
 }
 
 /** Null where the setting `batches` is off, or there is no disk. */
@@ -79,10 +60,9 @@
     private readonly host: BatchesHost,
     dataDir: string,
   ) {
-    const { incarnation, address, startup, seeds, dial } = host;
+    const { startup, dial } = host;
     const isBootstrap = startup.batches_bootstrap ?? startup.bootstrap;
-    const options = { kind: sideRegister.BATCHES, incarnation, address, dataDir, seeds, isBootstrap };
-    this.register = new sideRegister.SideRegister(clock, options, dial, () => host.connectedControls());
+    this.register = new sideRegister.SideRegister(clock, sideRegister.BATCHES, host, { dataDir, isBootstrap });
     this.records = new records.Records(clock, new files.LocalFolder(path.join(dataDir, RECORD_FOLDER)));
     this.replicas = new replicas.Replicas(clock, this.register.replica, this.records);
     this.loads = new loadCollector.LoadCollector(clock, host.feed, host.members, dial);
--- a/src/control/control-parts.ts
+++ b/src/control/control-parts.ts
@@ -21,6 +21,7 @@
 import * as fleetObserver from "./platform/fleet-observer.js";
 import * as singletonRole from "./platform/singleton-role.js";
 import * as registerReplica from "./register-replica.js";
+import type * as sidePartHost from "./side-part-host.js";
 import * as talliesHost from "./tallies-host.js";
 import * as quorumContact from "./voters/quorum-contact.js";
 import * as voterManager from "./voters/voter-manager.js";
@@ -98,28 +99,10 @@
 /** The parts that the others are made of. */
 type CoreParts = Omit<ControlParts, "tallies" | "batches" | "duties">;
 
-function makeBatches(host: ControlHost, made: CoreParts): batches.Batches | null {
-  const { clock, incarnation, address, handlers, seeds } = host;
-  return batches.makeBatches(clock, {
-    incarnation,
-    address,
-    handlers,
-    seeds,
-    startup: host.settings(),
-    dial: made.dial,
-    feed: made.feed,
-    members: made.members,
-    fleetObserver: made.fleetObserver,
-    configuration: () => made.replica.chosen,
-    isConfirmed: () => host.isConfirmed(),
-    connectedControls: () => host.connectedControls(),
-  });
-}
-
-function makeDuties(host: ControlHost, made: CoreParts): duties.Duties | null {
-  const { clock, incarnation, address, handlers, seeds } = host;
-  const { dial, feed, members, fleetObserver: observer } = made;
-  return duties.makeDuties(clock, {
+function sidePartHostOf(host: ControlHost, made: CoreParts): sidePartHost.SidePartHost {
+  const { incarnation, address, handlers, seeds } = host;
+  const { dial, feed, members, fleetObserver: observer, replica } = made;
+  return {
     incarnation,
     address,
     handlers,
@@ -129,11 +112,18 @@
     feed,
     members,
     fleetObserver: observer,
-    configuration: () => made.replica.chosen,
-    rank: () => (host.eligibility() === singletonRole.CONFIRMED ? observer.watcherRank() : null),
+    configuration: () => replica.chosen,
     connectedControls: () => host.connectedControls(),
-    wallClock: wallClock.timeOfDayMs,
-  });
+  };
+}
+
+function makeBatches(host: ControlHost, made: CoreParts): batches.Batches | null {
+  return batches.makeBatches(host.clock, { ...sidePartHostOf(host, made), isConfirmed: () => host.isConfirmed() });
+}
+
+function makeDuties(host: ControlHost, made: CoreParts): duties.Duties | null {
+  const rank = (): number | null => (host.eligibility() === singletonRole.CONFIRMED ? made.fleetObserver.watcherRank() : null);
+  return duties.makeDuties(host.clock, { ...sidePartHostOf(host, made), rank, wallClock: wallClock.timeOfDayMs });
 }
 
 /** Registers the parts' handlers and their listeners on each other. */
--- a/src/control/duties/duties.ts
+++ b/src/control/duties/duties.ts
@@ -9,22 +9,17 @@
 import * as usageLedger from "../../duties/usage-ledger.js";
 import * as usageReporter from "../../duties/usage-reporter.js";
 import type * as controlNode from "../../feed/control-node.js";
-import type * as dialer from "../../feed/dialer.js";
-import type * as feedPublisher from "../../feed/feed-publisher.js";
 import * as loadSummary from "../../load/load-summary.js";
 import type * as settings from "../../settings/settings.js";
 import type * as tree from "../../supervisor/tree.js";
 import * as calls from "../../wire/calls.js";
 import type * as dutySchema from "../../wire/duty-schema.js";
 import * as features from "../../wire/features.js";
-import type * as link from "../../wire/link.js";
-import type * as schema from "../../wire/schema.js";
 import type * as types from "../../wire/types.js";
 import * as registerValue from "../../register/register-value.js";
-import type * as membership from "../members/membership.js";
-import type * as fleetObserver from "../platform/fleet-observer.js";
 import * as rolloutCalls from "../operator/rollout-calls.js";
 import * as rollout from "../../rollout/rollout.js";
+import type * as sidePartHost from "../side-part-host.js";
 import * as sideRegister from "../side-register.js";
 import * as zoneLoads from "./zone-loads.js";
 
@@ -36,22 +31,9 @@
 const MS_PER_S = 1000;
 
 /** The control node around them. */
-export interface DutiesHost {
-  readonly incarnation: string;
-  readonly address: string;
-  readonly startup: settings.Settings;
-  readonly seeds: string[];
-  readonly dial: dialer.Dialer;
-  readonly handlers: link.Handlers;
-  readonly feed: feedPublisher.FeedPublisher;
-  readonly members: membership.Membership;
-  readonly fleetObserver: Pick<fleetObserver.FleetObserver, "instances" | "reports">;
-  /** The newest chosen value of the configuration's register. */
-  configuration(): schema.Value | null;
+export interface DutiesHost extends sidePartHost.SidePartHost {
   /** This node's rank among those that may hold the lease, 0 is the first; null: it may not. */
   rank(): number | null;
-  /** This node and the control nodes that have a session here. */
-  connectedControls(): schema.NodeInfo[];
   /** This machine's time of day, in milliseconds since the start of 1970. */
   wallClock(): number;
 }
@@ -79,10 +61,9 @@
     private readonly host: DutiesHost,
     dataDir: string,
   ) {
-    const { incarnation, address, startup, seeds, dial } = host;
+    const { incarnation, startup } = host;
     const isBootstrap = startup.duties_bootstrap ?? startup.bootstrap;
-    const options = { kind: sideRegister.DUTIES, incarnation, address, dataDir, seeds, isBootstrap };
-    this.register = new sideRegister.SideRegister(clock, options, dial, () => host.connectedControls());
+    this.register = new sideRegister.SideRegister(clock, sideRegister.DUTIES, host, { dataDir, isBootstrap });
     this.time = new timeOfDay.TimeOfDay(clock, () => host.wallClock());
     const terms = usageTerms(startup.bounds);
     this.reporter = new usageReporter.UsageReporter(this.ledger, this.time, terms, () => this.otherVoters());
@@ -156,7 +137,7 @@
   private *followingRouters(): Generator<usageCollector.FollowingRouter> {
     const followers = new Set(this.host.feed.subscribersOf(loadSummary.SUMMARY_TOPIC));
     for (const { node, link, features: named } of this.host.members.routerSessions()) {
-      if (followers.has(link) && (named & features.DUTIES) !== 0) yield { name: node.name, link };
+      if (followers.has(link) && features.isNamed(named, features.DUTIES)) yield { name: node.name, link };
     }
   }
 
--- a/src/control/side-register.ts
+++ b/src/control/side-register.ts
@@ -56,16 +56,22 @@
   feature: features.DUTIES,
 };
 
-/** Which node this is, and how its register begins. */
-export interface SideRegisterOptions {
-  kind: SideRegisterKind;
+/** The control node around the register. */
+export interface SideRegisterHost {
   /** Of this process. */
-  incarnation: string;
+  readonly incarnation: string;
   /** Of this node's links. */
-  address: string;
+  readonly address: string;
+  /** Addresses of the first voters. */
+  readonly seeds: string[];
+  readonly dial: dialer.Dialer;
+  /** This node and the control nodes that have a session here. */
+  connectedControls(): schema.NodeInfo[];
+}
+
+/** Where the register's disk is, and whether this is the very first start of this register. */
+export interface SideRegisterStart {
   dataDir: string;
-  /** Addresses of the first voters, and whether this is the very first start of this register. */
-  seeds: string[];
   isBootstrap: boolean;
 }
 
@@ -78,17 +84,16 @@
   private readonly disksByAddress = new Map<string, string>();
   private announcedAt = -Infinity;
 
-  /** `connectedControls`: this node and the control nodes that have a session here. */
   constructor(
     private readonly clock: types.Clock,
-    private readonly options: SideRegisterOptions,
-    private readonly dial: dialer.Dialer,
-    private readonly connectedControls: () => schema.NodeInfo[],
+    private readonly kind: SideRegisterKind,
+    private readonly host: SideRegisterHost,
+    { dataDir, isBootstrap }: SideRegisterStart,
   ) {
-    const { incarnation, address, seeds, isBootstrap } = options;
+    const { incarnation, address, seeds, dial } = host;
     const initialValue = registerValue.initialValue(isBootstrap ? seeds : []);
     this.replica = new registerReplica.RegisterReplica(clock, { incarnation, address, initialValue, channel: this.channel() }, dial);
-    const folder = new files.LocalFolder(path.join(options.dataDir, options.kind.folder));
+    const folder = new files.LocalFolder(path.join(dataDir, kind.folder));
     const machine = { clock, folder, processes: dataDirLock.systemProcesses };
     this.disk = new voterDisk.VoterDisk(machine, { address, seeds, isBootstrap }, (voter) => this.replica.attachVoter(voter));
     this.voterManager = new voterManager.VoterManager(clock, this.replica, () => this.connectedNodes());
@@ -97,13 +102,13 @@
   }
 
   private channel(): registerChannel.RegisterChannel {
-    return { ...this.options.kind, logsEpochs: false, diskOf: (control) => this.disksByAddress.get(control.address) ?? "" };
+    return { ...this.kind, logsEpochs: false, diskOf: (control) => this.disksByAddress.get(control.address) ?? "" };
   }
 
   /** Registers the handlers of peers' calls of this register. */
   registerHandlers(handlers: link.Handlers): void {
     this.replica.registerHandlers(handlers);
-    handlers.on(this.options.kind.announceDisk, (_from, announced) => {
+    handlers.on(this.kind.announceDisk, (_from, announced) => {
       this.disksByAddress.set(announced.address, announced.disk);
       return null;
     });
@@ -115,20 +120,20 @@
   }
 
   private announceDisk(control: controlNode.ControlNode): void {
-    const { kind, address } = this.options;
-    if (this.hasRegister(control)) control.link.send(kind.announceDisk, { address, disk: this.replica.disk });
+    const { kind, host } = this;
+    if (this.hasRegister(control)) control.link.send(kind.announceDisk, { address: host.address, disk: this.replica.disk });
   }
 
   /** Whether the peer takes part: a build from before this register would end the link. */
   private hasRegister(control: controlNode.ControlNode): boolean {
-    const { feature } = this.options.kind;
+    const { feature } = this.kind;
     return feature === null || (control.heartbeat !== null && features.hasFeature(control.heartbeat, feature));
   }
 
   /** The nodes in touch with their disks in this register. */
   private connectedNodes(): schema.NodeInfo[] {
-    return this.connectedControls().map((node) => {
-      const isOwn = node.address === this.options.address;
+    return this.host.connectedControls().map((node) => {
+      const isOwn = node.address === this.host.address;
       return { ...node, disk: isOwn ? this.replica.disk : (this.disksByAddress.get(node.address) ?? "") };
     });
   }
@@ -138,7 +143,7 @@
     const now = this.clock.now();
     if (now - this.announcedAt >= ANNOUNCE_INTERVAL_MS) {
       this.announcedAt = now;
-      for (const control of this.dial.controls.values()) this.announceDisk(control);
+      for (const control of this.host.dial.controls.values()) this.announceDisk(control);
       this.catchUp();
     }
     this.replica.runPeriodically();
@@ -147,7 +152,7 @@
 
   /** The message of a chosen value may be lost with a link: a peer at random is asked for its newest value. */
   private catchUp(): void {
-    const controls = [...this.dial.controls.values()].filter((control) => this.hasRegister(control));
+    const controls = [...this.host.dial.controls.values()].filter((control) => this.hasRegister(control));
     if (controls.length === 0) return;
     const control = controls[Math.floor(this.clock.random() * controls.length)];
     const known = this.replica.chosen?.epoch;
--- a/src/duties/duty-lease.ts
+++ b/src/duties/duty-lease.ts
@@ -29,7 +29,6 @@
   /** `leaseMs`: of the settings. */
   constructor(
     private readonly clock: types.Clock,
-    private readonly self: dutyTable.Claimant,
     leaseMs: number,
   ) {
     this.durationMs = Math.max(MIN_DURATION_MS, leaseMs);
@@ -91,7 +90,6 @@
       fence: table?.fence ?? 0,
       isHeldHere: this.heldFence !== null,
       remainingMs: this.heldFence === null ? 0 : Math.max(0, Math.round(this.remainingMs())),
-      node: this.self.name,
     };
   }
 }
--- a/src/duties/duty-owner.ts
+++ b/src/duties/duty-owner.ts
@@ -58,8 +58,8 @@
   private readonly acceptedOrders = new Map<string, number>();
 
   constructor(private readonly dependencies: OwnerDependencies) {
-    const { clock, self, leaseMs } = dependencies;
-    this.lease = new dutyLease.DutyLease(clock, self, leaseMs);
+    const { clock, leaseMs } = dependencies;
+    this.lease = new dutyLease.DutyLease(clock, leaseMs);
   }
 
   /** Whether this node holds the lease and may act now. */
@@ -116,9 +116,8 @@
     const startedAt = clock.now();
     this.nextChangeAt = startedAt + this.lease.renewalIntervalMs;
     const table = this.lease.observed!;
-    const decided = dependencies.dueReports(table);
     const changes = {
-      decided,
+      decided: dependencies.dueReports(table),
       accepted: new Set(this.acceptedWindows),
       orders: dependencies.newOrders(table),
       reverted: dependencies.dueReverts(table),
@@ -159,18 +158,23 @@
 
   private async sendReport(report: dutySchema.DecidedReport): Promise<void> {
     const outcome = await this.dependencies.platform.reportUsage(this.holder(), report);
-    if (outcome === "invalid") log.state(`duties: the platform finds the usage of window ${report.window} invalid`);
-    if (outcome === "accepted" || outcome === "invalid") this.acceptedWindows.add(report.window);
+    if (this.isSettled(outcome, `usage of window ${report.window}`)) this.acceptedWindows.add(report.window);
     this.finishCall(outcome);
   }
 
   private async sendOrder(order: dutySchema.RunnerOrder): Promise<void> {
     const outcome = await this.dependencies.platform.orderRunners(this.holder(), order);
-    if (outcome === "invalid") log.state(`duties: the platform finds the order of ${order.service} in ${order.zone} invalid`);
-    if (outcome === "accepted" || outcome === "invalid") this.acceptedOrders.set(dutyTable.subjectOf(order), order.desired);
+    const isSettled = this.isSettled(outcome, `order of ${order.service} in ${order.zone}`);
+    if (isSettled) this.acceptedOrders.set(dutyTable.subjectOf(order), order.desired);
     this.finishCall(outcome);
   }
 
+  /** Whether a call with this outcome is not sent again. */
+  private isSettled(outcome: platformDuties.DutyOutcome, subject: string): boolean {
+    if (outcome === "invalid") log.state(`duties: the platform finds the ${subject} invalid`);
+    return outcome === "accepted" || outcome === "invalid";
+  }
+
   private holder(): platformDuties.DutyHolder {
     return { name: this.dependencies.self.name, fence: this.lease.fence! };
   }
--- a/src/duties/duty-table.ts
+++ b/src/duties/duty-table.ts
@@ -51,11 +51,22 @@
 /** A renewal that changes nothing else. */
 export const NO_CHANGES: Changes = { decided: [], accepted: new Set(), orders: [], reverted: new Set() };
 
-/** The table in a chosen value of the duty register. */
+/** Tables by their bytes: several parts read the one that is chosen, many times a second. */
+const decoded = new WeakMap<Buffer, dutySchema.DutyTable>();
+
+/** The table in a chosen value of the duty register. Callers share the object and must not modify it. */
 export function tableOf(value: registerSchema.Value): dutySchema.DutyTable {
   if (value.config.length === 0) return EMPTY;
-  tiny.default(value.config[0] === LAYOUT, "the duties were written by a release with another layout; start that release");
-  return dutySchema.dutyTable.fromBuffer(value.config.subarray(1));
+  const known = decoded.get(value.config);
+  if (known) return known;
+  const table = decode(value.config);
+  decoded.set(value.config, table);
+  return table;
+}
+
+function decode(packed: Buffer): dutySchema.DutyTable {
+  tiny.default(packed[0] === LAYOUT, "the duties were written by a release with another layout; start that release");
+  return dutySchema.dutyTable.fromBuffer(packed.subarray(1));
 }
 
 /** The value with another table. */
--- a/src/duties/usage-collector.ts
+++ b/src/duties/usage-collector.ts
@@ -42,17 +42,19 @@
   decidedThrough(): number;
 }
 
-/** What a router acknowledged last. */
-interface Position {
+/** A router's last reply. */
+interface LastReply {
   life: string;
   sequence: number;
+  /** How long it took, there and back, in milliseconds. */
+  roundTripMs: number;
 }
 
+const NO_REPLY: LastReply = { life: "", sequence: 0, roundTripMs: 0 };
+
 /** Run by the control node's timer. */
 export class UsageCollector {
-  private readonly positions = new Map<string, Position>();
-  /** Round trips of routers' replies in milliseconds. */
-  private readonly roundTrips = new Map<string, number>();
+  private readonly lastReplies = new Map<string, LastReply>();
   /** Collected and not handed over to `relayedTo`. */
   private pending: dutySchema.RouterWindow[] = [];
   private relayedTo = "";
@@ -79,28 +81,19 @@
   }
 
   private forgetOthers(names: ReadonlySet<string>): void {
-    for (const name of this.positions.keys()) {
-      if (names.has(name)) continue;
-      this.positions.delete(name);
-      this.roundTrips.delete(name);
-    }
+    for (const name of this.lastReplies.keys()) if (!names.has(name)) this.lastReplies.delete(name);
   }
 
   private async collectFrom({ name, link }: FollowingRouter): Promise<void> {
-    const { clock, time, windowMs } = this.dependencies;
-    const position = this.positions.get(name) ?? { life: "", sequence: 0 };
+    const { clock, time, ledger, windowMs } = this.dependencies;
+    const last = this.lastReplies.get(name) ?? NO_REPLY;
     const sentAt = clock.now();
-    const timeOfDayMs = time.now() + (this.roundTrips.get(name) ?? 0) / 2;
-    const request = { timeOfDayMs, windowMs, acknowledged: position.sequence, life: position.life };
+    const timeOfDayMs = time.now() + last.roundTripMs / 2;
+    const request = { timeOfDayMs, windowMs, acknowledged: last.sequence, life: last.life };
     const reply = await link.call(calls.usageCollect, request, REPLY_TIMEOUT_MS);
     if (!reply) return;
-    this.roundTrips.set(name, clock.now() - sentAt);
-    this.positions.set(name, { life: reply.life, sequence: reply.sequence });
-    this.join(reply.windows);
-  }
-
-  private join(windows: readonly dutySchema.RouterWindow[]): void {
-    this.pending.push(...this.dependencies.ledger.join(windows));
+    this.lastReplies.set(name, { life: reply.life, sequence: reply.sequence, roundTripMs: clock.now() - sentAt });
+    this.pending.push(...ledger.join(reply.windows));
   }
 
   private async relay(): Promise<void> {
--- a/src/duties/usage-counter.ts
+++ b/src/duties/usage-counter.ts
@@ -7,6 +7,8 @@
 
 /** Windows that are kept, the newest ones: a control node that takes over collects them again. */
 const MAX_WINDOWS = 14;
+/** Requests that began before a control node told the time of day are kept up to this number. */
+const MAX_EARLY = 500;
 
 interface Entry {
   count: number;
@@ -14,9 +16,6 @@
   sequence: number;
 }
 
-/** Requests that began before a control node told the time of day are kept up to this number. */
-const MAX_EARLY = 500;
-
 /** One for each router. */
 export class UsageCounter {
   private readonly windows = new Map<number, Map<string, Entry>>();
--- a/src/wire/features.ts
+++ b/src/wire/features.ts
@@ -19,7 +19,12 @@
 /** The features of a router of this build, for its heartbeats. */
 export const ROUTER_FEATURES = DUTIES;
 
+/** Whether the feature is among those that a node named. */
+export function isNamed(named: number, feature: number): boolean {
+  return (named & feature) !== 0;
+}
+
 /** Whether the sender of the beat has the feature; builds from before features say 0. */
 export function hasFeature(beat: schema.Heartbeat, feature: number): boolean {
-  return (beat.index & feature) !== 0;
+  return isNamed(beat.index, feature);
 }
