Dialer: what a plan makes due at once is dialled in the same run

Cause: maintainLinks read the clock before the plan, which sets due times by a later reading; with a clock that runs, a dial that is due at once waited for the next run, 100 ms later. Change: the clock is read after the plan. Result: failing test first (a clock that runs): nothing dialled in the first run; now one.

--- a/src/feed/dialer.ts
+++ b/src/feed/dialer.ts
@@ -117,11 +117,12 @@
   /** Ends silent links and dials what is due; called each 100 ms. */
   maintainLinks(): void {
     if (this.isClosed) return;
-    const now = this.clock.now();
     for (const control of [...this.controls.values()]) {
       if (control.link.idleMs() > this.linkTimeoutMs) control.link.end("silent");
     }
     this.selector?.planDials(this.targets, this.controls);
+    // Read after the plan: what it makes due at once is dialled in this run.
+    const now = this.clock.now();
     for (const [address, target] of this.targets) {
       if (this.selector && target.dueAt > now) continue;
       const isDue = target.state === "idle" ? target.notBefore <= now : !this.selector && this.isStale(target);
--- a/tests/session-selector.test.ts
+++ b/tests/session-selector.test.ts
@@ -1,5 +1,10 @@
 // Which few control nodes a router keeps sessions with (design/members).
+import * as dialer from "../src/feed/dialer.js";
 import * as sessionSelector from "../src/feed/session-selector.js";
+import * as link from "../src/wire/link.js";
+import type * as schema from "../src/wire/schema.js";
+import type * as types from "../src/wire/types.js";
+import * as simulatedClock from "./sim/simulated-clock.js";
 
 interface Spread {
   description: string;
@@ -51,3 +56,28 @@
     }
   });
 });
+
+/** Time passes while the process works, as on a machine. */
+class RunningClock extends simulatedClock.SimulatedClock {
+  override now(): types.SteadyMs {
+    this.skip(0.01);
+    return super.now();
+  }
+}
+
+test("a router that starts dials the first seed in its first run", () => {
+  const clock = new RunningClock();
+  const dialled: string[] = [];
+  class RecordingDialer extends dialer.Dialer {
+    protected override connect(address: string): Promise<null> {
+      dialled.push(address);
+      return new Promise(() => undefined);
+    }
+  }
+  const selector = new sessionSelector.SessionSelector(clock, { name: "edge-1", region: "a" });
+  const describe = (): schema.NodeInfo => ({}) as schema.NodeInfo;
+  const dial = new RecordingDialer(clock, "", new link.Handlers(), describe, link.LINK_TIMEOUT_MS, selector);
+  dial.addAddresses(["a:1", "b:1", "c:1"]);
+  dial.maintainLinks();
+  expect(dialled).toHaveLength(1);
+});
