A role that can't start ends with code 78 and a line that says why

Cause: the rejected start of the supervisor's root was an unhandled rejection: logged, and the process stayed, doing nothing (a start whose address is taken). Result: the test fails without the mend (the process ends with another code once its server is refused).

--- a/src/cli/roles.ts
+++ b/src/cli/roles.ts
@@ -7,6 +7,7 @@
 import * as fs from "node:fs";
 import * as controlProgram from "../control/control-program.js";
 import * as routerProgram from "../router/router-program.js";
+import * as errors from "../runtime/errors.js";
 import * as log from "../runtime/log.js";
 import * as settings from "../settings/settings.js";
 import * as tree from "../supervisor/tree.js";
@@ -79,10 +80,20 @@
   }
   program.root.add(program.root.turns("settings", SETTINGS_CHECK_MS, checkFile));
   if (metrics !== undefined) await addMetrics(program.root, read.value.ip_address, metrics);
-  await program.root.start();
+  await startOrEnd(program.root, read.value.node_name);
   log.state(`${read.value.node_name} is up`);
 }
 
+/** A process that can't start ends, with a line that says why: whoever runs it starts it again, or mends the settings. */
+async function startOrEnd(root: tree.Supervisor, name: string): Promise<void> {
+  try {
+    await root.start();
+  } catch (cause) {
+    log.flushNow();
+    endWith(`${name} cannot start: ${errors.messageOf(cause)}`, commands.EXIT.startup);
+  }
+}
+
 function fingerprintOf(file: string): string {
   try {
     const { mtimeMs, size } = fs.statSync(file);
--- a/tests/launcher.test.ts
+++ b/tests/launcher.test.ts
@@ -8,6 +8,7 @@
  */
 import * as childProcess from "node:child_process";
 import * as fs from "node:fs";
+import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 import * as esbuild from "esbuild";
@@ -25,3 +26,35 @@
   fs.rmSync(folder, { recursive: true });
   expect({ status, signal }).toEqual({ status: 0, signal: null });
 });
+
+test("a process whose address is taken ends with the code of a failed start and a line that names the address", async () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-launcher-"));
+  const taken = net.createServer();
+  await new Promise<void>((resolve) => taken.listen(0, "127.0.0.1", resolve));
+  const { port } = taken.address() as net.AddressInfo;
+  const build = { bundle: true, platform: "node", format: "cjs" } as const;
+  esbuild.buildSync({ ...build, entryPoints: ["src/cli/cranewind.ts"], outfile: path.join(folder, "cranewind.js") });
+  esbuild.buildSync({ ...build, entryPoints: ["src/cli/node.ts"], outfile: path.join(folder, "roles.js") });
+  const settingsFile = path.join(folder, "node.conf");
+  fs.writeFileSync(settingsFile, SETTINGS.map((line) => line.replaceAll("PORT", `${port}`)).join("\n"));
+  const env = { ...process.env, CRANEWIND_NODE_FILE: settingsFile };
+  const { status, stderr } = childProcess.spawnSync(process.execPath, [path.join(folder, "cranewind.js"), "control"], { env });
+  taken.close();
+  fs.rmSync(folder, { recursive: true });
+  expect(stderr.toString()).toMatch(new RegExp(`n cannot start: cannot listen at 127.0.0.1:${port}: .*EADDRINUSE.*; end the process`));
+  expect(status).toBe(78);
+});
+
+const SETTINGS = [
+  "node_name=n",
+  "ip_address=127.0.0.1",
+  "zone=z",
+  "region=r",
+  "zones.z=r",
+  "internal_port_range=PORT,PORT",
+  "seed_nodes=127.0.0.1:PORT",
+  "bootstrap=true",
+  "failure_counted=true",
+  "limits.memory_mb=128",
+  "limits.max_open_files=512",
+];
