Drain: at the end of the grace period no request without a head is dropped unanswered

Cause: what had no head yet was cut off with the process, without a status. Change: 504 where a runner may have run it, else 503 with Retry-After; 100 ms of the reserve for the last bytes; counter drain.given_up. A begun response is left as it was. Result: the test fails without the mend (no answer); with it 504.

--- a/src/router/client/router-server.ts
+++ b/src/router/client/router-server.ts
@@ -149,6 +149,11 @@
     for (const transaction of [...this.active]) transaction.checkSilence(now);
   }
 
+  /** The grace period is over: requests whose clients have no head yet are answered with what is known of them. */
+  endForShutdown(): void {
+    for (const transaction of [...this.active]) transaction.endForShutdown();
+  }
+
   /** The router serves from now on: the requests that wait are routed. */
   servePending(): void {
     this.pending.releaseAll();
--- a/src/router/graceful-shutdown.ts
+++ b/src/router/graceful-shutdown.ts
@@ -10,6 +10,8 @@
 import * as drainAcceptance from "./drain-acceptance.js";
 
 const POLL_INTERVAL_MS = 50;
+/** The last bytes of responses that are given at the end leave the process meanwhile. */
+const LAST_BYTES_MS = 100;
 
 /** Resolves when no request is under way, or the grace period is nearly over. The caller sets `isDraining` of the server before. */
 export async function drainRequests(clock: types.Clock, server: routerServer.RouterServer, graceMs: number): Promise<void> {
@@ -23,9 +25,16 @@
   server.close();
   log.state(`drain: no new connections, ${server.activeCount} requests under way`);
   while (server.activeCount > 0 && clock.now() < exitAt) await timers.sleep(clock, POLL_INTERVAL_MS);
+  if (server.activeCount > 0) await giveUpUnanswered(clock, server);
   logEnd(startedAt, clock.now(), server);
 }
 
+async function giveUpUnanswered(clock: types.Clock, server: routerServer.RouterServer): Promise<void> {
+  server.endForShutdown();
+  const until = clock.now() + LAST_BYTES_MS;
+  while (server.activeCount > 0 && clock.now() < until) await timers.sleep(clock, POLL_INTERVAL_MS);
+}
+
 function logEnd(startedAt: number, now: number, server: routerServer.RouterServer): void {
   const { activeCount, drain } = server;
   const received =
--- a/src/router/request-transaction.ts
+++ b/src/router/request-transaction.ts
@@ -19,6 +19,8 @@
 const MIN_REMAINING_MS = 10;
 /** Attempts that fail before a byte is sent, for lack of a connection. */
 const MAX_UNSENT_ATTEMPTS = 4;
+/** Another router takes the request at once; in seconds. */
+const SHUTDOWN_RETRY_S = 0.1;
 /** Between two checks of a runner that is silent and can't be left yet. */
 const SILENCE_CHECK_INTERVAL_MS = 250;
 
@@ -272,11 +274,25 @@
 
   private onDeadline(): void {
     if (this.state === "done") return;
+    if (this.response.isHeadSent) {
+      this.cancelAttempt();
+      this.abort("late");
+    } else this.giveUp("the deadline has passed", 0.2);
+  }
+
+  /** The router ends now: a client without a head gets a status that says what is known; a begun response is left as it is. */
+  endForShutdown(): void {
+    if (this.state === "done" || this.response.isHeadSent) return;
+    log.count("drain.given_up");
+    this.giveUp("this router shuts down", SHUTDOWN_RETRY_S);
+  }
+
+  /** Before a head is sent: 504 where a runner may have run the request, else 503. */
+  private giveUp(cause: string, retryAfterS: number): void {
     const isRunning = this.attempt !== null && this.attempt.isSent && !this.attempt.isOver;
     this.cancelAttempt();
-    if (this.response.isHeadSent) this.abort("late");
-    else if (isRunning || this.mayHaveRun) this.respond(504, "the deadline passed while the request ran", null, "late");
-    else this.reject({ status: 503, cause: "the deadline has passed", retryAfterS: 0.2 });
+    if (isRunning || this.mayHaveRun) this.respond(504, `${cause} while the request ran`, null, "late");
+    else this.reject({ status: 503, cause, retryAfterS });
   }
 
   private onClientClosed(): void {
--- a/tests/graceful-shutdown.test.ts
+++ b/tests/graceful-shutdown.test.ts
@@ -101,6 +101,19 @@
   expect(edge.seen().map(({ requestId }) => requestId)).toEqual(["first"]);
 });
 
+test("at the end of the grace period a request without a head gets a status that says what is known of it", async () => {
+  edge.runners[0].faults.push("silent", "silent");
+  const client = new Client();
+  client.ask("held");
+  await until(() => edge.seen().length === 1);
+  startDrain();
+  await clock.play(7800);
+  await until(() => client.hasCompleteAnswer);
+  expect(client.text).toMatch(/^HTTP\/1.1 504 [^]*this router shuts down while the request ran/);
+  await clock.play(200);
+  expect(isDrained).toBe(true);
+});
+
 /** The router's side of a connection whose peer does not read: each write waits until `release`. */
 class BlockedConnection extends stream.Duplex {
   private readonly waiting: (() => void)[] = [];
