A node that was itself not run takes nobody for cut off before it has read its sockets

Cause, found from the test that failed on a busy machine (an add refused with 503): silence was counted by the steady clock alone, and timers run before sockets are read. As a node of five resumes after 1.5 s it acknowledged an add that no other disk held, where two must: the silence passed for the sign of a cut. Change: LoopDelay tells a delay of the own periodic work; until a node has recovered it takes nobody for partitioned, adds wait up to 1.2 s, orders up to 0.8 s for the confirmation; links, sessions, regions are judged one run later. Leases and confirmation run out as before.

--- a/src/control/control-program.ts
+++ b/src/control/control-program.ts
@@ -10,6 +10,7 @@
 import * as types from "../wire/types.js";
 import * as timers from "../runtime/timers.js";
 import * as log from "../runtime/log.js";
+import * as loopDelay from "../runtime/loop-delay.js";
 import * as drainWindows from "../settings/drain-windows.js";
 import * as settings from "../settings/settings.js";
 import * as files from "../store/files.js";
@@ -45,6 +46,7 @@
   private readonly parts: controlParts.ControlParts;
   /** Null on a node without a data folder, and before the start. */
   private disk: voterDisk.VoterDisk | null = null;
+  private readonly loopDelay: loopDelay.LoopDelay;
   private isLeaving = false;
   private servers: serve.JsonServer[] = [];
 
@@ -54,6 +56,7 @@
   ) {
     this.address = `${startup.ip_address}:${startup.internal_port_range[0]}`;
     this.seeds = settings.innerSeeds(startup);
+    this.loopDelay = new loopDelay.LoopDelay(clock);
     this.parts = controlParts.makeParts(this.host());
     this.root = new tree.Supervisor("control", clock, []);
     this.addChildren();
@@ -161,7 +164,9 @@
     const { members, dial, contact } = this.parts;
     const { epoch, isReady } = this.describe();
     const isSettled = contact.isConfirmed();
-    const heartbeat = { isReady, epoch, isSettled, silentRegions: dial.silentRegions(), index: features.OWN_FEATURES };
+    // What regions sent during a delay of this process may be unread.
+    const silentRegions = this.loopDelay.wasDelayed(link.HEARTBEAT_INTERVAL_MS) ? [] : dial.silentRegions();
+    const heartbeat = { isReady, epoch, isSettled, silentRegions, index: features.OWN_FEATURES };
     members.sendHeartbeats(heartbeat);
     dial.sendHeartbeats({ ...heartbeat, members: 1 });
     members.publishToPeers(this.describe(), dial.links(), this.controls());
@@ -169,8 +174,11 @@
 
   private runPeriodically(): void {
     const { dial, members, replica, contact, fleetObserver, voterManager, tallies, batches, duties } = this.parts;
-    dial.maintainLinks();
-    members.expireSilent();
+    // After a delay of its own the node first reads what its peers have sent.
+    if (!this.loopDelay.recordRun()) {
+      dial.maintainLinks();
+      members.expireSilent();
+    }
     replica.runPeriodically();
     contact.runPeriodically();
     fleetObserver.runPeriodically();
--- a/src/control/operator/redirect.ts
+++ b/src/control/operator/redirect.ts
@@ -10,8 +10,8 @@
 
 /** Any node answers it, about itself. */
 const STATUS_PATH = "/-/status";
-/** Time that a process that has just started waits for its first confirmation: less than a caller's time-out of one second. */
-const INITIAL_CONFIRMATION_TIMEOUT_MS = 800;
+/** Time that a process that has just started, or was not run for a while, waits for its confirmation: less than a caller's time-out of one second. */
+const CONFIRMATION_TIMEOUT_MS = 800;
 /** Value of the Retry-After header, in seconds. */
 const RETRY_AFTER_S = "0.3";
 /** Nodes remembered as confirmed; beyond it the oldest one is dropped. */
@@ -41,11 +41,16 @@
   /** Answers as `next` does while this node is confirmed; else 307 to a confirmed node, or 503 at once. */
   async handle(request: serve.HttpRequest): Promise<serve.HttpResponse> {
     if (request.path === STATUS_PATH) return this.next(request);
-    if (!this.contact.isConfirmed() && !this.contact.wasEverConfirmed) await this.waitForConfirmation(INITIAL_CONFIRMATION_TIMEOUT_MS);
+    if (!this.contact.isConfirmed() && this.isConfirmationDue()) await this.waitForConfirmation(CONFIRMATION_TIMEOUT_MS);
     if (!this.contact.isConfirmed()) return this.redirectOrReject(request);
     return this.handleUntilContactLost(request);
   }
 
+  /** Whether the voters are likely to confirm this node within a moment. */
+  private isConfirmationDue(): boolean {
+    return !this.contact.wasEverConfirmed || this.contact.mayBeDelayed();
+  }
+
   /** The outcome of an order in progress when contact is lost is unknown; retried elsewhere it is applied once. */
   private handleUntilContactLost(request: serve.HttpRequest): Promise<serve.HttpResponse> {
     const { contact } = this;
--- a/src/control/voters/quorum-contact.ts
+++ b/src/control/voters/quorum-contact.ts
@@ -8,6 +8,7 @@
 import type * as schema from "../../wire/schema.js";
 import * as types from "../../wire/types.js";
 import * as log from "../../runtime/log.js";
+import * as loopDelay from "../../runtime/loop-delay.js";
 import type * as controlNode from "../../feed/control-node.js";
 import type * as dialer from "../../feed/dialer.js";
 import * as quorumConfirmation from "../../register/quorum-confirmation.js";
@@ -28,6 +29,7 @@
 export class QuorumContact extends events.EventEmitter<QuorumContactEvents> {
   private wasConfirmed = false;
   private isWithdrawn = false;
+  private readonly loopDelay: loopDelay.LoopDelay;
   private changedAt: types.SteadyMs;
   /** Whether this process was ever confirmed. */
   wasEverConfirmed = false;
@@ -43,6 +45,7 @@
     // Each order in progress listens for the loss of contact.
     this.setMaxListeners(0);
     this.changedAt = clock.now();
+    this.loopDelay = new loopDelay.LoopDelay(clock);
     dial.on("up", (control) => this.requestConfirmation(control));
     replica.on("chosen", () => this.handleChosen());
   }
@@ -60,6 +63,7 @@
 
   /** Counts the own disk, and notices that the confirmation expired. */
   runPeriodically(): void {
+    this.loopDelay.recordRun();
     this.confirmOwnDisk();
     this.updateState();
   }
@@ -70,6 +74,11 @@
     this.updateState();
   }
 
+  /** Whether a missing confirmation may be due to this process itself, which was not run lately: the voters' replies may be unread. */
+  mayBeDelayed(): boolean {
+    return !this.isWithdrawn && this.loopDelay.wasDelayed(quorumConfirmation.MAX_ANSWER_AGE_MS);
+  }
+
   /** For `status`. */
   status(): unknown {
     const { chosen } = this.replica;
--- a/src/router/router-program.ts
+++ b/src/router/router-program.ts
@@ -7,6 +7,7 @@
 import * as schema from "../wire/schema.js";
 import * as types from "../wire/types.js";
 import * as log from "../runtime/log.js";
+import * as loopDelay from "../runtime/loop-delay.js";
 import * as settings from "../settings/settings.js";
 import * as configItems from "../config/config-items.js";
 import * as networkPartitions from "../feed/network-partitions.js";
@@ -58,6 +59,7 @@
   private readonly batches: routerBatches.RouterBatches;
   private readonly tenantGate: tenantGate.TenantGate;
   private readonly usage: usageCounter.UsageCounter;
+  private readonly loopDelay: loopDelay.LoopDelay;
   private epoch = types.NO_EPOCH;
   readonly root: tree.Supervisor;
 
@@ -66,6 +68,7 @@
     private startup: settings.Settings,
   ) {
     const { region, node_name: name, bounds } = startup;
+    this.loopDelay = new loopDelay.LoopDelay(clock);
     this.fleet = new runnerFleet.RunnerFleet(clock, new Map(Object.entries(startup.zones)));
     this.rotation = new zoneRotation.ZoneRotation(clock);
     this.limits = new leasedLimits.LeasedLimits(clock, bounds);
@@ -162,7 +165,9 @@
   private runPeriodically(): void {
     this.updateServeGate();
     this.picker.admission.runPeriodically(WATCH_INTERVAL_MS);
-    this.dial.maintainLinks();
+    // After a delay of its own the router first reads what the control nodes have sent.
+    const isDelayed = this.loopDelay.recordRun();
+    if (!isDelayed) this.dial.maintainLinks();
     this.follower.selectPrimary();
     this.follower.updateSubscriptions();
     this.load.refresh(this.follower.replica);
@@ -175,7 +180,7 @@
     this.server.checkSilence();
     this.fleet.restoreExpired();
     this.prefillSharing.hintExchange.publishUnresponsive(this.fleet.takeNewSuspects());
-    this.suspectUnreachableRegions();
+    if (!isDelayed) this.suspectUnreachableRegions();
   }
 
   private sendHints(hints: schema.Hints): void {
--- a/src/tallies/acknowledgements.ts
+++ b/src/tallies/acknowledgements.ts
@@ -4,12 +4,17 @@
  */
 import * as log from "../runtime/log.js";
 import type * as types from "../wire/types.js";
+import type * as loopDelay from "../runtime/loop-delay.js";
+import * as timers from "../runtime/timers.js";
 import * as peerTable from "./peer-table.js";
 import type * as counterStore from "./counter-store.js";
 
 /** A node that has just started, as after a loss of power everywhere, takes nobody for partitioned before this. */
 const STARTUP_GRACE_MS = 5000;
 
+/** Interval between checks of whether peers are in touch again. */
+const REACHABLE_POLL_MS = 20;
+
 /** What decides on acknowledgements. */
 export interface AcknowledgementParts {
   clock: types.Clock;
@@ -21,6 +26,8 @@
   required(): number;
   /** Addresses of the other nodes that should keep tallies. */
   expected(): Iterable<string>;
+  /** Of this process: while it recovers from one, it takes nobody for partitioned. */
+  loopDelay: loopDelay.LoopDelay;
   /** Whether any router of the zone has sent a heartbeat lately. */
   isZoneHeard(zone: string): boolean;
 }
@@ -71,6 +78,13 @@
     return this.reachableDisks() >= this.parts.required() || this.isPartitioned();
   }
 
+  /** Resolves once enough disks are in reach, or a cut excuses that they are not, or after the time-out. */
+  async waitUntilReachable(timeoutMs: number): Promise<void> {
+    const { clock } = this.parts;
+    const until = clock.now() + timeoutMs;
+    while (!this.canAcknowledge() && clock.now() < until) await timers.sleep(clock, REACHABLE_POLL_MS);
+  }
+
   private resolveIfDurable(item: PendingAdd, isPartitioned: boolean): void {
     const { store, peers: all, isCounted } = this.parts;
     const isOwn = store.durableOffset(item.stream) >= item.position;
@@ -97,8 +111,9 @@
    * behind a one-way partition; one that is silent together with all routers of its zone is taken for partitioned.
    */
   isPartitioned(): boolean {
-    const { clock } = this.parts;
-    if (clock.now() - this.startedAt < STARTUP_GRACE_MS || this.reachableDisks() >= this.parts.required()) return false;
+    const { clock, loopDelay: ownDelay } = this.parts;
+    if (clock.now() - this.startedAt < STARTUP_GRACE_MS || ownDelay.isRecovering(peerTable.IN_TOUCH_MS)) return false;
+    if (this.reachableDisks() >= this.parts.required()) return false;
     for (const address of this.parts.expected()) if (this.isCutOff(address)) return true;
     return false;
   }
--- a/src/tallies/replicated-counters.ts
+++ b/src/tallies/replicated-counters.ts
@@ -3,6 +3,7 @@
  * sides of any network partition and agree afterwards. Nothing in here needs a majority; the register only says who the members are.
  */
 import * as log from "../runtime/log.js";
+import * as loopDelay from "../runtime/loop-delay.js";
 import type * as files from "../store/files.js";
 import type * as link from "../wire/link.js";
 import type * as types from "../wire/types.js";
@@ -19,6 +20,8 @@
 export const ACKNOWLEDGE_TIMEOUT_MS = 2500;
 /** A caller waits so long for a total at a node that has just started. */
 const READY_TIMEOUT_MS = 800;
+/** An add at a process that was not run for a while waits so long for its peers. */
+const REGAIN_TIMEOUT_MS = 1200;
 /** Ids in memory at most: beyond it adds are rejected until a partition is over and compaction goes on. */
 export const MAX_IDS = 250_000;
 /** Interval between checks of what the peers hold, while this node leaves. */
@@ -54,6 +57,7 @@
   private readonly readiness: totalsReadiness.TotalsReadiness;
   private readonly eras: eraAdvancer.EraAdvancer;
   private compactedAt: types.SteadyMs;
+  private readonly loopDelay: loopDelay.LoopDelay;
   private isDraining = false;
   private wasPartitioned = false;
 
@@ -63,6 +67,7 @@
   ) {
     const { incarnation, address, isCounted, dial } = host;
     this.compactedAt = clock.now();
+    this.loopDelay = new loopDelay.LoopDelay(clock);
     this.store = new counterStore.CounterStore(clock, () => host.newDiskId());
     this.peers = new peerTable.PeerTable(clock);
     const { store, peers: known } = this;
@@ -84,6 +89,7 @@
       isCounted,
       required,
       expected,
+      loopDelay: this.loopDelay,
       isZoneHeard,
     });
     this.readiness = new totalsReadiness.TotalsReadiness({ clock, store, peers: known, required, expected });
@@ -99,6 +105,7 @@
 
   /** Called each 100 ms. */
   runPeriodically(): void {
+    this.loopDelay.recordRun();
     this.replication.runPeriodically();
     this.onProgress();
     this.reportPartition();
@@ -110,6 +117,7 @@
   /** Adds to a tally; an id that was added before is acknowledged once more and counts once. */
   async add(tally: string, { id, amount }: tallyRequest.AddRequest): Promise<AddOutcome> {
     const { store, host } = this;
+    await this.regainPeers();
     if (this.isDraining || !store.isOpen || !store.isComplete) return "busy";
     const known = store.state.find(tally, id);
     if (known && known.amount !== amount) return "conflict";
@@ -126,6 +134,14 @@
     return this.waitUntilDurable(host.incarnation, position);
   }
 
+  /** A process that was not run for a while hears from its peers again before it takes them for gone. */
+  private async regainPeers(): Promise<void> {
+    const waiting = this.acknowledgements;
+    if (!this.store.isOpen || waiting.canAcknowledge() || !this.loopDelay.isRecovering(peerTable.IN_TOUCH_MS)) return;
+    log.count("tallies.waited_for_peers");
+    await waiting.waitUntilReachable(REGAIN_TIMEOUT_MS);
+  }
+
   private async waitUntilDurable(stream: string, position: number): Promise<AddOutcome> {
     const isCompacted = position <= this.store.state.compactedOffset(stream) || stream === "";
     const outcome = isCompacted ? "durable" : await this.acknowledgements.wait(stream, position, ACKNOWLEDGE_TIMEOUT_MS);
--- a/tests/support/tally-cluster.ts
+++ b/tests/support/tally-cluster.ts
@@ -43,6 +43,8 @@
   life: Life | null = null;
   lives = 0;
   wipes = 0;
+  /** Until then its process is suspended: nothing of it runs, and what is sent to it waits. */
+  suspendedUntil = 0;
 
   constructor(
     private readonly cluster: TallyCluster,
@@ -67,7 +69,7 @@
     const clock: types.Clock = {
       now: () => cluster.clock.now(),
       random: () => cluster.clock.random(),
-      schedule: (ms, run) => cluster.clock.schedule(ms, () => !isDead() && run()),
+      schedule: (ms, run) => cluster.clock.schedule(ms, () => this.runWhenResumed(() => !isDead() && run())),
     };
     const kept = new replicatedCounters.ReplicatedCounters(clock, {
       incarnation: name,
@@ -87,11 +89,18 @@
       if (isDead()) return;
       cluster.dialAll(this);
       kept.runPeriodically();
-      cluster.clock.schedule(TURN_MS, turn);
+      clock.schedule(TURN_MS, turn);
     };
     turn();
   }
 
+  /** Runs at once, or when the process is resumed. */
+  runWhenResumed(run: () => void): void {
+    const { clock } = this.cluster;
+    if (clock.now() < this.suspendedUntil) clock.schedule(this.suspendedUntil - clock.now(), run);
+    else run();
+  }
+
   kill(): void {
     if (this.life) this.life.isDead = true;
     this.life = null;
@@ -138,7 +147,8 @@
     const { clock } = this.cluster;
     const at = Math.max(this.lastAt, clock.now() + 2 + clock.random() * this.cluster.delayMs);
     this.lastAt = at;
-    clock.schedule(at - clock.now(), () => this.isOpen && !this.cluster.isCut(from.address, to.address) && run());
+    const receive = (): unknown => this.isOpen && !this.cluster.isCut(from.address, to.address) && run();
+    clock.schedule(at - clock.now(), () => to.runWhenResumed(receive));
   }
 }
 
