--- a/src/feed/session-selector.ts
+++ b/src/feed/session-selector.ts
@@ -1,6 +1,7 @@
 /** Chooses the few control nodes that a router has sessions with, and when it dials or releases one (design/members 2, 3). */
 import * as types from "../wire/types.js";
 import * as log from "../runtime/log.js";
+import * as loopDelay from "../runtime/loop-delay.js";
 import * as textHash from "../limits/text-hash.js";
 import type * as controlNode from "./control-node.js";
 
@@ -12,8 +13,6 @@
 const MAX_REBALANCE_DELAY_MS = 4000;
 const MIN_RELEASE_DELAY_MS = 1000;
 const SILENCE_TIMEOUT_MS = 1200;
-/** A plan so late means that this process was suspended, not that the others were silent. */
-const LATE_PLAN_MS = 400;
 /** A dial that takes longer is not waited for: another control node is dialled beside it. */
 const SLOW_DIAL_MS = 500;
 /** At the start no regions are known: seeds are dialled one after the other at this interval until one replies. */
@@ -73,7 +72,7 @@
 /** Chooses which control nodes one router holds sessions with. */
 export class SessionSelector {
   private releaseAt = Infinity;
-  private plannedAt = -Infinity;
+  private readonly loopDelay: loopDelay.LoopDelay;
   private startedAt = -1;
   /** Whether enough sessions are usable: all other dials may wait. */
   hasEnoughSessions = false;
@@ -81,7 +80,9 @@
   constructor(
     private readonly clock: types.Clock,
     private readonly self: Self,
-  ) {}
+  ) {
+    this.loopDelay = new loopDelay.LoopDelay(clock);
+  }
 
   /** A control node that is unconfirmed or silent does not count as a session. */
   private isUsable(control: controlNode.ControlNode, isLate: boolean): boolean {
@@ -95,8 +96,8 @@
   /** Sets when each target is due to be dialled; releases sessions beyond the chosen ones. */
   planDials(targets: ReadonlyMap<string, controlNode.DialTarget>, controls: ReadonlyMap<string, controlNode.ControlNode>): void {
     const now = this.clock.now();
-    const isLate = now - this.plannedAt > LATE_PLAN_MS;
-    this.plannedAt = now;
+    // After a delay of this process the others are not silent: what they sent is unread.
+    const isLate = this.loopDelay.recordRun();
     const all: Candidate[] = [];
     const counted: Candidate[] = [];
     let usable = 0;
--- a/src/runtime/loop-delay.ts
+++ b/src/runtime/loop-delay.ts
@@ -11,14 +11,13 @@
 
 /** Watches the runs of one periodic task; a simulation that runs it seldom sees a delay each time. */
 export class LoopDelay {
-  private lastRunAt: types.SteadyMs;
+  /** Null before the first run: a start is no delay. */
+  private lastRunAt: types.SteadyMs | null = null;
   private delayedAt = Number.NEGATIVE_INFINITY;
   private delayMs = 0;
   private wasReported = false;
 
-  constructor(private readonly clock: types.Clock) {
-    this.lastRunAt = clock.now();
-  }
+  constructor(private readonly clock: types.Clock) {}
 
   /**
    * The task runs now. Returns whether this run is delayed, for which a caller may put off what it concludes from silence; never
@@ -26,7 +25,7 @@
    */
   recordRun(): boolean {
     const now = this.clock.now();
-    const sinceLastMs = now - this.lastRunAt;
+    const sinceLastMs = this.sinceLastRunMs();
     this.lastRunAt = now;
     const isDelayed = sinceLastMs > DELAYED_RUN_MS;
     if (isDelayed) {
@@ -39,8 +38,11 @@
 
   /** Whether a run was delayed within the last `withinMs` milliseconds, or is delayed now. */
   wasDelayed(withinMs: number): boolean {
-    const now = this.clock.now();
-    return now - this.lastRunAt > DELAYED_RUN_MS || now - this.delayedAt <= withinMs;
+    return this.sinceLastRunMs() > DELAYED_RUN_MS || this.clock.now() - this.delayedAt <= withinMs;
+  }
+
+  private sinceLastRunMs(): number {
+    return this.lastRunAt === null ? 0 : this.clock.now() - this.lastRunAt;
   }
 
   /** Whether peers may not be in touch again since the last delay: for as long as that took, and `settleMs` more. */
