--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -1,7 +1,7 @@
 module.exports = {
   testEnvironment: "node",
-  // Time in tests is simulated; on a busy machine a long simulation only takes longer.
-  testTimeout: 60_000,
+  // Only against tests that hang: how long a test takes depends on what else runs on the machine, and proves nothing.
+  testTimeout: 1_200_000,
   roots: ["<rootDir>/tests"],
   testMatch: ["**/*.test.ts"],
   transform: { "\\.[jt]s$": "<rootDir>/tests/transform.cjs" },
