Failing test: SIGHUP before the runtime runs the program ends the process (KNOWN-RED)

It can't be mended by how a process is started: the runtime resets ignored and blocked signals at its start (tried with both).

--- a/tests/launcher.test.ts
+++ b/tests/launcher.test.ts
@@ -27,6 +27,18 @@
   expect({ status, signal }).toEqual({ status: 0, signal: null });
 });
 
+test("SIGHUP before the runtime has run any line of the program does not end the process", async () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-launcher-"));
+  const launcher = path.join(folder, "cranewind.js");
+  esbuild.buildSync({ entryPoints: ["src/cli/cranewind.ts"], outfile: launcher, bundle: true, platform: "node", format: "cjs" });
+  fs.writeFileSync(path.join(folder, "roles.js"), "exports.control = () => undefined;");
+  const started = childProcess.spawn(process.execPath, [launcher, "control"]);
+  started.kill("SIGHUP");
+  const signal = await new Promise((resolve) => started.on("exit", (_code, by) => resolve(by)));
+  fs.rmSync(folder, { recursive: true });
+  expect(signal).toBeNull();
+});
+
 test("a process whose address is taken ends with the code of a failed start and a line that names the address", async () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), "cranewind-launcher-"));
   const taken = net.createServer();
