--- a/src/control/control-program.ts
+++ b/src/control/control-program.ts
@@ -85,8 +85,8 @@
     const reply = this.operatorReply();
     root.add(endpoints.linkServer(this.clock, this.address, this.handlers));
     this.servers = [
-      endpoints.operatorServer(startup, talliesHost.withTallyCalls(parts.tallies, reply)),
-      endpoints.directoryServer(startup, this.directorySource()),
+      endpoints.operatorServer(this.clock, startup, talliesHost.withTallyCalls(parts.tallies, reply)),
+      endpoints.directoryServer(this.clock, startup, this.directorySource()),
     ];
     for (const server of this.servers) root.add(server);
     root.add(root.turns("beats", link.HEARTBEAT_INTERVAL_MS, () => this.sendHeartbeats()));
--- a/src/control/endpoints.ts
+++ b/src/control/endpoints.ts
@@ -13,8 +13,8 @@
 const RESOLVE_PATH = "/-/resolve";
 
 /** Serves operators' calls, where the settings name an address. */
-export function operatorServer(startup: settings.Settings, reply: serve.RequestHandler): serve.JsonServer {
-  return serve.child("operator", startup.bind_addresses.control_plane, reply);
+export function operatorServer(clock: types.Clock, startup: settings.Settings, reply: serve.RequestHandler): serve.JsonServer {
+  return serve.child(clock, "operator", startup.bind_addresses.control_plane, reply);
 }
 
 /** What the directory reads of its control node. */
@@ -24,10 +24,10 @@
 }
 
 /** Serves the directory to clients that look for a router. */
-export function directoryServer(startup: settings.Settings, source: DirectorySource): serve.JsonServer {
+export function directoryServer(clock: types.Clock, startup: settings.Settings, source: DirectorySource): serve.JsonServer {
   const regions = new homeRegions.HomeRegions(() => source.chosen());
   const view = { ...source, homeRegionsOf: (hostname: string) => regions.ofHost(hostname), maxTtlS: startup.bounds.ttl_max_s };
-  return serve.child("directory", startup.bind_addresses.directory, (request) => {
+  return serve.child(clock, "directory", startup.bind_addresses.directory, (request) => {
     if (request.path === RESOLVE_PATH) return directory.resolve(view, request.query);
     return { status: 404, json: { message: `no call ${request.path}; ask ${RESOLVE_PATH}` } };
   });
--- a/src/control/operator/operator-api.ts
+++ b/src/control/operator/operator-api.ts
@@ -9,6 +9,7 @@
 import * as names from "../../wire/names.js";
 import * as schema from "../../wire/schema.js";
 import * as batchCalls from "../batches/batch-calls.js";
+import * as orderFreshness from "./order-freshness.js";
 import * as operatorPaths from "./operator-paths.js";
 import * as rolloutCalls from "./rollout-calls.js";
 import * as serve from "../../wire/serve.js";
@@ -44,8 +45,8 @@
     if (method === "POST" && path === operatorPaths.REPLACE) return this.handleOrder(request, configurationChange.parseReplace);
     if (method === "POST" && path === operatorPaths.UPDATE) return this.handleOrder(request, configurationChange.parseUpdate);
     if (method === "GET" && path === operatorPaths.DESCRIBE) return this.handleDescribe();
-    if (method === "POST" && path.startsWith(operatorPaths.START_EVACUATION)) return this.handleEvacuation(path, true);
-    if (method === "POST" && path.startsWith(operatorPaths.STOP_EVACUATION)) return this.handleEvacuation(path, false);
+    if (method === "POST" && path.startsWith(operatorPaths.START_EVACUATION)) return this.handleEvacuation(request, true);
+    if (method === "POST" && path.startsWith(operatorPaths.STOP_EVACUATION)) return this.handleEvacuation(request, false);
     if (path.startsWith(batchCalls.PREFIX)) return this.batches?.reply(request) ?? batchCalls.batchesAreOff();
     if (this.rollouts && rolloutCalls.RolloutCalls.handles(request)) return this.rollouts.reply(request);
     if (method === "GET" && path === "/-/status") return { status: 200, json: this.status() };
@@ -78,12 +79,13 @@
     return { status: 200, json: document };
   }
 
-  private handleEvacuation(path: string, isStart: boolean): Promise<serve.HttpResponse> | serve.HttpResponse {
+  private handleEvacuation(request: serve.HttpRequest, isStart: boolean): Promise<serve.HttpResponse> | serve.HttpResponse {
+    const { path } = request;
     const zone = decodeURIComponent(path.slice(path.lastIndexOf("/") + 1));
     if (!this.zones.has(zone))
       return serve.errorReply(new errors.NotFoundError(`no zone ${zone}`, "name one of the zones of the settings"));
     const step: registerStep.Step = (value) => result.ok(registerValue.withEvacuation(value, zone, isStart));
-    return this.changeRegister(step, evacuationsBody);
+    return this.changeRegister(orderFreshness.whileFresh(request, step), evacuationsBody);
   }
 }
 
--- a/src/control/operator/operator-chain.ts
+++ b/src/control/operator/operator-chain.ts
@@ -1,10 +1,11 @@
-/** The handlers that a request to the operators' API passes at a control node: redirector, order forwarder, API (design 6.2). */
+/** The handlers that a request to the operators' API passes at a control node: expiry, redirector, order forwarder, API (design 6.2). */
 import type * as link from "../../wire/link.js";
 import type * as types from "../../wire/types.js";
 import type * as controlNode from "../../feed/control-node.js";
 import type * as dialer from "../../feed/dialer.js";
 import type * as quorumContact from "../voters/quorum-contact.js";
 import type * as registerReplica from "../register-replica.js";
+import * as orderFreshness from "./order-freshness.js";
 import * as orderForwarder from "./order-forwarder.js";
 import * as redirect from "./redirect.js";
 import type * as serve from "../../wire/serve.js";
@@ -26,5 +27,5 @@
   forwarder.registerHandlers(handlers, contact);
   const redirector = new redirect.Redirector(clock, contact, controls, (request) => forwarder.handle(request));
   dial.on("heartbeat", () => redirector.rememberConfirmedPeers());
-  return (request) => redirector.handle(request);
+  return orderFreshness.rejectExpired((request) => redirector.handle(request));
 }
--- a/src/control/operator/operator-paths.ts
+++ b/src/control/operator/operator-paths.ts
@@ -21,3 +21,10 @@
 export function isOrder(path: string): boolean {
   return ORDERS.some((order) => path.startsWith(order));
 }
+
+const UNCONDITIONAL = [START_EVACUATION, STOP_EVACUATION, START_ROLLOUT];
+
+/** Whether an order with this path names neither the value that it builds on nor an id of its own. */
+export function isUnconditional(path: string): boolean {
+  return UNCONDITIONAL.some((order) => path.startsWith(order));
+}
--- a/src/control/operator/order-forwarder.ts
+++ b/src/control/operator/order-forwarder.ts
@@ -19,7 +19,7 @@
 import type * as quorumContact from "../voters/quorum-contact.js";
 import type * as registerReplica from "../register-replica.js";
 import * as operatorPaths from "./operator-paths.js";
-import type * as serve from "../../wire/serve.js";
+import * as serve from "../../wire/serve.js";
 
 /** A forwarded order without an answer is proposed here after this time. */
 const FORWARD_TIMEOUT_MS = 1300;
@@ -55,7 +55,8 @@
     if (!contact.isConfirmed()) return { status: 503, json: "null" };
     log.count("operator.forwarded_here");
     const headers = order.base === "" ? {} : { [names.HEADER.base]: order.base };
-    const response = await this.next({ method: "POST", path: order.path, query: new URLSearchParams(), headers, body: order.body });
+    const { path, body } = order;
+    const response = await this.next({ method: "POST", path, query: new URLSearchParams(), headers, body, caller: serve.LOCAL_CALLER });
     return { status: response.status, json: JSON.stringify(response.json) };
   }
 
--- a/src/control/operator/rollout-calls.ts
+++ b/src/control/operator/rollout-calls.ts
@@ -7,6 +7,7 @@
 import * as log from "../../runtime/log.js";
 import type * as schema from "../../wire/schema.js";
 import * as serve from "../../wire/serve.js";
+import * as orderFreshness from "./order-freshness.js";
 import * as operatorPaths from "./operator-paths.js";
 
 const CHANGE_TIMEOUT_MS = 2600;
@@ -34,15 +35,16 @@
     return path === operatorPaths.START_ROLLOUT || path.startsWith(operatorPaths.DESCRIBE_ROLLOUT);
   }
 
-  reply({ method, path, body }: serve.HttpRequest): Promise<serve.HttpResponse> | serve.HttpResponse {
-    if (method === "POST" && path === operatorPaths.START_ROLLOUT) return this.start(body);
+  reply(request: serve.HttpRequest): Promise<serve.HttpResponse> | serve.HttpResponse {
+    const { method, path } = request;
+    if (method === "POST" && path === operatorPaths.START_ROLLOUT) return this.start(request);
     if (method === "GET" && path.startsWith(operatorPaths.DESCRIBE_ROLLOUT))
       return this.describe(decodeURIComponent(path.slice(operatorPaths.DESCRIBE_ROLLOUT.length)));
     return serve.errorReply(new errors.NotFoundError(`no call ${method} ${path}`, "see docs/operating.md for the calls"));
   }
 
-  private async start(body: Buffer): Promise<serve.HttpResponse> {
-    const parsed = rollout.parseOrder(body);
+  private async start(request: serve.HttpRequest): Promise<serve.HttpResponse> {
+    const parsed = rollout.parseOrder(request.body);
     if (parsed.isErr) return serve.errorReply(parsed.error);
     const order = parsed.value;
     const config = this.dependencies.configuration();
@@ -50,7 +52,7 @@
     if (!config.services.some(({ name }) => name === order.service))
       return serve.errorReply(new errors.InvalidRequestError(`service: unknown service ${order.service}`, "name one of the configuration"));
     const step = rollout.startStep(order, this.dependencies.timeOfDayMs());
-    const outcome = await this.dependencies.register.submitOrder(step, CHANGE_TIMEOUT_MS);
+    const outcome = await this.dependencies.register.submitOrder(orderFreshness.whileFresh(request, step), CHANGE_TIMEOUT_MS);
     log.count(outcome.isOk ? "rollout.taken" : `rollout.${outcome.error.code}`);
     return outcome.isOk ? { status: 200, json: describe(outcome.value, order.service) } : serve.errorReply(outcome.error);
   }
--- a/src/runtime/errors.ts
+++ b/src/runtime/errors.ts
@@ -10,6 +10,7 @@
   | "store"
   | "link"
   | "timeout"
+  | "expired"
   | "no_majority"
   | "invalid"
   | "race"
@@ -63,6 +64,12 @@
   readonly isRetriable = true;
 }
 
+/** The order waited for so long that newer ones may have been acknowledged elsewhere; it is not carried out any more. */
+export class ExpiredOrderError extends CranewindError {
+  readonly code = "expired";
+  readonly isRetriable = true;
+}
+
 /** Too few voters replied for a decision; whether the change is chosen is not known. */
 export class NoQuorumError extends CranewindError {
   readonly code = "no_majority";
--- a/src/wire/serve.ts
+++ b/src/wire/serve.ts
@@ -3,10 +3,25 @@
 import * as errors from "../runtime/errors.js";
 import * as log from "../runtime/log.js";
 import type * as tree from "../supervisor/tree.js";
+import * as arrivalTimes from "./arrival-times.js";
 import * as httpConnections from "./http-connections.js";
 import * as listen from "./listen.js";
+import type * as types from "./types.js";
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** A request that is not whole by then is refused, and so is one that waited so long before it was read. */
+const REQUEST_TIMEOUT_MS = 30_000;
+
+/** Who waits for the response to a request. */
+export interface Caller {
+  /** The longest time for which the request can have waited by now, in milliseconds, since its first byte arrived. */
+  waitedMs(): number;
+  /** Whether nobody waits any more: the connection was closed. */
+  hasLeft(): boolean;
+}
+
+/** The caller of a request that did not come over a connection; it always waits. */
+export const LOCAL_CALLER: Caller = { waitedMs: () => 0, hasLeft: () => false };
 
 /** A request, its body read whole. */
 export interface HttpRequest {
@@ -15,6 +30,7 @@
   query: URLSearchParams;
   headers: http.IncomingHttpHeaders;
   body: Buffer;
+  caller: Caller;
 }
 
 /** A response; json is its body. */
@@ -36,6 +52,7 @@
   ["no_majority", 503],
   ["not_ready", 503],
   ["timeout", 503],
+  ["expired", 503],
 ]);
 
 /** The response that an error becomes: a 4xx for what a majority refused, 503 while nothing is decided. */
@@ -52,43 +69,68 @@
 export class JsonServer implements tree.Child {
   private readonly server: http.Server;
   private readonly connections: httpConnections.HttpConnections;
+  private readonly arrivals: arrivalTimes.ArrivalTimes;
   private isStopping = false;
 
   /** Listens at the address, where there is one; a body of more than `maxBodyBytes` is answered with 413. */
   constructor(
+    private readonly clock: types.Clock,
     readonly name: string,
     private readonly address: string | undefined,
     private readonly maxBodyBytes: number,
     private readonly reply: RequestHandler,
   ) {
     this.server = http.createServer(
-      { keepAliveTimeout: 10_000, requestTimeout: 30_000, headersTimeout: 5000, connectionsCheckingInterval: 2000 },
+      { keepAliveTimeout: 10_000, requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: 5000, connectionsCheckingInterval: 2000 },
       (request, response) => this.onRequest(request, response),
     );
     this.connections = new httpConnections.HttpConnections(this.server);
+    this.arrivals = new arrivalTimes.ArrivalTimes(clock, this.server);
   }
 
   async start(): Promise<void> {
-    if (this.address) await listen.listen(this.server, this.address);
+    if (!this.address) return;
+    await listen.listen(this.server, this.address);
+    this.arrivals.start();
   }
 
   private onRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-    this.connections.beginExchange(request.socket, response, performance.now());
-    handle(request, response, this.maxBodyBytes, this.reply).catch((cause: Error) => {
+    const { socket } = request;
+    response.once("close", () => this.arrivals.endRequest(socket));
+    this.connections.beginExchange(socket, response, performance.now());
+    this.handle(request, response).catch((cause: Error) => {
       log.count("serve.failed");
       log.state(`serve: ${cause.message}`);
       response.destroy();
     });
   }
 
+  private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const caller = this.callerOf(request);
+    const body = await readBody(request, response, this.maxBodyBytes);
+    if (!body) return;
+    await untilSocketsAreRead();
+    const waitedMs = caller.waitedMs();
+    if (caller.hasLeft()) log.count("serve.caller_left");
+    else if (waitedMs > REQUEST_TIMEOUT_MS) send(response, tooOld(waitedMs), true);
+    else send(response, await this.reply(requestOf(request, body, caller)), false);
+  }
+
+  private callerOf({ socket }: http.IncomingMessage): Caller {
+    const arrivedAt = this.arrivals.arrivedAt(socket);
+    return { waitedMs: () => this.clock.now() - arrivedAt, hasLeft: () => socket.destroyed || socket.readableEnded };
+  }
+
   /** Accepts no more connections, and resolves when the calls under way are answered. A second call gives up what is left. */
   async stop(): Promise<void> {
     if (!this.isStopping) {
       this.isStopping = true;
       if (this.address) this.connections.stopAccepting();
       await this.connections.whenIdle();
+      this.arrivals.stop();
       return;
     }
+    this.arrivals.stop();
     const { openCount } = this.connections;
     if (openCount === 0) return;
     log.count("serve.cut_off", openCount);
@@ -96,31 +138,39 @@
   }
 }
 
-async function handle(
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-  maxBytes: number,
-  handler: RequestHandler,
-): Promise<void> {
+/** Null where it is longer than `maxBytes`; the response is sent before the rest is given up, with which the connection ends. */
+async function readBody(request: http.IncomingMessage, response: http.ServerResponse, maxBytes: number): Promise<Buffer | null> {
   const parts: Buffer[] = [];
   let receivedBytes = 0;
   for await (const chunk of request) {
     receivedBytes += (chunk as Buffer).length;
     if (receivedBytes > maxBytes) {
       send(response, { status: 413, json: { message: `body: it is over ${maxBytes} bytes; send a smaller one` } }, true);
-      return;
+      return null;
     }
     parts.push(chunk as Buffer);
   }
+  return Buffer.concat(parts);
+}
+
+/** Resolves once the event loop has read its sockets again: the end of a connection is read after its last bytes. */
+async function untilSocketsAreRead(): Promise<void> {
+  await nextTurn();
+  await nextTurn();
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+function requestOf(request: http.IncomingMessage, body: Buffer, caller: Caller): HttpRequest {
   const url = new URL(request.url ?? "/", "http://node");
-  const reply = await handler({
-    method: request.method ?? "GET",
-    path: url.pathname,
-    query: url.searchParams,
-    headers: request.headers,
-    body: Buffer.concat(parts),
-  });
-  send(response, reply, false);
+  return { method: request.method ?? "GET", path: url.pathname, query: url.searchParams, headers: request.headers, body, caller };
+}
+
+function tooOld(waitedMs: number): HttpResponse {
+  const message = `the call may have waited for ${Math.round(waitedMs)} ms before it was read, and was not carried out`;
+  return errorReply(new errors.ExpiredOrderError(message, "send it again if it still holds"));
 }
 
 function send(response: http.ServerResponse, reply: HttpResponse, isLast: boolean): void {
@@ -132,6 +182,6 @@
 }
 
 /** A server of small bodies as a child of the supervisor; without an address it does not listen. */
-export function child(name: string, address: string | undefined, reply: RequestHandler): JsonServer {
-  return new JsonServer(name, address, MAX_BODY_BYTES, reply);
+export function child(clock: types.Clock, name: string, address: string | undefined, reply: RequestHandler): JsonServer {
+  return new JsonServer(clock, name, address, MAX_BODY_BYTES, reply);
 }
--- a/tests/control/control-shutdown.test.ts
+++ b/tests/control/control-shutdown.test.ts
@@ -48,7 +48,7 @@
   let answer: (response: serve.HttpResponse) => void = () => undefined;
   let isTaken = false;
   const address = `${NET}.9.1:9401`;
-  const server = serve.child("operator", address, () => {
+  const server = serve.child(clock, "operator", address, () => {
     isTaken = true;
     return new Promise((resolve) => (answer = resolve));
   });
--- a/tests/rollout/rollout.test.ts
+++ b/tests/rollout/rollout.test.ts
@@ -8,7 +8,7 @@
 import type * as configurationCheck from "../../src/config/configuration-check.js";
 import type * as dutySchema from "../../src/wire/duty-schema.js";
 import type * as schema from "../../src/wire/schema.js";
-import type * as serve from "../../src/wire/serve.js";
+import * as serve from "../../src/wire/serve.js";
 
 const START_MS = 1_790_000_000_000;
 const BODY = { service: "pool", target_version: "v2", duration_s: 12 };
@@ -36,8 +36,8 @@
     return outcome;
   }
 
-  async send(method: string, path: string, body: unknown = null): Promise<serve.HttpResponse> {
-    return this.calls.reply({ method, path, body: Buffer.from(JSON.stringify(body)), query: new URLSearchParams(), headers: {} });
+  async send(method: string, path: string, body: unknown = null, caller = serve.LOCAL_CALLER): Promise<serve.HttpResponse> {
+    return this.calls.reply({ method, path, body: Buffer.from(JSON.stringify(body)), query: new URLSearchParams(), headers: {}, caller });
   }
 
   start(change: Partial<typeof BODY> = {}): Promise<serve.HttpResponse> {
@@ -67,6 +67,17 @@
 }
 
 describe("roll-outs", () => {
+  // As review/1, for roll-outs: a start that waited unread would move a service again after newer orders.
+  test.each<[string, serve.Caller]>([
+    ["has waited for a second", { waitedMs: () => 1000, hasLeft: () => false }],
+    ["was left by its caller", { waitedMs: () => 0, hasLeft: () => true }],
+  ])("a start that %s is not taken", async (_what, caller) => {
+    const fixture = new CallsFixture();
+    const before = fixture.value;
+    expect(await fixture.send("POST", "/-/Rollouts.Start", BODY, caller)).toMatchObject({ status: 503 });
+    expect(fixture.value).toBe(before);
+  });
+
   test("a start is taken once, and again acknowledged when it is repeated, also after its end", async () => {
     const fixture = new CallsFixture();
     expect(await fixture.start()).toMatchObject({ status: 200, json: { state: "serving", target_version: "v2", duration_s: 12 } });
--- a/tests/sim/durable-node.ts
+++ b/tests/sim/durable-node.ts
@@ -4,7 +4,7 @@
 import * as voterManager from "../../src/control/voters/voter-manager.js";
 import * as registerReplica from "../../src/control/register-replica.js";
 import * as operatorApi from "../../src/control/operator/operator-api.js";
-import type * as serve from "../../src/wire/serve.js";
+import * as serve from "../../src/wire/serve.js";
 import * as dialer from "../../src/feed/dialer.js";
 import * as feedPublisher from "../../src/feed/feed-publisher.js";
 import * as feedTopics from "../../src/feed/feed-topics.js";
@@ -142,7 +142,7 @@
 
   call(method: string, path: string, base = 0, body: Buffer = Buffer.alloc(0)): Promise<serve.HttpResponse> {
     const headers = { "x-cranewind-base-version": String(base) };
-    return Promise.resolve(this.operator.handle({ method, path, query: new URLSearchParams(), headers, body }));
+    return Promise.resolve(this.operator.handle({ method, path, query: new URLSearchParams(), headers, body, caller: serve.LOCAL_CALLER }));
   }
 
   end(): void {
--- a/tests/sim/operators.ts
+++ b/tests/sim/operators.ts
@@ -7,6 +7,7 @@
 import * as registerValue from "../../src/register/register-value.js";
 import type * as schema from "../../src/wire/schema.js";
 import * as result from "true-myth/result";
+import * as serve from "../../src/wire/serve.js";
 import type * as simRegister from "./sim-register.js";
 import type * as simulatedClock from "./simulated-clock.js";
 
@@ -90,7 +91,14 @@
     if (!node.isUp) return null;
     const { proposer } = node;
     const headers: http.IncomingHttpHeaders = { "x-cranewind-base-version": String(order.base) };
-    const request = { method: "POST", path: order.path, query: new URLSearchParams(), headers, body: order.body };
+    const request = {
+      method: "POST",
+      path: order.path,
+      query: new URLSearchParams(),
+      headers,
+      body: order.body,
+      caller: serve.LOCAL_CALLER,
+    };
     const reply = Promise.resolve(this.apiOf(node).handle(request));
     const response = await Promise.race([reply, this.core.wait(timeoutMs)]);
     // A process that ended meanwhile sends no answer.
--- a/tests/sim/sim-control-node.ts
+++ b/tests/sim/sim-control-node.ts
@@ -10,7 +10,7 @@
 import * as sessionHandlers from "../../src/control/members/session-handlers.js";
 import * as operatorApi from "../../src/control/operator/operator-api.js";
 import * as operatorChain from "../../src/control/operator/operator-chain.js";
-import type * as serve from "../../src/wire/serve.js";
+import * as serve from "../../src/wire/serve.js";
 import * as membership from "../../src/control/members/membership.js";
 import * as dialer from "../../src/feed/dialer.js";
 import * as feedPublisher from "../../src/feed/feed-publisher.js";
@@ -217,8 +217,8 @@
   }
 
   /** An operator's call to this very node; no redirect is followed. */
-  async call(method: string, path: string): Promise<serve.HttpResponse> {
-    return this.reply({ method, path, query: new URLSearchParams(), headers: {}, body: Buffer.alloc(0) });
+  async call(method: string, path: string, caller: serve.Caller = serve.LOCAL_CALLER): Promise<serve.HttpResponse> {
+    return this.reply({ method, path, query: new URLSearchParams(), headers: {}, body: Buffer.alloc(0), caller });
   }
 
   evacuate(zone: string): Promise<serve.HttpResponse> {
--- a/tests/tallies/tally-calls.test.ts
+++ b/tests/tallies/tally-calls.test.ts
@@ -1,5 +1,6 @@
 // What the calls on tallies answer, as docs/tallies.md says it.
 import * as tallyCalls from "../../src/tallies/tally-calls.js";
+import * as serve from "../../src/wire/serve.js";
 import type * as replicatedCounters from "../../src/tallies/replicated-counters.js";
 
 interface Asked {
@@ -27,7 +28,7 @@
       ),
   });
   const { method, path, body = "" } = asked;
-  return calls.reply({ method, path, query: new URLSearchParams(), headers: {}, body: Buffer.from(body) });
+  return calls.reply({ method, path, query: new URLSearchParams(), headers: {}, body: Buffer.from(body), caller: serve.LOCAL_CALLER });
 }
 
 const UPDATE = { method: "POST", path: "/-/Tallies.Update/t%203" };
