A forwarded order without a base is taken by a call back before it is applied

What callers saw: with several nodes proposing, an evacuation is forwarded to the common proposer, which stands still; the order is proposed where it arrived, a newer one follows (200), and the proposer, going on, applies the old one: the zone's state changes back. Change: such orders are offered; the other node takes one by a call back and may apply it for what is left of its 0.8 s, counted from before that call; until then it is decided nowhere else. Builds before are offered none (features.OFFERED_ORDERS), and what they forward is left to them to propose.

--- a/src/control/operator/order-forwarder.ts
+++ b/src/control/operator/order-forwarder.ts
@@ -4,7 +4,8 @@
  * voter by address, whose queue has all pending orders chosen with one ballot.
  *
  * Where an order is decided affects speed alone: any node may propose at any time, and an order that reached two proposers
- * is applied once and acknowledged by both (register/order-history.ts). So no order is lost with the other node.
+ * is applied once and acknowledged by both (register/order-history.ts). So no order is lost with the other node. Orders
+ * without a base have no such history: they are offered, and decided at one node at a time (order-offers.ts).
  */
 import * as log from "../../runtime/log.js";
 import * as calls from "../../wire/calls.js";
@@ -19,6 +20,7 @@
 import type * as quorumContact from "../voters/quorum-contact.js";
 import type * as registerReplica from "../register-replica.js";
 import * as operatorPaths from "./operator-paths.js";
+import * as orderOffers from "./order-offers.js";
 import * as serve from "../../wire/serve.js";
 
 /** A forwarded order without an answer is proposed here after this time. */
@@ -33,30 +35,54 @@
 const MAX_BODY_BYTES = 1024 * 1024;
 /** From this status on an answer decides nothing. */
 const MIN_UNDECIDED_STATUS = 500;
+const UNDECIDED: orderSchema.OrderAnswer = { status: 503, json: "null" };
 
 /** Handler between the redirector and the API of one control node. */
 export class OrderForwarder {
   private avoidedNode = "";
   private avoidedUntil: number = Number.NEGATIVE_INFINITY;
+  private readonly offers: orderOffers.OrderOffers;
 
   constructor(
     private readonly clock: types.Clock,
     private readonly core: registerReplica.RegisterReplica,
     private readonly controls: () => Iterable<controlNode.ControlNode>,
     private readonly next: serve.RequestHandler,
-  ) {}
+  ) {
+    this.offers = new orderOffers.OrderOffers(clock);
+  }
 
   /** Answers orders forwarded by other control nodes; these are not forwarded again. */
   registerHandlers(handlers: link.Handlers, contact: quorumContact.QuorumContact): void {
+    this.offers.registerHandlers(handlers);
     handlers.on(calls.order, (_from, order) => this.handleForwarded(contact, order));
+    handlers.on(calls.offeredOrder, (from, order) => this.handleOffered(contact, from, order));
   }
 
+  /** Builds before forward orders without a base as well, of which nobody can tell how old they are: they are not decided here. */
   private async handleForwarded(contact: quorumContact.QuorumContact, order: orderSchema.ForwardedOrder): Promise<orderSchema.OrderAnswer> {
-    if (!contact.isConfirmed()) return { status: 503, json: "null" };
+    if (!contact.isConfirmed() || operatorPaths.isUnconditional(order.path)) return UNDECIDED;
+    const headers: Record<string, string> = order.base === "" ? {} : { [names.HEADER.base]: order.base };
+    return this.decideHere(order.path, headers, order.body, serve.LOCAL_CALLER);
+  }
+
+  private async handleOffered(
+    contact: quorumContact.QuorumContact,
+    from: link.Link,
+    offered: orderSchema.OfferedOrder,
+  ): Promise<orderSchema.OrderAnswer> {
+    const caller = contact.isConfirmed() ? await this.offers.take(from, offered.id) : null;
+    return caller ? this.decideHere(offered.path, {}, offered.body, caller) : UNDECIDED;
+  }
+
+  private async decideHere(
+    path: string,
+    headers: Record<string, string>,
+    body: Buffer,
+    caller: serve.Caller,
+  ): Promise<orderSchema.OrderAnswer> {
     log.count("operator.forwarded_here");
-    const headers = order.base === "" ? {} : { [names.HEADER.base]: order.base };
-    const { path, body } = order;
-    const response = await this.next({ method: "POST", path, query: new URLSearchParams(), headers, body, caller: serve.LOCAL_CALLER });
+    const response = await this.next({ method: "POST", path, query: new URLSearchParams(), headers, body, caller });
     return { status: response.status, json: JSON.stringify(response.json) };
   }
 
@@ -64,7 +90,9 @@
   async handle(request: serve.HttpRequest): Promise<serve.HttpResponse> {
     if (!isOrder(request)) return this.next(request);
     for (let attempt = 0; attempt < MAX_FORWARDS; attempt += 1) {
-      const proposer = this.findCommonProposer();
+      const proposer = this.findCommonProposer(
+        operatorPaths.isUnconditional(request.path) ? features.OFFERED_ORDERS : features.FORWARDED_ORDERS,
+      );
       if (!proposer) break;
       const response = await this.forward(proposer, request);
       if (response) return response;
@@ -72,14 +100,14 @@
     return this.next(request);
   }
 
-  /** The node to forward to; null: this node proposes itself. */
-  private findCommonProposer(): controlNode.ControlNode | null {
+  /** The node to forward to, which has the feature; null: this node proposes itself. */
+  private findCommonProposer(feature: number): controlNode.ControlNode | null {
     if (!this.core.isContended()) return null;
     const voters = [...(this.core.chosen?.voters ?? [])].sort(compareByAddress);
     for (const voter of voters) {
       if (this.core.isOwn(voter)) return null;
       const control = this.findControl(voter.disk);
-      if (control && this.canForwardTo(control)) return control;
+      if (control && this.canForwardTo(control, feature)) return control;
     }
     return null;
   }
@@ -89,10 +117,10 @@
     return null;
   }
 
-  private canForwardTo(control: controlNode.ControlNode): boolean {
+  private canForwardTo(control: controlNode.ControlNode, feature: number): boolean {
     const { heartbeat } = control;
     const now = this.clock.now();
-    if (!heartbeat || !features.hasFeature(heartbeat, features.FORWARDED_ORDERS)) return false;
+    if (!heartbeat || !features.hasFeature(heartbeat, feature)) return false;
     if (!controlNode.isAliveAndConfirmed(control, now) || controlNode.isDraining(control)) return false;
     return control.node.name !== this.avoidedNode || now >= this.avoidedUntil;
   }
@@ -100,10 +128,9 @@
   /** Null where the other node gave no decision: the order may have been applied there, which shows when it is proposed here. */
   private async forward(proposer: controlNode.ControlNode, request: serve.HttpRequest): Promise<serve.HttpResponse | null> {
     log.count("operator.forwarded");
-    const base = request.headers[names.HEADER.base];
-    const order = { path: request.path, base: typeof base === "string" ? base : "", body: request.body };
-    const call = proposer.link.call(calls.order, order, FORWARD_TIMEOUT_MS);
-    const answer = await Promise.race([call, this.untilSilent(proposer, call)]);
+    const answer = operatorPaths.isUnconditional(request.path)
+      ? await this.offers.offer(proposer.link, request, FORWARD_TIMEOUT_MS)
+      : await this.send(proposer, request);
     if (answer && answer.status < MIN_UNDECIDED_STATUS) return { status: answer.status, json: JSON.parse(answer.json) as unknown };
     log.count("operator.forward_failed");
     this.avoidedNode = proposer.node.name;
@@ -111,6 +138,13 @@
     return null;
   }
 
+  private async send(proposer: controlNode.ControlNode, request: serve.HttpRequest): Promise<orderSchema.OrderAnswer | null> {
+    const base = request.headers[names.HEADER.base];
+    const order = { path: request.path, base: typeof base === "string" ? base : "", body: request.body };
+    const call = proposer.link.call(calls.order, order, FORWARD_TIMEOUT_MS);
+    return Promise.race([call, this.untilSilent(proposer, call)]);
+  }
+
   /** Resolves once the other node counts as dead, or the call has ended. */
   private async untilSilent(proposer: controlNode.ControlNode, call: Promise<unknown>): Promise<null> {
     let isOver = false;
--- a/src/wire/calls.ts
+++ b/src/wire/calls.ts
@@ -113,6 +113,10 @@
 // Of orders: sent only to nodes that name the feature in their beats (features.ts).
 /** An operator's order, passed on to the control node that proposes for all. */
 export const order = defineOptionalCall(55, "order", orderSchema.forwardedOrder, orderSchema.orderAnswer);
+/** An order without a base, offered to the control node that proposes for all. */
+export const offeredOrder = defineOptionalCall(67, "offered_order", orderSchema.offeredOrder, orderSchema.orderAnswer);
+/** That node takes it, before it applies it. */
+export const takeOrder = defineOptionalCall(68, "take_order", orderSchema.takeOrder, orderSchema.orderLease);
 
 // Of tallies: sent only to nodes that name the feature in their beats (design/tallies 4).
 /** What a control node holds of all tallies. */
--- a/src/wire/features.ts
+++ b/src/wire/features.ts
@@ -13,8 +13,11 @@
 /** Takes part in the duties at the platform (control/duties). Routers name it in their heartbeats, too. */
 export const DUTIES = 4;
 
+/** Takes orders without a base that another control node offers (control/operator/order-offers.ts). */
+export const OFFERED_ORDERS = 8;
+
 /** The features of this build, for its beats. */
-export const OWN_FEATURES = FORWARDED_ORDERS | TALLIES | DUTIES;
+export const OWN_FEATURES = FORWARDED_ORDERS | TALLIES | DUTIES | OFFERED_ORDERS;
 
 /** The features of a router of this build, for its heartbeats. */
 export const ROUTER_FEATURES = DUTIES;
--- a/tests/control/late-orders.test.ts
+++ b/tests/control/late-orders.test.ts
@@ -1,4 +1,5 @@
 // Orders without a base that a node reads, or decides, late: none is applied after a newer one was acknowledged (review/1).
+import * as calls from "../../src/wire/calls.js";
 import type * as serve from "../../src/wire/serve.js";
 import * as systems from "../sim/system.js";
 
@@ -61,3 +62,36 @@
   expect((await systems.answered(system, late)).told.status).not.toBe(200);
   expect(await isEvacuated(system)).toEqual(always(!isStart));
 });
+
+/** Two orders at once at b and c, so that each sees the other propose; a is the node that orders are forwarded to then. */
+async function contend(system: systems.System): Promise<void> {
+  const orders = ["b", "c"].map((name, index) => systems.get(system, name).evacuate(`z${index}`));
+  for (const call of orders) await systems.answered(system, call);
+}
+
+test.each([
+  [true, 1],
+  [false, 1],
+  [true, 2],
+  [false, 2],
+  [true, 3],
+  [false, 3],
+])("forwarded to a node that reads it late, Start %s, seed %i: decided once, where it arrived", async (isStart, seed) => {
+  const system = await systems.start({ seed });
+  expect(await order(system, "c", !isStart)).toBe(200);
+  await contend(system);
+  system.network.frozen.add("a");
+  expect(await order(system, "c", isStart)).toBe(200);
+  expect(await order(system, "c", !isStart)).toBe(200);
+  system.network.frozen.delete("a");
+  expect(await isEvacuated(system)).toEqual(always(!isStart));
+});
+
+test("forwarded by a build that can't say how old it is: not decided there", async () => {
+  const system = await systems.start();
+  const toA = [...systems.get(system, "b").dial.controls.values()].find(({ node }) => node.name === "a")!.link;
+  const call = toA.call(calls.order, { path: pathOf(true), base: "", body: Buffer.alloc(0) }, PATIENCE_MS);
+  await system.clock.play(PATIENCE_MS);
+  expect((await call)?.status).toBe(503);
+  expect(await isEvacuated(system)).toEqual(always(false));
+});
--- a/tests/wire/release.test.ts
+++ b/tests/wire/release.test.ts
@@ -34,6 +34,7 @@
   { name: "forwarded orders (design/hardening/2-orders)", codes: [55, 55], digest: "f4587b8298424331" },
   { name: "tallies (design/tallies 4)", codes: [56, 58], digest: "62ddd5ccf323c6ff" },
   { name: "duties (design/duties 6)", codes: [60, 66], digest: "ffd9d3ceb9727f55" },
+  { name: "offered orders (design/hardening/2-orders)", codes: [67, 68], digest: "800bd43a112d1188" },
 ];
 
 /** All messages and their codes, those of a release or those of features. */
