A reply that is read after its call's time counts as none

A process that stood still reads its sockets before its timers run, so that a reply of seconds ago reached its call as if in time: a collector took over a time of day that was off by half of the pause, a proposer counted votes, a control node was told of a lease. Cause: only the timer of a call ended it. Change: the reply is compared with the call's deadline on the steady clock, and counted (link.late_reply). `Link.call` promised this already: null when no reply came in time. Evidence: the new test of link-calls failed before (the reply was handed over); 534 tests of the parts that call over links pass.

--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -39,6 +39,8 @@
 
 interface PendingCall {
   call: calls.Call<unknown, unknown>;
+  /** On the own clock: a reply that is read later does not count, also where the timer has not run yet. */
+  deadline: number;
   resolve(reply: unknown): void;
   timer: types.Timer;
 }
@@ -129,7 +131,7 @@
         this.pendingCalls.delete(id);
         resolve(null);
       });
-      this.pendingCalls.set(id, { call, resolve, timer });
+      this.pendingCalls.set(id, { call, resolve, timer, deadline: this.clock.now() + timeoutMs });
       this.writeFrame(CALL, call.code, id, body);
     });
   }
@@ -206,7 +208,9 @@
     const reply = call.reply.fromBuffer(body);
     this.pendingCalls.delete(id);
     item.timer.stop();
-    item.resolve(reply);
+    const isLate = this.clock.now() >= item.deadline;
+    if (isLate) log.count("link.late_reply");
+    item.resolve(isLate ? null : reply);
   }
 
   private async runHandler(call: calls.Call<unknown, unknown>, kind: number, id: number, request: unknown): Promise<void> {
--- a/tests/wire/link-calls.test.ts
+++ b/tests/wire/link-calls.test.ts
@@ -71,6 +71,18 @@
   expect(await Promise.all(all)).toEqual([1, 2, 3]);
 });
 
+// A process that stood still reads replies before its timers run: a time of day, or a right to act, would be taken for a new one.
+test("a reply that is read after its call's time is none, also before the timer has run", async () => {
+  const ends = joined();
+  const before = log.counted().get("link.late_reply") ?? 0;
+  const late = ask(ends, 1);
+  await arrive();
+  clock.skip(WITHIN_MS);
+  answers.get(1)!(replyOf(1));
+  expect(await late).toBeNull();
+  expect(log.counted().get("link.late_reply")).toBe(before + 1);
+});
+
 test("a reply that comes after its call was given up reaches no other call", async () => {
   const ends = joined();
   const before = log.counted().get("link.late_reply") ?? 0;
