Usage and the time of day that are read late count as old

A holder of the duties that stood still took counts for newer than they were, so that a window could be reported without all of it; a router that stood still took over a time of day as of long ago, and counted requests into other windows until the next collection. Cause: both messages name no time on a clock that the reader can check, and were taken as of when they were read. Change: a link tells by how much what it reads after a silence of over 0.6 s may be late (both sides send heartbeats every 0.3 s); the reporter and the clocks go by it. No message changes. Evidence: usage.test.ts, two tests, both failed on; link-calls has the lateness itself.

--- a/src/control/duties/duties.ts
+++ b/src/control/duties/duties.ts
@@ -83,7 +83,7 @@
     });
     this.collector = this.makeCollector(clock, terms.windowMs);
     this.register.registerHandlers(host.handlers);
-    host.handlers.on(calls.usageRelay, (_from, relay) => this.receiveRelay(relay));
+    host.handlers.on(calls.usageRelay, (from, relay) => this.receiveRelay(relay, from.latenessMs()));
   }
 
   private has(duty: string): boolean {
@@ -153,13 +153,17 @@
     }
   }
 
-  private receiveRelay(relay: dutySchema.UsageRelay): dutySchema.UsageRelayReply {
+  private receiveRelay(relay: dutySchema.UsageRelay, latenessMs: number): dutySchema.UsageRelayReply {
     this.ledger.join(relay.windows);
-    this.reporter.recordRelay(relay.from);
+    this.reporter.recordRelay(relay.from, latenessMs);
+    if (latenessMs === 0) this.recordTimeOfDay(relay);
+    return { isHolder: this.owner.isHolder, timeOfDayMs: this.time.now() };
+  }
+
+  private recordTimeOfDay(relay: dutySchema.UsageRelay): void {
     for (const { node, roundTripMs } of this.host.dial.controls.values()) {
       if (node.name === relay.from) this.time.recordSample(relay.from, relay.timeOfDayMs + roundTripMs / 2);
     }
-    return { isHolder: this.owner.isHolder, timeOfDayMs: this.time.now() };
   }
 
   /** Run by the control node's timer. */
--- a/src/duties/usage-counter.ts
+++ b/src/duties/usage-counter.ts
@@ -57,9 +57,9 @@
     return entries;
   }
 
-  /** The reply to a control node that collects; its time of day is taken over. */
-  reply(request: dutySchema.UsageRequest): dutySchema.UsageReply {
-    this.offsetMs = request.timeOfDayMs - this.clock.now();
+  /** The reply to a control node that collects; its time of day is taken over, but for one that may be old by `latenessMs`. */
+  reply(request: dutySchema.UsageRequest, latenessMs: number): dutySchema.UsageReply {
+    if (latenessMs === 0 || this.windowMs === null) this.offsetMs = request.timeOfDayMs - this.clock.now();
     this.windowMs = request.windowMs;
     for (const { tenant, at } of this.early.splice(0)) this.count(tenant, at, request.windowMs);
     const since = request.life === this.incarnation ? request.acknowledged : 0;
--- a/src/duties/usage-reporter.ts
+++ b/src/duties/usage-reporter.ts
@@ -41,9 +41,9 @@
     private readonly peers: () => Iterable<string>,
   ) {}
 
-  /** Another control node handed its counts over. */
-  recordRelay(node: string): void {
-    this.relayedAt.set(node, this.time.now());
+  /** Another control node handed its counts over; `latenessMs`: by how much longer than usual they may have been on their way. */
+  recordRelay(node: string, latenessMs: number): void {
+    this.relayedAt.set(node, this.time.now() - latenessMs);
   }
 
   /** The reports that are due now, in the order of their windows. */
--- a/src/router/router-parts.ts
+++ b/src/router/router-parts.ts
@@ -115,7 +115,7 @@
   const batches = new routerBatches.RouterBatches(incarnation, made.prefills, picker.admission);
   batches.register(handlers);
   const usage = new usageCounter.UsageCounter(clock, incarnation);
-  handlers.on(calls.usageCollect, (_from, request) => usage.reply(request));
+  handlers.on(calls.usageCollect, (from, request) => usage.reply(request, from.latenessMs()));
   const tenants = new tenantGate.TenantGate(clock, startup.region, made.dial.controls, startup.bounds);
   const server = new routerServer.RouterServer({
     clock,
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -18,6 +18,10 @@
 export const HEARTBEAT_INTERVAL_MS = 300;
 /** A link that was silent for so long is ended. */
 export const LINK_TIMEOUT_MS = 1800;
+/** While both sides and the way between them are well, no silence is longer than this. */
+const USUAL_SILENCE_MS = 2 * HEARTBEAT_INTERVAL_MS;
+/** What came during a longer silence is read within this time of its end. */
+const CATCH_UP_MS = 250;
 
 const ONE_WAY = 0;
 const CALL = 1;
@@ -59,6 +63,8 @@
   private lastCallId: number;
   private readonly opening: release.ReleaseHandshake;
   lastReceivedAt: types.SteadyMs;
+  /** The newest silence that was longer than usual; `until`: what was read first after it. */
+  private silence = { from: Number.NEGATIVE_INFINITY, until: Number.NEGATIVE_INFINITY };
   isOpen = true;
 
   /** `firstCallId`: of the calls from this side; any will do, since the ids of the two sides are apart. */
@@ -101,6 +107,15 @@
     return this.clock.now() - this.lastReceivedAt;
   }
 
+  /**
+   * By how many milliseconds a message that is read now may be older than the way takes: this process, or the way, may have stood
+   * still while it was there. 0 where nothing says so.
+   */
+  latenessMs(): number {
+    const now = this.clock.now();
+    return now - this.silence.until <= CATCH_UP_MS ? now - this.silence.from : 0;
+  }
+
   private writeFrame(kind: number, code: number, id: number, body: Buffer): void {
     if (!this.isOpen) return;
     const head = Buffer.allocUnsafe(HEADER_BYTES);
@@ -146,11 +161,17 @@
 
   private read(bytes: Buffer): void {
     if (!this.isOpen) return;
-    this.lastReceivedAt = this.clock.now();
+    this.recordReceipt();
     const chunk = this.opening.isOver ? bytes : this.opening.receive(bytes);
     if (chunk) this.readFrames(chunk);
   }
 
+  private recordReceipt(): void {
+    const now = this.clock.now();
+    if (now - this.lastReceivedAt > USUAL_SILENCE_MS) this.silence = { from: this.lastReceivedAt, until: now };
+    this.lastReceivedAt = now;
+  }
+
   private readFrames(chunk: Buffer): void {
     this.buffered.push(chunk);
     this.bufferedBytes += chunk.length;
--- a/tests/duties/usage.test.ts
+++ b/tests/duties/usage.test.ts
@@ -46,7 +46,7 @@
       expect(windows.map((window) => holder.reportOf(window))).toEqual(windows.map((window) => truth.reportOf(window)));
 
       function collect(control: (typeof controls)[number], index: number, now: number, isLost: boolean): void {
-        const reply = routers[index].reply(request(now, control.last.get(index)));
+        const reply = routers[index].reply(request(now, control.last.get(index)), 0);
         if (isLost) return;
         control.last.set(index, reply);
         control.ledger.join(reply.windows);
@@ -59,10 +59,21 @@
     const router = new usageCounter.UsageCounter(clock, "r");
     router.record("t");
     clock.skip(WINDOW_MS);
-    const { windows } = router.reply(request(START_MS + WINDOW_MS + 10));
+    const { windows } = router.reply(request(START_MS + WINDOW_MS + 10), 0);
     expect(windows).toEqual([{ life: "r", window: FIRST_WINDOW, counts: [{ tenant: "t", count: 1 }] }]);
   });
 
+  // A router that stood still reads what it was asked before: its clock would go wrong by as much, and counts into other windows.
+  test("a request that is read late does not move the router's time of day", () => {
+    const clock = new simulatedClock.SimulatedClock();
+    const router = new usageCounter.UsageCounter(clock, "r");
+    router.reply(request(START_MS), 0);
+    clock.skip(WINDOW_MS + 100);
+    const reply = router.reply(request(START_MS + 100), WINDOW_MS);
+    router.record("t");
+    expect(router.reply(request(START_MS + WINDOW_MS + 100, reply), 0).windows).toMatchObject([{ window: FIRST_WINDOW + 1 }]);
+  });
+
   test("the agreed time of day is not moved by one clock that jumps, nor by the own one alone", () => {
     const clock = new simulatedClock.SimulatedClock();
     let jumpMs = 0;
@@ -81,7 +92,7 @@
   describe("a report is decided", () => {
     const terms = { windowMs: WINDOW_MS, dueMs: 10_000, mergeMs: null };
 
-    function reporterAt(peers: Record<string, number>, mergeMs: number | null = null) {
+    function reporterAt(peers: Record<string, number>, mergeMs: number | null = null, latenessMs = 0) {
       const clock = new simulatedClock.SimulatedClock();
       const time = new timeOfDay.TimeOfDay(clock, () => START_MS + clock.now());
       const reporter = new usageReporter.UsageReporter(new usageLedger.UsageLedger(), time, { ...terms, mergeMs }, () =>
@@ -92,7 +103,7 @@
         for (const [name, seenMs] of Object.entries(peers)) {
           if (seenMs > atMs) continue;
           clock.skip(seenMs - clock.now());
-          reporter.recordRelay(name);
+          reporter.recordRelay(name, latenessMs);
         }
         clock.skip(atMs - clock.now());
         return reporter.dueReports(table).map(({ window }) => window - FIRST_WINDOW);
@@ -110,6 +121,12 @@
       expect(reporterAt(peers)(atMs)).toEqual(windows);
     });
 
+    // A holder that stood still reads what was handed over before the window ended: its counts are not whole.
+    test("not by counts that are read late", () => {
+      expect(reporterAt({ b: 6800 }, null, 1000)(7000)).toEqual([]);
+      expect(reporterAt({ b: 7800 }, null, 1000)(7900)).toEqual([0]);
+    });
+
     test("only after the other side of a partition is back, where both are to be joined", () => {
       expect(reporterAt({ b: 6800, c: 4000 }, 8000)(12_100)).toEqual([]);
       expect(reporterAt({ b: 21_000, c: 21_000 }, 8000)(21_100)).toEqual([0, 1, 2]);
--- a/tests/wire/link-calls.test.ts
+++ b/tests/wire/link-calls.test.ts
@@ -83,6 +83,24 @@
   expect(log.counted().get("link.late_reply")).toBe(before + 1);
 });
 
+test("what is read first after a long silence may be as old as that; what is read later is not", async () => {
+  const lateness: number[] = [];
+  const handlers = new link.Handlers();
+  handlers.on(calls.ask, (from) => {
+    lateness.push(from.latenessMs());
+    return null;
+  });
+  const [callerSocket, calleeSocket] = sockets.socketPair();
+  const caller = new link.Link(clock, sockets.asSocket(callerSocket), new link.Handlers());
+  new link.Link(clock, sockets.asSocket(calleeSocket), handlers);
+  for (const pauseMs of [0, link.HEARTBEAT_INTERVAL_MS, 3 * link.HEARTBEAT_INTERVAL_MS, 10, link.HEARTBEAT_INTERVAL_MS]) {
+    clock.skip(pauseMs);
+    caller.send(calls.ask, { epoch: types.small(1) });
+    await arrive();
+  }
+  expect(lateness).toEqual([0, 0, 900, 910, 0]);
+});
+
 test("a reply that comes after its call was given up reaches no other call", async () => {
   const ends = joined();
   const before = log.counted().get("link.late_reply") ?? 0;
