An order without a base is sent on by 307 only once it can't be applied any more

What callers saw: a control node loses contact with a majority while an evacuation waits there; its caller is sent on, the order is done elsewhere and a newer one after it (200), the cut heals, and the first node's register applies the old order: the zone's state changes back. Evidence: late-orders.test.ts, "sent on while it waits for a majority", Start and Stop: both failed on by the zone's state.

--- a/src/control/operator/redirect.ts
+++ b/src/control/operator/redirect.ts
@@ -6,6 +6,8 @@
 import * as log from "../../runtime/log.js";
 import * as controlNode from "../../feed/control-node.js";
 import type * as quorumContact from "../voters/quorum-contact.js";
+import * as orderFreshness from "./order-freshness.js";
+import * as operatorPaths from "./operator-paths.js";
 import type * as serve from "../../wire/serve.js";
 
 /** Any node answers it, about itself. */
@@ -51,17 +53,31 @@
     return !this.contact.wasEverConfirmed || this.contact.mayBeDelayed();
   }
 
-  /** The outcome of an order in progress when contact is lost is unknown; retried elsewhere it is applied once. */
+  /**
+   * The outcome of an order in progress when contact is lost is unknown; retried elsewhere it is applied once. One without a
+   * base might be applied again after newer ones, so that its caller is sent on only once it can't be applied any more.
+   */
   private handleUntilContactLost(request: serve.HttpRequest): Promise<serve.HttpResponse> {
-    const { contact } = this;
+    const { clock, contact } = this;
+    const startedAt = clock.now();
     const next = Promise.resolve(this.next(request));
     return new Promise((resolve, reject) => {
-      const onLost = (): void => resolve(this.redirectOrReject(request));
+      const redirect = (): void => resolve(this.redirectOrReject(request));
+      const onLost = (): void => {
+        if (operatorPaths.isUnconditional(request.path)) clock.schedule(this.applicableMs(request, startedAt), redirect);
+        else redirect();
+      };
       contact.once("lost", onLost);
       next.then(resolve, reject).finally(() => contact.removeListener("lost", onLost));
     });
   }
 
+  /** Milliseconds for which an order without a base may still be applied, here or where it was offered. */
+  private applicableMs(request: serve.HttpRequest, startedAt: types.SteadyMs): number {
+    const sinceStartMs = this.clock.now() - startedAt;
+    return Math.max(0, Math.min(orderFreshness.remainingMs(request), orderFreshness.ORDER_LIFETIME_MS - sinceStartMs));
+  }
+
   /** Resolves with the first confirmation, or after the time-out. */
   private waitForConfirmation(timeoutMs: number): Promise<void> {
     const { contact, clock } = this;
--- a/src/wire/serve.ts
+++ b/src/wire/serve.ts
@@ -16,7 +16,7 @@
 export interface Caller {
   /** The longest time for which the request can have waited by now, in milliseconds, since its first byte arrived. */
   waitedMs(): number;
-  /** Whether nobody waits any more: the connection was closed. */
+  /** Whether nobody waits any more: the response was sent, or the connection was closed. */
   hasLeft(): boolean;
 }
 
@@ -106,7 +106,7 @@
   }
 
   private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const caller = this.callerOf(request);
+    const caller = this.callerOf(request, response);
     const body = await readBody(request, response, this.maxBodyBytes);
     if (!body) return;
     await untilSocketsAreRead();
@@ -116,9 +116,12 @@
     else send(response, await this.reply(requestOf(request, body, caller)), false);
   }
 
-  private callerOf({ socket }: http.IncomingMessage): Caller {
+  private callerOf({ socket }: http.IncomingMessage, response: http.ServerResponse): Caller {
     const arrivedAt = this.arrivals.arrivedAt(socket);
-    return { waitedMs: () => this.clock.now() - arrivedAt, hasLeft: () => socket.destroyed || socket.readableEnded };
+    return {
+      waitedMs: () => this.clock.now() - arrivedAt,
+      hasLeft: () => response.writableEnded || socket.destroyed || socket.readableEnded,
+    };
   }
 
   /** Accepts no more connections, and resolves when the calls under way are answered. A second call gives up what is left. */
--- a/tests/control/late-orders.test.ts
+++ b/tests/control/late-orders.test.ts
@@ -63,6 +63,21 @@
   expect(await isEvacuated(system)).toEqual(always(!isStart));
 });
 
+test.each([true, false])("sent on while it waits for a majority, Start %s: not applied here afterwards", async (isStart) => {
+  const system = await systems.start();
+  expect(await order(system, "b", !isStart)).toBe(200);
+  system.network.cut(["a"], ["b", "c"]);
+  await system.clock.play(1000);
+  expect(systems.get(system, "a").contact.isConfirmed()).toBe(true);
+  const call = systems.get(system, "a").call("POST", pathOf(isStart), callerSince(system, 0, false));
+  const { told } = await systems.answered(system, call);
+  expect([307, 503]).toContain(told.status);
+  expect(await order(system, "b", isStart)).toBe(200);
+  expect(await order(system, "b", !isStart)).toBe(200);
+  system.network.cuts.clear();
+  expect(await isEvacuated(system)).toEqual(always(!isStart));
+});
+
 /** Two orders at once at b and c, so that each sees the other propose; a is the node that orders are forwarded to then. */
 async function contend(system: systems.System): Promise<void> {
   const orders = ["b", "c"].map((name, index) => systems.get(system, name).evacuate(`z${index}`));
