Soak: control nodes stand still while an operator moves on; no older order may act

Now control nodes get SIGSTOP for 0.3 to 4 s, three times a soak, by dice of their own (the plans of all seeds stay as they were otherwise), and a second operator evacuates a zone and takes it back in turn, asks the stopped node once, leaves or keeps waiting, and sends newer orders to the others. Invariant: between an acknowledgement and the next order no node knows another state in that epoch or a later one.

--- a/tests/processes/soak-plan.ts
+++ b/tests/processes/soak-plan.ts
@@ -2,15 +2,15 @@
 import * as simulatedClock from "../sim/simulated-clock.js";
 import type * as nodes from "./nodes.js";
 
-/** `restart`: SIGTERM, and started again when it has ended. `remove`: SIGTERM for good. `interrupt`: a restart by SIGINT and SIGTERM. */
-export type EventKind = "restart" | "remove" | "interrupt" | "reload" | "early";
+/** `restart`: SIGTERM, and started again when it has ended. `remove`: SIGTERM for good. `interrupt`: a restart by SIGINT and SIGTERM. `pause`: stopped and continued. */
+export type EventKind = "restart" | "remove" | "interrupt" | "reload" | "early" | "pause";
 
 export interface PlannedEvent {
   atMs: number;
   kind: EventKind;
   role: nodes.Role;
   index: number;
-  /** Between the end of the process and its next start. */
+  /** Between the end of the process and its next start, or between its stop and its continuation. */
   downMs: number;
   /** `early`: SIGTERM comes so long after the next start too. */
   afterMs: number;
@@ -37,6 +37,8 @@
 const CALM_MS = 1500;
 /** Streams of eight such events take most of a grace period. */
 const LONG_EVENT_MS = 650;
+const PAUSES = 3;
+const MAX_PAUSE_MS = 4000;
 const GRACE_CHOICES_S = [8, 8, 5, 3];
 
 class Dice {
@@ -83,6 +85,7 @@
   addSeries(plan, dice, "router", routers);
   addSeries(plan, dice, "control", controls);
   addSingles(plan, dice);
+  addPauses(plan, new Dice(seed + 0.5));
   plan.events.sort((left, right) => left.atMs - right.atMs);
   return plan;
 }
@@ -103,6 +106,15 @@
   }
 }
 
+/** Control nodes that stand still; drawn by dice of their own, so that the rest of a seed's plan stays as it was. */
+function addPauses(plan: SoakPlan, dice: Dice): void {
+  for (let count = 0; count < PAUSES; count += 1) {
+    const index = Math.floor(dice.between(0, Math.min(plan.controls, 3)));
+    const atMs = dice.between(CALM_MS, plan.durationMs - CALM_MS);
+    plan.events.push({ ...event(dice, atMs, "pause", "control", index), downMs: dice.between(300, MAX_PAUSE_MS) });
+  }
+}
+
 function addSingles(plan: SoakPlan, dice: Dice): void {
   const at = (): number => dice.between(CALM_MS, plan.durationMs - CALM_MS);
   for (let count = 0; count < 6 + plan.routers / 4; count += 1) {
--- a/tests/processes/soak-run.ts
+++ b/tests/processes/soak-run.ts
@@ -6,6 +6,7 @@
 import * as nodes from "./nodes.js";
 import * as soakAccount from "./soak-account.js";
 import * as soakClients from "./soak-clients.js";
+import * as soakEvacuations from "./soak-evacuations.js";
 import * as soakSignals from "./soak-signals.js";
 import * as soakPlan from "./soak-plan.js";
 
@@ -22,6 +23,8 @@
   private readonly findings: soakAccount.Finding[] = [];
   private readonly running = new Map<string, nodes.NodeProcess>();
   private readonly work = new Set<Promise<void>>();
+  /** Indexes of control nodes that stand still. */
+  private readonly paused = new Set<number>();
   private controlTurn: Promise<void> = Promise.resolve();
   private isOver = false;
 
@@ -69,7 +72,8 @@
     await this.untilReady();
     const startedAt = performance.now();
     this.watchLoop();
-    const clients: soakClients.Client[] = [operator];
+    const evacuations = new soakEvacuations.EvacuationClient(plan.controls, plan.seed, this.paused);
+    const clients: soakClients.Client[] = [operator, evacuations];
     for (let number = 0; number < plan.clients; number += 1) clients.push(new soakClients.RequestClient(fleet, number, plan.seed));
     for (let number = 0; number < 4; number += 1) clients.push(new soakClients.AddClient(fleet, number));
     const ends = clients.map((client) => client.run());
@@ -78,6 +82,8 @@
     await Promise.all(this.work);
     for (const client of clients) client.stop();
     await Promise.all(ends);
+    console.log(`  evacuations: ${evacuations.acknowledged} acknowledged, ${evacuations.unanswered} unanswered`);
+    for (const what of evacuations.findings.values()) this.findings.push({ what, entry: null, node: "-" });
     return this.report(startedAt, operator, await soakClients.totalOf(fleet));
   }
 
@@ -128,7 +134,8 @@
     if (event.kind === "reload") return this.reload(event);
     if (event.role === "router") return this.restart(event);
     this.controlTurn = this.controlTurn.then(async () => {
-      await this.restart(event);
+      if (event.kind === "pause") await this.pause(event);
+      else await this.restart(event);
       const name = `control-${event.index}`;
       if (!this.running.has(name) || (await soakClients.isConfirmedWithin(event.index, START_TIMEOUT_MS))) return;
       this.findings.push({ what: `not confirmed ${START_TIMEOUT_MS / 1000} s after its start`, entry: null, node: name });
@@ -136,6 +143,16 @@
     return this.controlTurn;
   }
 
+  private async pause({ index, downMs }: soakPlan.PlannedEvent): Promise<void> {
+    const node = this.running.get(`control-${index}`);
+    if (!node) return;
+    this.signal(node, "SIGSTOP");
+    this.paused.add(index);
+    await nodes.pause(downMs);
+    this.signal(node, "SIGCONT");
+    this.paused.delete(index);
+  }
+
   private async reload({ role, index }: soakPlan.PlannedEvent): Promise<void> {
     const node = this.running.get(`${role}-${index}`);
     if (!node) return;
