--- a/tests/control/late-orders.test.ts
+++ b/tests/control/late-orders.test.ts
@@ -78,12 +78,6 @@
   expect(await isEvacuated(system)).toEqual(always(!isStart));
 });
 
-/** Two orders at once at b and c, so that each sees the other propose; a is the node that orders are forwarded to then. */
-async function contend(system: systems.System): Promise<void> {
-  const orders = ["b", "c"].map((name, index) => systems.get(system, name).evacuate(`z${index}`));
-  for (const call of orders) await systems.answered(system, call);
-}
-
 test.each([
   [true, 1],
   [false, 1],
@@ -94,7 +88,7 @@
 ])("forwarded to a node that reads it late, Start %s, seed %i: decided once, where it arrived", async (isStart, seed) => {
   const system = await systems.start({ seed });
   expect(await order(system, "c", !isStart)).toBe(200);
-  await contend(system);
+  await systems.contend(system);
   system.network.frozen.add("a");
   expect(await order(system, "c", isStart)).toBe(200);
   expect(await order(system, "c", !isStart)).toBe(200);
--- a/tests/control/order-load.test.ts
+++ b/tests/control/order-load.test.ts
@@ -45,19 +45,12 @@
   return log.counted().get(name) ?? 0;
 }
 
-/** Two orders at once at b and c, so that each sees the other propose. */
-async function contend(system: systems.System): Promise<void> {
-  const [left, right] = ["b", "c"].map((name, index) => systems.get(system, name).evacuate(`z${index}`));
-  await systems.answered(system, left);
-  await systems.answered(system, right);
-}
-
 test("a sole proposer keeps its own orders; while others propose too, they are forwarded to the first connected voter", async () => {
   const system = await systems.start();
   const before = counted("operator.forwarded");
   await systems.take(system, "b", "z4");
   expect(counted("operator.forwarded")).toBe(before);
-  await contend(system);
+  await systems.contend(system);
   const { told } = await systems.answered(system, systems.get(system, "c").evacuate("z5"));
   expect([told.status, told.json]).toEqual([200, { evacuations: ["z0", "z1", "z4", "z5"] }]);
   expect(counted("operator.forwarded")).toBeGreaterThan(before);
@@ -65,7 +58,7 @@
 
 test("a rejection by the common proposer is passed to the caller unchanged", async () => {
   const system = await systems.start();
-  await contend(system);
+  await systems.contend(system);
   const before = counted("operator.forwarded");
   const { told } = await systems.answered(system, systems.get(system, "c").call("POST", "/-/Evacuations.Start/nowhere"));
   expect([told.status, counted("operator.forwarded")]).toEqual([404, before + 1]);
@@ -73,7 +66,7 @@
 
 test("when the common proposer goes silent, the order is proposed where it arrived, and so are the next ones", async () => {
   const system = await systems.start();
-  await contend(system);
+  await systems.contend(system);
   const before = counted("operator.forward_failed");
   system.network.frozen.add("a");
   const { told, ms } = await systems.answered(system, systems.get(system, "c").evacuate("z6"));
--- a/tests/sim/system.ts
+++ b/tests/sim/system.ts
@@ -53,3 +53,10 @@
 export function router(system: System, name: string): routerNode.RouterNode {
   return system.routers.find((item) => item.name === name)!;
 }
+
+/** Two orders at once at b and c, so that each sees the other propose; orders are forwarded to a then. */
+export async function contend(system: System): Promise<void> {
+  const [left, right] = ["b", "c"].map((name, index) => get(system, name).evacuate(`z${index}`));
+  await answered(system, left);
+  await answered(system, right);
+}
