--- a/tests/wire/unread-requests.test.ts
+++ b/tests/wire/unread-requests.test.ts
@@ -51,6 +51,7 @@
   /** Characters of the request that are sent while the server stands still. */
   firstLength: number;
   leaves: boolean;
+  stillMs?: number;
 }
 
 interface Seen {
@@ -59,7 +60,7 @@
 }
 
 /** Stands still until all clients have sent what they send at first, then reads it; what the handler and the clients saw. */
-async function readLate({ count, firstLength, leaves }: Clients): Promise<Seen> {
+async function readLate({ count, firstLength, leaves, stillMs = STILL_MS }: Clients): Promise<Seen> {
   const seen: Seen = { waitedMs: [], received: [] };
   const server = serve.child(clock, "operator", ADDRESS, ({ caller }) => {
     seen.waitedMs.push(caller.waitedMs());
@@ -79,7 +80,7 @@
     else seen.received.push(text);
   });
   Atomics.wait(flag, 0, 0);
-  clock.skip(STILL_MS);
+  clock.skip(stillMs);
   worker.postMessage("go on");
   await until("all answered, or gone", () => (leaves ? closed === count : seen.received.length === count));
   await worker.terminate();
@@ -111,6 +112,13 @@
   expect([waitedMs, received]).toEqual([[], []]);
 });
 
+// The id of an add is remembered for ten minutes: what is older than any caller's patience must not be added again.
+test("what may have waited for over 30 s is answered 503, whatever it is, and not handled", async () => {
+  const { waitedMs, received } = await readLate({ count: 3, firstLength: WHOLE, leaves: false, stillMs: 31_000 });
+  expect(waitedMs).toEqual([]);
+  for (const answer of received) expect(answer).toMatch(/^HTTP\/1.1 503 /);
+});
+
 test("a request on a connection that rested for a while is young, and so is the first one on a connection that waited", async () => {
   const ages: number[] = [];
   const server = serve.child(clock, "operator", ADDRESS, ({ caller }) => {
