Tests: late orders at a cut-off node, and at a node that stands still after it took one

Two guards of the mend had no test: an expired order is refused before it is sent on (307), and a node that took an order may apply it for a while only.

--- a/tests/control/late-orders.test.ts
+++ b/tests/control/late-orders.test.ts
@@ -1,4 +1,5 @@
 // Orders without a base that a node reads, or decides, late: none is applied after a newer one was acknowledged (review/1).
+import * as log from "../../src/runtime/log.js";
 import * as calls from "../../src/wire/calls.js";
 import type * as serve from "../../src/wire/serve.js";
 import * as systems from "../sim/system.js";
@@ -50,6 +51,14 @@
   expect(await isEvacuated(system)).toEqual(always(!isStart));
 });
 
+test("read late by a node that no majority confirms: refused, and its caller is not sent on with it", async () => {
+  const system = await systems.start();
+  system.network.cut(["a"], ["b", "c"]);
+  await system.clock.play(3000);
+  const late = systems.get(system, "a").call("POST", pathOf(true), callerSince(system, 5000, false));
+  expect((await systems.answered(system, late)).told.status).toBe(503);
+});
+
 test.each(LATE)("decided late, Start %s, caller left %s: a step that waited for a majority is not applied", async (isStart, leaves) => {
   const system = await systems.start();
   expect(await order(system, "b", !isStart)).toBe(200);
@@ -96,6 +105,21 @@
   expect(await isEvacuated(system)).toEqual(always(!isStart));
 });
 
+test.each([true, false])("taken by a node that then stands still, Start %s: not applied there when it goes on", async (isStart) => {
+  const system = await systems.start();
+  expect(await order(system, "c", !isStart)).toBe(200);
+  await systems.contend(system);
+  const taken = (): number => log.counted().get("operator.forwarded_here") ?? 0;
+  const before = taken();
+  const call = systems.get(system, "c").call("POST", pathOf(isStart));
+  while (taken() === before) await system.clock.play(1);
+  system.network.frozen.add("a");
+  expect((await systems.answered(system, call)).told.status).toBe(200);
+  expect(await order(system, "c", !isStart)).toBe(200);
+  system.network.frozen.delete("a");
+  expect(await isEvacuated(system)).toEqual(always(!isStart));
+});
+
 test("forwarded by a build that can't say how old it is: not decided there", async () => {
   const system = await systems.start();
   const toA = [...systems.get(system, "b").dial.controls.values()].find(({ node }) => node.name === "a")!.link;
