--- a/src/router/client/router-server.ts
+++ b/src/router/client/router-server.ts
@@ -4,13 +4,14 @@
 import type * as configurationCheck from "../../config/configuration-check.js";
 import type * as routeTable from "../../config/route-table.js";
 import * as log from "../../runtime/log.js";
+import * as memoryBudget from "../../runtime/memory-budget.js";
 import * as httpConnections from "../../wire/http-connections.js";
 import * as listen from "../../wire/listen.js";
 import * as types from "../../wire/types.js";
 import * as names from "../../wire/names.js";
 import type * as routerBatches from "../router-batches.js";
 import type * as drainAcceptance from "../drain-acceptance.js";
-import * as requestBody from "./request-body.js";
+import * as requestBody from "../../wire/request-body.js";
 import type * as transactionContext from "../transaction-context.js";
 import * as pendingRequests from "./pending-requests.js";
 import * as requestValidation from "./request-validation.js";
@@ -76,7 +77,7 @@
   private readonly active = new Set<requestTransaction.Transaction>();
   private readonly pending: pendingRequests.PendingRequests;
   private limits = DEFAULT_LIMITS;
-  private readonly buffered: requestBody.BufferedBytes;
+  private readonly bodyMemory: memoryBudget.MemoryBudget;
   /** Set at the start of a graceful shutdown: each response is then the last on its connection. */
   isDraining = false;
   /** Which requests it still takes while it drains; null: all. */
@@ -87,7 +88,7 @@
 
   constructor(private readonly options: RouterServerOptions) {
     const { clock, machine } = options;
-    this.buffered = new requestBody.BufferedBytes(machine.memory_mb * 1024 * 1024 * BODY_MEMORY_FRACTION);
+    this.bodyMemory = new memoryBudget.MemoryBudget(machine.memory_mb * 1024 * 1024 * BODY_MEMORY_FRACTION);
     this.pending = new pendingRequests.PendingRequests(clock, Math.floor(machine.memory_mb * PENDING_PER_MB));
     this.server = nodeHttp.createServer(
       {
@@ -175,16 +176,17 @@
       this.reject(outgoing, invalid.status, invalid.message, null, true);
       return;
     }
+    const exchange = { incoming, outgoing, arrivedAt };
     const length = Number(incoming.headers["content-length"] ?? 0);
     if (length > this.limits.max_body_bytes) {
-      this.rejectTooLarge(outgoing);
+      this.rejectBody(exchange, "too_large");
       return;
     }
-    if (!this.buffered.hasCapacity(length)) {
-      this.reject(outgoing, 503, "too many bodies are held; come back shortly", 0.5, true);
+    if (!this.bodyMemory.hasCapacity(length)) {
+      this.rejectBody(exchange, "no_memory");
       return;
     }
-    this.receiveBody({ incoming, outgoing, arrivedAt });
+    this.receiveBody(exchange);
   }
 
   private findRoute(incoming: nodeHttp.IncomingMessage): routeTable.RouteEntry | null {
@@ -195,17 +197,25 @@
     const { incoming, outgoing } = exchange;
     const budgetMs = routeRequest.timeBudgetMs(incoming, this.findRoute(incoming));
     const timer = this.options.clock.schedule(budgetMs, () => this.rejectLateBody(exchange));
-    outgoing.once("close", () => timer.stop());
-    requestBody.readBody(incoming, this.limits.max_body_bytes, this.buffered, {
-      onComplete: (body) => {
-        timer.stop();
-        if (!outgoing.headersSent) this.routeRequest(exchange, body);
-      },
-      onTooLarge: () => {
-        timer.stop();
-        this.rejectTooLarge(outgoing);
-      },
+    const memory = this.bodyMemory.open();
+    outgoing.once("close", () => {
+      timer.stop();
+      memory.release();
     });
+    requestBody.receiveBody(
+      incoming,
+      { maxBytes: this.limits.max_body_bytes, memory },
+      {
+        onComplete: (body) => {
+          timer.stop();
+          if (!outgoing.headersSent) this.routeRequest(exchange, body);
+        },
+        onRefused: (cause) => {
+          timer.stop();
+          this.rejectBody(exchange, cause);
+        },
+      },
+    );
   }
 
   /** The body is not complete at the request's deadline: nothing was forwarded, and the connection ends. */
@@ -215,8 +225,11 @@
     outgoing.once("finish", () => incoming.destroy());
   }
 
-  private rejectTooLarge(outgoing: nodeHttp.ServerResponse): void {
-    this.reject(outgoing, 413, `the body is over max_body_bytes ${this.limits.max_body_bytes}; send a smaller one`, null, true);
+  private rejectBody({ incoming, outgoing }: Exchange, cause: requestBody.BodyRefusal): void {
+    log.count(`router.body_${cause}`);
+    const { status, message, retryAfterS } = requestBody.describeRefusal(cause, `max_body_bytes ${this.limits.max_body_bytes}`);
+    if (cause === "fragmented") httpConnections.endAtOnce(incoming.socket, outgoing);
+    this.reject(outgoing, status, message, retryAfterS, true);
   }
 
   /** Finds the route and the tenant of a complete request. */
@@ -282,12 +295,10 @@
   }
 
   private startTransaction(request: routeRequest.RouteRequest, { incoming, outgoing }: Exchange, unit: tenantGate.QuotaUnit): void {
-    const { active, buffered } = this;
+    const { active } = this;
     const { clock, picker, recordSend, recordBegun, tenantGate } = this.options;
-    const bytes = request.body?.length ?? 0;
     const onFinished = (): void => {
       if (!active.delete(transaction)) return;
-      buffered.bytes -= bytes;
       if (transaction.wasNeverSent) tenantGate.returnQuota(request.tenant, unit);
     };
     const onBegun = (): void => {
@@ -295,7 +306,6 @@
     };
     const context = { clock, picker, onFinished, onBegun, recordSend, isDraining: () => this.isDraining };
     const transaction = new requestTransaction.Transaction(context, request, incoming, outgoing);
-    buffered.bytes += bytes;
     active.add(transaction);
     transaction.start();
   }
--- a/src/wire/http-connections.ts
+++ b/src/wire/http-connections.ts
@@ -93,6 +93,11 @@
   }
 }
 
+/** Ends a connection with this response, in the turn in which it is handed to the system: nothing more that the peer sent ahead is parsed. */
+export function endAtOnce(socket: net.Socket, outgoing: nodeHttp.ServerResponse): void {
+  outgoing.once("finish", () => socket.destroy());
+}
+
 /** Closes the connection once all that was written to it is handed to the system. */
 function closeAfterLastByte(socket: net.Socket): void {
   socket.end(() => socket.destroy());
--- a/src/wire/http.ts
+++ b/src/wire/http.ts
@@ -3,6 +3,7 @@
 import type * as undici from "undici";
 import * as undiciClient from "undici/lib/dispatcher/client.js";
 import * as undiciConnect from "undici/lib/core/connect.js";
+import * as byteCollector from "./byte-collector.js";
 import * as types from "./types.js";
 
 const ClientClass = ((undiciClient as { default?: unknown }).default ?? undiciClient) as typeof undici.Client;
@@ -80,8 +81,7 @@
 class Collector {
   private status = 0;
   private headers = new Map<string, string>();
-  private readonly parts: Buffer[] = [];
-  private receivedBytes = 0;
+  private readonly body = new byteCollector.ByteCollector();
   constructor(
     private readonly maxBytes: number,
     private readonly connected: () => void,
@@ -98,13 +98,12 @@
     return true;
   }
   onData(chunk: Buffer): boolean {
-    this.receivedBytes += chunk.length;
-    if (this.receivedBytes > this.maxBytes) this.abort?.();
-    else this.parts.push(chunk);
+    if (this.body.length + chunk.length > this.maxBytes) this.abort?.();
+    else this.body.append(chunk);
     return true;
   }
   onComplete(): void {
-    this.done({ status: this.status, headers: this.headers, body: Buffer.concat(this.parts) });
+    this.done({ status: this.status, headers: this.headers, body: this.body.take() });
   }
   onError(): void {
     this.done(null);
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -4,6 +4,7 @@
  */
 import * as events from "node:events";
 import * as net from "node:net";
+import * as byteCollector from "./byte-collector.js";
 import * as calls from "./calls.js";
 import * as release from "./release.js";
 import * as counts from "./counts.js";
@@ -57,8 +58,7 @@
 /** One connection between two own processes. */
 export class Link extends events.EventEmitter<LinkEvents> {
   private readonly pendingCalls = new Map<number, PendingCall>();
-  private buffered: Buffer[] = [];
-  private bufferedBytes = 0;
+  private readonly buffered = new byteCollector.ByteCollector();
   private neededBytes = HEADER_BYTES;
   private lastCallId: number;
   private readonly opening: release.ReleaseHandshake;
@@ -173,10 +173,9 @@
   }
 
   private readFrames(chunk: Buffer): void {
-    this.buffered.push(chunk);
-    this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes < this.neededBytes) return;
-    let bytes = this.buffered.length === 1 ? this.buffered[0] : Buffer.concat(this.buffered);
+    this.buffered.append(chunk);
+    if (this.buffered.length < this.neededBytes) return;
+    let bytes = this.buffered.take();
     while (this.isOpen && bytes.length >= HEADER_BYTES) {
       const length = bytes.readUInt32BE(0);
       if (length > MAX_FRAME_BYTES) {
@@ -187,8 +186,7 @@
       this.receiveFrame(bytes.readUInt8(4), bytes.readUInt8(5), bytes.readUInt32BE(6), bytes.subarray(HEADER_BYTES, HEADER_BYTES + length));
       bytes = bytes.subarray(HEADER_BYTES + length);
     }
-    this.buffered = bytes.length > 0 ? [bytes] : [];
-    this.bufferedBytes = bytes.length;
+    this.buffered.append(bytes);
     this.neededBytes = bytes.length >= HEADER_BYTES ? HEADER_BYTES + bytes.readUInt32BE(0) : HEADER_BYTES;
   }
 
--- a/src/wire/serve.ts
+++ b/src/wire/serve.ts
@@ -2,13 +2,17 @@
 import * as http from "node:http";
 import * as errors from "../runtime/errors.js";
 import * as log from "../runtime/log.js";
+import * as memoryBudget from "../runtime/memory-budget.js";
 import type * as tree from "../supervisor/tree.js";
 import * as arrivalTimes from "./arrival-times.js";
 import * as httpConnections from "./http-connections.js";
 import * as listen from "./listen.js";
+import * as requestBody from "./request-body.js";
 import type * as types from "./types.js";
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** How many of the largest bodies a server holds at once. */
+const LARGEST_BODIES_AT_ONCE = 2;
 /** A request that is not whole by then is refused, and so is one that waited so long before it was read. */
 const REQUEST_TIMEOUT_MS = 30_000;
 
@@ -70,6 +74,7 @@
   private readonly server: http.Server;
   private readonly connections: httpConnections.HttpConnections;
   private readonly arrivals: arrivalTimes.ArrivalTimes;
+  private readonly bodyMemory: memoryBudget.MemoryBudget;
   private isStopping = false;
 
   /** Listens at the address, where there is one; a body of more than `maxBodyBytes` is answered with 413. */
@@ -84,6 +89,7 @@
       { keepAliveTimeout: 10_000, requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: 5000, connectionsCheckingInterval: 2000 },
       (request, response) => this.onRequest(request, response),
     );
+    this.bodyMemory = new memoryBudget.MemoryBudget(LARGEST_BODIES_AT_ONCE * maxBodyBytes);
     this.connections = new httpConnections.HttpConnections(this.server);
     this.arrivals = new arrivalTimes.ArrivalTimes(clock, this.server);
   }
@@ -107,7 +113,7 @@
 
   private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const caller = this.callerOf(request, response);
-    const body = await readBody(request, response, this.maxBodyBytes);
+    const body = await this.readBody(request, response);
     if (!body) return;
     await untilSocketsAreRead();
     const waitedMs = caller.waitedMs();
@@ -116,6 +122,25 @@
     else send(response, await this.reply(requestOf(request, body, caller)), false);
   }
 
+  /** Null where it is refused: the response is sent before the rest is given up, with which the connection ends. */
+  private readBody(request: http.IncomingMessage, response: http.ServerResponse): Promise<Buffer | null> {
+    const { maxBodyBytes: maxBytes } = this;
+    const memory = this.bodyMemory.open();
+    response.once("close", () => memory.release());
+    return new Promise((resolve) => {
+      const onComplete = (body: Buffer | null): void => resolve(body ?? Buffer.alloc(0));
+      const onRefused = (cause: requestBody.BodyRefusal): void => {
+        log.count(`serve.body_${cause}`);
+        const { status, message, retryAfterS } = requestBody.describeRefusal(cause, `${maxBytes} bytes`);
+        const headers = retryAfterS === null ? undefined : { "Retry-After": String(retryAfterS) };
+        if (cause === "fragmented") httpConnections.endAtOnce(request.socket, response);
+        send(response, { status, headers, json: { message } }, true);
+        resolve(null);
+      };
+      requestBody.receiveBody(request, { maxBytes, memory }, { onComplete, onRefused });
+    });
+  }
+
   private callerOf({ socket }: http.IncomingMessage, response: http.ServerResponse): Caller {
     const arrivedAt = this.arrivals.arrivedAt(socket);
     return {
@@ -141,21 +166,6 @@
   }
 }
 
-/** Null where it is longer than `maxBytes`; the response is sent before the rest is given up, with which the connection ends. */
-async function readBody(request: http.IncomingMessage, response: http.ServerResponse, maxBytes: number): Promise<Buffer | null> {
-  const parts: Buffer[] = [];
-  let receivedBytes = 0;
-  for await (const chunk of request) {
-    receivedBytes += (chunk as Buffer).length;
-    if (receivedBytes > maxBytes) {
-      send(response, { status: 413, json: { message: `body: it is over ${maxBytes} bytes; send a smaller one` } }, true);
-      return null;
-    }
-    parts.push(chunk as Buffer);
-  }
-  return Buffer.concat(parts);
-}
-
 /** Resolves once the event loop has read its sockets again: the end of a connection is read after its last bytes. */
 async function untilSocketsAreRead(): Promise<void> {
   await nextTurn();
