Control nodes answer a call whose target their URL parser can't take

What callers saw: a call to a path of slashes ended its connection without a status; each such call threw, and wrote a line to the log. Cause: the target was resolved as a reference, where // begins an authority. Change: a target that begins with a slash is a path and is split at ? and # in one pass; one that is neither a path nor an absolute URL gets 400. Dots in paths are no longer resolved.

--- a/src/wire/serve.ts
+++ b/src/wire/serve.ts
@@ -8,6 +8,7 @@
 import * as httpConnections from "./http-connections.js";
 import * as listen from "./listen.js";
 import * as requestBody from "./request-body.js";
+import * as requestTarget from "./request-target.js";
 import type * as types from "./types.js";
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
@@ -113,13 +114,18 @@
 
   private async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const caller = this.callerOf(request, response);
+    const target = requestTarget.parse(request.url ?? "/");
+    if (!target) {
+      send(response, { status: 400, json: { message: "the target of the request is no path; send one" } }, true);
+      return;
+    }
     const body = await this.readBody(request, response);
     if (!body) return;
     await untilSocketsAreRead();
     const waitedMs = caller.waitedMs();
     if (caller.hasLeft()) log.count("serve.caller_left");
     else if (waitedMs > REQUEST_TIMEOUT_MS) send(response, tooOld(waitedMs), true);
-    else send(response, await this.reply(requestOf(request, body, caller)), false);
+    else send(response, await this.reply({ ...target, method: request.method ?? "GET", headers: request.headers, body, caller }), false);
   }
 
   /** Null where it is refused: the response is sent before the rest is given up, with which the connection ends. */
@@ -176,11 +182,6 @@
   return new Promise((resolve) => setImmediate(resolve));
 }
 
-function requestOf(request: http.IncomingMessage, body: Buffer, caller: Caller): HttpRequest {
-  const url = new URL(request.url ?? "/", "http://node");
-  return { method: request.method ?? "GET", path: url.pathname, query: url.searchParams, headers: request.headers, body, caller };
-}
-
 function tooOld(waitedMs: number): HttpResponse {
   const message = `the call may have waited for ${Math.round(waitedMs)} ms before it was read, and was not carried out`;
   return errorReply(new errors.ExpiredOrderError(message, "send it again if it still holds"));
