Requests behind another on their connection are bounded, and told when it closes

What could happen: a client may send thousands of heads in a few packets, and each became a request that waits in memory; where the connection closed, the runtime told only the response being sent, so the others stayed counted, ran on, and a shutdown waited its whole grace period for them. Change: 32 open requests a connection; the next gets 503 with Retry-After as the last response, and nothing more is read. HttpConnections ends the responses that wait when their connection closes.

--- a/src/router/client/request-validation.ts
+++ b/src/router/client/request-validation.ts
@@ -21,7 +21,7 @@
 /** Fields that are for the runner: Connection must not name them. */
 const END_TO_END: ReadonlySet<string> = new Set([HOST, names.HEADER.requestId]);
 
-/** Connections that end with the response to an invalid request: bytes that follow on them are no request. */
+/** Connections that end with the response to an earlier request: bytes that follow on them are no request. */
 const closingSockets = new WeakSet<net.Socket>();
 
 /** Whether the connection ends with an earlier response. */
@@ -29,6 +29,11 @@
   return closingSockets.has(socket);
 }
 
+/** The connection ends with the response to the request that was read last: what follows on it is no request. */
+export function endWithLastResponse(socket: net.Socket): void {
+  closingSockets.add(socket);
+}
+
 interface SocketWithResponse {
   /** The response that the server writes there now; Node's internal name. */
   _httpMessage?: nodeHttp.ServerResponse | null;
--- a/src/router/client/router-server.ts
+++ b/src/router/client/router-server.ts
@@ -33,6 +33,10 @@
 const CONNECTION_CHECK_INTERVAL_MS = 1000;
 /** Another router takes the request at once; in seconds. */
 const DRAIN_RETRY_S = 0.1;
+/** Requests of one connection whose responses are not sent: each is held in memory, and a client can send thousands in one packet. */
+const MAX_OPEN_ON_CONNECTION = 32;
+/** Another connection takes the request at once; in seconds. */
+const PIPELINED_RETRY_S = 0.1;
 
 /** The machine's limits, by the names of the settings. */
 export interface MachineLimits {
@@ -170,7 +174,11 @@
     log.count("router.requests");
     this.countDuringDrain();
     const arrivedAt = this.options.clock.now();
-    this.connections.beginExchange(incoming.socket, outgoing, arrivedAt);
+    const openOnConnection = this.connections.beginExchange(incoming.socket, outgoing, arrivedAt);
+    if (openOnConnection > MAX_OPEN_ON_CONNECTION) {
+      this.rejectPipelined(incoming, outgoing);
+      return;
+    }
     const invalid = requestValidation.validate(incoming);
     if (invalid) {
       this.reject(outgoing, invalid.status, invalid.message, null, true);
@@ -189,6 +197,14 @@
     this.receiveBody(exchange);
   }
 
+  /** A client that sends this far ahead of responses gets them up to here; nothing that follows on its connection is read as a request. */
+  private rejectPipelined(incoming: nodeHttp.IncomingMessage, outgoing: nodeHttp.ServerResponse): void {
+    log.count("router.too_many_pipelined");
+    requestValidation.endWithLastResponse(incoming.socket);
+    httpConnections.stopReading(incoming.socket);
+    this.reject(outgoing, 503, "too many requests wait on this connection; open another one", PIPELINED_RETRY_S, true);
+  }
+
   private findRoute(incoming: nodeHttp.IncomingMessage): routeTable.RouteEntry | null {
     return this.options.picker.routeTable?.find(incoming.headers.host ?? "", incoming.url ?? "/") ?? null;
   }
--- a/src/wire/http-connections.ts
+++ b/src/wire/http-connections.ts
@@ -11,10 +11,11 @@
   /** Exchanges since it was opened. */
   begun: number;
   /** Exchanges that are open now: more than one where a client sends requests ahead of responses. */
-  open: number;
+  readonly open: Set<Exchange>;
 }
 
 interface Exchange {
+  readonly outgoing: nodeHttp.ServerResponse;
   /** Milliseconds of the steady clock. */
   arrivedAt: number;
   isFirstOnConnection: boolean;
@@ -46,24 +47,29 @@
   }
 
   private add(socket: net.Socket): void {
-    this.uses.set(socket, { begun: 0, open: 0 });
-    socket.once("close", () => this.uses.delete(socket));
+    const use = { begun: 0, open: new Set<Exchange>() };
+    this.uses.set(socket, use);
+    socket.once("close", () => {
+      this.uses.delete(socket);
+      for (const { outgoing } of [...use.open]) closeUnassigned(outgoing);
+    });
   }
 
-  /** The head of a request has arrived. */
-  beginExchange(socket: net.Socket, outgoing: nodeHttp.ServerResponse, arrivedAt: number): void {
-    const use = this.uses.get(socket) ?? { begun: 0, open: 0 };
-    const exchange = { arrivedAt, isFirstOnConnection: use.begun === 0 };
+  /** The head of a request has arrived. Returns how many exchanges are open on its connection, with this one. */
+  beginExchange(socket: net.Socket, outgoing: nodeHttp.ServerResponse, arrivedAt: number): number {
+    const use = this.uses.get(socket) ?? { begun: 0, open: new Set() };
+    const exchange = { outgoing, arrivedAt, isFirstOnConnection: use.begun === 0 };
     use.begun += 1;
-    use.open += 1;
+    use.open.add(exchange);
     this.exchanges.add(exchange);
     outgoing.once("close", () => {
       this.exchanges.delete(exchange);
-      use.open -= 1;
+      use.open.delete(exchange);
       // A response whose head was sent earlier does not say that its connection ends.
-      if (!this.isAccepting && use.open === 0) closeAfterLastByte(socket);
+      if (!this.isAccepting && use.open.size === 0) closeAfterLastByte(socket);
       if (this.exchanges.size === 0) for (const notify of this.idleListeners.splice(0)) notify();
     });
+    return use.open.size;
   }
 
   /** Resolves when no exchange is open. */
@@ -89,10 +95,25 @@
     this.isAccepting = false;
     // Not the close of the HTTP server: that destroys connections whose responses are complete but not sent to the last byte.
     net.Server.prototype.close.call(this.server);
-    for (const [socket, use] of this.uses) if (use.open === 0 && use.begun > 0) closeAfterLastByte(socket);
+    for (const [socket, use] of this.uses) if (use.open.size === 0 && use.begun > 0) closeAfterLastByte(socket);
   }
 }
 
+/** Ends a response that waited behind another one when its connection closed: the runtime tells this only to the one that is being sent. */
+function closeUnassigned(outgoing: nodeHttp.ServerResponse): void {
+  outgoing.destroy();
+  outgoing.emit("close");
+}
+
+/**
+ * Reads nothing more from a connection, whose last response is under way: parsing what a peer has sent ahead can cost more than the
+ * peer's requests. Requests that were read before would have the reading begin again.
+ */
+export function stopReading(socket: net.Socket): void {
+  socket.pause();
+  socket.on("resume", () => socket.pause());
+}
+
 /** Ends a connection with this response, in the turn in which it is handed to the system: nothing more that the peer sent ahead is parsed. */
 export function endAtOnce(socket: net.Socket, outgoing: nodeHttp.ServerResponse): void {
   outgoing.once("finish", () => socket.destroy());
