--- a/src/config/route-table.ts
+++ b/src/config/route-table.ts
@@ -1,5 +1,6 @@
 // Route lookup by host, then by the longest prefix; the last route costs what the first does (design 6.3).
 import * as configurationCheck from "./configuration-check.js";
+import * as prefixTree from "./prefix-tree.js";
 
 /** A route as requests look it up, with what is derived from it. */
 export interface RouteEntry {
@@ -25,10 +26,6 @@
   return route.route_type === "read_only" || (route.route_type === "streaming" && route.resumable === true);
 }
 
-interface Host {
-  byPrefix: Map<string, RouteEntry>;
-}
-
 /** Changed and new items, and the names of those that are gone. */
 export interface RouteTableChange {
   routes: configurationCheck.Route[];
@@ -39,7 +36,7 @@
 
 /** All routes and services in force; changed item by item. */
 export class RouteTable {
-  private readonly hosts = new Map<string, Host>();
+  private readonly hosts = new Map<string, prefixTree.PrefixTree<RouteEntry>>();
   private readonly byName = new Map<string, configurationCheck.Route>();
   readonly services = new Map<string, configurationCheck.Service>();
 
@@ -62,8 +59,8 @@
     this.byName.delete(name);
     const key = route.hostname.toLowerCase();
     const host = this.hosts.get(key)!;
-    host.byPrefix.delete(route.path_prefix);
-    if (host.byPrefix.size === 0) this.hosts.delete(key);
+    host.delete(route.path_prefix);
+    if (host.isEmpty) this.hosts.delete(key);
   }
 
   private add(route: configurationCheck.Route): void {
@@ -71,34 +68,19 @@
     const key = route.hostname.toLowerCase();
     let host = this.hosts.get(key);
     if (!host) {
-      host = { byPrefix: new Map() };
+      host = new prefixTree.PrefixTree();
       this.hosts.set(key, host);
     }
     const backends = configurationCheck.backendsOf(route);
     let weight = 0;
     for (const backend of backends) weight += backend.weight;
-    host.byPrefix.set(route.path_prefix, {
-      route,
-      backends,
-      weight,
-      homes: route.allowed_regions ?? [],
-      isRepeatable: isRepeatable(route),
-    });
+    host.set(route.path_prefix, { route, backends, weight, homes: route.allowed_regions ?? [], isRepeatable: isRepeatable(route) });
   }
 
+  /** The route of a request, by its Host header and target; null where there is none. Costs at most one pass over both. */
   find(hostHeader: string, target: string): RouteEntry | null {
-    const host = this.hosts.get(bareHost(hostHeader));
-    if (!host) return null;
-    const query = target.indexOf("?");
-    let path = query < 0 ? target : target.slice(0, query);
-    while (path.length > 0) {
-      const slash = path.lastIndexOf("/");
-      if (slash < 0) return null;
-      const found = host.byPrefix.get(path.slice(0, slash + 1));
-      if (found) return found;
-      path = path.slice(0, slash);
-    }
-    return null;
+    const queryAt = target.indexOf("?");
+    return this.hosts.get(bareHost(hostHeader))?.find(target, queryAt < 0 ? target.length : queryAt) ?? null;
   }
 }
 
