Keys of prompt parts are carried on from part to part, and 256 parts are told apart

Cause: each prefix was joined and hashed anew, the square of the header; and each part is looked up for each runner of a cell. Change: the hash goes on from part to part (the same keys); beyond 256 parts the rest is one part.

--- a/src/limits/text-hash.ts
+++ b/src/limits/text-hash.ts
@@ -12,6 +12,11 @@
   return mixIn(FNV_OFFSET_BASIS, text);
 }
 
+/** Adds text to a hash that was begun: `continueHash(beginHash(a), b)` is `beginHash(a + b)`. */
+export function continueHash(start: number, text: string): number {
+  return mixIn(start, text);
+}
+
 function mixIn(value: number, text: string): number {
   for (let index = 0; index < text.length; index += 1) {
     value ^= text.charCodeAt(index);
--- a/src/routing/prompt-parts.ts
+++ b/src/routing/prompt-parts.ts
@@ -4,6 +4,9 @@
  */
 import * as textHash from "../limits/text-hash.js";
 
+/** Parts that are told apart; what follows is taken as one part more, since each costs a lookup for each runner. */
+export const MAX_PARTS = 256;
+
 /** A part of a prompt. */
 export interface PromptPart {
   id: string;
@@ -26,7 +29,14 @@
     if (colon <= 0 || !Number.isFinite(tokens)) break;
     parts.push({ id: item.slice(0, colon).trim(), tokens });
   }
-  return parts;
+  return parts.length <= MAX_PARTS ? parts : [...parts.slice(0, MAX_PARTS), joinParts(parts.slice(MAX_PARTS))];
+}
+
+/** Several parts as one: its id is made of theirs. */
+function joinParts(parts: readonly PromptPart[]): PromptPart {
+  let tokens = 0;
+  for (const part of parts) tokens += part.tokens;
+  return { id: promptKey(parts), tokens };
 }
 
 /** Parses the two counts of the header; a malformed one is 0, and the sum of the parts replaces a missing prompt count. */
@@ -51,10 +61,10 @@
 /** One 32-bit key a part, made of it and all parts before it: who has cached a part under its key has cached the whole prefix. */
 export function prefixKeys(parts: readonly PromptPart[]): number[] {
   const keys: number[] = [];
-  let prefix = "";
+  let hash = textHash.beginHash("");
   for (const part of parts) {
-    prefix += `${part.id},`;
-    keys.push(textHash.hashText(prefix) | 0);
+    hash = textHash.continueHash(hash, `${part.id},`);
+    keys.push(textHash.finishHash(hash, "") | 0);
   }
   return keys;
 }
