--- a/src/router/client/client-response.ts
+++ b/src/router/client/client-response.ts
@@ -37,7 +37,7 @@
 
   /** Whether another runner may resume the body where it is. */
   get isResumable(): boolean {
-    return this.splitter !== null;
+    return this.splitter !== null && !this.splitter.isPassingThrough;
   }
 
   /** The id of the last complete event that was forwarded. */
