JSON from outside is bounded in nesting and values before it is parsed

Change: one pass over the bytes first: nesting up to 64, up to a million lists, objects and items; an operator's document beyond gets 413, a runner's report or a platform's page is as if it had not come.

--- a/src/config/configuration-check.ts
+++ b/src/config/configuration-check.ts
@@ -2,6 +2,7 @@
 import * as result from "true-myth/result";
 import * as superstruct from "superstruct";
 import * as errors from "../runtime/errors.js";
+import * as jsonBounds from "../runtime/json-bounds.js";
 
 const name = superstruct.nonempty(superstruct.string());
 const count = superstruct.min(superstruct.number(), 0);
@@ -104,8 +105,13 @@
   return result.err(new errors.InvalidRequestError(`${field}: ${what}`, remedy));
 }
 
-/** The value of UTF-8 JSON, or an error. */
+/** The value of UTF-8 JSON, or an error: 413 where it would take too much to parse. */
 export function parseJson(text: Buffer): Checked<unknown> {
+  const excess = jsonBounds.findExcess(text);
+  if (excess !== null)
+    return result.err(
+      new errors.PayloadTooLargeError(`body: it is over the bound on its ${excess}`, "send a smaller or a flatter document"),
+    );
   try {
     return result.ok(JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(text)));
   } catch {
--- a/src/control/platform/platform-client.ts
+++ b/src/control/platform/platform-client.ts
@@ -3,6 +3,7 @@
 import * as schema from "../../wire/schema.js";
 import * as types from "../../wire/types.js";
 import * as timers from "../../runtime/timers.js";
+import * as jsonBounds from "../../runtime/json-bounds.js";
 import type * as withheldVersions from "./withheld-versions.js";
 
 const CALL_TIMEOUT_MS = 900;
@@ -43,7 +44,7 @@
 
 function parsePage(body: Buffer): Page | null {
   try {
-    return JSON.parse(body.toString("utf8")) as Page;
+    return jsonBounds.parse(body) as Page;
   } catch {
     return null;
   }
--- a/src/control/platform/report-poller.ts
+++ b/src/control/platform/report-poller.ts
@@ -3,6 +3,7 @@
 import * as schema from "../../wire/schema.js";
 import * as types from "../../wire/types.js";
 import * as log from "../../runtime/log.js";
+import * as jsonBounds from "../../runtime/json-bounds.js";
 
 const REPORT_TIMEOUT_MS = 350;
 const IDLE_CONNECTION_MS = 4000;
@@ -25,7 +26,7 @@
 /** Decodes a runner's report from its JSON; null where it is not readable. */
 export function readReport(id: types.RunnerId, body: Buffer): schema.Report | null {
   try {
-    const raw = JSON.parse(body.toString("utf8")) as Record<string, unknown>;
+    const raw = jsonBounds.parse(body) as Record<string, unknown>;
     return {
       id,
       isSpeaking: true,
--- a/src/tallies/tally-request.ts
+++ b/src/tallies/tally-request.ts
@@ -2,6 +2,7 @@
 import * as superstruct from "superstruct";
 import * as result from "true-myth/result";
 import * as errors from "../runtime/errors.js";
+import * as jsonBounds from "../runtime/json-bounds.js";
 
 /** The longest name of a tally, and the longest id, in characters. */
 export const MAX_NAME_LENGTH = 200;
@@ -35,7 +36,7 @@
 export function parseAdd(bytes: Buffer): result.Result<AddRequest, errors.CranewindError> {
   let document: unknown;
   try {
-    document = JSON.parse(bytes.toString("utf8"));
+    document = jsonBounds.parse(bytes);
   } catch {
     return result.err(new errors.InvalidRequestError("the body is no JSON", 'send {"instance_id":"...","actor":1}'));
   }
