The bundles have short lines: a failed assertion no longer reads a megabyte of source

Cause: the runtime parses the source line of a failed assertion for its message, and the minified bundle stood on 131 lines.

--- a/build.mjs
+++ b/build.mjs
@@ -1,6 +1,9 @@
 // Three files out of all sources: the launcher, what a role runs, and the commands (design 12.1).
 import * as esbuild from "esbuild";
 
+/** A failed assertion reads the source from its line on: long lines would keep the process busy for seconds. */
+const MAX_LINE_BYTES = 200;
+
 const common = {
   bundle: true,
   platform: "node",
@@ -8,6 +11,7 @@
   format: "cjs",
   minifySyntax: true,
   minifyWhitespace: true,
+  lineLimit: MAX_LINE_BYTES,
   legalComments: "none",
   external: ["vega", "vega-lite"],
   alias: { "node:http2": "./src/wire/no-http2.ts" },
