Token counts out of range are refused with 400, before anything is done with them

Cause: fields of 32 bits between routers, and counts that nobody checked where they come in. Change: a count below 0, or one or a sum over 2^31 - 1, in X-Cranewind-Prompt-Prefix or X-Cranewind-Token-Usage gets 400 with the fields and their range.

--- a/src/router/client/router-server.ts
+++ b/src/router/client/router-server.ts
@@ -3,6 +3,7 @@
 import type * as net from "node:net";
 import type * as configurationCheck from "../../config/configuration-check.js";
 import type * as routeTable from "../../config/route-table.js";
+import * as promptParts from "../../routing/prompt-parts.js";
 import * as log from "../../runtime/log.js";
 import * as memoryBudget from "../../runtime/memory-budget.js";
 import * as httpConnections from "../../wire/http-connections.js";
@@ -37,6 +38,7 @@
 const MAX_OPEN_ON_CONNECTION = 32;
 /** Another connection takes the request at once; in seconds. */
 const PIPELINED_RETRY_S = 0.1;
+const TOKENS_OUT_OF_RANGE = `X-Cranewind-Prompt-Prefix or X-Cranewind-Token-Usage names a count below 0 or over ${promptParts.MAX_TOKENS} tokens; send whole numbers from 0 on`;
 
 /** The machine's limits, by the names of the settings. */
 export interface MachineLimits {
@@ -272,8 +274,13 @@
       return;
     }
     const isBatch = batches.isItem(incoming.headers[names.HEADER.batchPass]);
+    const request = routeRequest.buildRouteRequest(incoming, { requestId, entry, tenant, body, arrivedAt, isBatch });
+    if (promptParts.isOutOfRange(request.parts, request.requestedTokens)) {
+      this.reject(outgoing, 400, TOKENS_OUT_OF_RANGE, null, false);
+      return;
+    }
     if (!isBatch) batches.countArrival(entry.route.name);
-    this.acquireQuota(routeRequest.buildRouteRequest(incoming, { requestId, entry, tenant, body, arrivedAt, isBatch }), exchange);
+    this.acquireQuota(request, exchange);
   }
 
   private deferUntilReady(exchange: Exchange, body: Buffer | null): void {
--- a/src/routing/prompt-parts.ts
+++ b/src/routing/prompt-parts.ts
@@ -7,6 +7,9 @@
 /** Parts that are told apart; what follows is taken as one part more, since each costs a lookup for each runner. */
 export const MAX_PARTS = 256;
 
+/** The most tokens that a request may declare, as one count or in sum: what routers tell one another has fields of 32 bits. */
+export const MAX_TOKENS = 2 ** 31 - 1;
+
 /** A part of a prompt. */
 export interface PromptPart {
   id: string;
@@ -47,6 +50,16 @@
   return { prompt: positiveOrZero(prompt) || sum, maxOutput: positiveOrZero(maxOutput) };
 }
 
+/** Whether a count of the request, or the sum of its parts, is out of range: none is below 0 or over `MAX_TOKENS`. */
+export function isOutOfRange(parts: readonly PromptPart[], requested: RequestedTokens): boolean {
+  let sum = 0;
+  for (const { tokens } of parts) {
+    if (tokens < 0) return true;
+    sum += tokens;
+  }
+  return Math.max(sum, requested.prompt, requested.maxOutput) > MAX_TOKENS;
+}
+
 function positiveOrZero(value: number | undefined): number {
   return value !== undefined && Number.isFinite(value) && value > 0 ? value : 0;
 }
