--- a/src/wire/request-body.ts
+++ b/src/wire/request-body.ts
@@ -8,7 +8,7 @@
  * with these alone a single connection could keep the process busy.
  */
 const MAX_SMALL_PIECES = 4096;
-const MIN_MEAN_PIECE_BYTES = 64;
+const MIN_MEAN_PIECE_BYTES = 8;
 
 /** Why a body is given up before it is complete: over its limit, in too many pieces, or out of memory of the budget. */
 export type BodyRefusal = "too_large" | "fragmented" | "no_memory";
