A 421 that a request's own expected version brought about takes no runner from others

Cause: a 421 says that another runner has the address, so the runner was taken for gone, also where it answered that its weights have another version than the request asks for. Change: a 421 to a request that names an expected version says nothing of the runner.

--- a/src/emulator/runner-emulator.ts
+++ b/src/emulator/runner-emulator.ts
@@ -153,6 +153,7 @@
     const fault = this.faults.shift();
     if (requestId === "") this.rejectRequest(outgoing, requestId, 400);
     else if (target !== "" && target !== this.id) this.rejectRequest(outgoing, requestId, 421);
+    else if (header(names.HEADER.expectedVersion) !== "") this.rejectRequest(outgoing, requestId, 421);
     else if (fault === "shed" || this.active >= this.options.capacity) this.rejectRequest(outgoing, requestId, 503);
     else {
       const lastEventId = header(names.HEADER.lastEventId);
--- a/src/router/request-transaction.ts
+++ b/src/router/request-transaction.ts
@@ -6,6 +6,7 @@
 import type * as admissionStats from "../admission/admission-stats.js";
 import type * as routePlan from "../routing/route-plan.js";
 import * as log from "../runtime/log.js";
+import * as names from "../wire/names.js";
 import type * as types from "../wire/types.js";
 import * as clientResponse from "./client/client-response.js";
 import * as responseHead from "./response-head.js";
@@ -210,9 +211,14 @@
     else this.retry();
   }
 
+  /** The request itself asked for weights that the runner may not have: this says nothing of the runner to others. */
+  private isForOtherVersion(head: responseHead.ResponseHead): boolean {
+    return head.status === 421 && this.incoming.headers[names.HEADER.expectedVersion] !== undefined;
+  }
+
   private onNotExecuted(attempt: runnerAttempt.Attempt, head: responseHead.ResponseHead): void {
     log.count("router.not_executed");
-    attempt.runner.recordRejection(this.context.clock.now(), head.status === 421);
+    if (!this.isForOtherVersion(head)) attempt.runner.recordRejection(this.context.clock.now(), head.status === 421);
     if (head.status === 400) {
       this.respond(400, "the runner finds the request malformed; send X-Cranewind-Request-Id", null, "denied");
       return;
--- a/src/wire/names.ts
+++ b/src/wire/names.ts
@@ -11,6 +11,7 @@
   notExecuted: "x-cranewind-not-executed",
   warmupMs: "x-cranewind-warmup-ms",
   instance: "x-cranewind-instance-id",
+  expectedVersion: "x-cranewind-expected-version",
   batchPass: "x-cranewind-batch-pass",
   model: "x-cranewind-model",
   lastEventId: "last-event-id",
