--- a/src/router/client/router-server.ts
+++ b/src/router/client/router-server.ts
@@ -38,6 +38,8 @@
 const MAX_OPEN_ON_CONNECTION = 32;
 /** Another connection takes the request at once; in seconds. */
 const PIPELINED_RETRY_S = 0.1;
+/** Requests that may begin while earlier ones of their connection have no response (RFC 9112, 9.3.2). */
+const SAFE_METHODS: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS"]);
 const TOKENS_OUT_OF_RANGE = `X-Cranewind-Prompt-Prefix or X-Cranewind-Token-Usage names a count below 0 or over ${promptParts.MAX_TOKENS} tokens; send whole numbers from 0 on`;
 
 /** The machine's limits, by the names of the settings. */
@@ -226,7 +228,7 @@
       {
         onComplete: (body) => {
           timer.stop();
-          if (!outgoing.headersSent) this.routeRequest(exchange, body);
+          if (!outgoing.headersSent) this.routeInTurn(exchange, body);
         },
         onRefused: (cause) => {
           timer.stop();
@@ -250,6 +252,13 @@
     this.reject(outgoing, status, message, retryAfterS, true);
   }
 
+  /** A request that isn't safe begins only once the responses before it are whole: were one broken off, its own could not be sent. */
+  private routeInTurn(exchange: Exchange, body: Buffer | null): void {
+    const { incoming, outgoing } = exchange;
+    if (SAFE_METHODS.has(incoming.method ?? "")) this.routeRequest(exchange, body);
+    else this.connections.whenItsTurn(incoming.socket, outgoing, () => this.routeRequest(exchange, body));
+  }
+
   /** Finds the route and the tenant of a complete request. */
   private routeRequest(exchange: Exchange, body: Buffer | null): void {
     const { incoming, outgoing, arrivedAt } = exchange;
--- a/src/wire/http-connections.ts
+++ b/src/wire/http-connections.ts
@@ -19,6 +19,8 @@
   /** Milliseconds of the steady clock. */
   arrivedAt: number;
   isFirstOnConnection: boolean;
+  /** Waits until all responses before its own are sent. */
+  onTurn: (() => void) | null;
 }
 
 /** Where the requests of the open exchanges came from. */
@@ -58,7 +60,7 @@
   /** The head of a request has arrived. Returns how many exchanges are open on its connection, with this one. */
   beginExchange(socket: net.Socket, outgoing: nodeHttp.ServerResponse, arrivedAt: number): number {
     const use = this.uses.get(socket) ?? { begun: 0, open: new Set() };
-    const exchange = { outgoing, arrivedAt, isFirstOnConnection: use.begun === 0 };
+    const exchange: Exchange = { outgoing, arrivedAt, isFirstOnConnection: use.begun === 0, onTurn: null };
     use.begun += 1;
     use.open.add(exchange);
     this.exchanges.add(exchange);
@@ -68,10 +70,23 @@
       // A response whose head was sent earlier does not say that its connection ends.
       if (!this.isAccepting && use.open.size === 0) closeAfterLastByte(socket);
       if (this.exchanges.size === 0) for (const notify of this.idleListeners.splice(0)) notify();
+      // A response that was made the last one ends its connection after this.
+      if (outgoing.shouldKeepAlive) startNext(socket, use);
     });
     return use.open.size;
   }
 
+  /**
+   * Calls `run` once all responses before this one on its connection are sent, at once where there are none; never where the
+   * connection ends before: the request behind this response has not begun then.
+   */
+  whenItsTurn(socket: net.Socket, outgoing: nodeHttp.ServerResponse, run: () => void): void {
+    const [first, ...later] = this.uses.get(socket)?.open ?? [];
+    const exchange = later.find((other) => other.outgoing === outgoing);
+    if (first && exchange) exchange.onTurn = run;
+    else run();
+  }
+
   /** Resolves when no exchange is open. */
   async whenIdle(): Promise<void> {
     if (this.exchanges.size > 0) await new Promise<void>((resolve) => this.idleListeners.push(resolve));
@@ -99,6 +114,15 @@
   }
 }
 
+/** The exchange whose response is due now begins, if it waited and its response can still be sent. */
+function startNext(socket: net.Socket, use: ConnectionUse): void {
+  const [next] = use.open;
+  if (!next?.onTurn || !socket.writable) return;
+  const run = next.onTurn;
+  next.onTurn = null;
+  run();
+}
+
 /** Ends a response that waited behind another one when its connection closed: the runtime tells this only to the one that is being sent. */
 function closeUnassigned(outgoing: nodeHttp.ServerResponse): void {
   outgoing.destroy();
--- a/tests/router/pipelining.test.ts
+++ b/tests/router/pipelining.test.ts
@@ -41,3 +41,19 @@
   for (let turn = 0; turn < 5000 && edge.server.activeCount > 0; turn += 1) await new Promise((resolve) => setImmediate(resolve));
   expect(edge.server.activeCount).toBe(0);
 });
+
+// Guards against a request that is run although its response can't be sent any more (review case 2, RFC 9112, 9.3.2).
+test("a POST behind a response that breaks off, or is the last on its connection, is not run; behind a whole one it is", async () => {
+  const post = (id: string, more = ""): string =>
+    `POST /once/x HTTP/1.1\r\nHost: h\r\nX-Cranewind-Request-Id: ${id}\r\n${more}Content-Length: 0\r\n\r\n`;
+  const ids = (): string[] => edge.seen().map(({ requestId }) => requestId);
+  const whole = await edge.send(post("a1") + post("a2") + post("a3", "Connection: close\r\n"));
+  expect(whole.match(/HTTP\/1\.1 200 /g)).toHaveLength(3);
+  expect(ids()).toEqual(["a1", "a2", "a3"]);
+  const garbled = await edge.send(post("c1") + post("c2") + "no request\r\n\r\n");
+  expect(garbled.match(/HTTP\/1\.1 200 /g)).toHaveLength(1);
+  edge.server.isDraining = true;
+  const last = await edge.send(post("b1") + post("b2"));
+  expect(last.match(/HTTP\/1\.1 200 /g)).toHaveLength(1);
+  expect(ids()).toEqual(["a1", "a2", "a3", "c1", "b1"]);
+});
