Soak: pairs of requests on one connection, and rude peers

Six clients send two POSTs at once on a connection of their own, which may run once each: what was run must be answered, or its end excused. One peer sends long paths and bodies in chunks of one byte, judged by what becomes of the others.

--- a/tests/processes/soak-run.ts
+++ b/tests/processes/soak-run.ts
@@ -8,9 +8,11 @@
 import * as soakClients from "./soak-clients.js";
 import * as soakEvacuations from "./soak-evacuations.js";
 import * as soakSignals from "./soak-signals.js";
+import * as soakRawClients from "./soak-raw-clients.js";
 import * as soakPlan from "./soak-plan.js";
 
 const EVENT_COUNT = 8;
+const PAIR_CLIENTS = 6;
 const LOOP_CHECK_MS = 20;
 const START_TIMEOUT_MS = 20_000;
 /** Many processes that start at once share the cores. */
@@ -75,6 +77,8 @@
     const clients: soakClients.Client[] = [operator, evacuations];
     for (let number = 0; number < plan.clients; number += 1) clients.push(new soakClients.RequestClient(fleet, number, plan.seed));
     for (let number = 0; number < 4; number += 1) clients.push(new soakClients.AddClient(fleet, number));
+    for (let number = 0; number < PAIR_CLIENTS; number += 1) clients.push(new soakRawClients.PairClient(fleet, number));
+    clients.push(new soakRawClients.RudeClient(fleet, plan.seed));
     const ends = clients.map((client) => client.run());
     for (const event of plan.events) this.schedule(event);
     await nodes.pause(plan.durationMs);
