--- a/tests/router/pipelining.test.ts
+++ b/tests/router/pipelining.test.ts
@@ -1,19 +1,12 @@
 // Guards against requests that pile up behind an unanswered one: their memory, and ends that nobody is told of (design/edge 7.14).
 import * as net from "node:net";
-import * as timers from "../../src/runtime/timers.js";
 import * as routerEdge from "../sim/router-edge.js";
+import * as stoppedClock from "../sim/stopped-clock.js";
 
 let edge: routerEdge.Edge;
 
-/** No timer ever fires: nothing ends by its deadline. */
-class TimelessClock extends timers.SystemClock {
-  override schedule(): { stop(): void } {
-    return { stop: () => undefined };
-  }
-}
-
 beforeEach(async () => {
-  edge = await routerEdge.Edge.start(new TimelessClock(), [{ id: "i-1" }]);
+  edge = await routerEdge.Edge.start(new stoppedClock.StoppedClock(), [{ id: "i-1" }]);
 });
 afterEach(() => edge.stop());
 
--- a/tests/router/token-counts.test.ts
+++ b/tests/router/token-counts.test.ts
@@ -1,13 +1,13 @@
 // Guards against token counts that no field between routers takes: an exception a request, and after 30 of them the process ended.
-import * as timers from "../../src/runtime/timers.js";
 import * as routerEdge from "../sim/router-edge.js";
+import * as stoppedClock from "../sim/stopped-clock.js";
 
 const MAX_TOKENS = 2 ** 31 - 1;
 
 let edge: routerEdge.Edge;
 
 beforeAll(async () => {
-  edge = await routerEdge.Edge.start(new timers.SystemClock(), [{ id: "i-1" }]);
+  edge = await routerEdge.Edge.start(new stoppedClock.StoppedClock(), [{ id: "i-1" }]);
 });
 afterAll(() => edge.stop());
 
